--- /dev/null
+++ b/crates/release/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder header; the crate's modules follow.
--- /dev/null
+++ b/src/bin/hickoryctl.rs
@@ -0,0 +1,3 @@
+//! Placeholder; the program's library follows.
+
+fn main() {}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,28 @@
+//! Developer tasks, run as `cargo xtask NAME`.
+
+mod codegen;
+
+use std::process;
+
+use clap::Parser;
+
+/// Developer tasks of hickorychute.
+#[derive(Debug, Parser)]
+#[command(name = "cargo xtask")]
+enum Task {
+    /// Writes the message types again from the protobuf definitions.
+    Codegen,
+}
+
+fn main() -> process::ExitCode {
+    let result = match Task::parse() {
+        Task::Codegen => codegen::run(),
+    };
+    match result {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("xtask: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
