Add the types of the HTTP API

Daemon and command-line tool would each have to spell out paths, headers and bodies, and could drift apart. The crate api holds them once, with the body of every refusal made from the table of error kinds.

--- /dev/null
+++ b/crates/api/tests/json.rs
@@ -0,0 +1,64 @@
+//! The JSON of the API: what may be left out and what is refused.
+
+use hickorychute_api as api;
+use kernel::errors;
+use kernel::ids;
+use kernel::work;
+
+struct Case {
+    name: &'static str,
+    json: &'static str,
+    accepted: bool,
+}
+
+#[test]
+fn job_requests_are_checked_for_their_fields() {
+    let cases = [
+        Case {
+            name: "only what is needed",
+            json: r#"{"team":"huber","demand":{"cpu_milli":500},"run_time_ms":1000}"#,
+            accepted: true,
+        },
+        Case {
+            name: "a field that does not exist",
+            json: r#"{"team":"huber","demand":{},"run_time_ms":1000,"taks":3}"#,
+            accepted: false,
+        },
+        Case {
+            name: "a service",
+            json: r#"{"team":"huber","demand":{},"run_time_ms":1000,"kind":"service"}"#,
+            accepted: false,
+        },
+        Case {
+            name: "a negative size",
+            json: r#"{"team":"huber","demand":{"memory_mb":-1},"run_time_ms":1000}"#,
+            accepted: false,
+        },
+    ];
+    for case in cases {
+        let parsed = serde_json::from_str::<api::JobRequest>(case.json);
+        assert_eq!(parsed.is_ok(), case.accepted, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_job_request_becomes_work() {
+    let json = r#"{"team":"huber","kind":"gang_job","tasks":4,"demand":{"cpu_milli":500},"run_time_ms":1000}"#;
+    let request: api::JobRequest = serde_json::from_str(json).unwrap();
+    let work = request.into_work(ids::WorkId::new("audit"));
+    assert_eq!(work.kind, work::WorkKind::GangJob);
+    assert_eq!(work.tasks, 4);
+    assert_eq!(work.max_attempts, api::DEFAULT_MAX_ATTEMPTS);
+    assert_eq!(work.run_time_ms, Some(1000));
+}
+
+#[test]
+fn error_bodies_follow_the_table() {
+    for kind in errors::ErrorKind::ALL {
+        let body = api::ErrorBody::from(&errors::Error::new(kind, "detail"));
+        let json = serde_json::to_string(&body).unwrap();
+        let read: api::ErrorBody = serde_json::from_str(&json).unwrap();
+        assert_eq!(read.outcome, kind.answer().outcome);
+        assert_eq!(errors::Error::from(read).kind, kind);
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line tool for operators.
