--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -96,6 +96,10 @@
 pub struct SyncRequest {
     /// The owner's epoch; raises the worker's if higher.
     pub epoch: ids::Epoch,
+    /// Grows with every request under one epoch; a worker refuses one that is not newer than the
+    /// last, so that a delayed request cannot start anything after its sender has given it up.
+    #[serde(default)]
+    pub sequence: u64,
     /// Every running task's lease ends this long after the worker got the request.
     pub lease_ms: u64,
     /// Digest of the running list that the owner knows; the list is left out of the reply if equal.
@@ -195,6 +199,9 @@
         /// The epoch that the worker has seen.
         seen: ids::Epoch,
     },
+    /// The worker has seen a newer request of the same owner; it did nothing.
+    #[snafu(display("the worker has seen a newer request"))]
+    OutOfOrder,
     /// The worker did not get the request; it did nothing.
     #[snafu(display("the worker cannot be reached: {detail}"))]
     Unreachable {
