--- /dev/null
+++ b/crates/node/src/entry/calls.rs
@@ -0,0 +1,168 @@
+//! Calls to services.
+
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, Request, StatusCode};
+use axum::response::{IntoResponse, Response};
+use kernel::errors;
+use kernel::ids;
+use kernel::lifecycle;
+use opentelemetry::trace::SpanKind;
+use platform::upstreams;
+
+use super::reply::{Failure, Reply, set_header};
+use super::{BODY_TIMEOUT, Entry};
+use crate::{forward, telemetry};
+
+/// The team of a caller that names none.
+const DEFAULT_TEAM: &str = "default";
+const KEY_LIMIT_CHARS: usize = 200;
+
+/// A call to the root of a service.
+pub(super) async fn call_root(
+    State(entry): State<Entry>,
+    Path(service): Path<String>,
+    request: Request<Body>,
+) -> Reply<Response> {
+    answer(entry, service, String::new(), request).await
+}
+
+/// A call to a path of a service.
+pub(super) async fn call(
+    State(entry): State<Entry>,
+    Path((service, path)): Path<(String, String)>,
+    request: Request<Body>,
+) -> Reply<Response> {
+    answer(entry, service, path, request).await
+}
+
+async fn answer(
+    entry: Entry,
+    service: String,
+    path: String,
+    request: Request<Body>,
+) -> Reply<Response> {
+    let arrived_ms = entry.shared.now_ms();
+    let traceparent = header(request.headers(), api::headers::TRACEPARENT).unwrap_or_default();
+    let served = telemetry::in_span(
+        "entry call",
+        SpanKind::Server,
+        &traceparent,
+        serve(&entry, &service, &path, request, arrived_ms),
+    );
+    let result = served.await;
+    let elapsed_ms = entry.shared.now_ms() - arrived_ms;
+    let kind = result.as_ref().err().map(|error| error.kind);
+    entry.shared.metrics.call(kind, elapsed_ms);
+    result.map(respond).map_err(Failure::from)
+}
+
+async fn serve(
+    entry: &Entry,
+    service: &str,
+    path: &str,
+    request: Request<Body>,
+    arrived_ms: u64,
+) -> errors::Result<forward::Answered> {
+    if entry.shared.phase() != lifecycle::Phase::Serving {
+        return Err(errors::Error::new(
+            errors::ErrorKind::Draining,
+            "this host takes no requests now",
+        ));
+    }
+    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+    let mut call = read_headers(entry, request.headers())?;
+    call.service = ids::WorkId::new(service);
+    call.path = format!("/{path}{query}");
+    // The memory is given back when the call ends.
+    let (body, _memory) = read_body(entry, request.into_body()).await?;
+    call.body = body;
+    // The time that the body took is part of the caller's deadline.
+    let spent_ms = entry.shared.now_ms() - arrived_ms;
+    call.deadline_ms = call.deadline_ms.saturating_sub(spent_ms);
+    forward::enter(&entry.shared, call).await
+}
+
+fn read_headers(entry: &Entry, headers: &HeaderMap) -> errors::Result<forward::Call> {
+    let bad = |detail: String| errors::Error::new(errors::ErrorKind::BadRequest, detail);
+    let config = &entry.shared.config;
+    let deadline_ms = match header(headers, api::headers::DEADLINE_MS) {
+        None => config.default_deadline_ms,
+        Some(text) => text
+            .parse::<u64>()
+            .ok()
+            .filter(|ms| (1..=config.max_deadline_ms).contains(ms))
+            .ok_or_else(|| {
+                let limit = config.max_deadline_ms;
+                bad(format!("x-deadline-ms: {text:?} is not a whole number from 1 to {limit}"))
+            })?,
+    };
+    let key = header(headers, api::headers::IDEMPOTENCY_KEY);
+    if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT_CHARS) {
+        return Err(bad(format!("idempotency-key: must have 1 to {KEY_LIMIT_CHARS} characters")));
+    }
+    Ok(forward::Call {
+        service: ids::WorkId::new(""),
+        path: String::new(),
+        body: bytes::Bytes::new(),
+        key: key.map(ids::IdempotencyKey::new),
+        team: ids::TeamId::new(
+            header(headers, api::headers::TEAM).as_deref().unwrap_or(DEFAULT_TEAM),
+        ),
+        urgency: header(headers, api::headers::URGENCY)
+            .map(|name| forward::parse_urgency(&name))
+            .unwrap_or_default(),
+        deadline_ms,
+    })
+}
+
+/// Reads a body whole, within the limits of size, time and memory.
+pub(super) async fn read_body(
+    entry: &Entry,
+    body: Body,
+) -> errors::Result<(bytes::Bytes, tokio::sync::OwnedSemaphorePermit)> {
+    let reading = axum::body::to_bytes(body, upstreams::BODY_LIMIT_BYTES);
+    let bytes = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(error)) => {
+            entry.shared.metrics.refusal("body");
+            return Err(errors::Error::with_source(
+                errors::ErrorKind::TooLarge,
+                "the body is too large or broke off",
+                error,
+            ));
+        }
+        Err(_) => {
+            entry.shared.metrics.refusal("slow_body");
+            return Err(errors::Error::new(
+                errors::ErrorKind::BadRequest,
+                "the body did not arrive in time",
+            ));
+        }
+    };
+    let kibibytes = (bytes.len() / 1024 + 1) as u32;
+    let memory = std::sync::Arc::clone(&entry.body_memory)
+        .try_acquire_many_owned(kibibytes)
+        .map_err(|_| {
+            entry.shared.metrics.refusal("memory");
+            errors::Error::new(
+                errors::ErrorKind::Overloaded,
+                "this host holds as many request bodies as it may",
+            )
+        })?;
+    Ok((bytes, memory))
+}
+
+/// A header as text, if it is there and readable.
+pub(super) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn respond(answered: forward::Answered) -> Response {
+    let status = StatusCode::from_u16(answered.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = (status, answered.body).into_response();
+    set_header(&mut response, api::headers::OUTCOME, &errors::Outcome::Done.to_string());
+    set_header(&mut response, api::headers::INSTANCE, &answered.instance);
+    set_header(&mut response, api::headers::ATTEMPT_ID, &answered.attempt_id.to_string());
+    response
+}
--- /dev/null
+++ b/crates/node/src/entry/mod.rs
@@ -0,0 +1,73 @@
+//! The HTTP port for callers and operators.
+//!
+//! Bodies are read whole before anything is done, within a limit and a time
+//! limit, so that a slow or broken sender costs one connection and no slot.
+
+mod calls;
+mod health;
+mod jobs;
+mod listener;
+mod operators;
+mod releases;
+mod reply;
+
+use std::sync::Arc;
+use std::time;
+
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::routing;
+use platform::upstreams;
+use tokio::sync::Semaphore;
+
+use crate::{shared, telemetry};
+
+pub use listener::{HttpServer, HttpConfig};
+
+/// How long the body of a request may take to arrive.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// What the handlers share.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    shared: Arc<shared::Shared>,
+    acceptor: Arc<release::Acceptor>,
+    metrics: Option<telemetry::MetricsPage>,
+    /// Bytes of request bodies that may be held at once, in kibibytes.
+    body_memory: Arc<Semaphore>,
+}
+
+/// Request bodies that may be held at once; half of the memory that a host may use.
+const BODY_MEMORY_KB: usize = 32 * 1024;
+
+impl Entry {
+    /// Makes the entry of one host.
+    pub fn new(shared: Arc<shared::Shared>, metrics: Option<telemetry::MetricsPage>) -> Self {
+        let limits = release::CellLimits::from_workers(shared.config.topology.zones.keys(), []);
+        let acceptor =
+            Arc::new(release::Acceptor::new(Arc::clone(&shared.platform.store), limits));
+        Self { shared, acceptor, metrics, body_memory: Arc::new(Semaphore::new(BODY_MEMORY_KB)) }
+    }
+
+    /// The routes of the HTTP port.
+    pub fn routes(self) -> Router {
+        Router::new()
+            .route(api::paths::LIVE, routing::get(health::live))
+            .route(api::paths::READY, routing::get(health::ready))
+            .route(api::paths::METRICS, routing::get(health::metrics))
+            .route(api::paths::RELEASES, routing::post(releases::submit))
+            .route(api::paths::RELEASE_CURRENT, routing::get(releases::current))
+            .route(api::paths::RELEASE_STATUS, routing::get(releases::status))
+            .route("/v1/releases/{version}", routing::get(releases::show))
+            .route(api::paths::JOBS, routing::post(jobs::submit).get(jobs::list))
+            .route("/v1/jobs/{job}", routing::get(jobs::status).delete(jobs::cancel))
+            .route(api::paths::HOSTS, routing::get(operators::hosts))
+            .route(api::paths::WORKERS, routing::get(operators::workers))
+            .route(api::paths::PLACEMENTS, routing::get(operators::placements))
+            .route("/v1/tasks/{work}/{index}", routing::get(operators::explain))
+            .route("/v1/call/{service}", routing::any(calls::call_root))
+            .route("/v1/call/{service}/{*path}", routing::any(calls::call))
+            .layer(DefaultBodyLimit::max(upstreams::BODY_LIMIT_BYTES))
+            .with_state(self)
+    }
+}
--- /dev/null
+++ b/crates/node/src/group/assign.rs
@@ -0,0 +1,110 @@
+//! Assignments from shards.
+
+use std::sync::Arc;
+
+use kernel::errors;
+use kernel::ids;
+use kernel::work;
+use wire::messages;
+
+use super::{GroupOwner, state};
+
+impl GroupOwner {
+    /// Takes over the assignments of a shard.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::StaleEpoch`] if the message is meant for another owner of the group,
+    /// or comes from an earlier owner of the shard, or was written before an end that the shard
+    /// has confirmed since; [`errors::ErrorKind::BadRequest`] if it does not decode.
+    pub fn assign(&self, request: &messages::AssignRequest) -> errors::Result<messages::AssignReply> {
+        let works = decode(request)?;
+        let now_ms = self.shared.now_ms();
+        {
+            let mut state = self.state();
+            self.check_order(&mut state, request)?;
+            let shard = ids::ShardId(request.shard as u16);
+            for (work, runs) in works {
+                let held = state::HeldAssignment { shard, work, runs };
+                if state.recovered {
+                    submit(&mut state, &held, now_ms);
+                } else {
+                    state.held.push(held);
+                }
+            }
+            for name in &request.cancelled {
+                cancel(&mut state, shard, &ids::WorkId::new(name), now_ms);
+            }
+        }
+        self.wake.notify_one();
+        Ok(messages::AssignReply { group_epoch: self.epoch.0 })
+    }
+
+    fn check_order(
+        &self,
+        state: &mut state::GroupState,
+        request: &messages::AssignRequest,
+    ) -> errors::Result<()> {
+        let stale = |detail: &str| Err(errors::Error::new(errors::ErrorKind::StaleEpoch, detail));
+        if self.is_stopped() || request.group_epoch != self.epoch.0 {
+            return stale("the assignment is meant for another owner of the group");
+        }
+        let order = state::AssignmentOrder {
+            shard_epoch: ids::Epoch(request.shard_epoch),
+            sequence: request.sequence,
+        };
+        let last = state.orders.entry(ids::ShardId(request.shard as u16)).or_default();
+        if order <= *last {
+            return stale("the assignment is older than one already seen");
+        }
+        *last = order;
+        Ok(())
+    }
+}
+
+/// Puts an assignment into the queue of tasks.
+pub(super) fn submit(state: &mut state::GroupState, held: &state::HeldAssignment, now_ms: u64) {
+    state.placement.submit(&held.work, &held.runs, Some(held.shard), now_ms);
+}
+
+/// Takes the work's waiting tasks out of the queue and gives them back as never started.
+fn cancel(
+    state: &mut state::GroupState,
+    shard: ids::ShardId,
+    work: &ids::WorkId,
+    now_ms: u64,
+) {
+    if !state.recovered {
+        // A held task may run on a worker not yet heard, so it cannot be given back yet.
+        state.cancel_at_recovery.push((shard, work.clone()));
+        return;
+    }
+    for run in state.placement.cancel(work, now_ms) {
+        super::reports::note_hand_back(state, shard, &run);
+    }
+}
+
+/// Cancels what was cancelled while the group recovered.
+pub(super) fn cancel_held(state: &mut state::GroupState, now_ms: u64) {
+    for (shard, work) in std::mem::take(&mut state.cancel_at_recovery) {
+        cancel(state, shard, &work, now_ms);
+    }
+}
+
+type DecodedWork = (Arc<work::Work>, Vec<(u32, ids::Attempt)>);
+
+fn decode(request: &messages::AssignRequest) -> errors::Result<Vec<DecodedWork>> {
+    let decode_one = |assignment: &messages::Assignment| {
+        let work = serde_json::from_slice(&assignment.work).map_err(|source| {
+            errors::Error::with_source(
+                errors::ErrorKind::BadRequest,
+                "assigned work does not decode",
+                source,
+            )
+        })?;
+        let runs =
+            assignment.runs.iter().map(|run| (run.index, ids::Attempt(run.attempt))).collect();
+        Ok((Arc::new(work), runs))
+    };
+    request.assignments.iter().map(decode_one).collect()
+}
--- /dev/null
+++ b/crates/node/src/group/exchange.rs
@@ -0,0 +1,265 @@
+//! One exchange with a worker, and what follows from its reply.
+
+use std::sync::Arc;
+use std::time;
+
+use indexmap::IndexSet;
+use kernel::ids;
+use placement::EndEffect;
+use platform::workers;
+
+use super::{GroupOwner, reports, state};
+use crate::events;
+
+const EXCHANGE_TIMEOUT_MS: u64 = 2_000;
+
+impl GroupOwner {
+    /// Sends a request to a worker and applies the reply.
+    pub(super) async fn exchange(
+        self: Arc<Self>,
+        worker: workers::WorkerInfo,
+        request: workers::SyncRequest,
+    ) {
+        let limit = time::Duration::from_millis(EXCHANGE_TIMEOUT_MS);
+        let sync = self.shared.platform.workers.sync(&worker, &request);
+        let result = tokio::time::timeout(limit, sync).await.unwrap_or_else(|_| {
+            Err(workers::WorkerError::ReplyLost { detail: "no reply in time".to_owned() })
+        });
+        let now_ms = self.shared.now_ms();
+        {
+            let mut state = self.state();
+            match result {
+                Ok(reply) => {
+                    self.shared.metrics.worker_sync("ok");
+                    self.apply_reply(&mut state, &worker.id, &request, reply, now_ms);
+                }
+                Err(error) => {
+                    self.shared.metrics.worker_sync("failed");
+                    self.apply_failure(&mut state, &worker.id, request, &error, now_ms);
+                }
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    fn apply_reply(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        request: &workers::SyncRequest,
+        reply: workers::SyncReply,
+        now_ms: u64,
+    ) {
+        let Some(link) = state.links.get_mut(worker) else { return };
+        link.succeeded(now_ms, self.shared.config.worker_sync_interval_ms);
+        link.known_digest = Some(reply.digest);
+        if !link.confirmed {
+            link.confirmed = true;
+            state.placement.worker_confirmed(worker);
+        }
+        for refusal in &reply.refused {
+            self.apply_refusal(state, worker, refusal, now_ms);
+        }
+        if let Some(running) = reply.running {
+            self.apply_running(state, worker, request, &running, &reply.finished, now_ms);
+        }
+        // Before recovery the assignments are not in place yet; workers repeat unacknowledged ends.
+        if state.recovered {
+            for finished in &reply.finished {
+                self.apply_end(state, worker, finished, now_ms);
+            }
+        }
+        if reply.state == workers::WorkerState::Leaving {
+            self.worker_leaves(state, worker, now_ms);
+        }
+    }
+
+    fn apply_refusal(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        refusal: &workers::Refusal,
+        now_ms: u64,
+    ) {
+        kernel::log_event!(
+            events::START_REFUSED,
+            "{} on {worker}: {}",
+            refusal.run,
+            refusal.reason
+        );
+        if let Some(link) = state.links.get_mut(worker) {
+            link.runs.shift_remove(&refusal.run);
+        }
+        state.placement.refused(&refusal.run, refusal.reason, now_ms);
+    }
+
+    /// Brings what the owner believes in step with what the worker runs.
+    fn apply_running(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        request: &workers::SyncRequest,
+        running: &[workers::RunningTask],
+        finished: &[workers::FinishedRun],
+        now_ms: u64,
+    ) {
+        let mut present: IndexSet<&ids::TaskAttempt> = IndexSet::new();
+        for task in running {
+            present.insert(&task.order.run);
+            self.apply_running_task(state, worker, request, task, now_ms);
+        }
+        present.extend(finished.iter().map(|finished| &finished.order.run));
+        let Some(link) = state.links.get(worker) else { return };
+        let vanished: Vec<workers::StartOrder> = link
+            .runs
+            .iter()
+            .filter(|(run, _)| !present.contains(run))
+            .map(|(_, order)| order.clone())
+            .collect();
+        for order in vanished {
+            // The worker neither runs it nor holds its end: it was started anew, or its
+            // start was lost on the way.
+            let finished =
+                workers::FinishedRun { order, end: workers::RunEnd::LeaseLapsed, ran_ms: 0 };
+            self.apply_end(state, worker, &finished, now_ms);
+        }
+    }
+
+    fn apply_running_task(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        request: &workers::SyncRequest,
+        task: &workers::RunningTask,
+        now_ms: u64,
+    ) {
+        let run = &task.order.run;
+        let just_started = request.starts.iter().any(|order| order.run == *run);
+        let Some(link) = state.links.get_mut(worker) else { return };
+        let known = link.runs.insert(run.clone(), task.order.clone()).is_some();
+        if just_started {
+            if let Some(waited_ms) = state.placement.started(run, now_ms) {
+                self.shared.metrics.start(waited_ms);
+            }
+        } else {
+            state.placement.adopt(worker, &task.order, now_ms);
+        }
+        state.placement.usage(worker, run, task.usage, now_ms);
+        if task.order.slots > 0 {
+            let taken_over = !known && !just_started && task.open_calls > 0;
+            self.offer_instance(state, worker, task, taken_over, now_ms);
+        }
+    }
+
+    /// Makes a running task of a service known as an upstream instance.
+    fn offer_instance(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        task: &workers::RunningTask,
+        taken_over: bool,
+        now_ms: u64,
+    ) {
+        let Some(address) = state.links.get(worker).map(|link| link.info.address.clone()) else {
+            return;
+        };
+        let order = &task.order;
+        let until_ms = now_ms + self.shared.config.default_deadline_ms;
+        let dispatcher = state.dispatcher(&order.run.task.work);
+        if taken_over {
+            // Calls of the previous owner are still open there.
+            dispatcher.block_until(&order.run, until_ms);
+        }
+        dispatcher.set_instance(&order.run, &address, order.slots, order.connections, now_ms);
+        if task.draining {
+            dispatcher.set_leaving(&order.run);
+        }
+        let ready = dispatcher.dispatch_ready(now_ms);
+        state.deliver(ready);
+    }
+
+    /// Applies the end of a run; a repeated one changes nothing.
+    pub(super) fn apply_end(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        finished: &workers::FinishedRun,
+        now_ms: u64,
+    ) {
+        let run = &finished.order.run;
+        if let Some(link) = state.links.get_mut(worker) {
+            link.runs.shift_remove(run);
+        }
+        if let Some(dispatcher) = state.dispatchers.get_mut(&run.task.work) {
+            dispatcher.remove_instance(run);
+        }
+        let effect = state.placement.ended(run, finished.end, finished.ran_ms, now_ms);
+        if effect != EndEffect::Ignored {
+            self.shared.metrics.end(finished.end);
+            log::debug!("{run} on {worker}: {}, {effect:?}", finished.end);
+        }
+        reports::note_end(state, worker, finished);
+    }
+
+    fn apply_failure(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        request: workers::SyncRequest,
+        error: &workers::WorkerError,
+        now_ms: u64,
+    ) {
+        match error {
+            workers::WorkerError::StaleEpoch { seen } => {
+                kernel::log_event!(
+                    events::OWNER_FENCED,
+                    "{} under epoch {}: worker {worker} has seen epoch {seen}",
+                    self.id,
+                    self.epoch
+                );
+                self.stopped.cancel();
+                return;
+            }
+            workers::WorkerError::Unreachable { .. } => {
+                requeue(state, worker, request, now_ms);
+            }
+            workers::WorkerError::ReplyLost { .. } | workers::WorkerError::OutOfOrder => {
+                for order in &request.starts {
+                    state.placement.start_unknown(&order.run);
+                }
+                repeat_stops(state, worker, request);
+            }
+        }
+        let Some(link) = state.links.get_mut(worker) else { return };
+        log::debug!("exchange with {worker}: {error}");
+        // The next reply must list everything, since this one may have changed it.
+        link.known_digest = None;
+        link.failed(now_ms);
+    }
+}
+
+/// The worker did not get the request: its starts did not happen.
+fn requeue(
+    state: &mut state::GroupState,
+    worker: &ids::WorkerId,
+    request: workers::SyncRequest,
+    now_ms: u64,
+) {
+    for order in &request.starts {
+        if let Some(link) = state.links.get_mut(worker) {
+            link.runs.shift_remove(&order.run);
+        }
+        state.placement.not_sent(&order.run, now_ms);
+    }
+    repeat_stops(state, worker, request);
+}
+
+fn repeat_stops(
+    state: &mut state::GroupState,
+    worker: &ids::WorkerId,
+    request: workers::SyncRequest,
+) {
+    let Some(link) = state.links.get_mut(worker) else { return };
+    link.stops.extend(request.stops);
+    link.acknowledged.extend(request.acknowledged);
+}
--- /dev/null
+++ b/crates/node/src/group/link.rs
@@ -0,0 +1,131 @@
+//! What the owner knows about its exchange with one worker.
+
+use indexmap::{IndexMap, IndexSet};
+use kernel::ids;
+use platform::workers;
+
+/// Exchanges that may fail in a row before the worker is left alone until its leases end.
+const FAILURE_LIMIT: u32 = 3;
+const RETRY_INTERVAL_MS: u64 = 250;
+
+/// The exchange with one worker.
+#[derive(Debug)]
+pub(super) struct WorkerLink {
+    /// The worker as last listed.
+    pub info: workers::WorkerInfo,
+    /// Whether the worker has answered under this owner's epoch.
+    pub confirmed: bool,
+    /// Whether the worker is in the newest list.
+    pub listed: bool,
+    /// Runs that the owner believes to be on the worker, with their orders.
+    pub runs: IndexMap<ids::TaskAttempt, workers::StartOrder>,
+    /// Orders to send.
+    pub starts: Vec<workers::StartOrder>,
+    /// Orders to send.
+    pub stops: Vec<workers::StopOrder>,
+    /// Ends that are durable and need not be reported again.
+    pub acknowledged: IndexSet<ids::TaskAttempt>,
+    /// Digest of the running list in the last reply.
+    pub known_digest: Option<u64>,
+    in_flight: bool,
+    due_at_ms: u64,
+    failures: u32,
+    leases_end_at_ms: u64,
+    sequence: u64,
+}
+
+impl WorkerLink {
+    /// A link to a worker that has not answered yet; its leases may last until the given time.
+    ///
+    /// The sequence of requests starts at the owner's clock, so that it goes on rising when a link is made anew.
+    pub fn new(info: workers::WorkerInfo, now_ms: u64, leases_end_at_ms: u64) -> Self {
+        Self {
+            info,
+            confirmed: false,
+            listed: true,
+            runs: IndexMap::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            acknowledged: IndexSet::new(),
+            known_digest: None,
+            in_flight: false,
+            due_at_ms: now_ms,
+            failures: 0,
+            leases_end_at_ms,
+            sequence: now_ms,
+        }
+    }
+
+    /// Whether an exchange should be started now.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        if self.in_flight {
+            return false;
+        }
+        let has_orders = !self.starts.is_empty() || !self.stops.is_empty();
+        now_ms >= self.due_at_ms || (has_orders && self.failures == 0)
+    }
+
+    /// The next request, and notes that it is on its way.
+    ///
+    /// The leases are counted from now on: should the reply be lost, the worker
+    /// may have extended them.
+    pub fn take_request(
+        &mut self,
+        epoch: ids::Epoch,
+        lease_ms: u64,
+        leases_end_at_ms: u64,
+    ) -> workers::SyncRequest {
+        self.in_flight = true;
+        self.leases_end_at_ms = self.leases_end_at_ms.max(leases_end_at_ms);
+        let starts = std::mem::take(&mut self.starts);
+        for order in &starts {
+            self.runs.insert(order.run.clone(), order.clone());
+        }
+        self.sequence += 1;
+        workers::SyncRequest {
+            epoch,
+            sequence: self.sequence,
+            lease_ms,
+            known_digest: self.known_digest,
+            starts,
+            stops: std::mem::take(&mut self.stops),
+            acknowledged: std::mem::take(&mut self.acknowledged).into_iter().collect(),
+        }
+    }
+
+    /// Notes a reply.
+    pub fn succeeded(&mut self, now_ms: u64, interval_ms: u64) {
+        self.in_flight = false;
+        self.failures = 0;
+        self.due_at_ms = now_ms + interval_ms;
+    }
+
+    /// Notes a failure. After a few in a row the worker is left alone until its
+    /// leases have ended, because every further request might extend them.
+    pub fn failed(&mut self, now_ms: u64) {
+        self.in_flight = false;
+        self.failures += 1;
+        self.due_at_ms = if self.failures >= FAILURE_LIMIT {
+            self.leases_end_at_ms.max(now_ms + RETRY_INTERVAL_MS)
+        } else {
+            now_ms + RETRY_INTERVAL_MS
+        };
+    }
+
+    /// Whether the worker has not answered for so long that all its leases have ended.
+    pub fn is_lost(&self, now_ms: u64) -> bool {
+        !self.in_flight && self.failures >= FAILURE_LIMIT && now_ms >= self.leases_end_at_ms
+    }
+
+    /// Whether the worker fails to answer.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Sends the next request as soon as possible.
+    pub fn hurry(&mut self, now_ms: u64) {
+        if self.failures == 0 {
+            self.due_at_ms = now_ms;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/journals.rs
@@ -0,0 +1,28 @@
+//! Opening the journals of shards.
+
+use std::sync::Arc;
+
+use journal::{Config, ShardJournal};
+use kernel::errors;
+use kernel::ids;
+
+use crate::shared;
+
+/// How long records may take to become durable, in milliseconds.
+pub(crate) const APPEND_WAIT_MS: u64 = 5_000;
+
+/// Opens a shard's journal under an epoch, which fences earlier owners.
+///
+/// # Errors
+///
+/// As [`ShardJournal::open`].
+pub(crate) async fn open(
+    shared: &Arc<shared::Shared>,
+    shard: ids::ShardId,
+    epoch: ids::Epoch,
+) -> errors::Result<ShardJournal> {
+    let seed = shared.config.seed ^ shared.config.incarnation_ms;
+    let config = Config::new(shared.store_budget.clone(), seed);
+    let store = Arc::clone(&shared.platform.store);
+    ShardJournal::open(store, shard, &shared.config.host, epoch, config).await
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,288 @@
+//! Answers to operators' questions, gathered from the owners.
+//!
+//! Owners that cannot be reached within a short time are left out of lists, so
+//! that a list is always answered; a question about one thing says which owner
+//! is missing.
+
+use std::sync::Arc;
+
+use futures::future;
+use indexmap::IndexSet;
+use kernel::errors;
+use kernel::ids;
+use kernel::lifecycle;
+use kernel::work;
+use ownership::Liveness;
+use serde::de::DeserializeOwned;
+use wire::messages;
+
+use crate::{group, peer, shared};
+
+const QUERY_DEADLINE_MS: u64 = 2_000;
+
+const WORKERS: &str = "workers";
+const PLACEMENTS: &str = "placements";
+const JOBS: &str = "jobs";
+const JOB: &str = "job";
+const RUNNING: &str = "running";
+const EXPLAIN_SHARD: &str = "explain_shard";
+const EXPLAIN_GROUP: &str = "explain_group";
+
+/// Answers a peer's question from this host's own groups and shards.
+///
+/// # Errors
+///
+/// [`errors::ErrorKind::NotFound`] if the subject is not known here,
+/// [`errors::ErrorKind::BadRequest`] if the question is not.
+pub(crate) fn answer(
+    shared: &Arc<shared::Shared>,
+    query: &messages::QueryRequest,
+) -> errors::Result<messages::Body> {
+    let groups = shared.groups();
+    let subject = ids::WorkId::new(&query.subject);
+    let json = match query.what.as_str() {
+        WORKERS => encode(&groups.iter().flat_map(|group| group.worker_views()).collect::<Vec<_>>()),
+        PLACEMENTS => {
+            encode(&groups.iter().flat_map(|group| group.placements()).collect::<Vec<_>>())
+        }
+        RUNNING => encode(&groups.iter().map(|group| group.running_of(&subject)).sum::<u32>()),
+        JOBS => {
+            let shards = shared.shards();
+            encode(&shards.iter().flat_map(|shard| shard.job_statuses()).collect::<Vec<_>>())
+        }
+        JOB => encode(&owner_of_name(shared, subject.as_str())?.job_status(&subject)?),
+        EXPLAIN_SHARD => {
+            let task: ids::TaskId = query.subject.parse()?;
+            encode(&explain_at_shard(shared, &task)?)
+        }
+        EXPLAIN_GROUP => {
+            let task: ids::TaskId = query.subject.parse()?;
+            encode(&groups.iter().find_map(|group| group.explain(&task)))
+        }
+        other => Err(errors::Error::new(
+            errors::ErrorKind::BadRequest,
+            format!("no question is named {other:?}"),
+        )),
+    }?;
+    Ok(messages::Body::QueryReply(messages::QueryReply { json: json.into() }))
+}
+
+fn owner_of_name(
+    shared: &shared::Shared,
+    name: &str,
+) -> errors::Result<Arc<crate::shard::ShardOwner>> {
+    let id = shared.config.topology.shard_of(name);
+    shared.shard(id).ok_or_else(|| {
+        errors::Error::new(
+            errors::ErrorKind::StaleEpoch,
+            format!("this host does not own shard {id}"),
+        )
+    })
+}
+
+/// The entry hosts that this host knows.
+pub(crate) fn hosts(shared: &shared::Shared) -> Vec<api::HostView> {
+    let hosts = shared.membership().hosts(shared.now_ms());
+    hosts.into_iter().map(host_view).collect()
+}
+
+fn host_view(host: ownership::HostView) -> api::HostView {
+    let rumor = host.rumor;
+    let sum = |pick: fn(&messages::GroupRumor) -> Option<&messages::Amount>| {
+        rumor
+            .groups
+            .iter()
+            .map(|group| group::resources(pick(group)))
+            .fold(work::Resources::default(), |sum, amount| sum + amount)
+    };
+    api::HostView {
+        free: sum(|group| group.free.as_ref()),
+        capacity: sum(|group| group.capacity.as_ref()),
+        waiting_tasks: rumor.groups.iter().map(|group| group.waiting_tasks).sum(),
+        groups: rumor
+            .groups
+            .iter()
+            .map(|group| api::GroupView {
+                zone: ids::ZoneId::new(&group.zone),
+                index: group.index as u16,
+                epoch: ids::Epoch(group.epoch),
+            })
+            .collect(),
+        shards: rumor
+            .shards
+            .iter()
+            .map(|shard| api::ShardView {
+                shard: ids::ShardId(shard.shard as u16),
+                epoch: ids::Epoch(shard.epoch),
+            })
+            .collect(),
+        phase: parse_phase(&rumor.phase).unwrap_or_default(),
+        host: ids::HostId::new(&rumor.host),
+        zone: ids::ZoneId::new(&rumor.zone),
+        address: rumor.http_address,
+        heard_ms_ago: host.heard_ms_ago,
+    }
+}
+
+/// Reads the name of a phase.
+pub(crate) fn parse_phase(name: &str) -> Option<lifecycle::Phase> {
+    serde_json::from_value(serde_json::Value::String(name.to_owned())).ok()
+}
+
+/// The workers of all groups whose owners answer.
+pub(crate) async fn workers(shared: &Arc<shared::Shared>) -> Vec<api::WorkerView> {
+    gather(shared, WORKERS, "").await.into_iter().flatten().collect::<Vec<api::WorkerView>>()
+}
+
+/// What runs on the workers of all groups whose owners answer.
+pub(crate) async fn placements(shared: &Arc<shared::Shared>) -> Vec<api::Placement> {
+    gather(shared, PLACEMENTS, "").await.into_iter().flatten().collect::<Vec<api::Placement>>()
+}
+
+/// All jobs whose shards answer, by name.
+pub(crate) async fn jobs(shared: &Arc<shared::Shared>) -> Vec<api::JobStatus> {
+    let answers: Vec<Vec<api::JobStatus>> = gather(shared, JOBS, "").await;
+    let mut jobs: Vec<api::JobStatus> = answers.into_iter().flatten().collect();
+    jobs.sort_by(|a, b| a.work.cmp(&b.work));
+    let placements = placements(shared).await;
+    for job in &mut jobs {
+        let running =
+            placements.iter().filter(|placement| placement.run.task.work == job.work).count();
+        split_running(job, running as u32);
+    }
+    jobs
+}
+
+/// The status of one job.
+///
+/// # Errors
+///
+/// [`errors::ErrorKind::NotFound`] if there is no such job, or that its shard cannot be reached.
+pub(crate) async fn job_status(
+    shared: &Arc<shared::Shared>,
+    job: &ids::WorkId,
+) -> errors::Result<api::JobStatus> {
+    let shard = shared.config.topology.shard_of(job.as_str());
+    let mut status: api::JobStatus = ask_shard(shared, shard, JOB, job.as_str()).await?;
+    let running: Vec<u32> = gather(shared, RUNNING, job.as_str()).await;
+    split_running(&mut status, running.into_iter().sum());
+    Ok(status)
+}
+
+/// Tells running tasks apart from assigned ones; the two answers are of different moments.
+fn split_running(status: &mut api::JobStatus, running: u32) {
+    status.running = running.min(status.assigned);
+    status.assigned -= status.running;
+}
+
+/// Why a task waits, or where it runs or ran.
+///
+/// # Errors
+///
+/// [`errors::ErrorKind::NotFound`] if there is no such task, or that its shard cannot be reached.
+pub(crate) async fn explain(
+    shared: &Arc<shared::Shared>,
+    task: &ids::TaskId,
+) -> errors::Result<api::Explanation> {
+    let groups: Vec<Option<api::Explanation>> =
+        gather(shared, EXPLAIN_GROUP, &task.to_string()).await;
+    if let Some(explanation) = groups.into_iter().flatten().next() {
+        return Ok(explanation);
+    }
+    let shard = shared.config.topology.shard_of(task.work.as_str());
+    ask_shard(shared, shard, EXPLAIN_SHARD, &task.to_string()).await
+}
+
+fn explain_at_shard(
+    shared: &shared::Shared,
+    task: &ids::TaskId,
+) -> errors::Result<api::Explanation> {
+    let found = owner_of_name(shared, task.work.as_str())?.explain(task)?;
+    let (state, reason) = match found.state {
+        journal::TaskState::Waiting if found.cancelled => {
+            (api::TaskState::Cancelled, "It was cancelled before it started.".to_owned())
+        }
+        journal::TaskState::Waiting => (
+            api::TaskState::Waiting,
+            "No rack group that may run it has room; add workers, or withdraw or shrink other \
+             work."
+                .to_owned(),
+        ),
+        journal::TaskState::Assigned => {
+            let group = found.group.map(|group| group.to_string()).unwrap_or_default();
+            (
+                api::TaskState::Assigned,
+                format!("It was assigned to {group}, whose owner cannot be reached now."),
+            )
+        }
+        journal::TaskState::Completed => {
+            (api::TaskState::Completed, "It ran to its end.".to_owned())
+        }
+        journal::TaskState::Failed => (
+            api::TaskState::Failed,
+            "It failed in every attempt; look at its own output.".to_owned(),
+        ),
+        journal::TaskState::Cancelled => {
+            (api::TaskState::Cancelled, "It was cancelled.".to_owned())
+        }
+        journal::TaskState::Unknown => (
+            api::TaskState::Unknown,
+            "Its worker vanished while it ran, and it may not run twice; check its effects and \
+             submit it anew."
+                .to_owned(),
+        ),
+    };
+    Ok(api::Explanation { state, worker: None, attempt: ids::Attempt(0), reason })
+}
+
+async fn ask_shard<T: DeserializeOwned>(
+    shared: &Arc<shared::Shared>,
+    shard: ids::ShardId,
+    what: &str,
+    subject: &str,
+) -> errors::Result<T> {
+    let reply = peer::ask_shard(shared, shard, question(what, subject), QUERY_DEADLINE_MS).await?;
+    decode(reply)
+}
+
+/// Asks every live host; those that do not answer are left out.
+async fn gather<T: DeserializeOwned>(
+    shared: &Arc<shared::Shared>,
+    what: &str,
+    subject: &str,
+) -> Vec<T> {
+    let hosts = shared.membership().hosts(shared.now_ms());
+    let addresses: IndexSet<String> = hosts
+        .into_iter()
+        .filter(|host| host.liveness == Liveness::Live)
+        .map(|host| host.rumor.address)
+        .collect();
+    let asked = addresses.iter().map(|address| async move {
+        let body = question(what, subject);
+        let reply = peer::ask_host(shared, address, body, QUERY_DEADLINE_MS).await;
+        reply.and_then(decode).inspect_err(|error| log::debug!("{what} from {address}: {error}"))
+    });
+    future::join_all(asked).await.into_iter().filter_map(Result::ok).collect()
+}
+
+fn question(what: &str, subject: &str) -> messages::Body {
+    messages::Body::QueryRequest(messages::QueryRequest {
+        what: what.to_owned(),
+        subject: subject.to_owned(),
+    })
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> errors::Result<Vec<u8>> {
+    serde_json::to_vec(value).map_err(|source| {
+        errors::Error::with_source(errors::ErrorKind::Internal, "an answer does not encode", source)
+    })
+}
+
+fn decode<T: DeserializeOwned>(reply: messages::Body) -> errors::Result<T> {
+    let messages::Body::QueryReply(reply) = reply else {
+        return Err(shared::unexpected_reply());
+    };
+    serde_json::from_slice(&reply.json).map_err(|source| {
+        errors::Error::with_source(errors::ErrorKind::Internal, "an answer does not decode", source)
+    })
+}
--- /dev/null
+++ b/crates/node/src/shard/assign.rs
@@ -0,0 +1,169 @@
+//! Assignment of waiting tasks to groups.
+
+use std::sync::Arc;
+
+use journal::{Assignment, Record, Run};
+use kernel::errors;
+use kernel::ids;
+use kernel::lifecycle;
+use ownership::Liveness;
+use wire::messages;
+
+use super::{ShardOwner, balance, outbox};
+use crate::{group, peer, shared};
+
+/// Runs assigned in one journal entry.
+const ASSIGN_LIMIT: usize = 4_000;
+const ASSIGN_DEADLINE_MS: u64 = 3_000;
+const ASSIGN_RETRY_MS: u64 = 500;
+
+impl ShardOwner {
+    /// Assigns what waits: the journal first, then the outbox.
+    pub(super) async fn assign(&self) -> errors::Result<()> {
+        let journal = self.journal()?;
+        let waiting = journal.state().tasks_to_assign(ASSIGN_LIMIT);
+        if waiting.is_empty() {
+            return Ok(());
+        }
+        let chosen = self.choose_groups(&waiting);
+        if chosen.is_empty() {
+            return Ok(());
+        }
+        let records = chosen
+            .iter()
+            .map(|(group, assignment)| Record::Assigned {
+                work: assignment.work.id.clone(),
+                runs: assignment.runs.clone(),
+                group: group.clone(),
+            })
+            .collect();
+        let applied = journal.append(records, crate::journals::APPEND_WAIT_MS).await?;
+        let mut outbox = self.outbox();
+        for ((group, assignment), applied) in chosen.into_iter().zip(applied) {
+            if applied.is_changed() {
+                outbox.group(&group).fresh.push(assignment);
+            }
+        }
+        Ok(())
+    }
+
+    fn choose_groups(&self, waiting: &[Assignment]) -> Vec<(ids::GroupId, Assignment)> {
+        let now_ms = self.shared.now_ms();
+        let mut loads = group_loads(&self.shared);
+        let mut balance = self.balance();
+        balance.adjust(&mut loads, now_ms);
+        let mut chosen = Vec::new();
+        for assignment in waiting {
+            let work = &assignment.work;
+            let groups = balance.choose(work, assignment.runs.len(), &mut loads, now_ms);
+            let mut rest: &[Run] = &assignment.runs;
+            for (group, count) in groups {
+                let (part, others) = rest.split_at(count);
+                rest = others;
+                let part = Assignment { work: Arc::clone(work), runs: part.to_vec() };
+                chosen.push((group, part));
+            }
+        }
+        chosen
+    }
+
+    /// Starts a message to every group that has something to get and none on its way.
+    pub(super) fn send_assignments(self: &Arc<Self>) {
+        let Ok(journal) = self.journal() else { return };
+        let now_ms = self.shared.now_ms();
+        let directory = self.shared.directory();
+        // The state is read and the number is taken under both locks, so that a message
+        // with a higher number never knows less.
+        let state = journal.state();
+        let mut outbox = self.outbox();
+        let groups: Vec<ids::GroupId> = self.shared.config.topology.groups().collect();
+        for group in groups {
+            let Some(location) = directory.group(&group) else { continue };
+            let entry = outbox.group(&group);
+            if entry.in_flight || now_ms < entry.due_at_ms {
+                continue;
+            }
+            let complete = entry.complete_for == Some(location.epoch);
+            let (assignments, cancelled) = if complete {
+                (std::mem::take(&mut entry.fresh), std::mem::take(&mut entry.cancelled))
+            } else {
+                entry.fresh.clear();
+                entry.cancelled.clear();
+                (state.assigned_to(&group), state.cancelled_work().cloned().collect())
+            };
+            if complete && assignments.is_empty() && cancelled.is_empty() {
+                continue;
+            }
+            entry.in_flight = true;
+            let request = messages::AssignRequest {
+                shard: u32::from(self.id.0),
+                shard_epoch: self.epoch.0,
+                zone: group.zone.to_string(),
+                group: u32::from(group.index),
+                group_epoch: location.epoch.0,
+                sequence: outbox.next_sequence(),
+                assignments: assignments.iter().filter_map(encode).collect(),
+                cancelled: cancelled.iter().map(ToString::to_string).collect(),
+            };
+            tokio::spawn(Arc::clone(self).deliver(group, location.epoch, request));
+        }
+    }
+
+    async fn deliver(
+        self: Arc<Self>,
+        group: ids::GroupId,
+        epoch: ids::Epoch,
+        request: messages::AssignRequest,
+    ) {
+        let body = messages::Body::AssignRequest(request);
+        let reply = peer::ask_group(&self.shared, &group, body, ASSIGN_DEADLINE_MS).await;
+        let reply = reply.and_then(|body| match body {
+            messages::Body::AssignReply(reply) => Ok(reply),
+            _ => Err(shared::unexpected_reply()),
+        });
+        let now_ms = self.shared.now_ms();
+        {
+            let mut outbox = self.outbox();
+            let entry: &mut outbox::GroupOutbox = outbox.group(&group);
+            entry.in_flight = false;
+            match reply {
+                Ok(_) => entry.complete_for = Some(epoch),
+                Err(error) => {
+                    // Whether it arrived is not known: everything is sent again from the state.
+                    log::debug!("assignment of shard {} to {group}: {error}", self.id);
+                    entry.complete_for = None;
+                    entry.due_at_ms = now_ms + ASSIGN_RETRY_MS;
+                }
+            }
+        }
+        self.wake.notify_one();
+    }
+}
+
+fn encode(assignment: &Assignment) -> Option<messages::Assignment> {
+    let work = serde_json::to_vec(assignment.work.as_ref()).ok()?;
+    let runs = assignment
+        .runs
+        .iter()
+        .map(|run| messages::TaskRun { index: run.index, attempt: run.attempt.0 })
+        .collect();
+    Some(messages::Assignment { work: work.into(), runs })
+}
+
+/// The groups of live, serving hosts and their load.
+fn group_loads(shared: &shared::Shared) -> Vec<balance::GroupLoad> {
+    let now_ms = shared.now_ms();
+    let serving = lifecycle::Phase::Serving.to_string();
+    let hosts = shared.membership().hosts(now_ms);
+    let live = hosts
+        .iter()
+        .filter(|host| host.liveness == Liveness::Live && host.rumor.phase == serving);
+    live.flat_map(|host| &host.rumor.groups)
+        .map(|rumor| balance::GroupLoad {
+            id: ids::GroupId::new(&ids::ZoneId::new(&rumor.zone), rumor.index as u16),
+            free: group::resources(rumor.free.as_ref()),
+            capacity: group::resources(rumor.capacity.as_ref()),
+            waiting_tasks: rumor.waiting_tasks,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/shard/jobs.rs
@@ -0,0 +1,176 @@
+//! Jobs: submission, cancellation, status.
+
+use journal::{Applied, JobPhase, Record, ShardState, TaskCounts, TaskState};
+use kernel::errors;
+use kernel::ids;
+use kernel::work;
+use wire::messages;
+
+use super::ShardOwner;
+
+impl ShardOwner {
+    /// Accepts a job or cancels one; the reply says that it is durable.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::Conflict`] if other work has the name, [`errors::ErrorKind::NotFound`]
+    /// if there is nothing to cancel, or what the journal says.
+    pub async fn submit(
+        &self,
+        request: &messages::SubmitRequest,
+    ) -> errors::Result<messages::SubmitReply> {
+        let work = if request.cancel.is_empty() {
+            self.accept(request).await?
+        } else {
+            self.cancel(&ids::WorkId::new(&request.cancel)).await?
+        };
+        self.wake.notify_one();
+        Ok(messages::SubmitReply { work: work.to_string() })
+    }
+
+    async fn accept(&self, request: &messages::SubmitRequest) -> errors::Result<ids::WorkId> {
+        let work: work::Work = serde_json::from_slice(&request.work).map_err(|source| {
+            errors::Error::with_source(errors::ErrorKind::BadRequest, "work does not decode", source)
+        })?;
+        let key = Some(&request.idempotency_key)
+            .filter(|key| !key.is_empty())
+            .map(ids::IdempotencyKey::new);
+        let journal = self.journal()?;
+        if let Some(known) = known_job(&journal.state(), &work, key.as_ref())? {
+            return Ok(known);
+        }
+        let id = work.id.clone();
+        let tasks = work.tasks;
+        let record = Record::Accepted { work: Box::new(work.clone()), key: key.clone() };
+        let applied = journal.append(vec![record], crate::journals::APPEND_WAIT_MS).await?;
+        match applied.first() {
+            Some(Applied::Changed) => {
+                let accepted =
+                    kernel::history::Event::WorkAccepted { work: id.clone(), tasks };
+                self.shared.record(accepted);
+                Ok(id)
+            }
+            // A concurrent submission under the same key or name came first.
+            _ => known_job(&journal.state(), &work, key.as_ref())?.ok_or_else(|| {
+                errors::Error::new(
+                    errors::ErrorKind::Overloaded,
+                    format!("shard {} holds as many open jobs as it may", self.id),
+                )
+            }),
+        }
+    }
+
+    async fn cancel(&self, work: &ids::WorkId) -> errors::Result<ids::WorkId> {
+        let journal = self.journal()?;
+        let applied = journal
+            .append(vec![Record::Cancelled { work: work.clone() }], crate::journals::APPEND_WAIT_MS)
+            .await?;
+        if !applied.iter().any(|applied| applied.is_changed()) {
+            return Err(no_such_job(work));
+        }
+        self.note_cancelled(work);
+        Ok(work.clone())
+    }
+
+    /// Tells every group that the work must not start any more.
+    pub(super) fn note_cancelled(&self, work: &ids::WorkId) {
+        let groups: Vec<ids::GroupId> = self.shared.config.topology.groups().collect();
+        let mut outbox = self.outbox();
+        for group in &groups {
+            outbox.group(group).cancelled.insert(work.clone());
+        }
+    }
+
+    /// The status of a job; its running tasks are not told apart from assigned ones here.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::NotFound`] if the shard does not know the job.
+    pub fn job_status(&self, work: &ids::WorkId) -> errors::Result<api::JobStatus> {
+        let journal = self.journal()?;
+        let state = journal.state();
+        let job = state.job(work).ok_or_else(|| no_such_job(work))?;
+        Ok(status(work, job.counts()))
+    }
+
+    /// The status of all jobs that the shard remembers.
+    pub fn job_statuses(&self) -> Vec<api::JobStatus> {
+        let Ok(journal) = self.journal() else { return Vec::new() };
+        let state = journal.state();
+        state.jobs().map(|job| status(&job.work().id, job.counts())).collect()
+    }
+
+    /// Whether every job that ends by itself has ended.
+    pub fn is_settled(&self) -> bool {
+        let Ok(journal) = self.journal() else { return false };
+        let state = journal.state();
+        state.jobs().all(|job| {
+            job.work().kind == work::WorkKind::Service || job.phase() != JobPhase::Open
+        })
+    }
+
+    /// Where a task stands, as far as the journal knows.
+    pub fn explain(&self, task: &ids::TaskId) -> errors::Result<ShardExplanation> {
+        let journal = self.journal()?;
+        let state = journal.state();
+        let job = state.job(&task.work).ok_or_else(|| no_such_job(&task.work))?;
+        let cell = job.task(task.index).ok_or_else(|| {
+            errors::Error::new(
+                errors::ErrorKind::NotFound,
+                format!("{} has {} tasks", task.work, job.work().tasks),
+            )
+        })?;
+        Ok(ShardExplanation {
+            state: cell,
+            cancelled: job.is_cancelled(),
+            group: state.group_of(task).cloned(),
+        })
+    }
+}
+
+/// What the journal knows about a task.
+#[derive(Clone, Debug)]
+pub struct ShardExplanation {
+    /// The task's state.
+    pub state: TaskState,
+    /// Whether its work was cancelled.
+    pub cancelled: bool,
+    /// The group to which its live attempt was assigned.
+    pub group: Option<ids::GroupId>,
+}
+
+/// The known job that a submission repeats, if there is one.
+fn known_job(
+    state: &ShardState,
+    work: &work::Work,
+    key: Option<&ids::IdempotencyKey>,
+) -> errors::Result<Option<ids::WorkId>> {
+    if let Some(job) = key.and_then(|key| state.job_by_key(key)) {
+        return Ok(Some(job.work().id.clone()));
+    }
+    match state.job(&work.id) {
+        Some(job) if job.work().as_ref() == work => Ok(Some(work.id.clone())),
+        Some(_) => Err(errors::Error::new(
+            errors::ErrorKind::Conflict,
+            format!("other work is named {}", work.id),
+        )),
+        None => Ok(None),
+    }
+}
+
+fn status(work: &ids::WorkId, counts: TaskCounts) -> api::JobStatus {
+    api::JobStatus {
+        work: work.clone(),
+        waiting: counts.waiting,
+        assigned: counts.assigned,
+        running: 0,
+        completed: counts.completed,
+        failed: counts.failed,
+        cancelled: counts.cancelled,
+        unknown: counts.unknown,
+    }
+}
+
+fn no_such_job(work: &ids::WorkId) -> errors::Error {
+    errors::Error::new(errors::ErrorKind::NotFound, format!("no job is named {work}"))
+}
--- /dev/null
+++ b/crates/node/src/shard/mod.rs
@@ -0,0 +1,170 @@
+//! The owner of one journal shard.
+//!
+//! A [`ShardOwner`] exists for one shard under one epoch. It accepts work and
+//! assigns tasks to groups, and it claims non-idempotent requests. Nothing is
+//! answered or sent before the journal has it: the journal is the only state
+//! that outlives the process, and it fences earlier owners by itself.
+
+mod assign;
+mod balance;
+mod jobs;
+mod outbox;
+mod release_work;
+mod reports;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time;
+
+use journal::ShardJournal;
+use kernel::errors;
+use kernel::ids;
+use kernel::random;
+use rand::RngExt as _;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::{events, shared};
+
+const TICK_MS: u64 = 50;
+const OPEN_RETRY_MIN_MS: u64 = 100;
+const OPEN_RETRY_MAX_MS: u64 = 2_000;
+
+/// The owner of one shard under one epoch.
+#[derive(Debug)]
+pub struct ShardOwner {
+    id: ids::ShardId,
+    epoch: ids::Epoch,
+    shared: Arc<shared::Shared>,
+    journal: OnceLock<ShardJournal>,
+    outbox: Mutex<outbox::Outbox>,
+    balance: Mutex<balance::Balance>,
+    followed_release: AtomicU64,
+    wake: Notify,
+    stopped: CancellationToken,
+}
+
+impl ShardOwner {
+    /// Starts to own a shard; the journal is opened in a task of its own.
+    pub fn start(shared: &Arc<shared::Shared>, id: ids::ShardId, epoch: ids::Epoch) -> Arc<Self> {
+        let owner = Arc::new(Self {
+            id,
+            epoch,
+            shared: Arc::clone(shared),
+            journal: OnceLock::new(),
+            outbox: Mutex::default(),
+            balance: Mutex::default(),
+            followed_release: AtomicU64::new(0),
+            wake: Notify::new(),
+            stopped: CancellationToken::new(),
+        });
+        let running = Arc::clone(&owner);
+        tokio::spawn(async move {
+            let stopped = running.stopped.clone();
+            stopped.run_until_cancelled(running.run()).await;
+        });
+        owner
+    }
+
+    /// The shard.
+    pub fn id(&self) -> ids::ShardId {
+        self.id
+    }
+
+    /// The epoch under which it is owned.
+    pub fn epoch(&self) -> ids::Epoch {
+        self.epoch
+    }
+
+    /// Stops accepting and assigning.
+    pub fn stop(&self) {
+        self.stopped.cancel();
+    }
+
+    async fn run(self: Arc<Self>) {
+        self.open().await;
+        let mut ticks = tokio::time::interval(time::Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.wake.notified() => {}
+                _ = ticks.tick() => {}
+            }
+            if let Err(error) = self.step().await {
+                log::debug!("shard {}: {error}", self.id);
+                if error.kind == errors::ErrorKind::StaleEpoch {
+                    kernel::log_event!(events::SHARD_FENCED, "shard {}: {error}", self.id);
+                    self.stop();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Opens the journal, trying again with growing, jittered pauses.
+    async fn open(&self) {
+        let mut random = random::from_seed(self.shared.config.seed ^ u64::from(self.id.0));
+        let mut pause_ms = OPEN_RETRY_MIN_MS;
+        loop {
+            match crate::journals::open(&self.shared, self.id, self.epoch).await {
+                Ok(journal) => {
+                    let _ = self.journal.set(journal);
+                    kernel::log_event!(
+                        events::SHARD_OPENED,
+                        "shard {} under epoch {}",
+                        self.id,
+                        self.epoch
+                    );
+                    return;
+                }
+                Err(error) => {
+                    kernel::log_event!(events::SHARD_OPEN_FAILED, "shard {}: {error}", self.id);
+                    let jittered_ms = random.random_range(pause_ms / 2..=pause_ms);
+                    tokio::time::sleep(time::Duration::from_millis(jittered_ms)).await;
+                    pause_ms = (pause_ms * 2).min(OPEN_RETRY_MAX_MS);
+                }
+            }
+        }
+    }
+
+    /// One round: the release's work, new assignments, messages to groups.
+    async fn step(self: &Arc<Self>) -> errors::Result<()> {
+        self.follow_release().await?;
+        self.assign().await?;
+        self.send_assignments();
+        Ok(())
+    }
+
+    /// The journal, if it is open and this host still owns the shard.
+    fn journal(&self) -> errors::Result<&ShardJournal> {
+        if self.stopped.is_cancelled() {
+            return Err(errors::Error::new(
+                errors::ErrorKind::StaleEpoch,
+                format!("this host no longer owns shard {}", self.id),
+            ));
+        }
+        self.journal.get().ok_or_else(|| {
+            errors::Error::new(
+                errors::ErrorKind::StoreUnavailable,
+                format!("the journal of shard {} is not open yet", self.id),
+            )
+        })
+    }
+
+    /// The release whose work the journal has.
+    fn followed(&self) -> ids::ReleaseVersion {
+        ids::ReleaseVersion(self.followed_release.load(Ordering::Acquire))
+    }
+
+    fn set_followed(&self, version: ids::ReleaseVersion) {
+        self.followed_release.store(version.0, Ordering::Release);
+    }
+
+    fn outbox(&self) -> MutexGuard<'_, outbox::Outbox> {
+        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn balance(&self) -> MutexGuard<'_, balance::Balance> {
+        self.balance.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/shard/reports.rs
@@ -0,0 +1,72 @@
+//! Ends of runs that groups report.
+
+use journal::{Record, Run};
+use kernel::errors;
+use kernel::ids;
+use platform::workers;
+use wire::messages;
+
+use super::ShardOwner;
+use crate::group;
+
+impl ShardOwner {
+    /// Journals the ends in a report; the reply says that they are durable.
+    ///
+    /// # Errors
+    ///
+    /// If the report does not decode, or the journal does not take it; the
+    /// group then reports again.
+    pub async fn report(
+        &self,
+        request: &messages::ReportRequest,
+    ) -> errors::Result<messages::ReportReply> {
+        let from = ids::GroupId::new(&ids::ZoneId::new(&request.zone), request.group as u16);
+        let mut records = Vec::new();
+        for report in &request.reports {
+            self.add_records(&mut records, report, &from)?;
+        }
+        self.journal()?.append(records, crate::journals::APPEND_WAIT_MS).await?;
+        self.wake.notify_one();
+        Ok(messages::ReportReply {
+            shard_epoch: self.epoch.0,
+            sequence_floor: self.outbox().sequence(),
+        })
+    }
+
+    fn add_records(
+        &self,
+        records: &mut Vec<Record>,
+        report: &messages::RunReport,
+        from: &ids::GroupId,
+    ) -> errors::Result<()> {
+        let task: ids::TaskId = report.task.parse()?;
+        let attempt = ids::Attempt(report.attempt);
+        if report.end == group::HANDED_BACK {
+            self.balance().refused(&task.work, from, self.shared.now_ms());
+            let runs = vec![Run { index: task.index, attempt }];
+            records.push(Record::HandedBack { work: task.work, runs });
+            return Ok(());
+        }
+        let end = parse_end(&report.end)?;
+        let work = task.work.clone();
+        let index = task.index;
+        records.push(Record::Ended { run: ids::TaskAttempt { task, attempt }, end });
+        if report.next_attempt > report.attempt {
+            // The group goes on by itself: both records take effect together.
+            let runs = vec![Run { index, attempt: ids::Attempt(report.next_attempt) }];
+            records.push(Record::Assigned { work, runs, group: from.clone() });
+        }
+        Ok(())
+    }
+}
+
+fn parse_end(name: &str) -> errors::Result<workers::RunEnd> {
+    let quoted = serde_json::Value::String(name.to_owned());
+    serde_json::from_value(quoted).map_err(|source| {
+        errors::Error::with_source(
+            errors::ErrorKind::BadRequest,
+            format!("{name:?} is no end of a run"),
+            source,
+        )
+    })
+}
--- a/crates/ownership/src/claim.rs
+++ b/crates/ownership/src/claim.rs
@@ -44,6 +44,15 @@
         &self.key
     }
 
+    /// What the host owns according to a table, without changing anything.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::Internal`] if the table does not decode.
+    pub fn observe(&self, seen: Option<&store::Entry>) -> errors::Result<Holdings> {
+        Ok(self.holdings(&decode(seen)?, seen))
+    }
+
     /// Takes and gives up what the plan says, if anything, and returns what the host then owns.
     ///
     /// `seen` is the table as last seen, usually from a mirror. A lost race or
