Stand in for the platform: models, fakes in memory and a server

Pure models of the store and of the workers with their minions, put behind the traits of the platform on tokio's time, and served over HTTP by 'hickory-standin platform'. The server calls the same fakes, so that a fault means the same to both; a lost answer becomes a reply that is cut short.

A worker that lost its memory comes back under a new id: under the old one it would have forgotten the epoch that it must compare. A repeated order for a run that the worker reports already is not refused, since a refusal would let the owner start the task elsewhere.

--- /dev/null
+++ b/crates/standin/src/cli/mod.rs
@@ -0,0 +1,80 @@
+//! The programs of the stand-in: platform, balancer, proxy and load.
+
+mod platform;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use axum::Router;
+use clap::{Parser, Subcommand};
+use kernel::errors;
+use tokio::net;
+
+use crate::events;
+
+/// Stand-ins for the platform of hickorychute, for trials and tests on one machine.
+#[derive(Debug, Parser)]
+#[command(name = "hickory-standin", version)]
+struct Arguments {
+    #[command(subcommand)]
+    program: Program,
+}
+
+#[derive(Debug, Subcommand)]
+enum Program {
+    /// Serves the store, the list of workers, the workers and their minions.
+    Platform(platform::Settings),
+}
+
+/// Runs the program that the command line names.
+pub fn main() -> ExitCode {
+    env_logger::init();
+    let arguments = Arguments::parse();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&to_error("cannot start the runtime", error)),
+    };
+    match runtime.block_on(run(arguments.program)) {
+        Ok(()) => ExitCode::from(errors::EXIT_DONE),
+        Err(error) => fail(&error),
+    }
+}
+
+async fn run(program: Program) -> errors::Result<()> {
+    match program {
+        Program::Platform(settings) => platform::run(settings).await,
+    }
+}
+
+fn fail(error: &errors::Error) -> ExitCode {
+    kernel::log_event!(events::FAILED, "{error}");
+    let source = error.source.as_ref();
+    let cause = source
+        .map(|source| format!(": {source}"))
+        .unwrap_or_default();
+    eprintln!("hickory-standin: {}{cause}", error.detail);
+    ExitCode::from(error.kind.answer().exit_code)
+}
+
+fn to_error(
+    detail: &str,
+    error: impl Into<Box<dyn std::error::Error + Send + Sync>>,
+) -> errors::Error {
+    errors::Error::with_source(errors::ErrorKind::Usage, detail, error)
+}
+
+/// Binds an address and tells which one it got.
+async fn listen(address: SocketAddr) -> errors::Result<(net::TcpListener, SocketAddr)> {
+    let bound = net::TcpListener::bind(address).await;
+    let listener =
+        bound.map_err(|error| to_error(&format!("cannot listen on {address}"), error))?;
+    let local = listener.local_addr();
+    let local = local.map_err(|error| to_error("cannot read the own address", error))?;
+    kernel::log_event!(events::LISTENING, "{local}");
+    Ok((listener, local))
+}
+
+async fn serve(listener: net::TcpListener, router: Router) -> errors::Result<()> {
+    let served = axum::serve(listener, router).await;
+    served.map_err(|error| to_error("the server ended", error))
+}
--- /dev/null
+++ b/crates/standin/src/server/mod.rs
@@ -0,0 +1,71 @@
+//! The in-memory platform over HTTP, and endpoints to disturb and read it.
+//!
+//! A lost answer becomes a reply whose body is cut short, so that a client
+//! meets it as it would meet a broken connection.
+
+mod admin;
+mod agents;
+mod reply;
+mod store;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::routing;
+use http::HeaderMap;
+use kernel::history;
+use kernel::ids;
+use platform::http::ZONE_HEADER;
+use platform::upstreams::BODY_LIMIT_BYTES;
+
+use crate::memory;
+
+/// Largest request: a body of an upstream call, or a value as base64, with room to spare.
+const REQUEST_LIMIT_BYTES: usize = BODY_LIMIT_BYTES + 1024 * 1024;
+
+/// What the handlers share.
+#[derive(Clone, Debug)]
+pub struct State {
+    platform: memory::MemoryPlatform,
+    history: history::MemorySink,
+}
+
+impl State {
+    /// Serves a platform whose events go to `history`.
+    pub const fn new(platform: memory::MemoryPlatform, history: history::MemorySink) -> Self {
+        Self { platform, history }
+    }
+
+    /// The zone that a request names, or the store's zone.
+    fn zone(&self, headers: &HeaderMap) -> ids::ZoneId {
+        let named = headers.get(ZONE_HEADER).and_then(|zone| zone.to_str().ok());
+        let default = || self.platform.network().store_zone().clone();
+        named.map_or_else(default, ids::ZoneId::new)
+    }
+}
+
+/// All routes of the platform.
+pub fn router(state: State) -> Router {
+    Router::new()
+        .route("/ready", routing::get(async || "ready\n"))
+        .route("/store/get", routing::post(store::get))
+        .route("/store/put", routing::post(store::put))
+        .route("/store/delete", routing::post(store::delete))
+        .route("/store/range", routing::post(store::range))
+        .route("/store/watch", routing::post(store::watch))
+        .route("/store/grant", routing::post(store::grant))
+        .route("/store/keep-alive", routing::post(store::keep_alive))
+        .route("/store/revoke", routing::post(store::revoke))
+        .route("/list", routing::post(agents::list))
+        .route("/workers/{id}/sync", routing::post(agents::sync))
+        .route("/workers/{id}/inquire", routing::post(agents::inquire))
+        .route("/workers/{id}/call/{*path}", routing::post(agents::call))
+        .route("/workers/{id}/call/", routing::post(agents::call_root))
+        .route("/admin/faults", routing::post(admin::faults))
+        .route("/admin/workers/{id}/{action}", routing::post(admin::worker))
+        .route("/admin/history", routing::get(admin::history))
+        .route("/admin/counters", routing::get(admin::counters))
+        .layer(DefaultBodyLimit::max(REQUEST_LIMIT_BYTES))
+        .with_state(Arc::new(state))
+}
--- /dev/null
+++ b/crates/standin/tests/standin/http.rs
@@ -0,0 +1,77 @@
+//! The plug-in `http` against the served platform, on loopback.
+
+use bytes::Bytes;
+use hickorychute_standin as standin;
+use kernel::ids;
+use platform::store::{Condition, StoreError};
+use platform::upstreams::{UpstreamAddress, UpstreamError};
+
+use crate::support;
+use crate::support::Served;
+
+#[tokio::test]
+async fn a_call_reaches_a_started_minion() {
+    let served = Served::start().await;
+    let connection = served.connect("muc-ost").await;
+    let zone = ids::ZoneId::new("muc-ost");
+    let workers = connection.workers.list(&zone).await.unwrap();
+    assert_eq!(workers.len(), 16);
+
+    let order = support::service("bankbuch", 1);
+    let request = support::starts(1, vec![order.clone()]);
+    let reply = connection
+        .workers
+        .sync(&workers[0], &request)
+        .await
+        .unwrap();
+    assert!(reply.refused.is_empty(), "{reply:?}");
+
+    let target = UpstreamAddress {
+        address: workers[0].address.clone(),
+        run: order.run,
+    };
+    let call = support::call(7, "/bookings?request=3", b"bay 4");
+    let answer = connection.upstreams.call(&target, &call).await.unwrap();
+    let echo: standin::model::Echo = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!((echo.service.as_str(), echo.attempt_id), ("bankbuch", 7));
+    assert_eq!(echo.digest, standin::digest(b"bay 4"));
+}
+
+#[tokio::test]
+async fn the_store_compares_and_swaps() {
+    let served = Served::start().await;
+    let store = served.connect("lan-sued").await.store;
+    let value = Bytes::from_static(&[0, 159, 146, 150]);
+    let first = store.put("a/b c#1", value.clone(), Condition::Absent, None);
+    let revision = first.await.unwrap();
+    let entry = store.get("a/b c#1").await.unwrap().unwrap();
+    assert_eq!((entry.value, entry.revision), (value.clone(), revision));
+    let second = store.put("a/b c#1", value, Condition::Absent, None).await;
+    let Err(StoreError::Conflict { current }) = second else {
+        panic!("expected a conflict, got {second:?}");
+    };
+    assert_eq!(current.unwrap().revision, revision);
+}
+
+#[tokio::test]
+async fn a_refused_connection_means_that_nothing_ran() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let connection = platform::http::connect(&address.to_string()).unwrap();
+    let got = connection.store.get("key").await;
+    assert!(
+        matches!(got, Err(StoreError::Unavailable { .. })),
+        "{got:?}"
+    );
+    let target = UpstreamAddress {
+        address: address.to_string(),
+        run: support::run("bankbuch", 1),
+    };
+    let called = connection
+        .upstreams
+        .call(&target, &support::call(1, "/", b""))
+        .await;
+    let not_run = matches!(called, Err(UpstreamError::NotRun { leaving: false, .. }));
+    assert!(not_run, "{called:?}");
+}
--- /dev/null
+++ b/crates/standin/tests/standin/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the stand-ins: models, fakes on tokio's time, and the same over HTTP.
+
+mod http;
+mod http_failures;
+mod support;
--- a/src/bin/hickory-standin.rs
+++ b/src/bin/hickory-standin.rs
@@ -1,3 +1,10 @@
-//! Placeholder; the program's library follows.
+//! `hickory-standin`: stand-ins for the platform.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    standin::cli::main()
+}
