Read, check, accept and spread release notes

The cell needs one state from which all hosts work, written by operators who race each other through a store whose answers get lost.

A note is read in one pass over the TOML table with spans, not by serde, since serde stops at the first fault. Release n+1 is created only if absent; a write whose answer was lost is tried again, and the submitter id in the stored release tells whether it was the same submission. Ruled out: reading back once and concluding from an absent key, since the lost write can still take effect. A note without a stated base that was beaten is applied on top of the winner unless both touch one entry.

ReleaseTracker puts only newer releases in force, and in a fresh process none below what a peer has mentioned. ReleaseWatcher follows the store with one long poll and falls back to peers.

--- /dev/null
+++ b/crates/release/src/acceptor/race.rs
@@ -0,0 +1,145 @@
+//! What a submission concludes from the releases that others had accepted.
+
+use std::sync::Arc;
+
+use kernel::errors;
+use kernel::ids;
+
+use super::Submission;
+use crate::accepted;
+use crate::apply;
+
+/// Finds an accepted submission with the same id.
+///
+/// # Errors
+///
+/// `conflict` if the id was used for another note.
+pub(super) fn find_earlier(
+    head: &accepted::AcceptedRelease,
+    submission: &Submission<'_>,
+) -> errors::Result<Option<accepted::Submission>> {
+    let mut recent = head.recent.iter();
+    let Some(earlier) = recent.find(|recent| recent.submitter == submission.submitter) else {
+        return Ok(None);
+    };
+    if earlier.note_digest == submission.digest {
+        return Ok(Some(earlier.clone()));
+    }
+    let detail = format!(
+        "submitter id {:?} was used for another note, accepted as release {}; choose a new id",
+        submission.submitter, earlier.version
+    );
+    Err(errors::Error::new(errors::ErrorKind::Conflict, detail))
+}
+
+/// Checks that the submission may be applied on top of `head`.
+///
+/// # Errors
+///
+/// `conflict` if another base was stated, or if a note that was accepted since
+/// `first_base` touches the same entries.
+pub(super) fn check_base(
+    first_base: Option<&Arc<accepted::AcceptedRelease>>,
+    head: Option<&Arc<accepted::AcceptedRelease>>,
+    submission: &Submission<'_>,
+) -> errors::Result<()> {
+    let version = head.map_or_else(Default::default, |head| head.version());
+    match submission.base {
+        Some(base) if base != version => Err(other_base(base, head)),
+        Some(_) => Ok(()),
+        None => check_overlap(first_base, head, submission),
+    }
+}
+
+fn other_base(
+    base: ids::ReleaseVersion,
+    head: Option<&Arc<accepted::AcceptedRelease>>,
+) -> errors::Error {
+    let detail = match head {
+        None => format!("the note is based on release {base}, but there is no release yet"),
+        Some(head) if head.version() < base => format!(
+            "the note is based on release {base}, but the newest is {}",
+            head.version()
+        ),
+        Some(head) => format!(
+            "the note is based on release {base}; {}; look at hickoryctl release diff {base} {} \
+             and submit again on base {1}",
+            describe_winner(head),
+            head.version()
+        ),
+    };
+    errors::Error::new(errors::ErrorKind::Conflict, detail)
+}
+
+fn check_overlap(
+    first_base: Option<&Arc<accepted::AcceptedRelease>>,
+    head: Option<&Arc<accepted::AcceptedRelease>>,
+    submission: &Submission<'_>,
+) -> errors::Result<()> {
+    let (Some(first_base), Some(head)) = (first_base, head) else {
+        return Ok(());
+    };
+    let since = apply::diff(&first_base.release, &head.release);
+    let touched = apply::touched(&submission.note);
+    let both: Vec<&str> = since
+        .names()
+        .filter(|name| touched.iter().any(|label| label == name))
+        .collect();
+    if both.is_empty() {
+        return Ok(());
+    }
+    let detail = format!(
+        "another note touches the same entries ({}): {}",
+        both.join(", "),
+        describe_winner(head)
+    );
+    Err(errors::Error::new(errors::ErrorKind::Conflict, detail))
+}
+
+/// Who had the newest release accepted, and what it changed.
+fn describe_winner(head: &accepted::AcceptedRelease) -> String {
+    let changes = &head.changes;
+    let lists = [
+        ("added", &changes.added),
+        ("changed", &changes.changed),
+        ("withdrew", &changes.withdrawn),
+    ];
+    let parts: Vec<String> = lists
+        .into_iter()
+        .filter(|(_, names)| !names.is_empty())
+        .map(|(verb, names)| format!("{verb} {}", names.join(", ")))
+        .collect();
+    let what = if parts.is_empty() {
+        "changed nothing".to_owned()
+    } else {
+        parts.join("; ")
+    };
+    format!(
+        "release {} of submission {:?} {what}",
+        head.version(),
+        head.submitter
+    )
+}
+
+/// The answer after the last try.
+pub(super) fn give_up(
+    unsettled: Option<ids::ReleaseVersion>,
+    last_error: Option<errors::Error>,
+) -> errors::Error {
+    let Some(version) = unsettled else {
+        return last_error.unwrap_or_else(|| {
+            errors::Error::new(
+                errors::ErrorKind::StoreUnavailable,
+                "the store gave no answer",
+            )
+        });
+    };
+    let detail = format!(
+        "the store's answer was lost: the note may have been accepted as release {version}; \
+         submit it again under the same submitter id to find out"
+    );
+    match last_error {
+        Some(error) => errors::Error::with_source(errors::ErrorKind::AnswerLost, detail, error),
+        None => errors::Error::new(errors::ErrorKind::AnswerLost, detail),
+    }
+}
--- /dev/null
+++ b/crates/release/src/apply.rs
@@ -0,0 +1,196 @@
+//! Applies a note to the release on which it is based, and compares releases.
+
+use kernel::ids;
+use kernel::work;
+use serde::{Deserialize, Serialize};
+
+use crate::note;
+
+/// What differs between two releases, each entry as `KIND NAME`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changes {
+    /// In the newer release only.
+    pub added: Vec<String>,
+    /// In both, with different content.
+    pub changed: Vec<String>,
+    /// In the older release only.
+    pub withdrawn: Vec<String>,
+}
+
+impl Changes {
+    /// All entries that differ.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        let all = self
+            .added
+            .iter()
+            .chain(&self.changed)
+            .chain(&self.withdrawn);
+        all.map(String::as_str)
+    }
+
+    /// Whether nothing differs.
+    pub fn is_empty(&self) -> bool {
+        self.names().next().is_none()
+    }
+}
+
+/// The release that a note leads to, with the next version.
+///
+/// # Errors
+///
+/// All faults: adding what exists, changing or withdrawing what does not, or
+/// naming it under another kind.
+pub fn apply(base: &work::Release, note: &note::Note) -> Result<work::Release, note::Faults> {
+    let mut faults = Vec::new();
+    let mut release = base.clone();
+    release.version = base.version.next();
+    apply_work(&mut release, note, &mut faults);
+    apply_quotas(&mut release, note, &mut faults);
+    note::Faults::new(faults).or_ok(release)
+}
+
+fn apply_work(release: &mut work::Release, note: &note::Note, faults: &mut Vec<note::Fault>) {
+    for item in &note.withdrawn.work {
+        let named = &item.value;
+        if let Err(message) = find_work(release, &named.id, named.kind) {
+            faults.push(note::Fault::at(item.position, "withdrawn", message));
+            continue;
+        }
+        release.work.shift_remove(&named.id);
+    }
+    for item in &note.changed.work {
+        if let Err(message) = find_work(release, &item.value.id, item.value.kind) {
+            faults.push(note::Fault::at(item.position, "changed", message));
+            continue;
+        }
+        let work = item.value.clone();
+        release.work.insert(work.id.clone(), work);
+    }
+    for item in &note.added.work {
+        if let Some(existing) = release.work.get(&item.value.id) {
+            let message = format!(
+                "{} {} exists already; list it under changed",
+                note::kind_name(existing.kind),
+                existing.id
+            );
+            faults.push(note::Fault::at(item.position, "added", message));
+            continue;
+        }
+        let work = item.value.clone();
+        release.work.insert(work.id.clone(), work);
+    }
+}
+
+fn find_work(
+    release: &work::Release,
+    id: &ids::WorkId,
+    kind: work::WorkKind,
+) -> Result<(), String> {
+    let Some(existing) = release.work.get(id) else {
+        return Err(format!(
+            "no {} {id} in release {}",
+            note::kind_name(kind),
+            previous(release)
+        ));
+    };
+    if existing.kind != kind {
+        return Err(format!(
+            "{id} is a {}; withdraw it and add a {} under another name",
+            note::kind_name(existing.kind),
+            note::kind_name(kind)
+        ));
+    }
+    Ok(())
+}
+
+/// The version on which the release under construction is based.
+fn previous(release: &work::Release) -> u64 {
+    release.version.0 - 1
+}
+
+fn apply_quotas(release: &mut work::Release, note: &note::Note, faults: &mut Vec<note::Fault>) {
+    for item in &note.withdrawn.quotas {
+        if release.quotas.shift_remove(&item.value).is_none() {
+            let message = format!(
+                "no quota of {} in release {}",
+                item.value,
+                previous(release)
+            );
+            faults.push(note::Fault::at(item.position, "withdrawn.quota", message));
+        }
+    }
+    for item in &note.changed.quotas {
+        let team = &item.value.team;
+        if !release.quotas.contains_key(team) {
+            let message = format!("no quota of {team} in release {}", previous(release));
+            faults.push(note::Fault::at(item.position, "changed.quota", message));
+            continue;
+        }
+        release.quotas.insert(team.clone(), item.value.clone());
+    }
+    for item in &note.added.quotas {
+        let team = &item.value.team;
+        if release.quotas.contains_key(team) {
+            let message = format!("the quota of {team} exists already; list it under changed");
+            faults.push(note::Fault::at(item.position, "added.quota", message));
+            continue;
+        }
+        release.quotas.insert(team.clone(), item.value.clone());
+    }
+}
+
+/// What differs from `older` to `newer`.
+pub fn diff(older: &work::Release, newer: &work::Release) -> Changes {
+    let mut changes = Changes::default();
+    for (id, work) in &newer.work {
+        match older.work.get(id) {
+            None => changes.added.push(work_label(work)),
+            Some(before) if before != work => changes.changed.push(work_label(work)),
+            Some(_) => {}
+        }
+    }
+    for (id, work) in &older.work {
+        if !newer.work.contains_key(id) {
+            changes.withdrawn.push(work_label(work));
+        }
+    }
+    for (team, quota) in &newer.quotas {
+        match older.quotas.get(team) {
+            None => changes.added.push(quota_label(team)),
+            Some(before) if before != quota => changes.changed.push(quota_label(team)),
+            Some(_) => {}
+        }
+    }
+    for team in older.quotas.keys() {
+        if !newer.quotas.contains_key(team) {
+            changes.withdrawn.push(quota_label(team));
+        }
+    }
+    changes
+}
+
+fn work_label(work: &work::Work) -> String {
+    format!("{} {}", note::kind_name(work.kind), work.id)
+}
+
+fn quota_label(team: &ids::TeamId) -> String {
+    format!("quota {team}")
+}
+
+/// What a note touches, in the labels of [`Changes`].
+pub(crate) fn touched(note: &note::Note) -> Vec<String> {
+    let work = note.stated_work().map(|item| work_label(&item.value));
+    let withdrawn = note
+        .withdrawn
+        .work
+        .iter()
+        .map(|item| format!("{} {}", note::kind_name(item.value.kind), item.value.id));
+    let quotas = note
+        .stated_quotas()
+        .map(|item| quota_label(&item.value.team));
+    let withdrawn_quotas = note.withdrawn.quotas.iter();
+    work.chain(withdrawn)
+        .chain(quotas)
+        .chain(withdrawn_quotas.map(|item| quota_label(&item.value)))
+        .collect()
+}
--- /dev/null
+++ b/crates/release/src/limits.rs
@@ -0,0 +1,245 @@
+//! What the cell can hold, and checks of a release against it.
+
+use indexmap::{IndexMap, IndexSet};
+use kernel::ids;
+use kernel::work;
+
+use crate::note;
+
+/// Workers of one zone that have the same capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerShape {
+    /// What each of them can hold.
+    pub capacity: work::Resources,
+    /// How many there are.
+    pub workers: u64,
+}
+
+/// The zones of the cell and the workers known in each.
+///
+/// A zone whose workers are not known, for instance because it is cut off, has
+/// no shapes; sizes are then not checked for work that may run there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CellLimits {
+    /// The zones, by name; no zones at all means that nothing is known of the cell.
+    pub zones: IndexMap<ids::ZoneId, Vec<WorkerShape>>,
+}
+
+impl CellLimits {
+    /// Counts the workers of each zone by capacity.
+    pub fn from_workers<'a>(
+        zones: impl IntoIterator<Item = &'a ids::ZoneId>,
+        workers: impl IntoIterator<Item = (&'a ids::ZoneId, work::Resources)>,
+    ) -> Self {
+        let zones = zones.into_iter().map(|zone| (zone.clone(), Vec::new()));
+        let mut limits = Self {
+            zones: zones.collect(),
+        };
+        for (zone, capacity) in workers {
+            let shapes = limits.zones.entry(zone.clone()).or_default();
+            let known = shapes.iter_mut().find(|shape| shape.capacity == capacity);
+            match known {
+                Some(shape) => shape.workers += 1,
+                None => shapes.push(WorkerShape {
+                    capacity,
+                    workers: 1,
+                }),
+            }
+        }
+        limits
+    }
+
+    /// How many tasks of this size the permitted zones hold when empty; `None` if not known.
+    fn room_for(&self, work: &work::Work) -> Option<u64> {
+        if self.zones.is_empty() {
+            return None;
+        }
+        let permitted = self
+            .zones
+            .iter()
+            .filter(|(zone, _)| work.zones.is_empty() || work.zones.contains(zone));
+        let mut room = 0_u64;
+        for (_, shapes) in permitted {
+            if shapes.is_empty() {
+                return None;
+            }
+            for shape in shapes {
+                let tasks = tasks_per_worker(work.demand, shape.capacity);
+                room = room.saturating_add(tasks.saturating_mul(shape.workers));
+            }
+        }
+        Some(room)
+    }
+
+    /// The distinct capacities of all known workers, for messages.
+    fn describe_shapes(&self) -> String {
+        let shapes = self.zones.values().flatten();
+        let distinct: IndexSet<work::Resources> = shapes.map(|shape| shape.capacity).collect();
+        let texts: Vec<String> = distinct.into_iter().map(describe).collect();
+        texts.join(", or ")
+    }
+}
+
+fn tasks_per_worker(demand: work::Resources, capacity: work::Resources) -> u64 {
+    let per = |need: u64, have: u64| have.checked_div(need).unwrap_or(u64::MAX);
+    per(demand.cpu_milli, capacity.cpu_milli)
+        .min(per(demand.memory_mb, capacity.memory_mb))
+        .min(per(demand.accelerators, capacity.accelerators))
+}
+
+/// An amount of resources in words.
+fn describe(amount: work::Resources) -> String {
+    format!(
+        "{} cpu_milli, {} memory_mb and {} accelerators",
+        amount.cpu_milli, amount.memory_mb, amount.accelerators
+    )
+}
+
+/// Checks what a note states against the release that it leads to and the cell.
+///
+/// Work that the note does not name is not checked against the cell, so that a
+/// note can be accepted while workers are missing. Teams and quotas are checked
+/// for all work in force.
+///
+/// # Errors
+///
+/// All faults: zones that do not exist, tasks larger than any worker or than
+/// their team's quota, gang jobs larger than the cell or the quota, work of a
+/// team without a quota, and more tasks than the cell may hold.
+pub fn check(
+    note: &note::Note,
+    release: &work::Release,
+    limits: &CellLimits,
+) -> Result<(), note::Faults> {
+    let mut faults = Vec::new();
+    for item in note.stated_work() {
+        check_zones(item, limits, &mut faults);
+        check_size(item, limits, &mut faults);
+    }
+    for work in release.work.values() {
+        if let Err(message) = check_quota(work, release) {
+            faults.push(quota_fault(note, work, message));
+        }
+    }
+    check_total(release, &mut faults);
+    note::Faults::new(faults).or_ok(())
+}
+
+fn check_zones(
+    item: &note::Located<work::Work>,
+    limits: &CellLimits,
+    faults: &mut Vec<note::Fault>,
+) {
+    if limits.zones.is_empty() {
+        return;
+    }
+    for zone in &item.value.zones {
+        if limits.zones.contains_key(zone) {
+            continue;
+        }
+        let known: Vec<&str> = limits.zones.keys().map(ids::ZoneId::as_str).collect();
+        let message = format!(
+            "{}: no zone {zone}; the zones are {}",
+            item.value.id,
+            known.join(", ")
+        );
+        faults.push(note::Fault::at(item.position, "zones", message));
+    }
+}
+
+fn check_size(
+    item: &note::Located<work::Work>,
+    limits: &CellLimits,
+    faults: &mut Vec<note::Fault>,
+) {
+    let work = &item.value;
+    let all_known = work
+        .zones
+        .iter()
+        .all(|zone| limits.zones.contains_key(zone));
+    let Some(room) = limits.room_for(work).filter(|_| all_known) else {
+        return;
+    };
+    if room == 0 {
+        let message = format!(
+            "{}: a task of {} is larger than any worker it may run on; workers have {}",
+            work.id,
+            describe(work.demand),
+            limits.describe_shapes()
+        );
+        faults.push(note::Fault::at(item.position, "", message));
+        return;
+    }
+    let tasks = u64::from(work.tasks);
+    if work.kind == work::WorkKind::GangJob && tasks > room {
+        let message = format!(
+            "{}: {tasks} tasks must start together, but the workers hold at most {room}",
+            work.id
+        );
+        faults.push(note::Fault::at(item.position, "tasks", message));
+    }
+}
+
+fn check_quota(work: &work::Work, release: &work::Release) -> Result<(), String> {
+    let Some(quota) = release.quotas.get(&work.team) else {
+        let known: Vec<&str> = release.quotas.keys().map(ids::TeamId::as_str).collect();
+        return Err(format!(
+            "{}: team {} has no quota; teams with one: {}",
+            work.id,
+            work.team,
+            if known.is_empty() {
+                "none".to_owned()
+            } else {
+                known.join(", ")
+            }
+        ));
+    };
+    let together = match work.kind {
+        work::WorkKind::GangJob => u64::from(work.tasks),
+        work::WorkKind::Service | work::WorkKind::BatchRun => 1,
+    };
+    let needed = work.demand.times(together);
+    if !needed.fits_in(quota.limit) {
+        return Err(format!(
+            "{}: {together} task(s) need {} at once, more than the quota of {}: {}",
+            work.id,
+            describe(needed),
+            work.team,
+            describe(quota.limit)
+        ));
+    }
+    Ok(())
+}
+
+/// Points at the work if the note states it, else at what the note says of the quota.
+fn quota_fault(note: &note::Note, work: &work::Work, message: String) -> note::Fault {
+    let stated = note.stated_work().find(|item| item.value.id == work.id);
+    let quota = note
+        .stated_quotas()
+        .find(|item| item.value.team == work.team);
+    let withdrawn = note.withdrawn.quotas.iter();
+    let withdrawn = withdrawn.filter(|item| item.value == work.team);
+    let position = stated
+        .map(|item| item.position)
+        .or(quota.map(|item| item.position))
+        .or(withdrawn.map(|item| item.position).next());
+    note::Fault {
+        position,
+        field: "team".to_owned(),
+        message,
+    }
+}
+
+fn check_total(release: &work::Release, faults: &mut Vec<note::Fault>) {
+    let tasks: u64 = release
+        .work
+        .values()
+        .map(|work| u64::from(work.tasks))
+        .sum();
+    if tasks > note::limits::TASKS_IN_FORCE_LIMIT {
+        faults.push(note::Fault::of_note(format!(
+            "the release would have {tasks} tasks and replicas; at most {} are allowed",
+            note::limits::TASKS_IN_FORCE_LIMIT
+        )));
+    }
+}
--- /dev/null
+++ b/crates/release/src/watcher.rs
@@ -0,0 +1,299 @@
+//! Follows the accepted releases in the store, and through peers.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures::future;
+use kernel::errors;
+use kernel::ids;
+use platform::store;
+use rand::RngExt;
+use tokio::sync;
+
+use crate::accepted;
+use crate::events;
+use crate::tracker;
+
+/// How long one watch waits at the store.
+const WATCH_WAIT_MS: u64 = 30_000;
+/// How often a host that does not watch looks whether it should.
+const ROLE_CHECK_INTERVAL_MS: u64 = 500;
+const FIRST_RETRY_MS: u64 = 100;
+const LONGEST_RETRY_MS: u64 = 5_000;
+/// Longest pause between two tries to fetch a release that a peer has.
+const LONGEST_FETCH_RETRY_MS: u64 = 1_000;
+/// Releases read with one call.
+const PAGE_RELEASES: usize = 8;
+
+/// What the watcher needs to know of the other hosts.
+pub trait Peers: fmt::Debug + Send + Sync {
+    /// Whether this host is the one of its zone that watches the store.
+    fn is_watcher(&self) -> bool;
+
+    /// Fetches a release of at least this version from any peer that has one.
+    fn fetch(
+        &self,
+        at_least: ids::ReleaseVersion,
+    ) -> future::BoxFuture<'_, errors::Result<Option<accepted::AcceptedRelease>>>;
+}
+
+/// The release in force, shared by all roles of a process.
+#[derive(Debug)]
+pub struct SharedRelease {
+    tracker: Mutex<tracker::ReleaseTracker>,
+    in_force: sync::watch::Sender<Option<Arc<accepted::AcceptedRelease>>>,
+    heard: sync::Notify,
+}
+
+impl Default for SharedRelease {
+    fn default() -> Self {
+        Self {
+            tracker: Mutex::default(),
+            in_force: sync::watch::Sender::new(None),
+            heard: sync::Notify::new(),
+        }
+    }
+}
+
+impl SharedRelease {
+    /// The release in force; `None` before the first.
+    pub fn current(&self) -> Option<Arc<accepted::AcceptedRelease>> {
+        self.lock().current().cloned()
+    }
+
+    /// The version in force; zero before the first release.
+    pub fn version(&self) -> ids::ReleaseVersion {
+        self.lock().version()
+    }
+
+    /// Whether a newer release is known that is not in force here.
+    pub fn is_behind(&self) -> bool {
+        self.lock().wanted().is_some()
+    }
+
+    /// Puts a release in force if it is newer; tells whether it did.
+    pub fn offer(&self, release: impl Into<Arc<accepted::AcceptedRelease>>) -> bool {
+        let release = release.into();
+        // The lock is held while subscribers are told, so that they see versions in order.
+        let mut tracker = self.lock();
+        if !tracker.offer(Arc::clone(&release)) {
+            return false;
+        }
+        kernel::log_event!(events::RELEASE_IN_FORCE, "release {}", release.version());
+        self.in_force.send_replace(Some(release));
+        true
+    }
+
+    /// Notes a peer's version; a higher one is fetched.
+    pub fn hear(&self, version: ids::ReleaseVersion) {
+        let mut tracker = self.lock();
+        if version > tracker.version() {
+            tracker.hear(version);
+            self.heard.notify_one();
+        }
+    }
+
+    /// Follows the release in force.
+    pub fn subscribe(&self) -> sync::watch::Receiver<Option<Arc<accepted::AcceptedRelease>>> {
+        self.in_force.subscribe()
+    }
+
+    fn wanted(&self) -> Option<ids::ReleaseVersion> {
+        self.lock().wanted()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, tracker::ReleaseTracker> {
+        self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows the store and fetches from peers until it is dropped.
+#[derive(Debug)]
+pub struct ReleaseWatcher {
+    store: Arc<dyn store::Store>,
+    peers: Arc<dyn Peers>,
+    shared: Arc<SharedRelease>,
+    seed: u64,
+}
+
+impl ReleaseWatcher {
+    /// Makes a watcher; the seed spreads the retries of many hosts.
+    pub fn new(
+        store: Arc<dyn store::Store>,
+        peers: Arc<dyn Peers>,
+        shared: Arc<SharedRelease>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            store,
+            peers,
+            shared,
+            seed,
+        }
+    }
+
+    /// Runs until it is dropped.
+    pub async fn run(self) {
+        tokio::join!(self.follow_store(), self.follow_peers());
+    }
+
+    async fn follow_store(&self) {
+        let mut backoff = Backoff::new(self.seed, LONGEST_RETRY_MS);
+        loop {
+            if !self.should_watch() {
+                sleep_ms(ROLE_CHECK_INTERVAL_MS).await;
+                continue;
+            }
+            let Err(error) = self.load_and_watch(&mut backoff).await else {
+                continue;
+            };
+            if backoff.failures == 0 {
+                kernel::log_event!(events::RELEASE_WATCH_FAILED, "{error}");
+            }
+            backoff.wait().await;
+        }
+    }
+
+    /// A host without a release reads the store even if another one watches.
+    fn should_watch(&self) -> bool {
+        self.peers.is_watcher() || self.shared.current().is_none()
+    }
+
+    /// Reads what is newer and follows changes for as long as this host should.
+    async fn load_and_watch(&self, backoff: &mut Backoff) -> Result<(), store::StoreError> {
+        let mut revision = self.load().await?;
+        if backoff.reset() {
+            kernel::log_event!(events::RELEASE_WATCH_RESUMED, "from revision {revision}");
+        }
+        if !self.peers.is_watcher() {
+            sleep_ms(ROLE_CHECK_INTERVAL_MS).await;
+            return Ok(());
+        }
+        while self.peers.is_watcher() {
+            let watch = self
+                .store
+                .watch(accepted::KEY_PREFIX, revision, WATCH_WAIT_MS);
+            let reply = watch.await?;
+            if reply.compacted {
+                // Whatever the range does not show yet comes after the reply's revision.
+                self.load().await?;
+                sleep_ms(FIRST_RETRY_MS).await;
+            }
+            for change in &reply.changes {
+                if let store::Change::Put(entry) = change {
+                    self.offer_entry(entry);
+                }
+            }
+            revision = reply.revision.max(revision);
+        }
+        Ok(())
+    }
+
+    /// Reads all newer releases; returns the revision from which changes are to be followed.
+    async fn load(&self) -> Result<store::Revision, store::StoreError> {
+        let mut revision = store::Revision::default();
+        let mut after = match self.shared.current() {
+            // The release in force is read again, for its revision.
+            Some(current) => accepted::key(ids::ReleaseVersion(current.version().0 - 1)),
+            None => String::new(),
+        };
+        loop {
+            let page = self
+                .store
+                .range(accepted::KEY_PREFIX, &after, PAGE_RELEASES)
+                .await?;
+            for entry in &page {
+                self.offer_entry(entry);
+                revision = revision.max(entry.revision);
+            }
+            match page.last() {
+                Some(last) if page.len() == PAGE_RELEASES => after.clone_from(&last.key),
+                _ => return Ok(revision),
+            }
+        }
+    }
+
+    async fn follow_peers(&self) {
+        let mut backoff = Backoff::new(self.seed.wrapping_add(1), LONGEST_FETCH_RETRY_MS);
+        loop {
+            let Some(version) = self.shared.wanted() else {
+                backoff.reset();
+                self.shared.heard.notified().await;
+                continue;
+            };
+            let Err(error) = self.fetch(version).await else {
+                continue;
+            };
+            if backoff.failures == 0 {
+                kernel::log_event!(events::RELEASE_FETCH_FAILED, "release {version}: {error}");
+            }
+            backoff.wait().await;
+        }
+    }
+
+    /// Fetches from a peer, or from the store if no peer gives it out.
+    async fn fetch(&self, version: ids::ReleaseVersion) -> errors::Result<()> {
+        let fetched = self.peers.fetch(version).await;
+        if let Ok(Some(release)) = fetched {
+            let is_wanted = release.version() >= version;
+            self.shared.offer(release);
+            if is_wanted {
+                return Ok(());
+            }
+        }
+        let entry = self.store.get(&accepted::key(version)).await?;
+        let Some(entry) = entry else {
+            let detail = format!("release {version} is not in the store");
+            return Err(errors::Error::new(errors::ErrorKind::NotFound, detail));
+        };
+        self.shared
+            .offer(accepted::AcceptedRelease::from_entry(&entry)?);
+        Ok(())
+    }
+
+    fn offer_entry(&self, entry: &store::Entry) {
+        match accepted::AcceptedRelease::from_entry(entry) {
+            Ok(release) => {
+                self.shared.offer(release);
+            }
+            Err(error) => {
+                kernel::log_event!(events::RELEASE_UNREADABLE, "{}: {error}", entry.key);
+            }
+        }
+    }
+}
+
+/// Pauses that double from failure to failure, with jitter.
+#[derive(Debug)]
+struct Backoff {
+    random: kernel::random::Random,
+    longest_ms: u64,
+    failures: u32,
+}
+
+impl Backoff {
+    fn new(seed: u64, longest_ms: u64) -> Self {
+        Self {
+            random: kernel::random::from_seed(seed),
+            longest_ms,
+            failures: 0,
+        }
+    }
+
+    /// Forgets the failures; tells whether there were any.
+    fn reset(&mut self) -> bool {
+        std::mem::take(&mut self.failures) > 0
+    }
+
+    async fn wait(&mut self) {
+        let doubled_ms = FIRST_RETRY_MS << self.failures.min(16);
+        let longest_ms = doubled_ms.min(self.longest_ms);
+        self.failures += 1;
+        sleep_ms(self.random.random_range(longest_ms / 2..=longest_ms)).await;
+    }
+}
+
+async fn sleep_ms(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/crates/release/tests/store/main.rs
@@ -0,0 +1,5 @@
+//! What reaches the store and what comes from it, through faults of the store.
+
+mod acceptance;
+mod support;
+mod watcher;
