--- /dev/null
+++ b/crates/placement/src/estimate.rs
@@ -0,0 +1,129 @@
+//! Sizes learned from reported usage, by class of job.
+//!
+//! Declared sizes are far off in both directions. Until a class has evidence,
+//! tasks get what they declare. Afterwards they get the largest recent peak and
+//! a reserve that shrinks as more runs agree.
+
+use indexmap::IndexMap;
+use kernel::ids;
+use kernel::work;
+
+/// Peaks of runs that are remembered for each class.
+const WINDOW_RUNS: usize = 32;
+/// Runs before a size below the declared one is assigned.
+const EVIDENCE_RUNS: u32 = 3;
+/// Reserve over the largest peak after a single run, in thousandths.
+const FIRST_RESERVE_PERMILLE: u64 = 500;
+/// Smallest reserve over the largest peak, in thousandths.
+const LAST_RESERVE_PERMILLE: u64 = 30;
+
+/// What tasks have in common that probably use about the same.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Class {
+    team: ids::TeamId,
+    kind: work::WorkKind,
+    demand: work::Resources,
+}
+
+#[derive(Debug, Default)]
+struct Evidence {
+    runs: u32,
+    peaks: Vec<work::Resources>,
+}
+
+impl Evidence {
+    fn largest(&self) -> work::Resources {
+        self.peaks
+            .iter()
+            .fold(work::Resources::default(), |a, b| larger(a, *b))
+    }
+
+    fn reserve_permille(&self) -> u64 {
+        let shrunk = FIRST_RESERVE_PERMILLE as f64 / f64::from(self.runs.max(1));
+        (shrunk as u64).max(LAST_RESERVE_PERMILLE)
+    }
+}
+
+/// The larger amount of each resource.
+pub fn larger(a: work::Resources, b: work::Resources) -> work::Resources {
+    work::Resources::new(
+        a.cpu_milli.max(b.cpu_milli),
+        a.memory_mb.max(b.memory_mb),
+        a.accelerators.max(b.accelerators),
+    )
+}
+
+fn smaller(a: work::Resources, b: work::Resources) -> work::Resources {
+    work::Resources::new(
+        a.cpu_milli.min(b.cpu_milli),
+        a.memory_mb.min(b.memory_mb),
+        a.accelerators.min(b.accelerators),
+    )
+}
+
+fn with_reserve(amount: u64, permille: u64) -> u64 {
+    amount.saturating_add(amount.saturating_mul(permille).div_ceil(1000))
+}
+
+/// Learned sizes of all classes.
+#[derive(Debug, Default)]
+pub struct Estimates {
+    classes: IndexMap<Class, u32>,
+    evidence: Vec<Evidence>,
+}
+
+impl Estimates {
+    /// The class of a piece of work, as a number.
+    pub fn class_of(&mut self, work: &work::Work) -> u32 {
+        let class = Class {
+            team: work.team.clone(),
+            kind: work.kind,
+            demand: work.demand,
+        };
+        let next = self.evidence.len() as u32;
+        let number = *self.classes.entry(class).or_insert(next);
+        if number == next {
+            self.evidence.push(Evidence::default());
+        }
+        number
+    }
+
+    /// Takes the peak usage of one run as evidence.
+    pub fn learn(&mut self, class: u32, peak: work::Resources) {
+        let evidence = &mut self.evidence[class as usize];
+        if peak == work::Resources::default() {
+            return;
+        }
+        if evidence.peaks.len() < WINDOW_RUNS {
+            evidence.peaks.push(peak);
+        } else {
+            evidence.peaks[evidence.runs as usize % WINDOW_RUNS] = peak;
+        }
+        evidence.runs = evidence.runs.saturating_add(1);
+    }
+
+    /// What to assign to a task of a class, at most `ceiling` unless it declares more.
+    pub fn size(
+        &self,
+        class: u32,
+        declared: work::Resources,
+        ceiling: work::Resources,
+    ) -> work::Resources {
+        let evidence = &self.evidence[class as usize];
+        if evidence.runs == 0 {
+            return declared;
+        }
+        let largest = evidence.largest();
+        let permille = evidence.reserve_permille();
+        let learned = work::Resources::new(
+            with_reserve(largest.cpu_milli, permille).max(1),
+            with_reserve(largest.memory_mb, permille).max(1),
+            declared.accelerators,
+        );
+        let learned = smaller(learned, larger(declared, ceiling));
+        if evidence.runs < EVIDENCE_RUNS {
+            return larger(learned, declared);
+        }
+        learned
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/account.rs
@@ -0,0 +1,278 @@
+//! Bookkeeping of what is assigned where; every change of a placement goes through here.
+
+use kernel::ids;
+use kernel::work;
+use platform::workers;
+
+use super::Group;
+use crate::decision;
+use crate::life;
+use crate::table;
+
+impl Group {
+    /// The run of a task that is placed or next.
+    pub(super) fn run_of(&self, slot: u32) -> ids::TaskAttempt {
+        let task = &self.tasks[slot];
+        ids::TaskAttempt {
+            task: ids::TaskId::new(&self.works[task.work].work.id, task.index),
+            attempt: task.life.attempt(),
+        }
+    }
+
+    /// Finds a placed run.
+    pub(super) fn placed_slot(&self, run: &ids::TaskAttempt) -> Option<u32> {
+        let main = self.task_slot(&run.task).filter(|&slot| {
+            let life = &self.tasks[slot].life;
+            life.attempt() == run.attempt && life.placement().is_some()
+        });
+        main.or_else(|| self.orphans.get(run).copied())
+    }
+
+    /// Finds a task in any state.
+    pub(super) fn task_slot(&self, task: &ids::TaskId) -> Option<u32> {
+        let work = *self.work_numbers.get(&task.work)?;
+        self.task_numbers.get(&(work, task.index)).copied()
+    }
+
+    /// Whether urgent work may displace a task.
+    pub(super) fn is_displaceable(&self, slot: u32) -> bool {
+        let task = &self.tasks[slot];
+        let work = &self.works[task.work].work;
+        !task.orphan
+            && work.kind != work::WorkKind::Service
+            && work.urgency != work::Urgency::Urgent
+            && matches!(task.life, life::Life::Starting(_) | life::Life::Running(_))
+    }
+
+    /// Changes the state of a run and keeps its worker's sums in step.
+    pub(super) fn change_life(&mut self, slot: u32, change: impl FnOnce(&mut life::Life)) {
+        self.count(slot, false);
+        change(&mut self.tasks[slot].life);
+        self.count(slot, true);
+    }
+
+    /// Takes a run out of its worker's sums, before its work changes.
+    pub(super) fn uncount(&mut self, slot: u32) {
+        self.count(slot, false);
+    }
+
+    /// Puts a run back into its worker's sums.
+    pub(super) fn recount(&mut self, slot: u32) {
+        self.count(slot, true);
+        if let Some(placement) = self.tasks[slot].life.placement() {
+            self.reindex(placement.worker);
+        }
+    }
+
+    fn count(&mut self, slot: u32, add: bool) {
+        let Some(placement) = self.tasks[slot].life.placement() else {
+            return;
+        };
+        let displaceable = self.is_displaceable(slot);
+        let starting = self.tasks[slot].life.is_starting();
+        let worker = &mut self.workers[placement.worker as usize];
+        if add {
+            worker.assigned += placement.assigned;
+            worker.starting += u32::from(starting);
+            if displaceable {
+                worker.displaceable += placement.assigned;
+            }
+        } else {
+            worker.assigned = worker.assigned.saturating_sub(placement.assigned);
+            worker.starting -= u32::from(starting);
+            if displaceable {
+                worker.displaceable = worker.displaceable.saturating_sub(placement.assigned);
+            }
+        }
+    }
+
+    /// Places a waiting task on a worker.
+    pub(super) fn attach(&mut self, slot: u32, placement: life::Placement) {
+        self.change_life(slot, |life| {
+            life.start(placement);
+        });
+        self.enter(slot, placement.worker);
+    }
+
+    /// Records a placed run with its worker, rack and team.
+    pub(super) fn enter(&mut self, slot: u32, worker: u32) {
+        let entry = &mut self.workers[worker as usize];
+        entry.tasks.push(slot);
+        let rack = entry.rack;
+        let task = &self.tasks[slot];
+        if !task.orphan {
+            *self.works[task.work].racks.entry(rack).or_insert(0) += 1;
+        }
+        self.charge(slot);
+        self.placed += 1;
+        self.reindex(worker);
+    }
+
+    pub(super) fn charge(&mut self, slot: u32) {
+        let work = &self.works[self.tasks[slot].work];
+        let charged = (work.team, work.work.demand);
+        self.tasks[slot].charged = Some(charged);
+        self.teams.charge(charged.0, charged.1);
+    }
+
+    pub(super) fn refund(&mut self, slot: u32) {
+        if let Some((team, demand)) = self.tasks[slot].charged.take() {
+            self.teams.refund(team, demand);
+        }
+    }
+
+    /// Takes a placed task off its worker; it waits under `next` afterwards.
+    pub(super) fn detach(&mut self, slot: u32, next: ids::Attempt) {
+        let Some(placement) = self.tasks[slot].life.placement() else {
+            return;
+        };
+        self.change_life(slot, |life| {
+            *life = life::Life::Waiting(life::Run::new(next));
+        });
+        let worker = &mut self.workers[placement.worker as usize];
+        if let Some(position) = worker.tasks.iter().position(|&other| other == slot) {
+            worker.tasks.swap_remove(position);
+        }
+        let rack = worker.rack;
+        let task = &mut self.tasks[slot];
+        task.last_worker = Some(placement.worker);
+        let work = &mut self.works[task.work];
+        if !task.orphan
+            && let Some(count) = work.racks.get_mut(&rack)
+        {
+            *count -= 1;
+            if *count == 0 {
+                work.racks.swap_remove(&rack);
+            }
+        }
+        self.refund(slot);
+        self.placed -= 1;
+        self.clear_kill(slot);
+        self.end_victim(slot);
+        self.reindex(placement.worker);
+    }
+
+    /// Puts a worker where the indexes expect it.
+    pub(super) fn reindex(&mut self, worker: u32) {
+        let entry = &self.workers[worker as usize];
+        if !entry.accepts() {
+            self.free.remove(worker);
+            self.reclaimable.remove(worker);
+            return;
+        }
+        let free = entry.free();
+        self.free.set(worker, free);
+        self.reclaimable.set(worker, free + entry.displaceable);
+    }
+
+    /// Decides a stop of a placed run, unless one was decided.
+    pub(super) fn stop(&mut self, slot: u32, mode: workers::StopMode) {
+        let life = self.tasks[slot].life;
+        let Some(placement) = life.placement() else {
+            return;
+        };
+        if life.is_stopping() {
+            return;
+        }
+        self.change_life(slot, life::Life::stop);
+        self.reindex(placement.worker);
+        self.push_stop(slot, mode);
+    }
+
+    /// Tells a worker to hold back or end a run, whatever was told before.
+    pub(super) fn push_stop(&mut self, slot: u32, mode: workers::StopMode) {
+        let Some(placement) = self.tasks[slot].life.placement() else {
+            return;
+        };
+        self.pending.push_back(decision::Decision::Stop {
+            worker: self.workers[placement.worker as usize].id.clone(),
+            run: self.run_of(slot),
+            mode,
+        });
+    }
+
+    /// Kills a run at `at_ms` unless it has ended.
+    pub(super) fn kill_at(&mut self, slot: u32, at_ms: u64) {
+        self.clear_kill(slot);
+        self.tasks[slot].kill_at_ms = Some(at_ms);
+        self.kills.insert((at_ms, slot));
+    }
+
+    fn clear_kill(&mut self, slot: u32) {
+        if let Some(at_ms) = self.tasks[slot].kill_at_ms.take() {
+            self.kills.remove(&(at_ms, slot));
+        }
+    }
+
+    fn clear_restart(&mut self, slot: u32) {
+        if let Some(at_ms) = self.tasks[slot].restart_at_ms.take() {
+            self.restarts.remove(&(at_ms, slot));
+        }
+    }
+
+    /// Puts a waiting task into its work's queue.
+    pub(super) fn enqueue(&mut self, slot: u32, first: bool) {
+        let work = self.tasks[slot].work;
+        let entry = &mut self.works[work];
+        if first {
+            entry.waiting.push_front(slot);
+        } else {
+            entry.waiting.push_back(slot);
+        }
+        self.queue_work(work);
+    }
+
+    /// Puts a work with waiting tasks into its team's queue.
+    pub(super) fn queue_work(&mut self, work: u32) {
+        let entry = &mut self.works[work];
+        if entry.queued || entry.waiting.is_empty() {
+            return;
+        }
+        entry.queued = true;
+        let urgency = entry.work.urgency as usize;
+        self.teams.get_mut(entry.team).queues[urgency].push_back(work);
+    }
+
+    /// Stores a task among the members of its work.
+    pub(super) fn insert_task(&mut self, mut task: table::Task) -> u32 {
+        let (work, index, orphan) = (task.work, task.index, task.orphan);
+        task.position = self.works[work].members.len() as u32;
+        let slot = self.tasks.insert(task);
+        self.works[work].members.push(slot);
+        if !orphan {
+            self.task_numbers.insert((work, index), slot);
+        }
+        slot
+    }
+
+    /// Forgets a task that is not placed and not in its work's queue.
+    pub(super) fn remove_task(&mut self, slot: u32) {
+        self.clear_restart(slot);
+        let Some(task) = self.tasks.remove(slot) else {
+            return;
+        };
+        let work = &mut self.works[task.work];
+        work.members.swap_remove(task.position as usize);
+        if let Some(&moved) = work.members.get(task.position as usize) {
+            self.tasks[moved].position = task.position;
+        }
+        if !task.orphan {
+            self.task_numbers.swap_remove(&(task.work, task.index));
+        }
+        if task.replaced {
+            self.forget_replaced(task.work, slot, task.index);
+        }
+        self.forget_work(task.work);
+    }
+
+    /// Forgets a work without tasks, unless something still refers to it.
+    pub(super) fn forget_work(&mut self, work: u32) {
+        let entry = &self.works[work];
+        if entry.queued || entry.displacing > 0 || !entry.members.is_empty() {
+            return;
+        }
+        let id = self.works[work].work.id.clone();
+        self.work_numbers.swap_remove(&id);
+        self.works.remove(work);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/cancel.rs
@@ -0,0 +1,41 @@
+//! Cancellation.
+
+use kernel::ids;
+use kernel::work;
+use platform::workers;
+
+use super::Group;
+
+impl Group {
+    /// Cancels a piece of work; returns the runs that waited and now never start.
+    ///
+    /// The cost is constant for each task. Running tasks are stopped by the
+    /// next decisions: replicas of a service drain, other tasks are killed.
+    pub fn cancel(&mut self, work: &ids::WorkId, _now_ms: u64) -> Vec<ids::TaskAttempt> {
+        self.cancelled.insert(work);
+        self.drop_hold_of(work);
+        let Some(&number) = self.work_numbers.get(work) else {
+            return Vec::new();
+        };
+        let entry = &mut self.works[number];
+        entry.cancelled = true;
+        entry.waiting.clear();
+        let mode = match entry.work.kind {
+            work::WorkKind::Service => workers::StopMode::Drain,
+            work::WorkKind::BatchRun | work::WorkKind::GangJob => workers::StopMode::Kill,
+        };
+        let mut dropped = Vec::new();
+        for slot in entry.members.clone() {
+            if self.tasks[slot].life.placement().is_some() {
+                self.stop(slot, mode);
+                continue;
+            }
+            self.unreserve(slot);
+            dropped.push(self.run_of(slot));
+            if self.tasks[slot].blocked_by == 0 {
+                self.remove_task(slot);
+            }
+        }
+        dropped
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/decide.rs
@@ -0,0 +1,292 @@
+//! The decision loop.
+
+use kernel::work;
+use platform::workers;
+
+use super::Group;
+use super::choose;
+use crate::decision;
+use crate::table;
+
+/// Sizes known to fit nowhere that are kept during one decision.
+const MEMO_SIZES: usize = 16;
+
+/// What came of looking at one work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Tasks were placed or handed back; look again.
+    Progress,
+    /// Nothing waits.
+    Empty,
+    /// Nothing can be started now.
+    Blocked,
+}
+
+/// One call of [`Group::decide`] under way.
+#[derive(Debug)]
+pub(super) struct Round {
+    pub(super) now_ms: u64,
+    pub(super) limit: usize,
+    pub(super) decisions: Vec<decision::Decision>,
+    full: Vec<work::Resources>,
+}
+
+impl Round {
+    fn is_full(&self) -> bool {
+        self.decisions.len() >= self.limit
+    }
+
+    /// Whether a size is known to fit nowhere during this round.
+    fn fits_nowhere(&self, size: work::Resources) -> bool {
+        self.full.iter().any(|full| full.fits_in(size))
+    }
+
+    fn note_full(&mut self, size: work::Resources) {
+        if self.full.len() < MEMO_SIZES {
+            self.full.push(size);
+        }
+    }
+}
+
+impl Group {
+    /// Decides what happens next, about `limit` decisions at most.
+    ///
+    /// A gang is decided whole, even if that exceeds the limit. A decided start
+    /// counts against its worker from now on.
+    pub fn decide(&mut self, now_ms: u64, limit: usize) -> Vec<decision::Decision> {
+        let mut round = Round {
+            now_ms,
+            limit,
+            decisions: Vec::new(),
+            full: Vec::new(),
+        };
+        self.refresh_capacity();
+        self.expire_workers(now_ms);
+        self.expire_reservations(now_ms);
+        self.expire_hold(now_ms);
+        self.expire_tasks(now_ms);
+        self.drain_pending(&mut round);
+        for urgency in [
+            work::Urgency::Urgent,
+            work::Urgency::Normal,
+            work::Urgency::Deferrable,
+        ] {
+            self.pass(urgency as usize, &mut round);
+            self.drain_pending(&mut round);
+        }
+        round.decisions
+    }
+
+    fn drain_pending(&mut self, round: &mut Round) {
+        while !round.is_full() {
+            let Some(decision) = self.pending.pop_front() else {
+                return;
+            };
+            round.decisions.push(decision);
+        }
+    }
+
+    /// Requeues failed tasks whose wait is over and kills tasks that do not stop.
+    fn expire_tasks(&mut self, now_ms: u64) {
+        while let Some(&(at_ms, slot)) = self.restarts.first() {
+            if at_ms > now_ms {
+                break;
+            }
+            self.restarts.pop_first();
+            self.tasks[slot].restart_at_ms = None;
+            self.enqueue(slot, false);
+        }
+        while let Some(&(at_ms, slot)) = self.kills.first() {
+            if at_ms > now_ms {
+                break;
+            }
+            self.kills.pop_first();
+            self.tasks[slot].kill_at_ms = None;
+            self.push_stop(slot, workers::StopMode::Kill);
+        }
+    }
+
+    /// Serves the teams that wait with one urgency, the lowest share first.
+    fn pass(&mut self, urgency: usize, round: &mut Round) {
+        let mut waiting: Vec<(u32, usize)> =
+            self.teams.waiting(urgency).map(|team| (team, 0)).collect();
+        while !round.is_full() {
+            let lowest = waiting
+                .iter()
+                .enumerate()
+                .min_by(|(_, a), (_, b)| self.teams.share(a.0).total_cmp(&self.teams.share(b.0)));
+            let Some((position, &(team, cursor))) = lowest else {
+                return;
+            };
+            let queue = &self.teams.get(team).queues[urgency];
+            let Some(&work) = queue.get(cursor) else {
+                waiting.swap_remove(position);
+                continue;
+            };
+            match self.step(work, round) {
+                Step::Progress => {}
+                Step::Empty => {
+                    self.teams.get_mut(team).queues[urgency].remove(cursor);
+                    self.works[work].queued = false;
+                    self.forget_work(work);
+                }
+                Step::Blocked => waiting[position].1 += 1,
+            }
+        }
+    }
+
+    /// Tries to start tasks of one work.
+    fn step(&mut self, work: u32, round: &mut Round) -> Step {
+        let Some(&slot) = self.works[work].waiting.front() else {
+            return Step::Empty;
+        };
+        let outcome = if self.works[work].work.kind == work::WorkKind::GangJob {
+            self.start_gang(work, round)
+        } else {
+            self.start_one(work, slot, round)
+        };
+        let entry = &mut self.works[work];
+        let Err(block) = outcome else {
+            entry.blocked_since_ms = None;
+            return Step::Progress;
+        };
+        entry.block = block;
+        let since_ms = *entry.blocked_since_ms.get_or_insert(round.now_ms);
+        self.hand_back(work, block, since_ms, round)
+    }
+
+    fn start_one(&mut self, work: u32, slot: u32, round: &mut Round) -> Result<(), table::Block> {
+        let entry = &self.works[work];
+        let replaces = self.tasks[slot].replaces.is_some();
+        if !replaces && !self.teams.allows(entry.team, entry.work.demand) {
+            return Err(table::Block::Quota);
+        }
+        let size = self.size_of(slot);
+        if !size.fits_in(self.ceiling) {
+            return Err(table::Block::NeverFits);
+        }
+        let chosen = if round.fits_nowhere(size) {
+            Err(choose::NoWorker::Full)
+        } else {
+            self.choose(slot, size, round.now_ms)
+        };
+        match chosen {
+            Ok(worker) => {
+                self.works[work].waiting.pop_front();
+                self.attach(slot, Self::placement(worker, size, round.now_ms));
+                round.decisions.push(self.start_decision(slot));
+                Ok(())
+            }
+            Err(refusal) => {
+                if refusal == choose::NoWorker::Full {
+                    round.note_full(size);
+                }
+                Err(self.displace_for(work, size, round.now_ms))
+            }
+        }
+    }
+
+    /// Starts all waiting members of a gang, or none.
+    fn start_gang(&mut self, work: u32, round: &mut Round) -> Result<(), table::Block> {
+        let entry = &self.works[work];
+        let waiting = entry.waiting.len() as u32;
+        let whole = waiting as usize == entry.members.len()
+            && waiting + entry.completed >= entry.work.tasks;
+        if entry.provisional || !whole {
+            return Err(table::Block::GangIncomplete);
+        }
+        let total = entry.work.demand.times(u64::from(waiting));
+        if !self.teams.allows(entry.team, total) {
+            return Err(table::Block::Quota);
+        }
+        let slots: Vec<u32> = entry.waiting.iter().copied().collect();
+        if !self.place_all(&slots, round.now_ms) {
+            return Err(self.hold_for(work, &slots, round.now_ms));
+        }
+        self.works[work].waiting.clear();
+        for &slot in &slots {
+            round.decisions.push(self.start_decision(slot));
+        }
+        let id = self.works[work].work.id.clone();
+        self.drop_hold_of(&id);
+        Ok(())
+    }
+
+    /// Places all of some waiting tasks, or none.
+    pub(super) fn place_all(&mut self, slots: &[u32], now_ms: u64) -> bool {
+        for (done, &slot) in slots.iter().enumerate() {
+            let size = self.size_of(slot);
+            let Ok(worker) = self.choose(slot, size, now_ms) else {
+                for &placed in &slots[..done] {
+                    let attempt = self.tasks[placed].life.attempt();
+                    self.detach(placed, attempt);
+                }
+                return false;
+            };
+            self.attach(slot, Self::placement(worker, size, now_ms));
+        }
+        true
+    }
+
+    /// Gives a job's tasks back if waiting longer is of no use.
+    fn hand_back(
+        &mut self,
+        work: u32,
+        block: table::Block,
+        since_ms: u64,
+        round: &mut Round,
+    ) -> Step {
+        let entry = &self.works[work];
+        let waited_ms = round.now_ms.saturating_sub(since_ms);
+        let patience_ms = self.config.hand_back_after_ms;
+        let too_long = patience_ms.is_some_and(|patience_ms| waited_ms >= patience_ms);
+        let reason = match block {
+            table::Block::NeverFits if self.capacity != work::Resources::default() => {
+                decision::HandBackReason::NeverFits
+            }
+            table::Block::NoRoom | table::Block::GangRoom if too_long => {
+                decision::HandBackReason::NoRoom
+            }
+            _ => return Step::Blocked,
+        };
+        if entry.shard.is_none() {
+            return Step::Blocked;
+        }
+        let gang = entry.work.kind == work::WorkKind::GangJob;
+        while gang || !round.is_full() {
+            let Some(slot) = self.works[work].waiting.pop_front() else {
+                break;
+            };
+            let run = self.run_of(slot);
+            round
+                .decisions
+                .push(decision::Decision::HandBack { run, reason });
+            self.remove_task(slot);
+        }
+        Step::Progress
+    }
+
+    /// The start of a task that was placed.
+    pub(super) fn start_decision(&self, slot: u32) -> decision::Decision {
+        let task = &self.tasks[slot];
+        let entry = &self.works[task.work];
+        let placement = task
+            .life
+            .placement()
+            .expect("a start is decided after its task was placed");
+        decision::Decision::Start {
+            worker: self.workers[placement.worker as usize].id.clone(),
+            order: workers::StartOrder {
+                run: self.run_of(slot),
+                shard: entry.shard,
+                team: entry.work.team.clone(),
+                urgency: entry.work.urgency,
+                kind: entry.work.kind,
+                demand: placement.assigned,
+                run_time_ms: entry.work.run_time_ms,
+                slots: entry.work.slots,
+                connections: entry.work.connections,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/hold.rs
@@ -0,0 +1,176 @@
+//! Capacity kept free for one blocked gang, and backfill around it.
+//!
+//! The workers that can take the gang first are held: other tasks are placed
+//! there only if they are declared to end before the gang's expected start. No
+//! task is placed there after that time, so the gang starts once the runs on
+//! the held workers have ended, however wrong their declared times are.
+
+use kernel::ids;
+use kernel::work;
+
+use super::Group;
+use crate::table;
+
+/// How long a hold lasts without another attempt to start the gang.
+const HOLD_EXPIRY_MS: u64 = 10_000;
+/// How long after its expected start a gang's hold is planned again.
+const REPLAN_AFTER_MS: u64 = 30_000;
+
+/// Workers kept free for a gang.
+#[derive(Debug)]
+pub(super) struct Hold {
+    pub(super) work: ids::WorkId,
+    /// When the gang is expected to start.
+    pub(super) start_ms: u64,
+    workers: Vec<u32>,
+    expires_ms: u64,
+}
+
+/// How many tasks of a size fit into an amount.
+fn count_in(room: work::Resources, size: work::Resources) -> u64 {
+    let per = |room: u64, size: u64| room.checked_div(size).unwrap_or(u64::MAX);
+    per(room.cpu_milli, size.cpu_milli)
+        .min(per(room.memory_mb, size.memory_mb))
+        .min(per(room.accelerators, size.accelerators))
+}
+
+/// Room for tasks of a gang on one worker from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Opening {
+    at_ms: u64,
+    worker: u32,
+    count: u64,
+}
+
+impl Group {
+    /// Keeps capacity free for a gang that found no room; returns why it waits.
+    pub(super) fn hold_for(&mut self, work: u32, slots: &[u32], now_ms: u64) -> table::Block {
+        let entry = &self.works[work];
+        let id = entry.work.id.clone();
+        let size = slots
+            .iter()
+            .fold(work::Resources::default(), |largest, &slot| {
+                crate::estimate::larger(largest, self.size_of(slot))
+            });
+        if !size.fits_in(self.ceiling) {
+            return table::Block::NeverFits;
+        }
+        let since_ms = entry.blocked_since_ms.unwrap_or(now_ms);
+        if now_ms.saturating_sub(since_ms) < self.config.gang_hold_after_ms {
+            return table::Block::GangRoom;
+        }
+        match self.hold(&id, slots.len() as u64, size, now_ms) {
+            Some(start_ms) => table::Block::GangHeld(start_ms),
+            None => table::Block::GangRoom,
+        }
+    }
+
+    /// Makes or renews the hold of a gang; returns its expected start.
+    pub(super) fn hold(
+        &mut self,
+        work: &ids::WorkId,
+        count: u64,
+        size: work::Resources,
+        now_ms: u64,
+    ) -> Option<u64> {
+        if let Some(hold) = &mut self.hold {
+            if hold.work != *work {
+                return None;
+            }
+            if now_ms < hold.start_ms + REPLAN_AFTER_MS {
+                hold.expires_ms = now_ms + HOLD_EXPIRY_MS;
+                return Some(hold.start_ms);
+            }
+            self.drop_hold();
+        }
+        let (start_ms, workers) = self.plan_hold(count, size, now_ms)?;
+        for &worker in &workers {
+            self.workers[worker as usize].held = true;
+        }
+        self.hold = Some(Hold {
+            work: work.clone(),
+            start_ms,
+            workers,
+            expires_ms: now_ms + HOLD_EXPIRY_MS,
+        });
+        Some(start_ms)
+    }
+
+    /// The workers that have room for the whole gang first, and when.
+    fn plan_hold(&self, count: u64, size: work::Resources, now_ms: u64) -> Option<(u64, Vec<u32>)> {
+        let mut openings = Vec::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            if !worker.accepts() {
+                continue;
+            }
+            let at_once = count_in(worker.free(), size);
+            let mut later_room = worker.capacity;
+            let mut last_end_ms = now_ms;
+            for &slot in &worker.tasks {
+                let Some(placement) = self.tasks[slot].life.placement() else {
+                    continue;
+                };
+                let run_time_ms = self.works[self.tasks[slot].work].work.run_time_ms;
+                match run_time_ms {
+                    Some(run_ms) => {
+                        last_end_ms = last_end_ms.max(placement.since_ms.saturating_add(run_ms));
+                    }
+                    None => later_room = later_room.saturating_sub(placement.assigned),
+                }
+            }
+            let later = count_in(later_room, size);
+            let worker = number as u32;
+            openings.push(Opening {
+                at_ms: now_ms,
+                worker,
+                count: at_once,
+            });
+            openings.push(Opening {
+                at_ms: last_end_ms,
+                worker,
+                count: later.saturating_sub(at_once),
+            });
+        }
+        openings.retain(|opening| opening.count > 0);
+        openings.sort_unstable();
+        let mut found = 0;
+        let mut workers = Vec::new();
+        for opening in openings {
+            found += opening.count;
+            if !workers.contains(&opening.worker) {
+                workers.push(opening.worker);
+            }
+            if found >= count {
+                return Some((opening.at_ms, workers));
+            }
+        }
+        None
+    }
+
+    /// Frees the held workers.
+    pub(super) fn drop_hold(&mut self) {
+        let Some(hold) = self.hold.take() else {
+            return;
+        };
+        for worker in hold.workers {
+            self.workers[worker as usize].held = false;
+        }
+    }
+
+    /// Frees the held workers if they are held for this work.
+    pub(super) fn drop_hold_of(&mut self, work: &ids::WorkId) {
+        if self.hold.as_ref().is_some_and(|hold| hold.work == *work) {
+            self.drop_hold();
+        }
+    }
+
+    pub(super) fn expire_hold(&mut self, now_ms: u64) {
+        if self
+            .hold
+            .as_ref()
+            .is_some_and(|hold| hold.expires_ms <= now_ms)
+        {
+            self.drop_hold();
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/mod.rs
@@ -0,0 +1,139 @@
+//! The placement state of one group of racks.
+
+mod account;
+mod cancel;
+mod choose;
+mod decide;
+mod displace;
+mod feedback;
+mod hold;
+mod query;
+mod replace;
+mod reserve;
+mod submit;
+mod usage;
+mod workers;
+
+use std::collections::{BTreeSet, VecDeque};
+
+use indexmap::IndexMap;
+use kernel::errors;
+use kernel::ids;
+use kernel::random;
+use kernel::work;
+
+use crate::config;
+use crate::decision;
+use crate::estimate;
+use crate::index;
+use crate::scorer;
+use crate::slots;
+use crate::table;
+use crate::team;
+use crate::tombstones;
+use crate::worker;
+
+pub use reserve::Reservation;
+
+/// The placement state of one group of racks under one owner.
+///
+/// All methods are synchronous; `now_ms` is any clock that does not go back.
+/// What the caller has to do comes out of [`Group::decide`].
+#[derive(Debug)]
+pub struct Group {
+    config: config::GroupConfig,
+    random: random::Random,
+    scoring: [scorer::Scoring; 3],
+    worker_numbers: IndexMap<ids::WorkerId, u32>,
+    workers: Vec<worker::Worker>,
+    rack_numbers: IndexMap<ids::RackId, u32>,
+    racks: Vec<Vec<u32>>,
+    /// Workers that take tasks, by free capacity.
+    free: index::FreeIndex,
+    /// The same workers, by what would be free without displaceable tasks.
+    reclaimable: index::FreeIndex,
+    /// Workers with a time at which their state changes.
+    timed: Vec<u32>,
+    /// Largest capacity of a worker in each resource.
+    ceiling: work::Resources,
+    capacity: work::Resources,
+    capacity_stale: bool,
+    teams: team::Teams,
+    estimates: estimate::Estimates,
+    work_numbers: IndexMap<ids::WorkId, u32>,
+    works: slots::Slots<table::WorkEntry>,
+    next_serial: u32,
+    task_numbers: IndexMap<(u32, u32), u32>,
+    tasks: slots::Slots<table::Task>,
+    placed: usize,
+    orphans: IndexMap<ids::TaskAttempt, u32>,
+    /// Jobs that were cancelled, so that a late assignment does not start them.
+    cancelled: tombstones::Tombstones,
+    displacements: slots::Slots<displace::Displacement>,
+    reservations: IndexMap<u64, reserve::Entry>,
+    next_reservation: u64,
+    hold: Option<hold::Hold>,
+    /// Stops and returned tasks that wait for the next decision.
+    pending: VecDeque<decision::Decision>,
+    /// Failed tasks by the time at which they may start again.
+    restarts: BTreeSet<(u64, u32)>,
+    /// Stopping tasks by the time at which they are killed.
+    kills: BTreeSet<(u64, u32)>,
+}
+
+impl Group {
+    /// An empty group; `seed` fixes the order in which equal workers are tried.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::Usage`] if the settings contradict each other.
+    pub fn new(config: config::GroupConfig, seed: u64) -> errors::Result<Self> {
+        config.check()?;
+        Ok(Self {
+            config,
+            random: random::from_seed(seed),
+            scoring: [
+                scorer::Scoring::of(work::Policy::QuickStart),
+                scorer::Scoring::of(work::Policy::TightPacking),
+                scorer::Scoring::of(work::Policy::Spread),
+            ],
+            worker_numbers: IndexMap::new(),
+            workers: Vec::new(),
+            rack_numbers: IndexMap::new(),
+            racks: Vec::new(),
+            free: index::FreeIndex::default(),
+            reclaimable: index::FreeIndex::default(),
+            timed: Vec::new(),
+            ceiling: work::Resources::default(),
+            capacity: work::Resources::default(),
+            capacity_stale: false,
+            teams: team::Teams::default(),
+            estimates: estimate::Estimates::default(),
+            work_numbers: IndexMap::new(),
+            works: slots::Slots::default(),
+            next_serial: 0,
+            task_numbers: IndexMap::new(),
+            tasks: slots::Slots::default(),
+            placed: 0,
+            orphans: IndexMap::new(),
+            cancelled: tombstones::Tombstones::default(),
+            displacements: slots::Slots::default(),
+            reservations: IndexMap::new(),
+            next_reservation: 1,
+            hold: None,
+            pending: VecDeque::new(),
+            restarts: BTreeSet::new(),
+            kills: BTreeSet::new(),
+        })
+    }
+
+    /// The group's identifier.
+    pub fn id(&self) -> &ids::GroupId {
+        &self.config.id
+    }
+
+    /// Sets the group's part of a team's quota, and the team's weight under contention.
+    pub fn set_quota(&mut self, team: &ids::TeamId, limit: Option<work::Resources>, weight: u32) {
+        self.teams.set_quota(team, limit, weight);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/query.rs
@@ -0,0 +1,183 @@
+//! Questions of operators and of gossip.
+
+use kernel::ids;
+use kernel::work;
+
+use super::Group;
+use crate::decision;
+use crate::life;
+use crate::table;
+
+impl Group {
+    /// What all workers that take tasks can hold together.
+    pub fn capacity(&self) -> work::Resources {
+        self.workers
+            .iter()
+            .filter(|worker| worker.present)
+            .fold(work::Resources::default(), |sum, worker| {
+                sum + worker.capacity
+            })
+    }
+
+    /// What is free on workers that take tasks.
+    pub fn free(&self) -> work::Resources {
+        self.workers
+            .iter()
+            .filter(|worker| worker.accepts())
+            .fold(work::Resources::default(), |sum, worker| {
+                sum + worker.free()
+            })
+    }
+
+    /// The number of tasks that wait.
+    pub fn waiting(&self) -> usize {
+        (self.task_numbers.len() + self.orphans.len()).saturating_sub(self.placed)
+    }
+
+    /// The number of runs that may exist on workers.
+    pub const fn running(&self) -> usize {
+        self.placed
+    }
+
+    fn state_of(&self, slot: u32) -> decision::TaskState {
+        let task = &self.tasks[slot];
+        match task.life {
+            life::Life::Waiting(_) if task.reserved.is_some() => decision::TaskState::Reserved,
+            life::Life::Waiting(_) => decision::TaskState::Waiting,
+            life::Life::Starting(_) => decision::TaskState::Starting,
+            life::Life::Running(_) => decision::TaskState::Running,
+            life::Life::Stopping(_) => decision::TaskState::Stopping,
+        }
+    }
+
+    /// Says where a task is and why, in one sentence that an operator can act on.
+    pub fn explain(&self, task: &ids::TaskId) -> decision::Explanation {
+        let Some(slot) = self.task_slot(task) else {
+            return decision::Explanation {
+                task: task.clone(),
+                state: decision::TaskState::Unknown,
+                attempt: ids::Attempt::default(),
+                worker: None,
+                reason: self.unknown_reason(task),
+            };
+        };
+        let state = self.state_of(slot);
+        let worker = self.worker_of(slot);
+        let reason = match &worker {
+            None => self.waiting_reason(slot),
+            Some(worker) => format!("It is {state} on worker {worker}."),
+        };
+        decision::Explanation {
+            task: task.clone(),
+            state,
+            attempt: self.tasks[slot].life.attempt(),
+            worker,
+            reason,
+        }
+    }
+
+    fn unknown_reason(&self, task: &ids::TaskId) -> String {
+        if self.cancelled.contains(&task.work) {
+            return format!(
+                "{} was cancelled; submit it under a new name to run it.",
+                task.work
+            );
+        }
+        format!(
+            "Group {} does not have this task: it has ended, is assigned to another group, or was never submitted.",
+            self.config.id
+        )
+    }
+
+    fn worker_of(&self, slot: u32) -> Option<ids::WorkerId> {
+        let placement = self.tasks[slot].life.placement()?;
+        Some(self.workers[placement.worker as usize].id.clone())
+    }
+
+    fn waiting_reason(&self, slot: u32) -> String {
+        let task = &self.tasks[slot];
+        let entry = &self.works[task.work];
+        let demand = entry.work.demand;
+        if task.reserved.is_some() {
+            return "Room is reserved and it starts when the rest of its gang has room.".to_owned();
+        }
+        if task.blocked_by > 0 {
+            return "An older attempt still runs on another worker and is being stopped."
+                .to_owned();
+        }
+        if let Some(at_ms) = task.restart_at_ms {
+            return format!(
+                "It failed {} times and starts again at {at_ms} ms; look at its output.",
+                task.failures
+            );
+        }
+        let size = format!(
+            "{} thousandths of a core, {} MB and {} accelerators",
+            demand.cpu_milli, demand.memory_mb, demand.accelerators
+        );
+        match entry.block {
+            table::Block::NotAsked => "It has just arrived and is decided next.".to_owned(),
+            table::Block::NoRoom => format!(
+                "No worker of group {} has {size} free; add workers or make the task smaller.",
+                self.config.id
+            ),
+            table::Block::NeverFits => format!(
+                "No worker of group {} can hold {size} even when empty; make the task smaller.",
+                self.config.id
+            ),
+            table::Block::Quota => format!(
+                "Team {} uses its whole quota here; raise the quota or wait for its tasks to end.",
+                entry.work.team
+            ),
+            table::Block::GangRoom => format!(
+                "Its gang of {} tasks with {size} each does not fit at once; add workers or make it smaller.",
+                entry.work.tasks
+            ),
+            table::Block::GangIncomplete => {
+                "It waits for the other members of its gang, which start together with it."
+                    .to_owned()
+            }
+            table::Block::GangHeld(at_ms) => format!(
+                "Workers are kept free for its gang, which is expected to start at {at_ms} ms."
+            ),
+            table::Block::Displacing => {
+                "Less urgent tasks are being stopped to make room for it.".to_owned()
+            }
+        }
+    }
+
+    /// All workers and tasks, for listings.
+    pub fn snapshot(&self) -> decision::Snapshot {
+        let names: Vec<&ids::RackId> = self.rack_numbers.keys().collect();
+        let workers = self
+            .workers
+            .iter()
+            .filter(|worker| worker.present || !worker.tasks.is_empty())
+            .map(|worker| decision::WorkerView {
+                id: worker.id.clone(),
+                rack: names[worker.rack as usize].clone(),
+                capacity: worker.capacity,
+                assigned: worker.assigned,
+                tasks: worker.tasks.len(),
+                state: worker.state(),
+            })
+            .collect();
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|(slot, task)| decision::TaskView {
+                run: self.run_of(slot),
+                team: self.works[task.work].work.team.clone(),
+                state: self.state_of(slot),
+                worker: self.worker_of(slot),
+                size: task
+                    .life
+                    .placement()
+                    .map_or(self.works[task.work].work.demand, |placement| {
+                        placement.assigned
+                    }),
+            })
+            .collect();
+        decision::Snapshot { workers, tasks }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/group/reserve.rs
@@ -0,0 +1,205 @@
+//! Reservations for gangs that stand in several groups.
+
+use std::sync::Arc;
+
+use kernel::ids;
+use kernel::work;
+
+use super::Group;
+use crate::decision;
+use crate::life;
+use crate::table;
+
+/// Room that a group keeps for some tasks of a gang.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// Number of the reservation in its group.
+    pub id: u64,
+    /// When it runs out.
+    pub until_ms: u64,
+}
+
+/// A reservation as the group stores it.
+#[derive(Debug)]
+pub(super) struct Entry {
+    until_ms: u64,
+    /// The tasks, and whether each was in the queue before.
+    slots: Vec<(u32, bool)>,
+}
+
+impl Group {
+    /// Reserves room for tasks of a gang, all or nothing.
+    ///
+    /// After a refusal the group keeps capacity free for the gang for a while,
+    /// if it does not for another one; asking again renews that.
+    pub fn reserve(
+        &mut self,
+        gang: &Arc<work::Work>,
+        runs: &[(u32, ids::Attempt)],
+        shard: Option<ids::ShardId>,
+        until_ms: u64,
+        now_ms: u64,
+    ) -> Option<Reservation> {
+        self.refresh_capacity();
+        let work = self.take_work(gang, shard, now_ms)?;
+        let total = gang.demand.times(runs.len() as u64);
+        let usable = self.teams.allows(self.works[work].team, total)
+            && runs
+                .iter()
+                .all(|&(index, _)| self.is_reservable(work, index));
+        let slots = usable
+            .then(|| self.reserve_all(work, runs, now_ms))
+            .flatten();
+        let Some(slots) = slots else {
+            if usable {
+                let size = gang.demand;
+                self.hold(&gang.id, runs.len() as u64, size, now_ms);
+            }
+            self.forget_work(work);
+            return None;
+        };
+        let id = self.next_reservation;
+        self.next_reservation += 1;
+        self.reservations.insert(id, Entry { until_ms, slots });
+        Some(Reservation { id, until_ms })
+    }
+
+    /// Whether a task is unknown, or waits without a reservation.
+    fn is_reservable(&self, work: u32, index: u32) -> bool {
+        self.task_numbers.get(&(work, index)).is_none_or(|&slot| {
+            let task = &self.tasks[slot];
+            task.life.placement().is_none() && task.reserved.is_none() && task.blocked_by == 0
+        })
+    }
+
+    fn reserve_all(
+        &mut self,
+        work: u32,
+        runs: &[(u32, ids::Attempt)],
+        now_ms: u64,
+    ) -> Option<Vec<(u32, bool)>> {
+        let mut slots = Vec::new();
+        for &(index, attempt) in runs {
+            let (slot, known) = self.taken_task(work, index, attempt, now_ms);
+            slots.push((slot, known));
+            let size = self.size_of(slot);
+            let Ok(worker) = self.choose(slot, size, now_ms) else {
+                self.undo(slots);
+                return None;
+            };
+            self.tasks[slot].reserved = Some(Self::placement(worker, size, now_ms));
+            self.workers[worker as usize].assigned += size;
+            self.charge(slot);
+            self.reindex(worker);
+        }
+        Some(slots)
+    }
+
+    /// A task taken out of the queue, or a new one; with whether it was known.
+    fn taken_task(
+        &mut self,
+        work: u32,
+        index: u32,
+        attempt: ids::Attempt,
+        now_ms: u64,
+    ) -> (u32, bool) {
+        if let Some(&slot) = self.task_numbers.get(&(work, index)) {
+            self.withdraw(slot);
+            self.tasks[slot].raise_waiting(attempt);
+            return (slot, true);
+        }
+        let task = table::Task::new(work, index, attempt, now_ms);
+        (self.insert_task(task), false)
+    }
+
+    fn undo(&mut self, slots: Vec<(u32, bool)>) {
+        for (slot, known) in slots {
+            self.unreserve(slot);
+            if known {
+                self.enqueue(slot, false);
+            } else {
+                self.remove_task(slot);
+            }
+        }
+    }
+
+    /// Gives up the room reserved for a task, if any.
+    pub(super) fn unreserve(&mut self, slot: u32) {
+        let Some(placement) = self.tasks[slot].reserved.take() else {
+            return;
+        };
+        let worker = &mut self.workers[placement.worker as usize];
+        worker.assigned = worker.assigned.saturating_sub(placement.assigned);
+        self.refund(slot);
+        self.reindex(placement.worker);
+        for entry in self.reservations.values_mut() {
+            entry.slots.retain(|&(other, _)| other != slot);
+        }
+    }
+
+    /// Takes a waiting task out of the queue or out of its reservation.
+    pub(super) fn withdraw(&mut self, slot: u32) {
+        if self.tasks[slot].reserved.is_some() {
+            self.unreserve(slot);
+            return;
+        }
+        if let Some(at_ms) = self.tasks[slot].restart_at_ms.take() {
+            self.restarts.remove(&(at_ms, slot));
+            return;
+        }
+        let work = self.tasks[slot].work;
+        self.works[work].waiting.retain(|&other| other != slot);
+    }
+
+    /// Starts the tasks of a reservation; `None` if it ran out or was cancelled.
+    pub fn confirm(&mut self, reservation: u64, now_ms: u64) -> Option<Vec<decision::Decision>> {
+        self.expire_reservations(now_ms);
+        let entry = self.reservations.swap_remove(&reservation)?;
+        let mut starts = Vec::new();
+        for &(slot, _) in &entry.slots {
+            let Some(placement) = self.tasks[slot].reserved else {
+                continue;
+            };
+            self.unreserve(slot);
+            let placement = life::Placement {
+                since_ms: now_ms,
+                ..placement
+            };
+            self.attach(slot, placement);
+            starts.push(self.start_decision(slot));
+        }
+        let (first, _) = *entry.slots.first()?;
+        let id = self.works[self.tasks[first].work].work.id.clone();
+        self.drop_hold_of(&id);
+        Some(starts)
+    }
+
+    /// Gives up a reservation; its tasks are forgotten unless they were submitted.
+    pub fn release(&mut self, reservation: u64) {
+        if let Some(entry) = self.reservations.swap_remove(&reservation) {
+            self.undo(entry.slots);
+        }
+    }
+
+    pub(super) fn expire_reservations(&mut self, now_ms: u64) {
+        let expired: Vec<u64> = self
+            .reservations
+            .iter()
+            .filter(|(_, entry)| entry.until_ms <= now_ms)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in expired {
+            let Some(entry) = self.reservations.swap_remove(&id) else {
+                continue;
+            };
+            for &(slot, _) in entry.slots.iter().filter(|(_, known)| !known) {
+                let run = self.run_of(slot);
+                self.pending.push_back(decision::Decision::HandBack {
+                    run,
+                    reason: decision::HandBackReason::ReservationExpired,
+                });
+            }
+            self.undo(entry.slots);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/index.rs
@@ -0,0 +1,212 @@
+//! Index of workers by free capacity.
+//!
+//! Workers with about the same free amounts share a cell of a table whose size
+//! does not depend on the number of workers. A search walks occupied cells only,
+//! found through bit sets, and looks at a bounded number of workers.
+
+use kernel::work;
+
+const CLASSES: usize = 128;
+const ACCELERATOR_CLASSES: usize = 8;
+/// Workers looked at in one cell before a search moves on.
+const SCAN_LIMIT: usize = 32;
+
+/// In which order a search walks the cells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Workers with the least free capacity first.
+    Tight,
+    /// Workers with the most free capacity first.
+    Loose,
+}
+
+/// The answer to an offered worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Noted; offer more.
+    Taken,
+    /// Of no use; offer more.
+    Rejected,
+    /// Noted; no more are wanted.
+    Enough,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    row: u32,
+    column: u32,
+    position: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Row {
+    occupied: u128,
+    columns: Vec<Vec<u32>>,
+}
+
+/// Workers by free processors, memory and accelerators.
+#[derive(Debug)]
+pub struct FreeIndex {
+    rows: Vec<Row>,
+    occupied: [u128; ACCELERATOR_CLASSES],
+    places: Vec<Option<Place>>,
+    amounts: Vec<work::Resources>,
+}
+
+/// Class of an amount: four classes for each power of two.
+fn class(amount: u64) -> usize {
+    if amount < 4 {
+        return amount as usize;
+    }
+    let log = amount.ilog2() as usize;
+    let quarter = (amount >> (log - 2)) as usize & 3;
+    ((log - 1) * 4 + quarter).min(CLASSES - 1)
+}
+
+fn accelerator_class(amount: u64) -> usize {
+    class(amount).min(ACCELERATOR_CLASSES - 1)
+}
+
+fn from_bit(bit: usize) -> u128 {
+    u128::MAX << bit
+}
+
+fn take_bit(bits: &mut u128, order: Order) -> Option<usize> {
+    if *bits == 0 {
+        return None;
+    }
+    let bit = match order {
+        Order::Tight => bits.trailing_zeros(),
+        Order::Loose => 127 - bits.leading_zeros(),
+    };
+    *bits &= !(1 << bit);
+    Some(bit as usize)
+}
+
+impl Default for FreeIndex {
+    fn default() -> Self {
+        Self {
+            rows: vec![Row::default(); ACCELERATOR_CLASSES * CLASSES],
+            occupied: [0; ACCELERATOR_CLASSES],
+            places: Vec::new(),
+            amounts: Vec::new(),
+        }
+    }
+}
+
+impl FreeIndex {
+    /// Puts a worker into the index, or moves it to its new free amounts.
+    pub fn set(&mut self, worker: u32, free: work::Resources) {
+        let needed = worker as usize + 1;
+        if self.places.len() < needed {
+            self.places.resize(needed, None);
+            self.amounts.resize(needed, work::Resources::default());
+        }
+        let accelerators = accelerator_class(free.accelerators);
+        let cpu = class(free.cpu_milli);
+        let row = accelerators * CLASSES + cpu;
+        let column = class(free.memory_mb);
+        self.amounts[worker as usize] = free;
+        if let Some(place) = self.places[worker as usize]
+            && place.row as usize == row
+            && place.column as usize == column
+        {
+            return;
+        }
+        self.remove(worker);
+        let cells = &mut self.rows[row];
+        if cells.columns.len() <= column {
+            cells.columns.resize(column + 1, Vec::new());
+        }
+        cells.columns[column].push(worker);
+        cells.occupied |= 1 << column;
+        self.occupied[accelerators] |= 1 << cpu;
+        self.places[worker as usize] = Some(Place {
+            row: row as u32,
+            column: column as u32,
+            position: (cells.columns[column].len() - 1) as u32,
+        });
+    }
+
+    /// Takes a worker out of the index.
+    pub fn remove(&mut self, worker: u32) {
+        let Some(place) = self.places.get_mut(worker as usize).and_then(Option::take) else {
+            return;
+        };
+        let row = &mut self.rows[place.row as usize];
+        let cell = &mut row.columns[place.column as usize];
+        cell.swap_remove(place.position as usize);
+        if let Some(&moved) = cell.get(place.position as usize)
+            && let Some(moved) = &mut self.places[moved as usize]
+        {
+            moved.position = place.position;
+        }
+        if cell.is_empty() {
+            row.occupied &= !(1 << place.column);
+            if row.occupied == 0 {
+                let row = place.row as usize;
+                self.occupied[row / CLASSES] &= !(1 << (row % CLASSES));
+            }
+        }
+    }
+
+    /// Offers workers on which `demand` fits until `offer` has enough.
+    ///
+    /// A bounded number is looked at in each cell, from `offset` on; only if no
+    /// worker was taken are the cells looked through to their ends.
+    pub fn search(
+        &self,
+        demand: work::Resources,
+        order: Order,
+        offset: usize,
+        mut offer: impl FnMut(u32) -> Answer,
+    ) {
+        let mut taken = false;
+        for limit in [SCAN_LIMIT, usize::MAX] {
+            let mut truncated = false;
+            let ended = self.walk(demand, order, |cell| {
+                truncated |= cell.len() > limit;
+                let first = offset % cell.len();
+                let scan = cell[first..].iter().chain(&cell[..first]);
+                for &worker in scan.take(limit) {
+                    if demand.fits_in(self.amounts[worker as usize]) {
+                        match offer(worker) {
+                            Answer::Taken => taken = true,
+                            Answer::Rejected => {}
+                            Answer::Enough => return false,
+                        }
+                    }
+                }
+                true
+            });
+            if ended || taken || !truncated {
+                return;
+            }
+        }
+    }
+
+    /// Visits occupied cells that may fit; returns whether `visit` ended the walk.
+    fn walk(
+        &self,
+        demand: work::Resources,
+        order: Order,
+        mut visit: impl FnMut(&[u32]) -> bool,
+    ) -> bool {
+        let cpu = from_bit(class(demand.cpu_milli));
+        let memory = from_bit(class(demand.memory_mb));
+        // Workers with accelerators come last for work that needs none.
+        for accelerators in accelerator_class(demand.accelerators)..ACCELERATOR_CLASSES {
+            let mut rows = self.occupied[accelerators] & cpu;
+            while let Some(row) = take_bit(&mut rows, order) {
+                let row = &self.rows[accelerators * CLASSES + row];
+                let mut columns = row.occupied & memory;
+                while let Some(column) = take_bit(&mut columns, order) {
+                    if !visit(&row.columns[column]) {
+                        return true;
+                    }
+                }
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/placement/src/scorer.rs
@@ -0,0 +1,166 @@
+//! Scoring plug-ins, which register themselves.
+//!
+//! Each policy is a weighted sum of scores between 0 and 1; a worker with a
+//! higher sum is chosen. A plug-in submits a [`ScorerPlugin`] and is found by name.
+
+use kernel::plugin;
+use kernel::work;
+
+/// What a scorer knows about one worker on which the task fits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Candidate {
+    /// What the worker can hold.
+    pub capacity: work::Resources,
+    /// What is free before the task is placed.
+    pub free: work::Resources,
+    /// What would be assigned to the task.
+    pub demand: work::Resources,
+    /// Starts on the worker that are not confirmed yet.
+    pub starting: u32,
+    /// Tasks of the same work on the worker's rack.
+    pub same_work_on_rack: u32,
+    /// Whether the task's last run was on this worker.
+    pub ran_here: bool,
+}
+
+/// A scoring plug-in.
+#[derive(Clone, Copy, Debug)]
+pub struct ScorerPlugin {
+    /// Name and purpose.
+    pub descriptor: plugin::Descriptor,
+    /// Scores a candidate from 0 (poor) to 1 (good).
+    pub score: fn(&Candidate) -> f64,
+}
+
+inventory::collect!(ScorerPlugin);
+
+macro_rules! scorer {
+    ($constant:ident, $name:literal, $summary:literal, $score:path) => {
+        const $constant: plugin::Descriptor = plugin::Descriptor {
+            extension: plugin::Extension::Scorer,
+            name: $name,
+            summary: $summary,
+        };
+        inventory::submit! { $constant }
+        inventory::submit! { ScorerPlugin { descriptor: $constant, score: $score } }
+    };
+}
+
+scorer!(
+    TIGHT_PACKING,
+    "tight-packing",
+    "Prefers workers that are left with little free capacity.",
+    tight_packing
+);
+scorer!(
+    QUICK_START,
+    "quick-start",
+    "Prefers workers that start few other tasks at the moment.",
+    quick_start
+);
+scorer!(
+    RACK_SPREAD,
+    "rack-spread",
+    "Prefers racks with few tasks of the same work.",
+    rack_spread
+);
+scorer!(
+    LOCALITY,
+    "locality",
+    "Prefers the worker on which the task ran before.",
+    locality
+);
+
+fn left_fraction(free: u64, demand: u64, capacity: u64) -> f64 {
+    if capacity == 0 {
+        return 0.0;
+    }
+    free.saturating_sub(demand) as f64 / capacity as f64
+}
+
+fn tight_packing(candidate: &Candidate) -> f64 {
+    let cpu = left_fraction(
+        candidate.free.cpu_milli,
+        candidate.demand.cpu_milli,
+        candidate.capacity.cpu_milli,
+    );
+    let memory = left_fraction(
+        candidate.free.memory_mb,
+        candidate.demand.memory_mb,
+        candidate.capacity.memory_mb,
+    );
+    // Capacity of one resource without the other cannot be used later.
+    1.0 - cpu.midpoint(memory) - (cpu - memory).abs() / 4.0
+}
+
+fn quick_start(candidate: &Candidate) -> f64 {
+    1.0 / f64::from(1 + candidate.starting)
+}
+
+fn rack_spread(candidate: &Candidate) -> f64 {
+    1.0 / f64::from(1 + candidate.same_work_on_rack)
+}
+
+fn locality(candidate: &Candidate) -> f64 {
+    f64::from(u8::from(candidate.ran_here))
+}
+
+/// Names and weights of the scorers that a policy uses.
+const fn weights(policy: work::Policy) -> &'static [(&'static str, f64)] {
+    match policy {
+        work::Policy::QuickStart => &[
+            ("quick-start", 4.0),
+            ("tight-packing", 1.0),
+            ("locality", 1.0),
+        ],
+        work::Policy::TightPacking => &[
+            ("tight-packing", 4.0),
+            ("quick-start", 0.2),
+            ("locality", 0.2),
+        ],
+        work::Policy::Spread => &[
+            ("rack-spread", 8.0),
+            ("tight-packing", 1.0),
+            ("quick-start", 1.0),
+        ],
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    score: fn(&Candidate) -> f64,
+    weight: f64,
+}
+
+/// The scorers of one policy with their weights, looked up once.
+#[derive(Debug)]
+pub struct Scoring {
+    terms: Vec<Term>,
+}
+
+impl Scoring {
+    /// Looks up the registered scorers that a policy names.
+    pub fn of(policy: work::Policy) -> Self {
+        let terms = weights(policy)
+            .iter()
+            .filter_map(|&(name, weight)| {
+                let plugin = inventory::iter::<ScorerPlugin>
+                    .into_iter()
+                    .find(|plugin| plugin.descriptor.name == name)?;
+                Some(Term {
+                    score: plugin.score,
+                    weight,
+                })
+            })
+            .collect();
+        Self { terms }
+    }
+
+    /// The weighted sum for a candidate; higher is better.
+    pub fn score(&self, candidate: &Candidate) -> f64 {
+        self.terms
+            .iter()
+            .map(|term| (term.score)(candidate) * term.weight)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/slots.rs
@@ -0,0 +1,66 @@
+//! Dense storage addressed by small numbers, so that hot paths compare integers.
+
+use std::ops;
+
+/// Entries addressed by `u32`; the number of a removed entry is used again.
+#[derive(Debug)]
+pub struct Slots<T> {
+    entries: Vec<Option<T>>,
+    vacant: Vec<u32>,
+}
+
+impl<T> Default for Slots<T> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            vacant: Vec::new(),
+        }
+    }
+}
+
+impl<T> Slots<T> {
+    /// Stores an entry and returns its number.
+    pub fn insert(&mut self, entry: T) -> u32 {
+        if let Some(slot) = self.vacant.pop() {
+            self.entries[slot as usize] = Some(entry);
+            return slot;
+        }
+        self.entries.push(Some(entry));
+        (self.entries.len() - 1) as u32
+    }
+
+    /// Removes an entry; the caller holds no other copy of its number.
+    pub fn remove(&mut self, slot: u32) -> Option<T> {
+        let entry = self.entries.get_mut(slot as usize)?.take();
+        if entry.is_some() {
+            self.vacant.push(slot);
+        }
+        entry
+    }
+
+    /// All entries with their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &T)> {
+        self.entries
+            .iter()
+            .enumerate()
+            .filter_map(|(slot, entry)| entry.as_ref().map(|entry| (slot as u32, entry)))
+    }
+}
+
+impl<T> ops::Index<u32> for Slots<T> {
+    type Output = T;
+
+    fn index(&self, slot: u32) -> &T {
+        self.entries[slot as usize]
+            .as_ref()
+            .expect("a slot in use is never vacant")
+    }
+}
+
+impl<T> ops::IndexMut<u32> for Slots<T> {
+    fn index_mut(&mut self, slot: u32) -> &mut T {
+        self.entries[slot as usize]
+            .as_mut()
+            .expect("a slot in use is never vacant")
+    }
+}
