Add dispatcher, router and retry policy for calls to upstreams

The owner of a group allots slots and queues calls; an entry host picks a group from gossip and decides on retries within a budget. All of it is synchronous, with time and seed passed in.

Nothing is measured yet: least open calls, order of arrival within a team and admission by estimated delay are the starting points.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder header; the crate's modules follow.
+//! Decisions about calls to upstreams, free of I/O and of clocks.
+//!
+//! An idempotent call goes from its caller to an entry host, from there to the
+//! owner of a group of racks, and from there to an upstream instance (a minion).
+//! The owner alone hands out the slots of its instances, so their limits hold for
+//! all entry hosts together without any agreement between those hosts. The crate
+//! is split along that path:
+//!
+//! - at the entry host: [`Router`] picks a group, [`RetryPolicy`] says whether a
+//!   failed attempt may be repeated;
+//! - at the owner: [`Dispatcher`] allots slots and holds the queue for them.
+//!
+//! Every method takes the current time in milliseconds and every random choice
+//! comes from a seed, so a recorded trace replays to the same decisions. Nothing
+//! here spawns, sleeps or locks: a driver calls in, and acts on what is returned.
+
+mod dispatch;
+mod retry;
+mod router;
+
+pub use dispatch::{
+    Admission, CallId, CallTicket, Dispatch, Dispatcher, DispatcherConfig, DispatcherLoad,
+    QueueOrder, Refused,
+};
+pub use retry::{RetryConfig, RetryDecision, RetryPolicy, RetryRequest};
+pub use router::{Distance, GroupLoad, LinkBudget, Route, RouteRequest, Router, RouterConfig};
