--- a/crates/calls/src/dispatch/dispatcher.rs
+++ b/crates/calls/src/dispatch/dispatcher.rs
@@ -5,6 +5,8 @@
 use kernel::ids;
 use kernel::random;
 
+use crate::leaving;
+
 use super::queue;
 use super::slots;
 use super::ticket;
@@ -104,8 +106,10 @@
     }
 
     /// Gives an instance no new calls, for good under this run.
-    pub fn set_leaving(&mut self, run: &ids::TaskAttempt) {
-        self.slots.set_leaving(run);
+    ///
+    /// Returns whether that was not known before.
+    pub fn set_leaving(&mut self, run: &ids::TaskAttempt, source: leaving::LeavingSource) -> bool {
+        self.slots.set_leaving(run, source)
     }
 
     /// Forgets an instance that has ended; its open calls still end by [`Self::finish`].
@@ -210,6 +214,26 @@
         ready
     }
 
+    /// Takes a slot that is not bound to a call, for lending; none while calls wait.
+    pub fn take_slot(&mut self, id: ticket::CallId) -> Option<ticket::Dispatch> {
+        if self.queue.len() > 0 || self.open.contains_key(&id) {
+            return None;
+        }
+        self.start(id, 0)
+    }
+
+    /// Gives back a slot that [`Self::take_slot`] took, without measuring its use.
+    pub fn return_slot(&mut self, id: ticket::CallId) {
+        if let Some(call) = self.open.swap_remove(&id) {
+            self.slots.release(call.instance);
+        }
+    }
+
+    /// Slots of all instances that take calls, free or not.
+    pub fn usable_slots(&self) -> u64 {
+        self.slots.usable_slots()
+    }
+
     /// The load to tell other hosts.
     pub fn load(&self) -> DispatcherLoad {
         let ahead = if self.slots.has_free() {
--- a/crates/calls/src/dispatch/slots.rs
+++ b/crates/calls/src/dispatch/slots.rs
@@ -12,6 +12,8 @@
 use kernel::random;
 use rand::RngExt;
 
+use crate::leaving;
+
 /// Position of an instance in its table; stable while the instance has open calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct InstanceIndex(usize);
@@ -45,8 +47,7 @@
     entries: Vec<Option<Instance>>,
     vacant: Vec<usize>,
     by_run: IndexMap<ids::TaskAttempt, usize>,
-    /// Highest attempt of each task that is known to leave.
-    left: IndexMap<ids::TaskId, ids::Attempt>,
+    departures: leaving::LeavingSet,
     buckets: Vec<Vec<usize>>,
     blocked: BTreeSet<(u64, usize)>,
     usable_slots: u64,
@@ -63,7 +64,7 @@
         connections: u32,
     ) {
         let index = self.index_or_insert(run);
-        let leaving = self.has_left(run);
+        let leaving = self.departures.contains(run);
         if let Some(entry) = self.entries[index].as_mut() {
             if &*entry.address != address {
                 entry.address = Arc::from(address);
@@ -77,16 +78,20 @@
     }
 
     /// Marks an instance as leaving, for good, also if it is not known yet.
-    pub(super) fn set_leaving(&mut self, run: &ids::TaskAttempt) {
-        let attempt = self.left.entry(run.task.clone()).or_insert(run.attempt);
-        *attempt = run.attempt.max(*attempt);
+    pub(super) fn set_leaving(
+        &mut self,
+        run: &ids::TaskAttempt,
+        source: leaving::LeavingSource,
+    ) -> bool {
+        let new = self.departures.insert(run, source);
         let Some(index) = self.by_run.get(run).copied() else {
-            return;
+            return new;
         };
         if let Some(entry) = self.entries[index].as_mut() {
             entry.leaving = true;
         }
         self.refresh(index);
+        new
     }
 
     /// Forgets an instance as soon as its open calls have ended.
@@ -208,11 +213,6 @@
         entry.map_or(0, |entry| entry.open)
     }
 
-    fn has_left(&self, run: &ids::TaskAttempt) -> bool {
-        let attempt = self.left.get(&run.task);
-        attempt.is_some_and(|attempt| run.attempt <= *attempt)
-    }
-
     fn index_or_insert(&mut self, run: &ids::TaskAttempt) -> usize {
         if let Some(index) = self.by_run.get(run) {
             return *index;
--- a/crates/calls/tests/dispatch.rs
+++ b/crates/calls/tests/dispatch.rs
@@ -98,7 +98,7 @@
     let mut dispatcher = dispatcher(1, 1);
     dispatcher.admit(ticket(0, "a", Urgency::Normal, 1_000), 0);
     dispatcher.admit(ticket(1, "a", Urgency::Normal, 1_000), 0);
-    dispatcher.set_leaving(&run(0, 1));
+    dispatcher.set_leaving(&run(0, 1), calls::LeavingSource::Refusal);
     dispatcher.remove_instance(&run(0, 1));
     dispatcher.set_instance(&run(0, 1), "127.0.0.1:1", 8, 64, 1);
     assert!(dispatcher.finish(calls::CallId(0), 2).is_empty());
