--- /dev/null
+++ b/crates/journal/src/state/snapshot.rs
@@ -0,0 +1,305 @@
+//! Snapshots of a shard's state.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use kernel::errors;
+use kernel::ids;
+use prost::Message;
+
+use super::cells::{Cell, Cells, Span, TaskState};
+use super::claims::{Claim, ClaimOwner, Claims};
+use super::{Job, JobPhase, Limits, ShardState};
+use crate::record;
+
+/// Largest snapshot after decompression, in bytes.
+const SNAPSHOT_LIMIT_BYTES: usize = 256 * 1024 * 1024;
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SnapshotMessage {
+    #[prost(uint64, tag = "1")]
+    seq: u64,
+    #[prost(uint64, tag = "2")]
+    epoch: u64,
+    #[prost(string, optional, tag = "3")]
+    writer: Option<String>,
+    #[prost(uint64, tag = "4")]
+    session: u64,
+    #[prost(uint64, tag = "5")]
+    time_ms: u64,
+    #[prost(uint64, tag = "6")]
+    next_order: u64,
+    #[prost(string, repeated, tag = "7")]
+    groups: Vec<String>,
+    #[prost(uint64, repeated, tag = "8")]
+    seals: Vec<u64>,
+    #[prost(message, repeated, tag = "9")]
+    jobs: Vec<JobMessage>,
+    #[prost(message, repeated, tag = "10")]
+    claims: Vec<ClaimMessage>,
+    /// Finished jobs by their order of acceptance, the one that finished first in front.
+    #[prost(uint64, repeated, tag = "11")]
+    finished: Vec<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct JobMessage {
+    #[prost(bytes = "vec", tag = "1")]
+    work: Vec<u8>,
+    #[prost(string, optional, tag = "2")]
+    key: Option<String>,
+    #[prost(uint64, tag = "3")]
+    order: u64,
+    #[prost(uint64, tag = "4")]
+    accepted_ms: u64,
+    #[prost(uint64, optional, tag = "5")]
+    finished_ms: Option<u64>,
+    #[prost(bool, tag = "6")]
+    cancelled: bool,
+    #[prost(message, repeated, tag = "7")]
+    spans: Vec<SpanMessage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SpanMessage {
+    #[prost(uint32, tag = "1")]
+    start: u32,
+    #[prost(uint32, tag = "2")]
+    end: u32,
+    #[prost(uint32, tag = "3")]
+    attempt: u32,
+    #[prost(uint32, tag = "4")]
+    group: u32,
+    #[prost(uint32, tag = "5")]
+    state: u32,
+    #[prost(uint32, tag = "6")]
+    failures: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ClaimMessage {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(fixed64, tag = "2")]
+    request_digest: u64,
+    #[prost(fixed64, tag = "3")]
+    attempt_id: u64,
+    #[prost(string, tag = "4")]
+    host: String,
+    #[prost(uint64, tag = "5")]
+    epoch: u64,
+    #[prost(uint64, tag = "6")]
+    session: u64,
+    #[prost(bool, tag = "7")]
+    unknown: bool,
+    #[prost(uint64, tag = "8")]
+    answered_ms: u64,
+    /// The answer as a record, so that both have one form.
+    #[prost(message, optional, tag = "9")]
+    answered: Option<record::RecordMessage>,
+}
+
+fn corrupt(detail: &str) -> errors::Error {
+    errors::Error::new(
+        errors::ErrorKind::Internal,
+        format!("malformed snapshot: {detail}"),
+    )
+}
+
+impl ShardState {
+    /// Encodes the whole state, compressed.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::Internal`] if the compressor fails.
+    pub fn snapshot(&self) -> errors::Result<Bytes> {
+        let claims = self.claims.in_order();
+        let finished = self.finished.iter().map(|(_, work)| work);
+        let message = SnapshotMessage {
+            seq: self.seq,
+            epoch: self.epoch.0,
+            writer: self.writer.as_ref().map(ToString::to_string),
+            session: self.session,
+            time_ms: self.time_ms,
+            next_order: self.next_order,
+            groups: self.groups.iter().map(ToString::to_string).collect(),
+            seals: self.seals().collect(),
+            jobs: self.jobs.values().map(job_message).collect(),
+            claims: claims
+                .map(|(key, claim)| claim_message(key, claim))
+                .collect(),
+            finished: finished
+                .filter_map(|work| Some(self.jobs.get(work)?.order))
+                .collect(),
+        };
+        record::compress(&message.encode_to_vec())
+    }
+
+    /// Restores a state from [`snapshot`](Self::snapshot).
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::Internal`] if the bytes are not a snapshot of a known format.
+    pub fn restore(bytes: &[u8], limits: Limits) -> errors::Result<Self> {
+        let plain = record::decompress(bytes, SNAPSHOT_LIMIT_BYTES)?;
+        let message = SnapshotMessage::decode(plain.as_slice())
+            .map_err(|error| corrupt(&error.to_string()))?;
+        let groups = message.groups.iter();
+        let groups: errors::Result<_> = groups.map(|text| record::group_from_text(text)).collect();
+        let mut state = Self {
+            seq: message.seq,
+            epoch: ids::Epoch(message.epoch),
+            writer: message.writer.map(ids::HostId::from),
+            session: message.session,
+            time_ms: message.time_ms,
+            next_order: message.next_order,
+            groups: groups?,
+            seals: message.seals.into(),
+            claims: restore_claims(message.claims)?,
+            ..Self::new(limits)
+        };
+        for job in message.jobs {
+            state.restore_job(restore_job(job)?);
+        }
+        state.restore_finished(&message.finished)?;
+        Ok(state)
+    }
+
+    /// Restores the order in which finished jobs will be forgotten.
+    fn restore_finished(&mut self, orders: &[u64]) -> errors::Result<()> {
+        let jobs = self.jobs.values();
+        let finished = jobs.filter(|job| job.phase() != JobPhase::Open);
+        let by_order: IndexMap<u64, &Job> = finished.map(|job| (job.order, job)).collect();
+        let jobs = orders.iter().map(|order| by_order.get(order));
+        let jobs = jobs.map(|job| Some((job?.finished_ms?, job?.work.id.clone())));
+        let listed: Option<VecDeque<(u64, ids::WorkId)>> = jobs.collect();
+        let listed = listed.filter(|listed| listed.len() == by_order.len());
+        self.finished = listed.ok_or_else(|| corrupt("order of finished jobs"))?;
+        Ok(())
+    }
+
+    fn restore_job(&mut self, job: Job) {
+        let work = job.work.id.clone();
+        if let Some(key) = &job.key {
+            self.job_keys.insert(key.clone(), work.clone());
+        }
+        let is_open = job.phase() == JobPhase::Open;
+        self.jobs.insert(work.clone(), job);
+        if is_open {
+            self.index_job(&work);
+        }
+    }
+}
+
+fn job_message(job: &Job) -> JobMessage {
+    let spans = job.cells.spans().iter();
+    JobMessage {
+        work: serde_json::to_vec(&job.work).unwrap_or_default(),
+        key: job.key.as_ref().map(ToString::to_string),
+        order: job.order,
+        accepted_ms: job.accepted_ms,
+        finished_ms: job.finished_ms,
+        cancelled: job.cancelled,
+        spans: spans.map(span_message).collect(),
+    }
+}
+
+fn span_message(span: &Span) -> SpanMessage {
+    let state = TaskState::ALL
+        .iter()
+        .position(|state| *state == span.cell.state);
+    SpanMessage {
+        start: span.start,
+        end: span.end,
+        attempt: span.cell.attempt,
+        group: u32::from(span.cell.group),
+        state: state.unwrap_or(0) as u32,
+        failures: u32::from(span.cell.failures),
+    }
+}
+
+fn restore_job(message: JobMessage) -> errors::Result<Job> {
+    let work: kernel::work::Work =
+        serde_json::from_slice(&message.work).map_err(|error| corrupt(&error.to_string()))?;
+    let spans: Option<Vec<Span>> = message.spans.iter().map(restore_span).collect();
+    let cells = spans.and_then(Cells::from_spans);
+    let cells = cells.filter(|cells| cells.len() == work.tasks);
+    let cells = cells.ok_or_else(|| corrupt("states of tasks"))?;
+    let key = message.key.map(ids::IdempotencyKey::from);
+    let mut job = Job::restored(
+        Arc::new(work),
+        key,
+        message.order,
+        message.accepted_ms,
+        cells,
+    );
+    job.finished_ms = message.finished_ms;
+    job.cancelled = message.cancelled;
+    Ok(job)
+}
+
+fn restore_span(message: &SpanMessage) -> Option<Span> {
+    let cell = Cell {
+        attempt: message.attempt,
+        group: u16::try_from(message.group).ok()?,
+        state: *TaskState::ALL.get(message.state as usize)?,
+        failures: u8::try_from(message.failures).ok()?,
+    };
+    Some(Span {
+        start: message.start,
+        end: message.end,
+        cell,
+    })
+}
+
+fn claim_message(key: &ids::IdempotencyKey, claim: &Claim) -> ClaimMessage {
+    let answered = claim.answer.as_ref().map(|(_, answer)| {
+        record::RecordMessage::from(&record::Record::Answered {
+            key: key.clone(),
+            attempt_id: claim.owner.attempt_id,
+            answer: answer.clone(),
+        })
+    });
+    ClaimMessage {
+        key: key.to_string(),
+        request_digest: claim.request_digest,
+        attempt_id: claim.owner.attempt_id,
+        host: claim.owner.host.to_string(),
+        epoch: claim.epoch,
+        session: claim.session,
+        unknown: claim.unknown,
+        answered_ms: claim.answer.as_ref().map_or(0, |(at_ms, _)| *at_ms),
+        answered,
+    }
+}
+
+fn restore_claims(messages: Vec<ClaimMessage>) -> errors::Result<Claims> {
+    let mut claims = Claims::default();
+    for message in messages {
+        let answer = match message.answered.map(record::Record::try_from).transpose()? {
+            Some(record::Record::Answered { answer, .. }) => Some((message.answered_ms, answer)),
+            Some(_) => return Err(corrupt("an answer is expected")),
+            None => None,
+        };
+        let claim = Claim {
+            request_digest: message.request_digest,
+            owner: ClaimOwner {
+                attempt_id: message.attempt_id,
+                host: ids::HostId::from(message.host),
+            },
+            epoch: message.epoch,
+            session: message.session,
+            unknown: message.unknown,
+            answer,
+        };
+        let key = ids::IdempotencyKey::from(message.key);
+        if claims.get(&key).is_some() {
+            return Err(corrupt("a key is claimed twice"));
+        }
+        claims.insert(key, claim);
+    }
+    claims.restore_order();
+    Ok(claims)
+}
--- /dev/null
+++ b/crates/journal/tests/journal/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the journal.
+
+mod driver;
+mod faults;
+mod support;
