Refuse out-of-order requests at the worker

Follows the interface: a worker remembers the last request under its epoch and does nothing on one that is not newer. A repeated exchange needs a new number; the run that it orders again is still not refused.

--- a/crates/platform/src/http/messages.rs
+++ b/crates/platform/src/http/messages.rs
@@ -195,6 +195,8 @@
         /// The epoch that it has seen.
         seen: ids::Epoch,
     },
+    /// The worker has seen a newer request of the same owner.
+    OutOfOrder,
 }
 
 /// `POST /list`; the reply is a list of [`crate::workers::WorkerInfo`].
--- a/crates/platform/src/http/store.rs
+++ b/crates/platform/src/http/store.rs
@@ -165,9 +165,10 @@
             messages::Refusal::Throttled => StoreError::Throttled,
             messages::Refusal::TooLarge { bytes } => StoreError::TooLarge { bytes },
             messages::Refusal::LeaseLapsed => StoreError::LeaseLapsed,
-            messages::Refusal::StaleEpoch { .. } => StoreError::AnswerLost {
-                detail: "the store answered with an epoch".to_owned(),
-            },
+            refusal @ (messages::Refusal::StaleEpoch { .. } | messages::Refusal::OutOfOrder) => {
+                let detail = format!("unexpected refusal {refusal:?}");
+                StoreError::AnswerLost { detail }
+            }
         },
     }
 }
--- a/crates/platform/src/http/workers.rs
+++ b/crates/platform/src/http/workers.rs
@@ -67,6 +67,7 @@
         JsonFailure::Refused(messages::Refusal::StaleEpoch { seen }) => {
             WorkerError::StaleEpoch { seen }
         }
+        JsonFailure::Refused(messages::Refusal::OutOfOrder) => WorkerError::OutOfOrder,
         JsonFailure::Exchange(Failure::AnswerLost { detail }) => WorkerError::ReplyLost { detail },
         JsonFailure::Refused(refusal) => WorkerError::ReplyLost {
             detail: format!("unexpected refusal {refusal:?}"),
--- a/crates/standin/src/model/worker.rs
+++ b/crates/standin/src/model/worker.rs
@@ -40,6 +40,8 @@
     pub(super) alive: bool,
     pub(super) fails_all: bool,
     pub(super) epoch: ids::Epoch,
+    // The last request under the epoch; `None` if there was none.
+    sequence: Option<u64>,
     pub(super) runs: IndexMap<ids::TaskId, run::Run>,
     lease_ends_at_ms: u64,
     finished: IndexMap<ids::TaskAttempt, FinishedRun>,
@@ -56,6 +58,7 @@
             alive: true,
             fails_all: false,
             epoch: ids::Epoch::default(),
+            sequence: None,
             runs: IndexMap::new(),
             lease_ends_at_ms: 0,
             finished: IndexMap::new(),
@@ -108,7 +111,10 @@
             });
             return Err(self.epoch);
         }
-        self.epoch = epoch;
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.sequence = None;
+        }
         Ok(())
     }
 
@@ -121,6 +127,10 @@
     ) -> Result<SyncReply, WorkerError> {
         let admitted = self.admit(shared, request.epoch);
         admitted.map_err(|seen| WorkerError::StaleEpoch { seen })?;
+        if self.sequence.is_some_and(|last| request.sequence <= last) {
+            return Err(WorkerError::OutOfOrder);
+        }
+        self.sequence = Some(request.sequence);
         self.lease_ends_at_ms = now_ms.saturating_add(request.lease_ms);
         for run in &request.acknowledged {
             self.finished.shift_remove(run);
--- a/crates/standin/src/server/reply.rs
+++ b/crates/standin/src/server/reply.rs
@@ -82,6 +82,9 @@
         Err(WorkerError::StaleEpoch { seen }) => {
             refusal(StatusCode::CONFLICT, messages::Refusal::StaleEpoch { seen })
         }
+        Err(WorkerError::OutOfOrder) => {
+            refusal(StatusCode::CONFLICT, messages::Refusal::OutOfOrder)
+        }
         Err(WorkerError::Unreachable { detail }) => unavailable(detail),
         Err(WorkerError::ReplyLost { .. }) => cut(),
     }
--- a/crates/standin/tests/standin/http_failures.rs
+++ b/crates/standin/tests/standin/http_failures.rs
@@ -124,6 +124,9 @@
     let first = connection.workers.sync(worker, &request).await;
     let is_lost = matches!(first, Err(WorkerError::ReplyLost { .. }));
     assert!(is_lost, "{first:?}");
+    let late = connection.workers.sync(worker, &request).await;
+    assert!(matches!(late, Err(WorkerError::OutOfOrder)), "{late:?}");
+    let request = support::next(&request);
     let second = connection.workers.sync(worker, &request).await.unwrap();
     assert_eq!(second.running.unwrap().len(), 1);
     assert!(second.refused.is_empty(), "{:?}", second.refused);
--- a/crates/standin/tests/standin/support.rs
+++ b/crates/standin/tests/standin/support.rs
@@ -47,16 +47,25 @@
     }
 }
 
-/// An exchange that starts some tasks.
+/// The first exchange under an epoch, which starts some tasks.
 pub fn starts(epoch: u64, starts: Vec<StartOrder>) -> SyncRequest {
     SyncRequest {
         epoch: ids::Epoch(epoch),
+        sequence: 1,
         lease_ms: LEASE_MS,
         starts,
         ..SyncRequest::default()
     }
 }
 
+/// The same exchange, sent once more.
+pub fn next(request: &SyncRequest) -> SyncRequest {
+    SyncRequest {
+        sequence: request.sequence + 1,
+        ..request.clone()
+    }
+}
+
 /// A call under epoch 1.
 pub fn call(attempt_id: u64, path: &str, body: &[u8]) -> UpstreamCall {
     UpstreamCall {
