--- a/crates/journal/src/events.rs
+++ b/crates/journal/src/events.rs
@@ -15,4 +15,6 @@
     CORRUPT = (5005, "journal-corrupt", Error, "An entry or snapshot cannot be read or is of the wrong writer; the shard does not open. Keep the keys of the shard and report the fault.");
     /// A snapshot was written.
     SNAPSHOT = (5006, "journal-snapshot", Debug, "Older entries of the shard are deleted from the store. Nothing to do.");
+    /// A claimed request was given up without a word.
+    CLAIM_DROPPED = (5010, "claim-dropped", Warn, "Whether a non-idempotent request ran is not known; duplicates are answered after the upstream was asked. Expected when a host shuts down in haste.");
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`Record`] and [`Entry`]: what is written;
 //! - [`ShardState`]: what the records mean, a pure function of them;
 //! - [`ShardJournal`]: recovery, group commit, fencing, snapshots and trimming;
+//! - [`Deduplicator`]: at most one run of a non-idempotent request;
 //! - [`StoreBudget`]: the pace of store calls, shared by all shards of a host.
 //!
 //! A record that became durable may still be *ignored* by the state, for
@@ -17,12 +18,14 @@
 //! of the journal, and [`Applied`] tells the one who appended how it went.
 
 mod budget;
+mod claims;
 mod driver;
 mod events;
 mod record;
 mod state;
 
 pub use budget::StoreBudget;
+pub use claims::{Begin, ClaimTicket, Deduplicator, Request};
 pub use driver::{BATCH_LIMIT_BYTES, Config, ShardJournal, Status};
 pub use record::{Answer, BODY_KEPT_LIMIT_BYTES, DECODED_LIMIT_BYTES, Entry, Record, Run};
 pub use state::{
--- a/crates/journal/tests/journal/main.rs
+++ b/crates/journal/tests/journal/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the journal.
 
+mod claims;
 mod driver;
 mod faults;
 mod support;
