--- a/crates/journal/src/state/job.rs
+++ b/crates/journal/src/state/job.rs
@@ -106,6 +106,11 @@
         &self.work
     }
 
+    /// Whether it came from a release note; a submitted job has its submitter's key.
+    pub fn is_from_release(&self) -> bool {
+        self.key.is_none()
+    }
+
     /// Whether it was cancelled.
     pub fn is_cancelled(&self) -> bool {
         self.cancelled
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -11,7 +11,9 @@
 impl Clock {
     /// A clock that starts at zero now.
     pub fn start() -> Self {
-        Self { origin: tokio::time::Instant::now() }
+        Self {
+            origin: tokio::time::Instant::now(),
+        }
     }
 
     /// The present time in milliseconds.
--- /dev/null
+++ b/crates/node/src/daemon/mod.rs
@@ -0,0 +1,73 @@
+//! The program `hickoryd`.
+
+mod dev;
+mod serve;
+
+use std::process;
+
+use clap::{Parser, Subcommand};
+use kernel::errors;
+
+use crate::settings;
+
+/// Entry host of the hickorychute cluster scheduler.
+#[derive(Debug, Parser)]
+#[command(name = "hickoryd", version)]
+struct Arguments {
+    /// Log filter, such as info or node=debug.
+    #[arg(long, global = true, env = "HICKORY_LOG", default_value = "info")]
+    log: String,
+
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs one entry host until it gets SIGTERM or SIGINT, then drains.
+    Serve(Box<settings::ServeSettings>),
+    /// Runs one entry host on an embedded stand-in platform and shows what was placed.
+    Dev(dev::DevSettings),
+}
+
+/// Runs the program and returns its exit code.
+pub fn main() -> process::ExitCode {
+    let arguments = Arguments::parse();
+    env_logger::Builder::new()
+        .parse_filters(&arguments.log)
+        .init();
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("hickoryd: cannot start: {error}");
+            return process::ExitCode::FAILURE;
+        }
+    };
+    let result = runtime.block_on(async {
+        match arguments.command {
+            Command::Serve(settings) => serve::run(&settings).await,
+            Command::Dev(settings) => dev::run(&settings).await,
+        }
+    });
+    // Tasks that still wait on the platform must not hold the process up.
+    runtime.shutdown_background();
+    match result {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            report(&error);
+            process::ExitCode::from(error.kind.answer().exit_code)
+        }
+    }
+}
+
+fn report(error: &errors::Error) {
+    eprintln!("hickoryd: {}", error.detail);
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        eprintln!("  because: {cause}");
+        source = cause.source();
+    }
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -43,10 +43,16 @@
         }
         let addresses = addresses(mirror, rumors);
         for zone in topology.zones.keys() {
-            let Some(table) = table(mirror, &ownership::zone_key(zone)) else { continue };
+            let Some(table) = table(mirror, &ownership::zone_key(zone)) else {
+                continue;
+            };
             for index in 0..topology.groups_per_zone {
                 if let Some(location) = locate(&table, index, &addresses) {
-                    offer(&mut directory.groups, ids::GroupId::new(zone, index), location);
+                    offer(
+                        &mut directory.groups,
+                        ids::GroupId::new(zone, index),
+                        location,
+                    );
                 }
             }
         }
@@ -81,14 +87,20 @@
             offer(&mut self.groups, id, location(group.epoch));
         }
         for shard in &rumor.shards {
-            offer(&mut self.shards, ids::ShardId(shard.shard as u16), location(shard.epoch));
+            offer(
+                &mut self.shards,
+                ids::ShardId(shard.shard as u16),
+                location(shard.epoch),
+            );
         }
     }
 }
 
 /// Keeps the location with the higher epoch.
 fn offer<K: std::hash::Hash + Eq>(map: &mut IndexMap<K, Location>, key: K, location: Location) {
-    let newer = map.get(&key).is_none_or(|known| known.epoch < location.epoch);
+    let newer = map
+        .get(&key)
+        .is_none_or(|known| known.epoch < location.epoch);
     if newer {
         map.insert(key, location);
     }
@@ -107,16 +119,20 @@
     let unit = table.unit(unit)?;
     let host = unit.owner.clone()?;
     let address = addresses.get(&host)?.clone();
-    Some(Location { host, address, epoch: unit.epoch })
+    Some(Location {
+        host,
+        address,
+        epoch: unit.epoch,
+    })
 }
 
-fn addresses(
-    mirror: &MirrorView,
-    rumors: &[messages::HostRumor],
-) -> IndexMap<ids::HostId, String> {
-    let registered = members(mirror).into_iter().map(|record| (record.host, record.address));
-    let heard =
-        rumors.iter().map(|rumor| (ids::HostId::new(&rumor.host), rumor.address.clone()));
+fn addresses(mirror: &MirrorView, rumors: &[messages::HostRumor]) -> IndexMap<ids::HostId, String> {
+    let registered = members(mirror)
+        .into_iter()
+        .map(|record| (record.host, record.address));
+    let heard = rumors
+        .iter()
+        .map(|rumor| (ids::HostId::new(&rumor.host), rumor.address.clone()));
     heard.chain(registered).collect()
 }
 
--- a/crates/node/src/entry/calls.rs
+++ b/crates/node/src/entry/calls.rs
@@ -70,7 +70,11 @@
             "this host takes no requests now",
         ));
     }
-    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+    let query = request
+        .uri()
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
     let mut call = read_headers(entry, request.headers())?;
     call.service = ids::WorkId::new(service);
     call.path = format!("/{path}{query}");
@@ -94,12 +98,19 @@
             .filter(|ms| (1..=config.max_deadline_ms).contains(ms))
             .ok_or_else(|| {
                 let limit = config.max_deadline_ms;
-                bad(format!("x-deadline-ms: {text:?} is not a whole number from 1 to {limit}"))
+                bad(format!(
+                    "x-deadline-ms: {text:?} is not a whole number from 1 to {limit}"
+                ))
             })?,
     };
     let key = header(headers, api::headers::IDEMPOTENCY_KEY);
-    if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT_CHARS) {
-        return Err(bad(format!("idempotency-key: must have 1 to {KEY_LIMIT_CHARS} characters")));
+    if key
+        .as_ref()
+        .is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT_CHARS)
+    {
+        return Err(bad(format!(
+            "idempotency-key: must have 1 to {KEY_LIMIT_CHARS} characters"
+        )));
     }
     Ok(forward::Call {
         service: ids::WorkId::new(""),
@@ -107,7 +118,9 @@
         body: bytes::Bytes::new(),
         key: key.map(ids::IdempotencyKey::new),
         team: ids::TeamId::new(
-            header(headers, api::headers::TEAM).as_deref().unwrap_or(DEFAULT_TEAM),
+            header(headers, api::headers::TEAM)
+                .as_deref()
+                .unwrap_or(DEFAULT_TEAM),
         ),
         urgency: header(headers, api::headers::URGENCY)
             .map(|name| forward::parse_urgency(&name))
@@ -161,8 +174,16 @@
 fn respond(answered: forward::Answered) -> Response {
     let status = StatusCode::from_u16(answered.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = (status, answered.body).into_response();
-    set_header(&mut response, api::headers::OUTCOME, &errors::Outcome::Done.to_string());
+    set_header(
+        &mut response,
+        api::headers::OUTCOME,
+        &errors::Outcome::Done.to_string(),
+    );
     set_header(&mut response, api::headers::INSTANCE, &answered.instance);
-    set_header(&mut response, api::headers::ATTEMPT_ID, &answered.attempt_id.to_string());
+    set_header(
+        &mut response,
+        api::headers::ATTEMPT_ID,
+        &answered.attempt_id.to_string(),
+    );
     response
 }
--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -33,7 +33,10 @@
     let request: api::JobRequest = serde_json::from_slice(&body)
         .map_err(|error| bad(&format!("the job does not decode: {error}")))?;
     check(&request)?;
-    let name = request.name.clone().unwrap_or_else(|| ids::WorkId::new(format!("job-{key}")));
+    let name = request
+        .name
+        .clone()
+        .unwrap_or_else(|| ids::WorkId::new(format!("job-{key}")));
     let work = request.into_work(name);
     let encoded = serde_json::to_vec(&work)
         .map_err(|error| bad(&format!("the job does not encode: {error}")))?;
@@ -65,7 +68,9 @@
         !name.is_empty() && name.len() <= NAME_LIMIT_CHARS && name.chars().all(allowed)
     };
     if !request.name.as_ref().is_none_or(name_is_fine) {
-        return Err(bad("name: must have 1 to 100 letters, digits, '-', '_' or '.'"));
+        return Err(bad(
+            "name: must have 1 to 100 letters, digits, '-', '_' or '.'",
+        ));
     }
     Ok(())
 }
@@ -117,5 +122,8 @@
 }
 
 fn draining() -> errors::Error {
-    errors::Error::new(errors::ErrorKind::Draining, "this host takes no requests now")
+    errors::Error::new(
+        errors::ErrorKind::Draining,
+        "this host takes no requests now",
+    )
 }
--- a/crates/node/src/entry/listener.rs
+++ b/crates/node/src/entry/listener.rs
@@ -25,7 +25,10 @@
 
 impl Default for HttpConfig {
     fn default() -> Self {
-        Self { connection_limit: 2_048, header_timeout_ms: 10_000 }
+        Self {
+            connection_limit: 2_048,
+            header_timeout_ms: 10_000,
+        }
     }
 }
 
@@ -40,7 +43,11 @@
 impl HttpServer {
     /// Makes a server on a bound listener.
     pub fn new(listener: TcpListener, routes: Router, config: HttpConfig) -> Self {
-        Self { listener, routes, config }
+        Self {
+            listener,
+            routes,
+            config,
+        }
     }
 
     /// Serves until `stop` is cancelled, then waits for open requests, at most `drain`.
@@ -59,15 +66,18 @@
                 () = stop.cancelled() => break,
                 accepted = self.listener.accept() => accepted,
             };
-            let Ok((stream, peer)) = accepted else { continue };
+            let Ok((stream, peer)) = accepted else {
+                continue;
+            };
             let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
                 kernel::log_event!(events::REQUEST_REFUSED, "{peer}: too many connections");
                 continue;
             };
             let _ = stream.set_nodelay(true);
             let service = TowerToHyperService::new(self.routes.clone());
-            let connection =
-                builder.serve_connection(TokioIo::new(stream), service).into_owned();
+            let connection = builder
+                .serve_connection(TokioIo::new(stream), service)
+                .into_owned();
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
                 if let Err(error) = connection.await {
@@ -77,6 +87,8 @@
             });
         }
         drop(self.listener);
-        tokio::time::timeout(drain, graceful.shutdown()).await.is_ok()
+        tokio::time::timeout(drain, graceful.shutdown())
+            .await
+            .is_ok()
     }
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::{shared, telemetry};
 
-pub use listener::{HttpServer, HttpConfig};
+pub use listener::{HttpConfig, HttpServer};
 
 /// How long the body of a request may take to arrive.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -44,9 +44,16 @@
     /// Makes the entry of one host.
     pub fn new(shared: Arc<shared::Shared>, metrics: Option<telemetry::MetricsPage>) -> Self {
         let limits = release::CellLimits::from_workers(shared.config.topology.zones.keys(), []);
-        let acceptor =
-            Arc::new(release::Acceptor::new(Arc::clone(&shared.platform.store), limits));
-        Self { shared, acceptor, metrics, body_memory: Arc::new(Semaphore::new(BODY_MEMORY_KB)) }
+        let acceptor = Arc::new(release::Acceptor::new(
+            Arc::clone(&shared.platform.store),
+            limits,
+        ));
+        Self {
+            shared,
+            acceptor,
+            metrics,
+            body_memory: Arc::new(Semaphore::new(BODY_MEMORY_KB)),
+        }
     }
 
     /// The routes of the HTTP port.
@@ -59,8 +66,14 @@
             .route(api::paths::RELEASE_CURRENT, routing::get(releases::current))
             .route(api::paths::RELEASE_STATUS, routing::get(releases::status))
             .route("/v1/releases/{version}", routing::get(releases::show))
-            .route(api::paths::JOBS, routing::post(jobs::submit).get(jobs::list))
-            .route("/v1/jobs/{job}", routing::get(jobs::status).delete(jobs::cancel))
+            .route(
+                api::paths::JOBS,
+                routing::post(jobs::submit).get(jobs::list),
+            )
+            .route(
+                "/v1/jobs/{job}",
+                routing::get(jobs::status).delete(jobs::cancel),
+            )
             .route(api::paths::HOSTS, routing::get(operators::hosts))
             .route(api::paths::WORKERS, routing::get(operators::workers))
             .route(api::paths::PLACEMENTS, routing::get(operators::placements))
--- a/crates/node/src/entry/releases.rs
+++ b/crates/node/src/entry/releases.rs
@@ -26,9 +26,15 @@
     entry.acceptor.set_limits(cell_limits(&entry).await);
     let accepted = entry.acceptor.submit(&note, &submitter, base).await?;
     if !accepted.repeated {
-        entry.shared.record(history::Event::ReleaseAccepted { version: accepted.version });
+        entry.shared.record(history::Event::ReleaseAccepted {
+            version: accepted.version,
+        });
     }
-    entry.shared.releases.shared().offer(std::sync::Arc::clone(&accepted.newest));
+    entry
+        .shared
+        .releases
+        .shared()
+        .offer(std::sync::Arc::clone(&accepted.newest));
     Ok(Json(api::SubmitReply {
         version: accepted.version,
         added: accepted.changes.added,
@@ -37,9 +43,7 @@
     }))
 }
 
-fn read_headers(
-    headers: &HeaderMap,
-) -> errors::Result<(String, Option<ids::ReleaseVersion>)> {
+fn read_headers(headers: &HeaderMap) -> errors::Result<(String, Option<ids::ReleaseVersion>)> {
     let bad = |detail: &str| errors::Error::new(errors::ErrorKind::BadRequest, detail);
     let submitter = header(headers, api::headers::SUBMITTER_ID)
         .filter(|submitter| !submitter.is_empty())
@@ -57,10 +61,17 @@
     let lists = zones.iter().map(|zone| async move {
         let list = entry.shared.platform.workers.list(zone);
         let limit = time::Duration::from_millis(500).min(BODY_TIMEOUT);
-        tokio::time::timeout(limit, list).await.ok().and_then(Result::ok).unwrap_or_default()
+        tokio::time::timeout(limit, list)
+            .await
+            .ok()
+            .and_then(Result::ok)
+            .unwrap_or_default()
     });
-    let workers: Vec<platform::workers::WorkerInfo> =
-        futures::future::join_all(lists).await.into_iter().flatten().collect();
+    let workers: Vec<platform::workers::WorkerInfo> = futures::future::join_all(lists)
+        .await
+        .into_iter()
+        .flatten()
+        .collect();
     release::CellLimits::from_workers(
         zones,
         workers.iter().map(|worker| (&worker.zone, worker.capacity)),
@@ -87,7 +98,13 @@
         return Ok(Json(view(&accepted)));
     }
     let key = release::accepted::key(version);
-    let found = entry.shared.platform.store.get(&key).await.map_err(errors::Error::from)?;
+    let found = entry
+        .shared
+        .platform
+        .store
+        .get(&key)
+        .await
+        .map_err(errors::Error::from)?;
     let found = found.ok_or_else(|| {
         errors::Error::new(
             errors::ErrorKind::NotFound,
--- a/crates/node/src/entry/reply.rs
+++ b/crates/node/src/entry/reply.rs
@@ -16,7 +16,11 @@
         let status =
             StatusCode::from_u16(answer.http_status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = (status, Json(api::ErrorBody::from(&self.0))).into_response();
-        set_header(&mut response, api::headers::OUTCOME, &answer.outcome.to_string());
+        set_header(
+            &mut response,
+            api::headers::OUTCOME,
+            &answer.outcome.to_string(),
+        );
         response
     }
 }
@@ -24,7 +28,9 @@
 /// Sets a header of an answer; a value that no header can hold is left out.
 pub(super) fn set_header(response: &mut Response, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
-        response.headers_mut().insert(HeaderName::from_static(name), value);
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
     }
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -3,8 +3,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
 
-use calls::{GroupLoad, RetryConfig, RetryDecision, RetryPolicy, RetryRequest, Route, RouteRequest,
-    Router, RouterConfig};
+use calls::{
+    GroupLoad, RetryConfig, RetryDecision, RetryPolicy, RetryRequest, Route, RouteRequest, Router,
+    RouterConfig,
+};
 use indexmap::IndexSet;
 use kernel::errors;
 use kernel::ids;
@@ -186,20 +188,23 @@
     }
 }
 
-fn pick(
-    shared: &shared::Shared,
-    call: &Call,
-    tried: &[ids::GroupId],
-) -> errors::Result<Route> {
+fn pick(shared: &shared::Shared, call: &Call, tried: &[ids::GroupId]) -> errors::Result<Route> {
     let link_bytes = call.body.len() as u64;
-    let request = RouteRequest { service: &call.service, link_bytes, tried };
+    let request = RouteRequest {
+        service: &call.service,
+        link_bytes,
+        tried,
+    };
     shared.routing.router().pick(&request, shared.now_ms())
 }
 
 /// Whether the release has the service, so that instances may be about to start.
 fn is_starting(shared: &shared::Shared, service: &ids::WorkId) -> bool {
     let release = shared.releases.current();
-    release.work.get(service).is_some_and(|work| work.kind == work::WorkKind::Service)
+    release
+        .work
+        .get(service)
+        .is_some_and(|work| work.kind == work::WorkKind::Service)
 }
 
 async fn attempt(
@@ -216,7 +221,9 @@
     });
     // The owner answers by the deadline itself; the reserve lets its answer arrive.
     let wait_ms = deadline_ms + RETURN_RESERVE_MS;
-    let result = peer::ask_group(shared, &route.group, body, wait_ms).await.and_then(answered);
+    let result = peer::ask_group(shared, &route.group, body, wait_ms)
+        .await
+        .and_then(answered);
     let now_ms = shared.now_ms();
     let mut router = shared.routing.router();
     match &result {
@@ -250,7 +257,11 @@
         service: call.service.to_string(),
         path: call.path.clone(),
         body: call.body.clone(),
-        idempotency_key: call.key.as_ref().map(ToString::to_string).unwrap_or_default(),
+        idempotency_key: call
+            .key
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
         team: call.team.to_string(),
         urgency: call.urgency.to_string(),
         idempotent: call.key.is_none(),
@@ -314,7 +325,10 @@
 ) -> errors::Result<messages::Body> {
     let id = ids::GroupId::new(&ids::ZoneId::new(&message.zone), message.group as u16);
     let owner = shared.group(&id).ok_or_else(|| {
-        errors::Error::new(errors::ErrorKind::StaleEpoch, format!("this host does not own {id}"))
+        errors::Error::new(
+            errors::ErrorKind::StaleEpoch,
+            format!("this host does not own {id}"),
+        )
     })?;
     let call = call_of(message, deadline_ms.saturating_sub(RETURN_RESERVE_MS));
     let result = owner
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -32,7 +32,9 @@
         (membership.targets(now_ms), membership.rumors(now_ms))
     };
     let targets = with_entry_points(shared, targets);
-    let exchanges = targets.iter().map(|address| exchange(shared, address, rumors.clone()));
+    let exchanges = targets
+        .iter()
+        .map(|address| exchange(shared, address, rumors.clone()));
     for result in future::join_all(exchanges).await {
         if let Err(error) = result {
             log::debug!("gossip: {error}");
@@ -46,8 +48,9 @@
     if !targets.is_empty() {
         return targets;
     }
-    let registered =
-        crate::directory::members(&shared.mirror()).into_iter().map(|record| record.address);
+    let registered = crate::directory::members(&shared.mirror())
+        .into_iter()
+        .map(|record| record.address);
     registered
         .chain(shared.config.seeds.iter().cloned())
         .filter(|address| *address != shared.config.peer_address)
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -17,7 +17,10 @@
     /// [`errors::ErrorKind::StaleEpoch`] if the message is meant for another owner of the group,
     /// or comes from an earlier owner of the shard, or was written before an end that the shard
     /// has confirmed since; [`errors::ErrorKind::BadRequest`] if it does not decode.
-    pub fn assign(&self, request: &messages::AssignRequest) -> errors::Result<messages::AssignReply> {
+    pub fn assign(
+        &self,
+        request: &messages::AssignRequest,
+    ) -> errors::Result<messages::AssignReply> {
         let works = decode(request)?;
         let now_ms = self.shared.now_ms();
         {
@@ -37,7 +40,9 @@
             }
         }
         self.wake.notify_one();
-        Ok(messages::AssignReply { group_epoch: self.epoch.0 })
+        Ok(messages::AssignReply {
+            group_epoch: self.epoch.0,
+        })
     }
 
     fn check_order(
@@ -53,7 +58,10 @@
             shard_epoch: ids::Epoch(request.shard_epoch),
             sequence: request.sequence,
         };
-        let last = state.orders.entry(ids::ShardId(request.shard as u16)).or_default();
+        let last = state
+            .orders
+            .entry(ids::ShardId(request.shard as u16))
+            .or_default();
         if order <= *last {
             return stale("the assignment is older than one already seen");
         }
@@ -64,16 +72,13 @@
 
 /// Puts an assignment into the queue of tasks.
 pub(super) fn submit(state: &mut state::GroupState, held: &state::HeldAssignment, now_ms: u64) {
-    state.placement.submit(&held.work, &held.runs, Some(held.shard), now_ms);
+    state
+        .placement
+        .submit(&held.work, &held.runs, Some(held.shard), now_ms);
 }
 
 /// Takes the work's waiting tasks out of the queue and gives them back as never started.
-fn cancel(
-    state: &mut state::GroupState,
-    shard: ids::ShardId,
-    work: &ids::WorkId,
-    now_ms: u64,
-) {
+fn cancel(state: &mut state::GroupState, shard: ids::ShardId, work: &ids::WorkId, now_ms: u64) {
     if !state.recovered {
         // A held task may run on a worker not yet heard, so it cannot be given back yet.
         state.cancel_at_recovery.push((shard, work.clone()));
@@ -102,8 +107,11 @@
                 source,
             )
         })?;
-        let runs =
-            assignment.runs.iter().map(|run| (run.index, ids::Attempt(run.attempt))).collect();
+        let runs = assignment
+            .runs
+            .iter()
+            .map(|run| (run.index, ids::Attempt(run.attempt)))
+            .collect();
         Ok((Arc::new(work), runs))
     };
     request.assignments.iter().map(decode_one).collect()
--- a/crates/node/src/group/calls.rs
+++ b/crates/node/src/group/calls.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use calls::{Admission, CallId, CallTicket, Dispatch};
+use calls::{Admission, CallId, CallTicket, Dispatch, LeavingSource};
 use kernel::errors;
 use kernel::ids;
 use kernel::work;
@@ -66,10 +66,17 @@
             )
             .await;
             owner.give_back(&call.service, &dispatch, &answer);
-            answer.map(|answer| OwnerAnswer { answer, instance: dispatch.instance })
+            answer.map(|answer| OwnerAnswer {
+                answer,
+                instance: dispatch.instance,
+            })
         });
         sent.await.unwrap_or_else(|error| {
-            Err(errors::Error::with_source(errors::ErrorKind::Internal, "call to upstream", error))
+            Err(errors::Error::with_source(
+                errors::ErrorKind::Internal,
+                "call to upstream",
+                error,
+            ))
         })
     }
 
@@ -104,7 +111,12 @@
                 }
             }
         };
-        let waiting = WaitingCall { owner: self, service: &call.service, id, receiver: Some(receiver) };
+        let waiting = WaitingCall {
+            owner: self,
+            service: &call.service,
+            id,
+            receiver: Some(receiver),
+        };
         waiting.wait().await
     }
 
@@ -154,7 +166,7 @@
     fn instance_leaves(&self, call: &OwnerCall, dispatch: &Dispatch) {
         let mut state = self.state();
         if let Some(dispatcher) = state.dispatchers.get_mut(&call.service) {
-            dispatcher.set_leaving(&dispatch.instance);
+            dispatcher.set_leaving(&dispatch.instance, LeavingSource::Refusal);
         }
     }
 
@@ -169,7 +181,9 @@
         }
         let now_ms = self.shared.now_ms();
         let mut state = self.state();
-        let Some(dispatcher) = state.dispatchers.get_mut(service) else { return };
+        let Some(dispatcher) = state.dispatchers.get_mut(service) else {
+            return;
+        };
         let next = dispatcher.finish(dispatch.id, now_ms);
         state.deliver(next);
     }
@@ -179,19 +193,16 @@
         let mut state = self.state();
         let mut refusals = Vec::new();
         for dispatcher in state.dispatchers.values_mut() {
-            refusals.extend(
-                dispatcher
-                    .refuse_all(errors::ErrorKind::StaleEpoch, "the owner of the slots changes"),
-            );
+            refusals.extend(dispatcher.refuse_all(
+                errors::ErrorKind::StaleEpoch,
+                "the owner of the slots changes",
+            ));
         }
         state.deliver_refusals(refusals);
     }
 
-    /// Whether an instance may still be asked about a non-idempotent request.
-    pub(crate) fn instance_address(
-        &self,
-        service: &ids::WorkId,
-    ) -> Vec<upstreams::UpstreamAddress> {
+    /// The instances of a service that run in the group.
+    pub(crate) fn instances(&self, service: &ids::WorkId) -> Vec<upstreams::UpstreamAddress> {
         let state = self.state();
         state
             .links
@@ -200,6 +211,7 @@
                 let address = link.info.address.clone();
                 link.runs
                     .values()
+                    .map(|run| &run.order)
                     .filter(|order| order.slots > 0 && order.run.task.work == *service)
                     .map(move |order| upstreams::UpstreamAddress {
                         address: address.clone(),
@@ -222,23 +234,33 @@
 impl WaitingCall<'_> {
     async fn wait(mut self) -> errors::Result<Dispatch> {
         let Some(receiver) = self.receiver.as_mut() else {
-            return Err(errors::Error::new(errors::ErrorKind::Internal, "a call waited twice"));
+            return Err(errors::Error::new(
+                errors::ErrorKind::Internal,
+                "a call waited twice",
+            ));
         };
         let result = receiver.await;
         self.receiver = None;
         result.unwrap_or_else(|_| {
-            Err(errors::Error::new(errors::ErrorKind::StaleEpoch, "the owner of the slots changed"))
+            Err(errors::Error::new(
+                errors::ErrorKind::StaleEpoch,
+                "the owner of the slots changed",
+            ))
         })
     }
 }
 
 impl Drop for WaitingCall<'_> {
     fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else { return };
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
         let now_ms = self.owner.shared.now_ms();
         let mut state = self.owner.state();
         state.slot_senders.swap_remove(&self.id);
-        let Some(dispatcher) = state.dispatchers.get_mut(self.service) else { return };
+        let Some(dispatcher) = state.dispatchers.get_mut(self.service) else {
+            return;
+        };
         if dispatcher.abandon(self.id) {
             return;
         }
--- a/crates/node/src/group/exchange.rs
+++ b/crates/node/src/group/exchange.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time;
 
+use calls::LeavingSource;
 use indexmap::IndexSet;
 use kernel::ids;
 use placement::EndEffect;
 use platform::workers;
 
-use super::{GroupOwner, reports, state};
+use super::{GroupOwner, link, reports, state};
 use crate::events;
 
 const EXCHANGE_TIMEOUT_MS: u64 = 2_000;
@@ -23,7 +24,9 @@
         let limit = time::Duration::from_millis(EXCHANGE_TIMEOUT_MS);
         let sync = self.shared.platform.workers.sync(&worker, &request);
         let result = tokio::time::timeout(limit, sync).await.unwrap_or_else(|_| {
-            Err(workers::WorkerError::ReplyLost { detail: "no reply in time".to_owned() })
+            Err(workers::WorkerError::ReplyLost {
+                detail: "no reply in time".to_owned(),
+            })
         });
         let now_ms = self.shared.now_ms();
         {
@@ -50,7 +53,9 @@
         reply: workers::SyncReply,
         now_ms: u64,
     ) {
-        let Some(link) = state.links.get_mut(worker) else { return };
+        let Some(link) = state.links.get_mut(worker) else {
+            return;
+        };
         link.succeeded(now_ms, self.shared.config.worker_sync_interval_ms);
         link.known_digest = Some(reply.digest);
         if !link.confirmed {
@@ -90,7 +95,9 @@
         if let Some(link) = state.links.get_mut(worker) {
             link.runs.shift_remove(&refusal.run);
         }
-        state.placement.refused(&refusal.run, refusal.reason, now_ms);
+        state
+            .placement
+            .refused(&refusal.run, refusal.reason, now_ms);
     }
 
     /// Brings what the owner believes in step with what the worker runs.
@@ -109,20 +116,45 @@
             self.apply_running_task(state, worker, request, task, now_ms);
         }
         present.extend(finished.iter().map(|finished| &finished.order.run));
-        let Some(link) = state.links.get(worker) else { return };
-        let vanished: Vec<workers::StartOrder> = link
+        let Some(link) = state.links.get(worker) else {
+            return;
+        };
+        let vanished: Vec<link::LinkedRun> = link
             .runs
             .iter()
             .filter(|(run, _)| !present.contains(run))
-            .map(|(_, order)| order.clone())
+            .map(|(_, linked)| linked.clone())
             .collect();
-        for order in vanished {
-            // The worker neither runs it nor holds its end: it was started anew, or its
-            // start was lost on the way.
-            let finished =
-                workers::FinishedRun { order, end: workers::RunEnd::LeaseLapsed, ran_ms: 0 };
+        for linked in vanished {
+            self.apply_vanished(state, worker, linked, now_ms);
+        }
+    }
+
+    /// The worker neither runs a task nor holds its end.
+    ///
+    /// A run that was never seen was not started, and never will be: the worker
+    /// refuses the request that would have started it, since it answered a newer one.
+    /// One that was seen has ended with the worker's memory.
+    fn apply_vanished(
+        &self,
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        linked: link::LinkedRun,
+        now_ms: u64,
+    ) {
+        if linked.seen {
+            let finished = workers::FinishedRun {
+                order: linked.order,
+                end: workers::RunEnd::LeaseLapsed,
+                ran_ms: 0,
+            };
             self.apply_end(state, worker, &finished, now_ms);
+            return;
         }
+        if let Some(link) = state.links.get_mut(worker) {
+            link.runs.shift_remove(&linked.order.run);
+        }
+        state.placement.not_started(&linked.order.run, now_ms);
     }
 
     fn apply_running_task(
@@ -135,12 +167,17 @@
     ) {
         let run = &task.order.run;
         let just_started = request.starts.iter().any(|order| order.run == *run);
-        let Some(link) = state.links.get_mut(worker) else { return };
-        let known = link.runs.insert(run.clone(), task.order.clone()).is_some();
+        let Some(link) = state.links.get_mut(worker) else {
+            return;
+        };
+        let linked = link::LinkedRun {
+            order: task.order.clone(),
+            seen: true,
+        };
+        let known = link.runs.insert(run.clone(), linked).is_some();
         if just_started {
-            if let Some(waited_ms) = state.placement.started(run, now_ms) {
-                self.shared.metrics.start(waited_ms);
-            }
+            state.placement.started(run);
+            self.shared.metrics.start();
         } else {
             state.placement.adopt(worker, &task.order, now_ms);
         }
@@ -160,7 +197,11 @@
         taken_over: bool,
         now_ms: u64,
     ) {
-        let Some(address) = state.links.get(worker).map(|link| link.info.address.clone()) else {
+        let Some(address) = state
+            .links
+            .get(worker)
+            .map(|link| link.info.address.clone())
+        else {
             return;
         };
         let order = &task.order;
@@ -172,7 +213,7 @@
         }
         dispatcher.set_instance(&order.run, &address, order.slots, order.connections, now_ms);
         if task.draining {
-            dispatcher.set_leaving(&order.run);
+            dispatcher.set_leaving(&order.run, LeavingSource::Signal);
         }
         let ready = dispatcher.dispatch_ready(now_ms);
         state.deliver(ready);
@@ -193,7 +234,9 @@
         if let Some(dispatcher) = state.dispatchers.get_mut(&run.task.work) {
             dispatcher.remove_instance(run);
         }
-        let effect = state.placement.ended(run, finished.end, finished.ran_ms, now_ms);
+        let effect = state
+            .placement
+            .ended(run, finished.end, finished.ran_ms, now_ms);
         if effect != EndEffect::Ignored {
             self.shared.metrics.end(finished.end);
             log::debug!("{run} on {worker}: {}, {effect:?}", finished.end);
@@ -225,12 +268,14 @@
             }
             workers::WorkerError::ReplyLost { .. } | workers::WorkerError::OutOfOrder => {
                 for order in &request.starts {
-                    state.placement.start_unknown(&order.run);
+                    state.placement.start_unknown(&order.run, now_ms);
                 }
                 repeat_stops(state, worker, request);
             }
         }
-        let Some(link) = state.links.get_mut(worker) else { return };
+        let Some(link) = state.links.get_mut(worker) else {
+            return;
+        };
         log::debug!("exchange with {worker}: {error}");
         // The next reply must list everything, since this one may have changed it.
         link.known_digest = None;
@@ -249,7 +294,7 @@
         if let Some(link) = state.links.get_mut(worker) {
             link.runs.shift_remove(&order.run);
         }
-        state.placement.not_sent(&order.run, now_ms);
+        state.placement.not_started(&order.run, now_ms);
     }
     repeat_stops(state, worker, request);
 }
@@ -259,7 +304,9 @@
     worker: &ids::WorkerId,
     request: workers::SyncRequest,
 ) {
-    let Some(link) = state.links.get_mut(worker) else { return };
+    let Some(link) = state.links.get_mut(worker) else {
+        return;
+    };
     link.stops.extend(request.stops);
     link.acknowledged.extend(request.acknowledged);
 }
--- a/crates/node/src/group/link.rs
+++ b/crates/node/src/group/link.rs
@@ -8,6 +8,15 @@
 const FAILURE_LIMIT: u32 = 3;
 const RETRY_INTERVAL_MS: u64 = 250;
 
+/// A run that the owner believes to be on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct LinkedRun {
+    /// The order under which it runs.
+    pub order: workers::StartOrder,
+    /// Whether the worker has ever listed it.
+    pub seen: bool,
+}
+
 /// The exchange with one worker.
 #[derive(Debug)]
 pub(super) struct WorkerLink {
@@ -17,8 +26,8 @@
     pub confirmed: bool,
     /// Whether the worker is in the newest list.
     pub listed: bool,
-    /// Runs that the owner believes to be on the worker, with their orders.
-    pub runs: IndexMap<ids::TaskAttempt, workers::StartOrder>,
+    /// Runs that the owner believes to be on the worker.
+    pub runs: IndexMap<ids::TaskAttempt, LinkedRun>,
     /// Orders to send.
     pub starts: Vec<workers::StartOrder>,
     /// Orders to send.
@@ -79,7 +88,11 @@
         self.leases_end_at_ms = self.leases_end_at_ms.max(leases_end_at_ms);
         let starts = std::mem::take(&mut self.starts);
         for order in &starts {
-            self.runs.insert(order.run.clone(), order.clone());
+            let linked = LinkedRun {
+                order: order.clone(),
+                seen: false,
+            };
+            self.runs.insert(order.run.clone(), linked);
         }
         self.sequence += 1;
         workers::SyncRequest {
--- a/crates/node/src/group/reports.rs
+++ b/crates/node/src/group/reports.rs
@@ -41,8 +41,18 @@
         worker: worker.to_string(),
         next_attempt: next.0,
     };
-    let open = state::OpenReport { report, run: run.clone(), worker: Some(worker.clone()) };
-    state.reports.entry(shard).or_default().open.entry(run).or_insert(open);
+    let open = state::OpenReport {
+        report,
+        run: run.clone(),
+        worker: Some(worker.clone()),
+    };
+    state
+        .reports
+        .entry(shard)
+        .or_default()
+        .open
+        .entry(run)
+        .or_insert(open);
 }
 
 /// Notes that a task is given back; it must not start here any more.
@@ -57,15 +67,29 @@
         end: HANDED_BACK.to_owned(),
         ..messages::RunReport::default()
     };
-    let open = state::OpenReport { report, run: run.clone(), worker: None };
-    state.reports.entry(shard).or_default().open.entry(run.clone()).or_insert(open);
+    let open = state::OpenReport {
+        report,
+        run: run.clone(),
+        worker: None,
+    };
+    state
+        .reports
+        .entry(shard)
+        .or_default()
+        .open
+        .entry(run.clone())
+        .or_insert(open);
 }
 
 /// The attempt with which this group goes on after `run`; zero if it does not.
 fn live_attempt_after(state: &state::GroupState, run: &ids::TaskAttempt) -> ids::Attempt {
     let explanation = state.placement.explain(&run.task);
     let live = explanation.state != placement::TaskState::Unknown;
-    if live && explanation.attempt > run.attempt { explanation.attempt } else { ids::Attempt(0) }
+    if live && explanation.attempt > run.attempt {
+        explanation.attempt
+    } else {
+        ids::Attempt(0)
+    }
 }
 
 impl GroupOwner {
@@ -76,8 +100,12 @@
                 continue;
             }
             queue.in_flight = true;
-            let reports: Vec<messages::RunReport> =
-                queue.open.values().take(REPORT_BATCH).map(|open| open.report.clone()).collect();
+            let reports: Vec<messages::RunReport> = queue
+                .open
+                .values()
+                .take(REPORT_BATCH)
+                .map(|open| open.report.clone())
+                .collect();
             let runs: Vec<ids::TaskAttempt> =
                 queue.open.keys().take(REPORT_BATCH).cloned().collect();
             let request = messages::ReportRequest {
@@ -143,7 +171,9 @@
     *order = floor.max(*order);
     for run in runs {
         let queue = state.reports.entry(shard).or_default();
-        let Some(open) = queue.open.shift_remove(run) else { continue };
+        let Some(open) = queue.open.shift_remove(run) else {
+            continue;
+        };
         let link = open.worker.and_then(|worker| state.links.get_mut(&worker));
         if let Some(link) = link {
             link.acknowledged.insert(open.run);
--- a/crates/node/src/group/views.rs
+++ b/crates/node/src/group/views.rs
@@ -4,7 +4,7 @@
 use kernel::work;
 use wire::messages;
 
-use super::{GroupOwner, state};
+use super::{GroupOwner, link, state};
 
 /// What the owner tells its peers.
 pub(super) fn rumor(
@@ -61,8 +61,10 @@
             .workers
             .into_iter()
             .map(|worker| {
-                let silent =
-                    state.links.get(&worker.id).is_none_or(|link| link.is_failing());
+                let silent = state
+                    .links
+                    .get(&worker.id)
+                    .is_none_or(link::WorkerLink::is_failing);
                 api::WorkerView {
                     worker: worker.id,
                     zone: self.id.zone.clone(),
@@ -70,7 +72,11 @@
                     capacity: worker.capacity,
                     assigned: worker.assigned,
                     quarantined: worker.state == "quarantined",
-                    state: if silent { "unreachable".to_owned() } else { worker.state.to_owned() },
+                    state: if silent {
+                        "unreachable".to_owned()
+                    } else {
+                        worker.state.to_owned()
+                    },
                 }
             })
             .collect()
@@ -83,15 +89,18 @@
             .links
             .iter()
             .flat_map(|(worker, link)| {
-                link.runs.values().map(move |order| api::Placement {
-                    run: order.run.clone(),
-                    team: order.team.clone(),
-                    kind: order.kind,
-                    worker: worker.clone(),
-                    zone: link.info.zone.clone(),
-                    rack: link.info.rack.clone(),
-                    demand: order.demand,
-                })
+                link.runs
+                    .values()
+                    .map(|run| &run.order)
+                    .map(move |order| api::Placement {
+                        run: order.run.clone(),
+                        team: order.team.clone(),
+                        kind: order.kind,
+                        worker: worker.clone(),
+                        zone: link.info.zone.clone(),
+                        rack: link.info.rack.clone(),
+                        demand: order.demand,
+                    })
             })
             .collect()
     }
@@ -107,7 +116,10 @@
                 state: api::TaskState::Assigned,
                 worker: None,
                 attempt: ids::Attempt(0),
-                reason: format!("{} has a new owner that has not yet heard from every worker.", self.id),
+                reason: format!(
+                    "{} has a new owner that has not yet heard from every worker.",
+                    self.id
+                ),
             });
         }
         let explanation = state.placement.explain(task);
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time;
 
+use calls::LeavingSource;
 use indexmap::IndexSet;
 use kernel::ids;
 use placement::Decision;
@@ -119,11 +120,13 @@
         now_ms: u64,
     ) {
         state.placement.set_worker_state(worker, true, now_ms);
-        let Some(link) = state.links.get(worker) else { return };
+        let Some(link) = state.links.get(worker) else {
+            return;
+        };
         let runs: Vec<ids::TaskAttempt> = link.runs.keys().cloned().collect();
         for run in runs {
             if let Some(dispatcher) = state.dispatchers.get_mut(&run.task.work) {
-                dispatcher.set_leaving(&run);
+                dispatcher.set_leaving(&run, LeavingSource::HostList);
             }
         }
     }
@@ -137,16 +140,18 @@
             .map(|(id, _)| id.clone())
             .collect();
         for worker in lost {
-            let Some(link) = state.links.shift_remove(&worker) else { continue };
+            let Some(link) = state.links.shift_remove(&worker) else {
+                continue;
+            };
             kernel::log_event!(
                 crate::events::WORKER_LOST,
                 "{worker} of {}: {} runs have ended by their leases",
                 self.id,
                 link.runs.len()
             );
-            for (_, order) in link.runs {
+            for (_, run) in link.runs {
                 let finished = workers::FinishedRun {
-                    order,
+                    order: run.order,
                     end: workers::RunEnd::LeaseLapsed,
                     ran_ms: 0,
                 };
@@ -199,11 +204,10 @@
                 Decision::Stop { worker, run, mode } => {
                     self.stop_run(state, &worker, run, mode);
                 }
-                Decision::HandBack { run, shard, reason } => {
+                Decision::HandBack { run, reason } => {
                     log::debug!("{run} is handed back: {reason}");
-                    if let Some(shard) = shard {
-                        reports::note_hand_back(state, shard, &run);
-                    }
+                    let shard = self.shared.config.topology.shard_of(run.task.work.as_str());
+                    reports::note_hand_back(state, shard, &run);
                 }
             }
         }
@@ -219,7 +223,7 @@
         if mode != workers::StopMode::Throttle
             && let Some(dispatcher) = state.dispatchers.get_mut(&run.task.work)
         {
-            dispatcher.set_leaving(&run);
+            dispatcher.set_leaving(&run, LeavingSource::Signal);
         }
         if let Some(link) = state.links.get_mut(worker) {
             link.stops.push(workers::StopOrder { run, mode });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,40 @@
-//! Placeholder header; the crate's modules follow.
+//! The roles of one entry host, put together.
+//!
+//! Decisions are made in `placement`, `calls`, `journal`, `ownership` and
+//! `release`; this crate gives them a process. A [`Node`] runs over three
+//! traits (the platform, the transport between hosts and the history sink), so
+//! that the same code runs in the daemon and, many times in one process with a
+//! paused clock, in the tests.
+//!
+//! - [`Node`]: the life cycle of a host;
+//! - [`entry`]: the HTTP port for callers and operators;
+//! - `group`: the owner of a rack group;
+//! - `shard`: the owner of a journal shard;
+//! - [`daemon`]: the programs `hickoryd serve` and `hickoryd dev`;
+//! - [`settings`]: flags and environment variables.
+
+mod claims;
+mod clock;
+pub mod config;
+pub mod daemon;
+mod directory;
+pub mod entry;
+mod events;
+pub mod forward;
+mod gossip;
+mod group;
+mod journals;
+pub mod local;
+mod node;
+mod operators;
+mod peer;
+mod releases;
+pub mod settings;
+mod shard;
+pub mod shared;
+pub mod telemetry;
+mod tenure;
+pub mod topology;
+
+pub use node::Node;
+pub use peer::PeerHandler;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -13,6 +13,7 @@
 use kernel::lifecycle;
 use kernel::work;
 use ownership::Liveness;
+use platform::upstreams;
 use serde::de::DeserializeOwned;
 use wire::messages;
 
@@ -22,6 +23,7 @@
 
 const WORKERS: &str = "workers";
 const PLACEMENTS: &str = "placements";
+const INSTANCES: &str = "instances";
 const JOBS: &str = "jobs";
 const JOB: &str = "job";
 const RUNNING: &str = "running";
@@ -41,14 +43,38 @@
     let groups = shared.groups();
     let subject = ids::WorkId::new(&query.subject);
     let json = match query.what.as_str() {
-        WORKERS => encode(&groups.iter().flat_map(|group| group.worker_views()).collect::<Vec<_>>()),
-        PLACEMENTS => {
-            encode(&groups.iter().flat_map(|group| group.placements()).collect::<Vec<_>>())
-        }
-        RUNNING => encode(&groups.iter().map(|group| group.running_of(&subject)).sum::<u32>()),
+        WORKERS => encode(
+            &groups
+                .iter()
+                .flat_map(|group| group.worker_views())
+                .collect::<Vec<_>>(),
+        ),
+        PLACEMENTS => encode(
+            &groups
+                .iter()
+                .flat_map(|group| group.placements())
+                .collect::<Vec<_>>(),
+        ),
+        INSTANCES => encode(
+            &groups
+                .iter()
+                .flat_map(|group| group.instances(&subject))
+                .collect::<Vec<_>>(),
+        ),
+        RUNNING => encode(
+            &groups
+                .iter()
+                .map(|group| group.running_of(&subject))
+                .sum::<u32>(),
+        ),
         JOBS => {
             let shards = shared.shards();
-            encode(&shards.iter().flat_map(|shard| shard.job_statuses()).collect::<Vec<_>>())
+            encode(
+                &shards
+                    .iter()
+                    .flat_map(|shard| shard.job_statuses())
+                    .collect::<Vec<_>>(),
+            )
         }
         JOB => encode(&owner_of_name(shared, subject.as_str())?.job_status(&subject)?),
         EXPLAIN_SHARD => {
@@ -64,7 +90,9 @@
             format!("no question is named {other:?}"),
         )),
     }?;
-    Ok(messages::Body::QueryReply(messages::QueryReply { json: json.into() }))
+    Ok(messages::Body::QueryReply(messages::QueryReply {
+        json: json.into(),
+    }))
 }
 
 fn owner_of_name(
@@ -131,12 +159,23 @@
 
 /// The workers of all groups whose owners answer.
 pub(crate) async fn workers(shared: &Arc<shared::Shared>) -> Vec<api::WorkerView> {
-    gather(shared, WORKERS, "").await.into_iter().flatten().collect::<Vec<api::WorkerView>>()
+    let found: Vec<Vec<api::WorkerView>> = gather(shared, WORKERS, "").await;
+    found.into_iter().flatten().collect()
 }
 
 /// What runs on the workers of all groups whose owners answer.
 pub(crate) async fn placements(shared: &Arc<shared::Shared>) -> Vec<api::Placement> {
-    gather(shared, PLACEMENTS, "").await.into_iter().flatten().collect::<Vec<api::Placement>>()
+    let found: Vec<Vec<api::Placement>> = gather(shared, PLACEMENTS, "").await;
+    found.into_iter().flatten().collect()
+}
+
+/// The instances of a service that can be found, with their addresses.
+pub(crate) async fn instances(
+    shared: &Arc<shared::Shared>,
+    service: &ids::WorkId,
+) -> Vec<upstreams::UpstreamAddress> {
+    let found = gather::<Vec<upstreams::UpstreamAddress>>(shared, INSTANCES, service.as_str());
+    found.await.into_iter().flatten().collect()
 }
 
 /// All jobs whose shards answer, by name.
@@ -146,8 +185,10 @@
     jobs.sort_by(|a, b| a.work.cmp(&b.work));
     let placements = placements(shared).await;
     for job in &mut jobs {
-        let running =
-            placements.iter().filter(|placement| placement.run.task.work == job.work).count();
+        let running = placements
+            .iter()
+            .filter(|placement| placement.run.task.work == job.work)
+            .count();
         split_running(job, running as u32);
     }
     jobs
@@ -199,9 +240,10 @@
 ) -> errors::Result<api::Explanation> {
     let found = owner_of_name(shared, task.work.as_str())?.explain(task)?;
     let (state, reason) = match found.state {
-        journal::TaskState::Waiting if found.cancelled => {
-            (api::TaskState::Cancelled, "It was cancelled before it started.".to_owned())
-        }
+        journal::TaskState::Waiting if found.cancelled => (
+            api::TaskState::Cancelled,
+            "It was cancelled before it started.".to_owned(),
+        ),
         journal::TaskState::Waiting => (
             api::TaskState::Waiting,
             "No rack group that may run it has room; add workers, or withdraw or shrink other \
@@ -209,7 +251,10 @@
                 .to_owned(),
         ),
         journal::TaskState::Assigned => {
-            let group = found.group.map(|group| group.to_string()).unwrap_or_default();
+            let group = found
+                .group
+                .map(|group| group.to_string())
+                .unwrap_or_default();
             (
                 api::TaskState::Assigned,
                 format!("It was assigned to {group}, whose owner cannot be reached now."),
@@ -225,14 +270,19 @@
         journal::TaskState::Cancelled => {
             (api::TaskState::Cancelled, "It was cancelled.".to_owned())
         }
-        journal::TaskState::Unknown => (
+        journal::TaskState::EndUnknown => (
             api::TaskState::Unknown,
             "Its worker vanished while it ran, and it may not run twice; check its effects and \
              submit it anew."
                 .to_owned(),
         ),
     };
-    Ok(api::Explanation { state, worker: None, attempt: ids::Attempt(0), reason })
+    Ok(api::Explanation {
+        state,
+        worker: None,
+        attempt: ids::Attempt(0),
+        reason,
+    })
 }
 
 async fn ask_shard<T: DeserializeOwned>(
@@ -260,9 +310,15 @@
     let asked = addresses.iter().map(|address| async move {
         let body = question(what, subject);
         let reply = peer::ask_host(shared, address, body, QUERY_DEADLINE_MS).await;
-        reply.and_then(decode).inspect_err(|error| log::debug!("{what} from {address}: {error}"))
+        reply
+            .and_then(decode)
+            .inspect_err(|error| log::debug!("{what} from {address}: {error}"))
     });
-    future::join_all(asked).await.into_iter().filter_map(Result::ok).collect()
+    future::join_all(asked)
+        .await
+        .into_iter()
+        .filter_map(Result::ok)
+        .collect()
 }
 
 fn question(what: &str, subject: &str) -> messages::Body {
@@ -274,7 +330,11 @@
 
 fn encode<T: serde::Serialize>(value: &T) -> errors::Result<Vec<u8>> {
     serde_json::to_vec(value).map_err(|source| {
-        errors::Error::with_source(errors::ErrorKind::Internal, "an answer does not encode", source)
+        errors::Error::with_source(
+            errors::ErrorKind::Internal,
+            "an answer does not encode",
+            source,
+        )
     })
 }
 
@@ -283,6 +343,10 @@
         return Err(shared::unexpected_reply());
     };
     serde_json::from_slice(&reply.json).map_err(|source| {
-        errors::Error::with_source(errors::ErrorKind::Internal, "an answer does not decode", source)
+        errors::Error::with_source(
+            errors::ErrorKind::Internal,
+            "an answer does not decode",
+            source,
+        )
     })
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -44,7 +44,10 @@
 ) -> errors::Result<messages::Body> {
     let deadline_ms = request.deadline_ms;
     let Some(body) = request.body else {
-        return Err(errors::Error::new(errors::ErrorKind::BadRequest, "the request has no body"));
+        return Err(errors::Error::new(
+            errors::ErrorKind::BadRequest,
+            "the request has no body",
+        ));
     };
     match body {
         messages::Body::GossipRequest(gossip) => Ok(gossip::answer(shared, gossip)),
@@ -58,7 +61,11 @@
             Ok(messages::Body::ReportReply(shard.report(&report).await?))
         }
         messages::Body::CallRequest(call) => {
-            let name = if call.hop == forward::HOP_CLAIM { "shard call" } else { "owner call" };
+            let name = if call.hop == forward::HOP_CLAIM {
+                "shard call"
+            } else {
+                "owner call"
+            };
             let served = async {
                 if call.hop == forward::HOP_CLAIM {
                     claims::serve(shared, call, deadline_ms).await
@@ -94,11 +101,16 @@
     number: u32,
 ) -> errors::Result<Arc<crate::shard::ShardOwner>> {
     let id = ids::ShardId(number as u16);
-    shared.shard(id).ok_or_else(|| not_owned(&format_args!("shard {id}")))
+    shared
+        .shard(id)
+        .ok_or_else(|| not_owned(&format_args!("shard {id}")))
 }
 
 fn not_owned(what: &impl std::fmt::Display) -> errors::Error {
-    errors::Error::new(errors::ErrorKind::StaleEpoch, format!("this host does not own {what}"))
+    errors::Error::new(
+        errors::ErrorKind::StaleEpoch,
+        format!("this host does not own {what}"),
+    )
 }
 
 /// Sends a request to the owner of a shard.
@@ -112,7 +124,10 @@
     body: messages::Body,
     deadline_ms: u64,
 ) -> errors::Result<messages::Body> {
-    let address = shared.directory().shard(shard).map(|location| location.address.clone());
+    let address = shared
+        .directory()
+        .shard(shard)
+        .map(|location| location.address.clone());
     let Some(address) = address else {
         return Err(unknown_owner(&format_args!("shard {shard}")));
     };
@@ -130,7 +145,10 @@
     body: messages::Body,
     deadline_ms: u64,
 ) -> errors::Result<messages::Body> {
-    let address = shared.directory().group(group).map(|location| location.address.clone());
+    let address = shared
+        .directory()
+        .group(group)
+        .map(|location| location.address.clone());
     let Some(address) = address else {
         return Err(unknown_owner(group));
     };
@@ -138,14 +156,16 @@
 }
 
 /// Sends a request to a host; one to this host itself does not touch the network.
-pub(crate) async fn ask_host(
-    shared: &Arc<shared::Shared>,
-    address: &str,
+///
+/// The future is boxed because answering a request may lead to another one.
+pub(crate) fn ask_host<'a>(
+    shared: &'a Arc<shared::Shared>,
+    address: &'a str,
     body: messages::Body,
     deadline_ms: u64,
-) -> errors::Result<messages::Body> {
+) -> future::BoxFuture<'a, errors::Result<messages::Body>> {
     if address != shared.config.peer_address {
-        return shared.ask(address, body, deadline_ms).await;
+        return Box::pin(shared.ask(address, body, deadline_ms));
     }
     let request = messages::Envelope {
         deadline_ms,
@@ -153,7 +173,7 @@
         body: Some(body),
         ..messages::Envelope::default()
     };
-    Box::pin(answer(shared, request)).await
+    Box::pin(answer(shared, request))
 }
 
 fn unknown_owner(what: &impl std::fmt::Display) -> errors::Error {
--- a/crates/node/src/releases.rs
+++ b/crates/node/src/releases.rs
@@ -28,7 +28,11 @@
 impl Releases {
     /// Starts without a release.
     pub fn new(host: ids::HostId) -> Self {
-        Self { in_force: Arc::default(), host, heard: Mutex::default() }
+        Self {
+            in_force: Arc::default(),
+            host,
+            heard: Mutex::default(),
+        }
     }
 
     /// The release that all roles of the process share.
@@ -65,8 +69,10 @@
     ///
     /// [`errors::ErrorKind::NotFound`] if this host is behind itself.
     pub fn content(&self, fetch: &messages::ReleaseFetch) -> errors::Result<messages::Body> {
-        let current =
-            self.in_force.current().filter(|current| current.version().0 >= fetch.version);
+        let current = self
+            .in_force
+            .current()
+            .filter(|current| current.version().0 >= fetch.version);
         let current = current.ok_or_else(|| {
             errors::Error::new(
                 errors::ErrorKind::NotFound,
@@ -96,14 +102,18 @@
 impl ReleasePeers {
     /// Makes the view that the watcher has of the other hosts.
     pub fn new(shared: &Arc<shared::Shared>) -> Self {
-        Self { shared: Arc::downgrade(shared) }
+        Self {
+            shared: Arc::downgrade(shared),
+        }
     }
 }
 
 impl release::Peers for ReleasePeers {
     /// The first live host of the zone by name watches for its zone.
     fn is_watcher(&self) -> bool {
-        let Some(shared) = self.shared.upgrade() else { return false };
+        let Some(shared) = self.shared.upgrade() else {
+            return false;
+        };
         let zone = shared.config.zone.as_str();
         let hosts = shared.membership().hosts(shared.now_ms());
         let first = hosts
@@ -119,7 +129,9 @@
         at_least: ids::ReleaseVersion,
     ) -> future::BoxFuture<'_, errors::Result<Option<AcceptedRelease>>> {
         Box::pin(async move {
-            let Some(shared) = self.shared.upgrade() else { return Ok(None) };
+            let Some(shared) = self.shared.upgrade() else {
+                return Ok(None);
+            };
             for address in shared.releases.sources(at_least) {
                 match fetch_from(&shared, &address, at_least).await {
                     Ok(accepted) => return Ok(Some(accepted)),
@@ -136,7 +148,9 @@
     address: &str,
     at_least: ids::ReleaseVersion,
 ) -> errors::Result<AcceptedRelease> {
-    let body = messages::Body::ReleaseFetch(messages::ReleaseFetch { version: at_least.0 });
+    let body = messages::Body::ReleaseFetch(messages::ReleaseFetch {
+        version: at_least.0,
+    });
     let reply = shared.ask(address, body, FETCH_DEADLINE_MS).await?;
     let messages::Body::ReleaseContent(content) = reply else {
         return Err(shared::unexpected_reply());
@@ -166,9 +180,15 @@
             .filter(|host| host.rumor.release_version < version.0)
             .map(|host| host.rumor.address)
             .collect();
-        let empty = messages::GossipRequest { rumors: vec![shared.local_rumor()] };
+        let empty = messages::GossipRequest {
+            rumors: vec![shared.local_rumor()],
+        };
         let told = peers.iter().map(|address| {
-            shared.ask(address, messages::Body::GossipRequest(empty.clone()), PUSH_DEADLINE_MS)
+            shared.ask(
+                address,
+                messages::Body::GossipRequest(empty.clone()),
+                PUSH_DEADLINE_MS,
+            )
         });
         future::join_all(told).await;
     }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -124,8 +124,13 @@
         };
         let groups_per_zone = range(&mut faults, "groups-per-zone", &self.groups_per_zone, 1, 64);
         let shards = range(&mut faults, "shards", &self.shards, 1, 256);
-        let task_lease_ms =
-            range(&mut faults, "task-lease-ms", &self.task_lease_ms, 2_000, 600_000);
+        let task_lease_ms = range(
+            &mut faults,
+            "task-lease-ms",
+            &self.task_lease_ms,
+            2_000,
+            600_000,
+        );
         let worker_sync_interval_ms = range(
             &mut faults,
             "worker-sync-interval-ms",
@@ -140,10 +145,20 @@
             100,
             60_000,
         );
-        let default_deadline_ms =
-            range(&mut faults, "default-deadline-ms", &self.default_deadline_ms, 1, MAX_DEADLINE_MS);
-        let drain_timeout_ms =
-            range(&mut faults, "drain-timeout-ms", &self.drain_timeout_ms, 0, 600_000);
+        let default_deadline_ms = range(
+            &mut faults,
+            "default-deadline-ms",
+            &self.default_deadline_ms,
+            1,
+            MAX_DEADLINE_MS,
+        );
+        let drain_timeout_ms = range(
+            &mut faults,
+            "drain-timeout-ms",
+            &self.drain_timeout_ms,
+            0,
+            600_000,
+        );
         if worker_sync_interval_ms * 3 > task_lease_ms {
             faults.add(
                 "worker-sync-interval-ms",
--- a/crates/node/src/settings/parse.rs
+++ b/crates/node/src/settings/parse.rs
@@ -18,7 +18,8 @@
     /// Adds a fault of the flag `name`.
     pub(super) fn add(&mut self, name: &str, fault: &str) {
         let variable = name.replace('-', "_").to_uppercase();
-        self.lines.push(format!("--{name} (HICKORY_{variable}): {fault}"));
+        self.lines
+            .push(format!("--{name} (HICKORY_{variable}): {fault}"));
     }
 
     /// Fails if there is any fault.
@@ -26,15 +27,26 @@
         if self.lines.is_empty() {
             return Ok(());
         }
-        Err(errors::Error::new(errors::ErrorKind::Usage, self.lines.join("\n")))
+        Err(errors::Error::new(
+            errors::ErrorKind::Usage,
+            self.lines.join("\n"),
+        ))
     }
 
-    pub(super) fn number(&mut self, name: &str, text: &str, range: ops::RangeInclusive<u64>) -> u64 {
+    pub(super) fn number(
+        &mut self,
+        name: &str,
+        text: &str,
+        range: ops::RangeInclusive<u64>,
+    ) -> u64 {
         match text.parse::<u64>() {
             Ok(number) if range.contains(&number) => number,
             _ => {
                 let (low, high) = (range.start(), range.end());
-                self.add(name, &format!("{text:?} is not a whole number from {low} to {high}"));
+                self.add(
+                    name,
+                    &format!("{text:?} is not a whole number from {low} to {high}"),
+                );
                 *range.start()
             }
         }
@@ -42,7 +54,10 @@
 
     pub(super) fn address(&mut self, name: &str, text: &str) -> String {
         if super::parse_address(text).is_none() {
-            self.add(name, &format!("{text:?} is not IP:PORT, such as 127.0.0.1:7070"));
+            self.add(
+                name,
+                &format!("{text:?} is not IP:PORT, such as 127.0.0.1:7070"),
+            );
         }
         text.to_owned()
     }
@@ -57,7 +72,10 @@
     pub(super) fn name(&mut self, name: &str, text: &str) {
         let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-';
         if text.is_empty() || text.len() > NAME_LIMIT_CHARS || !text.chars().all(allowed) {
-            self.add(name, &format!("{text:?} is not 1 to 63 letters, digits and hyphens"));
+            self.add(
+                name,
+                &format!("{text:?} is not 1 to 63 letters, digits and hyphens"),
+            );
         }
     }
 
@@ -76,7 +94,10 @@
                 self.add(name, &format!("{part:?} is not ZONE=REGION"));
                 continue;
             };
-            if zones.insert(ids::ZoneId::new(zone), ids::RegionId::new(region)).is_some() {
+            if zones
+                .insert(ids::ZoneId::new(zone), ids::RegionId::new(region))
+                .is_some()
+            {
                 self.add(name, &format!("zone {zone:?} is listed twice"));
             }
         }
--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -37,7 +37,9 @@
                 group: group.clone(),
             })
             .collect();
-        let applied = journal.append(records, crate::journals::APPEND_WAIT_MS).await?;
+        let applied = journal
+            .append(records, crate::journals::APPEND_WAIT_MS)
+            .await?;
         let mut outbox = self.outbox();
         for ((group, assignment), applied) in chosen.into_iter().zip(applied) {
             if applied.is_changed() {
@@ -60,7 +62,10 @@
             for (group, count) in groups {
                 let (part, others) = rest.split_at(count);
                 rest = others;
-                let part = Assignment { work: Arc::clone(work), runs: part.to_vec() };
+                let part = Assignment {
+                    work: Arc::clone(work),
+                    runs: part.to_vec(),
+                };
                 chosen.push((group, part));
             }
         }
@@ -78,18 +83,26 @@
         let mut outbox = self.outbox();
         let groups: Vec<ids::GroupId> = self.shared.config.topology.groups().collect();
         for group in groups {
-            let Some(location) = directory.group(&group) else { continue };
+            let Some(location) = directory.group(&group) else {
+                continue;
+            };
             let entry = outbox.group(&group);
             if entry.in_flight || now_ms < entry.due_at_ms {
                 continue;
             }
             let complete = entry.complete_for == Some(location.epoch);
             let (assignments, cancelled) = if complete {
-                (std::mem::take(&mut entry.fresh), std::mem::take(&mut entry.cancelled))
+                (
+                    std::mem::take(&mut entry.fresh),
+                    std::mem::take(&mut entry.cancelled),
+                )
             } else {
                 entry.fresh.clear();
                 entry.cancelled.clear();
-                (state.assigned_to(&group), state.cancelled_work().cloned().collect())
+                (
+                    state.assigned_to(&group),
+                    state.cancelled_work().cloned().collect(),
+                )
             };
             if complete && assignments.is_empty() && cancelled.is_empty() {
                 continue;
@@ -145,9 +158,15 @@
     let runs = assignment
         .runs
         .iter()
-        .map(|run| messages::TaskRun { index: run.index, attempt: run.attempt.0 })
+        .map(|run| messages::TaskRun {
+            index: run.index,
+            attempt: run.attempt.0,
+        })
         .collect();
-    Some(messages::Assignment { work: work.into(), runs })
+    Some(messages::Assignment {
+        work: work.into(),
+        runs,
+    })
 }
 
 /// The groups of live, serving hosts and their load.
--- a/crates/node/src/shard/balance.rs
+++ b/crates/node/src/shard/balance.rs
@@ -42,8 +42,10 @@
 
     /// Subtracts what was assigned lately from the rumors.
     pub fn adjust(&mut self, loads: &mut [GroupLoad], now_ms: u64) {
-        self.recent.retain(|(at_ms, _, _)| now_ms - at_ms < ASSIGNED_MEMORY_MS);
-        self.refusals.retain(|_, at_ms| now_ms - *at_ms < REFUSAL_MEMORY_MS);
+        self.recent
+            .retain(|(at_ms, _, _)| now_ms - at_ms < ASSIGNED_MEMORY_MS);
+        self.refusals
+            .retain(|_, at_ms| now_ms - *at_ms < REFUSAL_MEMORY_MS);
         for (_, group, demand) in &self.recent {
             if let Some(load) = loads.iter_mut().find(|load| load.id == *group) {
                 load.free = load.free.saturating_sub(*demand);
@@ -70,7 +72,9 @@
             return chosen;
         }
         for _ in 0..count {
-            let Some(group) = self.choose_one(work, work.demand, loads, now_ms) else { break };
+            let Some(group) = self.choose_one(work, work.demand, loads, now_ms) else {
+                break;
+            };
             *chosen.entry(group).or_default() += 1;
         }
         chosen
@@ -85,7 +89,9 @@
     ) -> Option<ids::GroupId> {
         let allowed = |load: &&mut GroupLoad| {
             let in_zone = work.zones.is_empty() || work.zones.contains(&load.id.zone);
-            let refused = self.refusals.contains_key(&(work.id.clone(), load.id.clone()));
+            let refused = self
+                .refusals
+                .contains_key(&(work.id.clone(), load.id.clone()));
             in_zone && !refused && demand.fits_in(load.capacity)
         };
         let candidates: Vec<&mut GroupLoad> = loads.iter_mut().filter(allowed).collect();
@@ -109,7 +115,10 @@
     fn preference(&self, work: &work::Work, load: &GroupLoad) -> u64 {
         let free_per_mille = load.free.cpu_milli * 1_000 / load.capacity.cpu_milli.max(1);
         let has = |group: &ids::GroupId| {
-            self.tasks.get(&(work.id.clone(), group.clone())).copied().unwrap_or(0)
+            self.tasks
+                .get(&(work.id.clone(), group.clone()))
+                .copied()
+                .unwrap_or(0)
         };
         match work.policy {
             _ if work.kind == work::WorkKind::Service => u64::from(has(&load.id)),
--- a/crates/node/src/shard/jobs.rs
+++ b/crates/node/src/shard/jobs.rs
@@ -25,12 +25,18 @@
             self.cancel(&ids::WorkId::new(&request.cancel)).await?
         };
         self.wake.notify_one();
-        Ok(messages::SubmitReply { work: work.to_string() })
+        Ok(messages::SubmitReply {
+            work: work.to_string(),
+        })
     }
 
     async fn accept(&self, request: &messages::SubmitRequest) -> errors::Result<ids::WorkId> {
         let work: work::Work = serde_json::from_slice(&request.work).map_err(|source| {
-            errors::Error::with_source(errors::ErrorKind::BadRequest, "work does not decode", source)
+            errors::Error::with_source(
+                errors::ErrorKind::BadRequest,
+                "work does not decode",
+                source,
+            )
         })?;
         let key = Some(&request.idempotency_key)
             .filter(|key| !key.is_empty())
@@ -41,12 +47,19 @@
         }
         let id = work.id.clone();
         let tasks = work.tasks;
-        let record = Record::Accepted { work: Box::new(work.clone()), key: key.clone() };
-        let applied = journal.append(vec![record], crate::journals::APPEND_WAIT_MS).await?;
+        let record = Record::Accepted {
+            work: Box::new(work.clone()),
+            key: key.clone(),
+        };
+        let applied = journal
+            .append(vec![record], crate::journals::APPEND_WAIT_MS)
+            .await?;
         match applied.first() {
             Some(Applied::Changed) => {
-                let accepted =
-                    kernel::history::Event::WorkAccepted { work: id.clone(), tasks };
+                let accepted = kernel::history::Event::WorkAccepted {
+                    work: id.clone(),
+                    tasks,
+                };
                 self.shared.record(accepted);
                 Ok(id)
             }
@@ -63,7 +76,10 @@
     async fn cancel(&self, work: &ids::WorkId) -> errors::Result<ids::WorkId> {
         let journal = self.journal()?;
         let applied = journal
-            .append(vec![Record::Cancelled { work: work.clone() }], crate::journals::APPEND_WAIT_MS)
+            .append(
+                vec![Record::Cancelled { work: work.clone() }],
+                crate::journals::APPEND_WAIT_MS,
+            )
             .await?;
         if !applied.iter().any(|applied| applied.is_changed()) {
             return Err(no_such_job(work));
@@ -95,26 +111,35 @@
 
     /// The status of all jobs that the shard remembers.
     pub fn job_statuses(&self) -> Vec<api::JobStatus> {
-        let Ok(journal) = self.journal() else { return Vec::new() };
+        let Ok(journal) = self.journal() else {
+            return Vec::new();
+        };
         let state = journal.state();
-        state.jobs().map(|job| status(&job.work().id, job.counts())).collect()
+        state
+            .jobs()
+            .map(|job| status(&job.work().id, job.counts()))
+            .collect()
     }
 
     /// Whether every job that ends by itself has ended.
     pub fn is_settled(&self) -> bool {
-        let Ok(journal) = self.journal() else { return false };
+        let Ok(journal) = self.journal() else {
+            return false;
+        };
         let state = journal.state();
-        state.jobs().all(|job| {
-            job.work().kind == work::WorkKind::Service || job.phase() != JobPhase::Open
-        })
+        state
+            .jobs()
+            .all(|job| job.work().kind == work::WorkKind::Service || job.phase() != JobPhase::Open)
     }
 
     /// Where a task stands, as far as the journal knows.
     pub fn explain(&self, task: &ids::TaskId) -> errors::Result<ShardExplanation> {
         let journal = self.journal()?;
         let state = journal.state();
-        let job = state.job(&task.work).ok_or_else(|| no_such_job(&task.work))?;
-        let cell = job.task(task.index).ok_or_else(|| {
+        let job = state
+            .job(&task.work)
+            .ok_or_else(|| no_such_job(&task.work))?;
+        let (cell, _) = job.task(task.index).ok_or_else(|| {
             errors::Error::new(
                 errors::ErrorKind::NotFound,
                 format!("{} has {} tasks", task.work, job.work().tasks),
@@ -167,10 +192,13 @@
         completed: counts.completed,
         failed: counts.failed,
         cancelled: counts.cancelled,
-        unknown: counts.unknown,
+        unknown: counts.end_unknown,
     }
 }
 
 fn no_such_job(work: &ids::WorkId) -> errors::Error {
-    errors::Error::new(errors::ErrorKind::NotFound, format!("no job is named {work}"))
+    errors::Error::new(
+        errors::ErrorKind::NotFound,
+        format!("no job is named {work}"),
+    )
 }
--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -36,7 +36,7 @@
     id: ids::ShardId,
     epoch: ids::Epoch,
     shared: Arc<shared::Shared>,
-    journal: OnceLock<ShardJournal>,
+    journal: OnceLock<Arc<ShardJournal>>,
     outbox: Mutex<outbox::Outbox>,
     balance: Mutex<balance::Balance>,
     followed_release: AtomicU64,
@@ -108,7 +108,7 @@
         loop {
             match crate::journals::open(&self.shared, self.id, self.epoch).await {
                 Ok(journal) => {
-                    let _ = self.journal.set(journal);
+                    let _ = self.journal.set(Arc::new(journal));
                     kernel::log_event!(
                         events::SHARD_OPENED,
                         "shard {} under epoch {}",
@@ -136,7 +136,7 @@
     }
 
     /// The journal, if it is open and this host still owns the shard.
-    fn journal(&self) -> errors::Result<&ShardJournal> {
+    fn journal(&self) -> errors::Result<&Arc<ShardJournal>> {
         if self.stopped.is_cancelled() {
             return Err(errors::Error::new(
                 errors::ErrorKind::StaleEpoch,
@@ -151,6 +151,11 @@
         })
     }
 
+    /// The journal, for work that goes on after a request has ended.
+    pub(crate) fn shared_journal(&self) -> errors::Result<Arc<ShardJournal>> {
+        self.journal().cloned()
+    }
+
     /// The release whose work the journal has.
     fn followed(&self) -> ids::ReleaseVersion {
         ids::ReleaseVersion(self.followed_release.load(Ordering::Acquire))
--- a/crates/node/src/shard/release_work.rs
+++ b/crates/node/src/shard/release_work.rs
@@ -18,7 +18,9 @@
         }
         let (records, cancelled) = self.changes(&release)?;
         if !records.is_empty() {
-            self.journal()?.append(records, crate::journals::APPEND_WAIT_MS).await?;
+            self.journal()?
+                .append(records, crate::journals::APPEND_WAIT_MS)
+                .await?;
         }
         for work in &cancelled {
             self.note_cancelled(work);
@@ -34,11 +36,16 @@
         let topology = &self.shared.config.topology;
         let journal = self.journal()?;
         let state = journal.state();
-        let mine =
-            release.work.values().filter(|work| topology.shard_of(work.id.as_str()) == self.id);
+        let mine = release
+            .work
+            .values()
+            .filter(|work| topology.shard_of(work.id.as_str()) == self.id);
         let mut records: Vec<Record> = mine
             .filter(|work| state.job(&work.id).is_none())
-            .map(|work| Record::Accepted { work: Box::new(work.clone()), key: None })
+            .map(|work| Record::Accepted {
+                work: Box::new(work.clone()),
+                key: None,
+            })
             .collect();
         let withdrawn: Vec<kernel::ids::WorkId> = state
             .jobs()
@@ -46,7 +53,11 @@
             .filter(|job| !job.is_cancelled() && !release.work.contains_key(&job.work().id))
             .map(|job| job.work().id.clone())
             .collect();
-        records.extend(withdrawn.iter().map(|work| Record::Cancelled { work: work.clone() }));
+        records.extend(
+            withdrawn
+                .iter()
+                .map(|work| Record::Cancelled { work: work.clone() }),
+        );
         Ok((records, withdrawn))
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -96,7 +96,9 @@
 
     /// The membership, locked; never held across an await.
     pub fn membership(&self) -> MutexGuard<'_, Membership> {
-        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The newest copy of the shared keys.
@@ -126,7 +128,12 @@
 
     /// Who owns what.
     pub fn directory(&self) -> Arc<directory::Directory> {
-        Arc::clone(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
+        Arc::clone(
+            &self
+                .directory
+                .read()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
     }
 
     /// Builds the directory again from the mirror and the rumors.
@@ -134,17 +141,29 @@
         let rumors = self.membership().rumors(self.now_ms());
         let mirror = self.mirror();
         let built = directory::Directory::build(&self.config.topology, &mirror, &rumors);
-        *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(built);
+        *self
+            .directory
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(built);
     }
 
     /// The owned group with this identifier.
     pub fn group(&self, id: &ids::GroupId) -> Option<Arc<group::GroupOwner>> {
-        self.groups.read().unwrap_or_else(PoisonError::into_inner).get(id).cloned()
+        self.groups
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(id)
+            .cloned()
     }
 
     /// All owned groups.
     pub fn groups(&self) -> Vec<Arc<group::GroupOwner>> {
-        self.groups.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+        self.groups
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values()
+            .cloned()
+            .collect()
     }
 
     /// Puts a group in place of an earlier one with its identifier, or takes it away.
@@ -158,12 +177,21 @@
 
     /// The owned shard with this number.
     pub fn shard(&self, id: ids::ShardId) -> Option<Arc<shard::ShardOwner>> {
-        self.shards.read().unwrap_or_else(PoisonError::into_inner).get(&id).cloned()
+        self.shards
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&id)
+            .cloned()
     }
 
     /// All owned shards.
     pub fn shards(&self) -> Vec<Arc<shard::ShardOwner>> {
-        self.shards.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+        self.shards
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values()
+            .cloned()
+            .collect()
     }
 
     /// Puts a shard in place of an earlier one with its number, or takes it away.
@@ -175,6 +203,18 @@
         };
     }
 
+    /// Stops all owners of groups and shards; nothing is handed over.
+    pub fn release_everything(&self) {
+        for group in self.groups() {
+            group.stop();
+            self.set_group(group.id(), None);
+        }
+        for shard in self.shards() {
+            shard.stop();
+            self.set_shard(shard.id(), None);
+        }
+    }
+
     /// The rumor about this host with the release that is in force now.
     pub fn local_rumor(&self) -> messages::HostRumor {
         let mut rumor = self.membership().local().clone();
@@ -211,7 +251,8 @@
             ..messages::Envelope::default()
         };
         let reply = self.transport.call(address, request).await?;
-        self.releases.hear(address, ids::ReleaseVersion(reply.release_version));
+        self.releases
+            .hear(address, ids::ReleaseVersion(reply.release_version));
         match reply.body {
             Some(messages::Body::Failure(failure)) => Err(wire::failure_of(&failure)),
             Some(body) => Ok(body),
@@ -222,5 +263,8 @@
 
 /// The error for a reply of a kind that does not belong to its request.
 pub fn unexpected_reply() -> errors::Error {
-    errors::Error::new(errors::ErrorKind::Internal, "the peer sent a reply of another kind")
+    errors::Error::new(
+        errors::ErrorKind::Internal,
+        "the peer sent a reply of another kind",
+    )
 }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -15,7 +15,6 @@
     calls: Counter<u64>,
     call_ms: Histogram<u64>,
     starts: Counter<u64>,
-    start_wait_ms: Histogram<u64>,
     ends: Counter<u64>,
     worker_syncs: Counter<u64>,
     refusals: Counter<u64>,
@@ -44,10 +43,6 @@
                 .u64_counter("hickory_task_starts")
                 .with_description("Starts of tasks that workers carried out")
                 .build(),
-            start_wait_ms: meter
-                .u64_histogram("hickory_task_wait_ms")
-                .with_description("Time from a task's assignment to its start, in milliseconds")
-                .build(),
             ends: meter
                 .u64_counter("hickory_task_ends")
                 .with_description("Ends of runs, by how they ended")
@@ -69,15 +64,17 @@
         let kind = error.map_or_else(|| "none".to_owned(), |kind| kind.to_string());
         self.calls.add(
             1,
-            &[KeyValue::new("outcome", outcome.to_string()), KeyValue::new("kind", kind)],
+            &[
+                KeyValue::new("outcome", outcome.to_string()),
+                KeyValue::new("kind", kind),
+            ],
         );
         self.call_ms.record(elapsed_ms, &[]);
     }
 
-    /// Counts a start with the time that the task waited.
-    pub fn start(&self, waited_ms: u64) {
+    /// Counts a start.
+    pub fn start(&self) {
         self.starts.add(1, &[]);
-        self.start_wait_ms.record(waited_ms, &[]);
     }
 
     /// Counts the end of a run.
@@ -116,15 +113,18 @@
             .with_registry(registry.clone())
             .build()
             .map_err(|source| {
-            errors::Error::with_source(
-                errors::ErrorKind::Internal,
-                "building the metrics exporter",
-                source,
-            )
-        })?;
+                errors::Error::with_source(
+                    errors::ErrorKind::Internal,
+                    "building the metrics exporter",
+                    source,
+                )
+            })?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         global::set_meter_provider(provider.clone());
-        Ok(Self { registry, _provider: provider })
+        Ok(Self {
+            registry,
+            _provider: provider,
+        })
     }
 
     /// All metrics in the Prometheus text format.
--- a/crates/node/src/telemetry/traces.rs
+++ b/crates/node/src/telemetry/traces.rs
@@ -1,7 +1,5 @@
 //! Spans for each hop and their export over OTLP.
 
-use std::future::Future;
-
 use kernel::errors;
 use opentelemetry::propagation::TextMapPropagator as _;
 use opentelemetry::trace::{FutureExt as _, SpanKind, TraceContextExt as _, Tracer as _};
@@ -78,7 +76,10 @@
         TraceContextPropagator::new().extract(&carrier)
     };
     let tracer = global::tracer(TRACER);
-    let span = tracer.span_builder(name).with_kind(kind).start_with_context(&tracer, &parent);
+    let span = tracer
+        .span_builder(name)
+        .with_kind(kind)
+        .start_with_context(&tracer, &parent);
     let context = parent.with_span(span);
     future.with_context(context).await
 }
--- a/crates/node/src/tenure.rs
+++ b/crates/node/src/tenure.rs
@@ -32,11 +32,13 @@
     pub fn new(shared: Arc<shared::Shared>) -> Self {
         let store = &shared.platform.store;
         let config = &shared.config;
-        let claim = |key, units| {
-            OwnershipClaim::new(Arc::clone(store), key, units, config.host.clone())
-        };
+        let claim =
+            |key, units| OwnershipClaim::new(Arc::clone(store), key, units, config.host.clone());
         Self {
-            groups: claim(ownership::zone_key(&config.zone), config.topology.groups_per_zone),
+            groups: claim(
+                ownership::zone_key(&config.zone),
+                config.topology.groups_per_zone,
+            ),
             shards: claim(ownership::shards_key(), config.topology.shards),
             groups_revision: store::Revision::default(),
             shards_revision: store::Revision::default(),
@@ -101,7 +103,10 @@
     /// of the store would take everything and hand it on again.
     fn may_take(&mut self, members: &[ownership::MemberRecord]) -> bool {
         let now_ms = self.shared.now_ms();
-        if !members.iter().any(|member| member.host == self.shared.config.host) {
+        if !members
+            .iter()
+            .any(|member| member.host == self.shared.config.host)
+        {
             self.registered_since_ms = None;
             return false;
         }
@@ -113,9 +118,11 @@
     fn note_absences(&mut self, members: &[ownership::MemberRecord]) {
         let now_ms = self.shared.now_ms();
         for member in members {
-            self.last_registered.insert(member.host.clone(), (member.clone(), now_ms));
+            self.last_registered
+                .insert(member.host.clone(), (member.clone(), now_ms));
         }
-        self.last_registered.retain(|_, (_, seen_ms)| now_ms - *seen_ms < ABSENCE_GRACE_MS);
+        self.last_registered
+            .retain(|_, (_, seen_ms)| now_ms - *seen_ms < ABSENCE_GRACE_MS);
     }
 
     /// Registered hosts, and those whose registration vanished a moment ago.
@@ -123,7 +130,10 @@
     /// After an outage of the store all leases have lapsed; the grace lets every
     /// host register again before anything is taken from it.
     fn eligible(&self) -> impl Iterator<Item = &ownership::MemberRecord> {
-        self.last_registered.values().map(|(member, _)| member).filter(|member| member.eligible)
+        self.last_registered
+            .values()
+            .map(|(member, _)| member)
+            .filter(|member| member.eligible)
     }
 
     /// Hosts of the zone that may own its groups.
@@ -142,7 +152,11 @@
                 .is_none_or(|region| topology.zones.get(&member.zone) == Some(region))
         };
         let nearby = sorted(self.eligible().filter(near));
-        if nearby.is_empty() { sorted(self.eligible()) } else { nearby }
+        if nearby.is_empty() {
+            sorted(self.eligible())
+        } else {
+            nearby
+        }
     }
 
     fn follow_groups(&mut self, holdings: &ownership::Holdings) {
--- a/crates/node/src/topology.rs
+++ b/crates/node/src/topology.rs
@@ -30,7 +30,9 @@
     pub fn group_of(&self, zone: &ids::ZoneId, rack: &ids::RackId) -> ids::GroupId {
         let name = rack.as_str();
         let digits = name.len() - name.trim_end_matches(|c: char| c.is_ascii_digit()).len();
-        let number = name[name.len() - digits..].parse::<u64>().unwrap_or_else(|_| hash_of(name));
+        let number = name[name.len() - digits..]
+            .parse::<u64>()
+            .unwrap_or_else(|_| hash_of(name));
         ids::GroupId::new(zone, (number % u64::from(self.groups_per_zone)) as u16)
     }
 
@@ -48,7 +50,9 @@
 
     /// Whether two zones lie in one region.
     pub fn same_region(&self, a: &ids::ZoneId, b: &ids::ZoneId) -> bool {
-        self.zones.get(a).is_some_and(|region| self.zones.get(b) == Some(region))
+        self.zones
+            .get(a)
+            .is_some_and(|region| self.zones.get(b) == Some(region))
     }
 }
 
--- a/crates/ownership/src/mirror.rs
+++ b/crates/ownership/src/mirror.rs
@@ -25,6 +25,8 @@
     pub revision: store::Revision,
     /// Whether the store answered the last call.
     pub connected: bool,
+    /// Whether the entries were read as a whole; changes can be applied to them only then.
+    complete: bool,
 }
 
 impl MirrorView {
@@ -87,7 +89,7 @@
     }
 
     async fn follow(&self, view: &mut MirrorView) -> Result<(), store::StoreError> {
-        if view.revision == store::Revision::default() {
+        if !view.complete {
             self.read_all(view).await?;
         } else {
             let reply = self
@@ -95,7 +97,7 @@
                 .watch(&self.prefix, view.revision, WATCH_WAIT_MS)
                 .await?;
             if reply.compacted {
-                view.revision = store::Revision::default();
+                view.complete = false;
                 return Ok(());
             }
             for change in reply.changes {
@@ -132,7 +134,8 @@
             }
         }
         view.entries = entries;
-        view.revision = position.max(store::Revision(1));
+        view.revision = position;
+        view.complete = true;
         Ok(())
     }
 }
--- a/src/bin/hickoryd.rs
+++ b/src/bin/hickoryd.rs
@@ -1,3 +1,10 @@
-//! Placeholder; the program's library follows.
+//! The daemon; see `hickoryd --help`.
 
-fn main() {}
+use std::process;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> process::ExitCode {
+    node::daemon::main()
+}
