Add the balancer, the cuttable proxy and the load generator

Tests with separate processes need them: the balancer asks each backend whether it is ready, the proxy can be cut, frozen and healed by its control port, and the load generator sends at a steady rate however late answers are.

--- /dev/null
+++ b/crates/standin/src/cli/balancer.rs
@@ -0,0 +1,38 @@
+//! `hickory-standin balancer`: TCP connections to the backends that are ready.
+
+use std::net::SocketAddr;
+
+use clap::Args;
+use kernel::errors;
+
+use crate::balancer;
+
+/// Settings of the balancer.
+#[derive(Debug, Args)]
+pub(super) struct Settings {
+    /// Address to accept connections on, as IP:PORT; port 0 takes a free one.
+    #[arg(long, env = "HICKORY_BALANCER_LISTEN", default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// HTTP addresses of the entry hosts, as IP:PORT,...
+    #[arg(
+        long,
+        env = "HICKORY_BALANCER_BACKENDS",
+        value_delimiter = ',',
+        required = true
+    )]
+    backends: Vec<SocketAddr>,
+    /// Time between two questions whether a backend is ready, in milliseconds.
+    #[arg(long, env = "HICKORY_BALANCER_POLL_MS", default_value_t = 200, value_parser = clap::value_parser!(u64).range(10..=60_000))]
+    poll_ms: u64,
+}
+
+/// Accepts and forwards until the process is ended.
+pub(super) async fn run(settings: Settings) -> errors::Result<()> {
+    let (listener, address) = super::listen(settings.listen).await?;
+    println!(
+        "ready balancer={address} backends={}",
+        settings.backends.len()
+    );
+    let balanced = balancer::balance(listener, &settings.backends, settings.poll_ms).await;
+    balanced.map_err(|error| super::to_error("the balancer ended", error))
+}
--- a/crates/standin/src/cli/mod.rs
+++ b/crates/standin/src/cli/mod.rs
@@ -1,9 +1,13 @@
 //! The programs of the stand-in: platform, balancer, proxy and load.
 
+mod balancer;
+mod load;
 mod platform;
+mod proxy;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use axum::Router;
 use clap::{Parser, Subcommand};
@@ -24,6 +28,12 @@
 enum Program {
     /// Serves the store, the list of workers, the workers and their minions.
     Platform(platform::Settings),
+    /// Forwards TCP connections to the backends that are ready.
+    Balancer(balancer::Settings),
+    /// Forwards TCP connections until it is told to cut or freeze them.
+    Proxy(proxy::Settings),
+    /// Sends requests at a steady rate and prints how they were answered.
+    Load(load::Settings),
 }
 
 /// Runs the program that the command line names.
@@ -43,6 +53,9 @@
 async fn run(program: Program) -> errors::Result<()> {
     match program {
         Program::Platform(settings) => platform::run(settings).await,
+        Program::Balancer(settings) => balancer::run(settings).await,
+        Program::Proxy(settings) => proxy::run(settings).await,
+        Program::Load(settings) => load::run(settings).await,
     }
 }
 
@@ -78,3 +91,9 @@
     let served = axum::serve(listener, router).await;
     served.map_err(|error| to_error("the server ended", error))
 }
+
+/// Milliseconds since 1970, by which histories and runs of several processes can be told apart.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/standin/src/cli/platform.rs
+++ b/crates/standin/src/cli/platform.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::Args;
 use kernel::errors;
@@ -121,7 +120,7 @@
     let (listener, address) = super::listen(settings.listen).await?;
     let config = settings.config(address);
     let sink = history::MemorySink::default();
-    let clock = memory::Clock::starting_at(unix_ms());
+    let clock = memory::Clock::starting_at(super::unix_ms());
     let events = Arc::new(sink.clone());
     let platform = memory::MemoryPlatform::with_clock(&config, settings.seed, events, clock);
     let zones: Vec<&str> = config
@@ -138,9 +137,3 @@
     );
     super::serve(listener, server::router(server::State::new(platform, sink))).await
 }
-
-/// Milliseconds since 1970, so that histories of several processes can be joined.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,13 +12,16 @@
 //! compare epochs, end tasks by themselves when their lease runs out, and come
 //! back under a new id after they have lost their memory.
 
+pub mod balancer;
 pub mod cli;
 pub mod config;
 pub mod embedded;
 pub mod events;
 pub mod faults;
+pub mod load;
 pub mod memory;
 pub mod model;
+pub mod proxy;
 pub mod server;
 
 pub use config::{Config, Firm, Topology};
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,4 +2,5 @@
 
 mod http;
 mod http_failures;
+mod processes;
 mod support;
