--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,5 +2,8 @@
 
 mod http;
 mod http_failures;
+mod memory;
 mod processes;
+mod store_model;
 mod support;
+mod worker_model;
