--- a/crates/release/tests/store/acceptance.rs
+++ b/crates/release/tests/store/acceptance.rs
@@ -174,6 +174,24 @@
     assert_eq!(result.unwrap_err().kind, errors::ErrorKind::Conflict);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_lost_write_is_settled_when_another_note_stands_in_its_place() {
+    let store = support::store_with_quota().await;
+    let rival = rival_release(&store, &support::batch_run_note("rival-run")).await;
+    store.fail_writes([WriteFault::LostBeforeEffect, WriteFault::Beaten(rival)]);
+    store.fail_writes(vec![
+        WriteFault::Unavailable;
+        release::SUBMIT_ATTEMPTS as usize
+    ]);
+    let note = support::batch_run_note("nightly");
+    let result = support::acceptor(&store)
+        .submit(note.as_bytes(), "mine", None)
+        .await;
+    let error = result.unwrap_err();
+    assert_eq!(error.kind, errors::ErrorKind::StoreUnavailable);
+    assert_eq!(store.keys().len(), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn resubmission_is_idempotent() {
     let store = support::store_with_quota().await;
--- a/crates/release/tests/store/support.rs
+++ b/crates/release/tests/store/support.rs
@@ -102,8 +102,8 @@
             Some(WriteFault::LostAfterEffect) | None => {}
         }
         let current = self.lock().entries.get(key).cloned();
-        assert_eq!(condition, store::Condition::Absent);
-        if current.is_some() {
+        let is_absent = current.is_none();
+        if condition == store::Condition::Absent && !is_absent {
             return Err(store::StoreError::Conflict { current });
         }
         let revision = self.insert(key, value);
