Share slot time by team and route by the load in answers

Cause: at full load a seventh of the slots stayed idle and teams at their quota had calls refused. Gossip of a second's age swung all calls of a zone to and fro, a flooding team used up the retry budget of its entry host, and urgent calls came on top of a team's share.

--- a/crates/calls/src/dispatch/dispatcher.rs
+++ b/crates/calls/src/dispatch/dispatcher.rs
@@ -54,10 +54,18 @@
     pub queue_delay_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct OpenCall {
     instance: slots::InstanceIndex,
     started_at_ms: u64,
+    /// What was counted against a team, if the call had to wait.
+    charge: Option<Charge>,
+}
+
+#[derive(Clone, Debug)]
+struct Charge {
+    team: ids::TeamId,
+    service_ms: u64,
 }
 
 /// Hands out the slots of one service's instances in one group.
@@ -140,7 +148,7 @@
             return ticket::Admission::Refused(refused);
         }
         if self.queue.len() == 0
-            && let Some(dispatch) = self.start(ticket.id, now_ms)
+            && let Some(dispatch) = self.start(ticket.id, None, now_ms)
         {
             return ticket::Admission::Dispatch(dispatch);
         }
@@ -159,9 +167,15 @@
     /// A number that is not open has no effect.
     pub fn finish(&mut self, id: ticket::CallId, now_ms: u64) -> Vec<ticket::Dispatch> {
         if let Some(call) = self.open.swap_remove(&id) {
-            let held_ms = now_ms.saturating_sub(call.started_at_ms) as f64;
-            self.service_time_ms += (held_ms - self.service_time_ms) / SERVICE_SAMPLE_DIVISOR;
+            let held_ms = now_ms.saturating_sub(call.started_at_ms);
+            let error_ms = held_ms as f64 - self.service_time_ms;
+            self.service_time_ms += error_ms / SERVICE_SAMPLE_DIVISOR;
             self.slots.release(call.instance);
+            if let Some(charge) = call.charge {
+                // A call shorter than the clock's step is counted as one step.
+                self.queue
+                    .correct(&charge.team, charge.service_ms, held_ms.max(1));
+            }
         }
         self.dispatch_ready(now_ms)
     }
@@ -191,7 +205,7 @@
 
     /// Refuses all waiting calls, for an owner that gives up its group.
     pub fn refuse_all(&mut self, kind: errors::ErrorKind, detail: &str) -> Vec<ticket::Refused> {
-        while let Some(ticket) = self.queue.pop() {
+        while let Some(ticket) = self.queue.pop(0) {
             self.refused.push(refuse(ticket.id, kind, detail));
         }
         std::mem::take(&mut self.refused)
@@ -202,14 +216,20 @@
         self.slots.unblock(now_ms);
         let mut ready = Vec::new();
         while self.slots.has_free() {
-            let Some(ticket) = self.queue.pop() else {
+            let service_ms = (self.service_time_ms as u64).max(1);
+            let Some(ticket) = self.queue.pop(service_ms) else {
                 break;
             };
             if !self.can_end_in_time(ticket.deadline_at_ms, now_ms) {
+                self.queue.correct(&ticket.team, service_ms, 0);
                 self.refused.push(refuse_late(ticket.id));
                 continue;
             }
-            ready.extend(self.start(ticket.id, now_ms));
+            let charge = Charge {
+                team: ticket.team,
+                service_ms,
+            };
+            ready.extend(self.start(ticket.id, Some(charge), now_ms));
         }
         ready
     }
@@ -219,7 +239,7 @@
         if self.queue.len() > 0 || self.open.contains_key(&id) {
             return None;
         }
-        self.start(id, 0)
+        self.start(id, None, 0)
     }
 
     /// Gives back a slot that [`Self::take_slot`] took, without measuring its use.
@@ -274,7 +294,9 @@
                 NO_INSTANCE,
             ));
         }
-        let ahead = self.queue.calls_ahead(&ticket.team, ticket.urgency);
+        let ahead =
+            self.queue
+                .calls_ahead(&ticket.team, ticket.urgency, self.service_time_ms as u64);
         let delay_ms = self.delay_ms(ahead);
         if self.can_end_in_time(ticket.deadline_at_ms, now_ms.saturating_add(delay_ms)) {
             return None;
@@ -295,12 +317,18 @@
         None
     }
 
-    fn start(&mut self, id: ticket::CallId, now_ms: u64) -> Option<ticket::Dispatch> {
+    fn start(
+        &mut self,
+        id: ticket::CallId,
+        charge: Option<Charge>,
+        now_ms: u64,
+    ) -> Option<ticket::Dispatch> {
         let instance = self.slots.acquire(&mut self.random)?;
         let (run, address) = self.slots.target(instance)?;
         let call = OpenCall {
             instance,
             started_at_ms: now_ms,
+            charge,
         };
         self.open.insert(id, call);
         Some(ticket::Dispatch {
--- a/crates/calls/src/dispatch/mod.rs
+++ b/crates/calls/src/dispatch/mod.rs
@@ -5,9 +5,9 @@
 //! connections allow, and keeps calls that find no free slot in a bounded queue.
 
 mod dispatcher;
-mod lane;
 mod queue;
 mod slots;
+mod team;
 mod ticket;
 
 pub use dispatcher::{Dispatcher, DispatcherConfig, DispatcherLoad};
--- a/crates/calls/src/load_model/case.rs
+++ b/crates/calls/src/load_model/case.rs
@@ -132,6 +132,10 @@
     pub duration_ms: u64,
     /// Time of arrivals before that, which do not count.
     pub warmup_ms: u64,
+    /// Whether answers and refusals carry the owner's load, besides gossip.
+    pub load_in_answers: bool,
+    /// Whether each zone gets an even part of the calls, and not each entry host.
+    pub even_zones: bool,
     /// Time between two rounds of gossip about load.
     pub gossip_interval_ms: u64,
     /// Time between two requests for credits.
@@ -152,6 +156,8 @@
             retries: true,
             duration_ms: 10_000,
             warmup_ms: 3_000,
+            load_in_answers: true,
+            even_zones: true,
             gossip_interval_ms: 1_000,
             credit_interval_ms: 500,
         }
--- a/crates/calls/src/load_model/requests.rs
+++ b/crates/calls/src/load_model/requests.rs
@@ -88,7 +88,11 @@
         if self.random.random_bool(self.case.skew) {
             return 0;
         }
-        self.random.random_range(0..cell::HOST_ZONES.len())
+        if !self.case.even_zones {
+            return self.random.random_range(0..cell::HOST_ZONES.len());
+        }
+        let hosts = cell::hosts_of_zone(self.random.random_range(0..cell::ZONE_COUNT));
+        hosts[self.random.random_range(0..hosts.len())]
     }
 
     fn exponential(&mut self, mean: f64) -> u64 {
--- a/crates/calls/src/router/pick.rs
+++ b/crates/calls/src/router/pick.rs
@@ -10,6 +10,9 @@
 use super::health;
 use super::link;
 
+/// Waits that differ by less are taken for equal.
+const EQUAL_WAIT_MS: u64 = 10;
+
 /// Where an entry host stands and what its calls may cost.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouterConfig {
@@ -19,9 +22,9 @@
     pub regions: IndexMap<ids::ZoneId, ids::RegionId>,
     /// Age at which what a group says about itself is not used any more.
     pub stale_after_ms: u64,
-    /// Wait in the own zone above which other zones of the region are tried.
+    /// How much longer the wait in the own zone may be than in the rest of the region.
     pub zone_spill_ms: u64,
-    /// Wait in the own region above which calls cross the link between regions.
+    /// How much longer the wait in the own region may be than across the link.
     pub region_spill_ms: u64,
     /// Bytes a second that calls of this host may put on the link.
     pub link_bytes_per_s: u64,
@@ -205,10 +208,11 @@
             .copied()
             .filter(|candidate| link_open || candidate.distance != Distance::OtherRegion)
             .collect();
-        let Some(tier) = self.choose_tier(&usable) else {
+        if usable.is_empty() {
             return Err(no_route(request.service, !found.is_empty()));
-        };
-        let chosen = self.choose(&tier);
+        }
+        let shortest = self.shortest(&usable);
+        let chosen = self.choose(&shortest);
         if chosen.distance == Distance::OtherRegion {
             self.link.take(request.link_bytes, now_ms);
         }
@@ -277,33 +281,37 @@
         }
     }
 
-    /// The nearest groups that are quick enough, or else those with the shortest wait.
-    fn choose_tier(&self, usable: &[Candidate]) -> Option<Vec<Candidate>> {
-        let tiers = [
-            (Distance::SameZone, self.config.zone_spill_ms),
-            (Distance::SameRegion, self.config.region_spill_ms),
-            (Distance::OtherRegion, u64::MAX),
-        ];
-        for (distance, spill_ms) in tiers {
-            let quick = |candidate: &&Candidate| {
-                candidate.distance == distance
-                    && (candidate.free_slots > 0 || candidate.delay_ms <= spill_ms)
-            };
-            let tier: Vec<Candidate> = usable.iter().filter(quick).copied().collect();
-            if !tier.is_empty() {
-                return Some(tier);
-            }
+    /// The groups whose wait, with what their distance costs, is close to the shortest.
+    fn shortest(&self, usable: &[Candidate]) -> Vec<Candidate> {
+        let cost_ms = |candidate: &Candidate| {
+            candidate
+                .wait_ms()
+                .saturating_add(self.distance_cost_ms(candidate.distance))
+        };
+        let Some(least_ms) = usable.iter().map(cost_ms).min() else {
+            return Vec::new();
+        };
+        let limit_ms = least_ms.saturating_add(EQUAL_WAIT_MS);
+        let close = usable
+            .iter()
+            .filter(|candidate| cost_ms(candidate) <= limit_ms);
+        close.copied().collect()
+    }
+
+    fn distance_cost_ms(&self, distance: Distance) -> u64 {
+        match distance {
+            Distance::SameZone => 0,
+            Distance::SameRegion => self.config.zone_spill_ms,
+            Distance::OtherRegion => self.config.region_spill_ms,
         }
-        let shortest = usable.iter().min_by_key(|candidate| candidate.delay_ms)?;
-        Some(vec![*shortest])
     }
 
     /// Draws two groups by their number of instances and takes the better one.
     ///
     /// Taking the best of all would send every entry host to the same group.
-    fn choose(&mut self, tier: &[Candidate]) -> Candidate {
-        let first = self.draw(tier);
-        let second = self.draw(tier);
+    fn choose(&mut self, close: &[Candidate]) -> Candidate {
+        let first = self.draw(close);
+        let second = self.draw(close);
         if second.is_better_than(&first) {
             second
         } else {
@@ -311,16 +319,16 @@
         }
     }
 
-    fn draw(&mut self, tier: &[Candidate]) -> Candidate {
-        let total: u32 = tier.iter().map(|candidate| candidate.instances).sum();
+    fn draw(&mut self, close: &[Candidate]) -> Candidate {
+        let total: u32 = close.iter().map(|candidate| candidate.instances).sum();
         let mut ticket = self.random.random_range(0..total.max(1));
-        for candidate in tier {
+        for candidate in close {
             if ticket < candidate.instances {
                 return *candidate;
             }
             ticket -= candidate.instances;
         }
-        tier[0]
+        close[0]
     }
 }
 
