--- a/crates/placement/src/group/account.rs
+++ b/crates/placement/src/group/account.rs
@@ -267,11 +267,13 @@
 
     /// Forgets a work without tasks, unless something still refers to it.
     pub(super) fn forget_work(&mut self, work: u32) {
-        let entry = &self.works[work];
+        let Some(entry) = self.works.get(work) else {
+            return;
+        };
         if entry.queued || entry.displacing > 0 || !entry.members.is_empty() {
             return;
         }
-        let id = self.works[work].work.id.clone();
+        let id = entry.work.id.clone();
         self.work_numbers.swap_remove(&id);
         self.works.remove(work);
     }
--- a/crates/placement/src/group/decide.rs
+++ b/crates/placement/src/group/decide.rs
@@ -82,6 +82,12 @@
             let Some(decision) = self.pending.pop_front() else {
                 return;
             };
+            // The run may have ended since the stop was decided.
+            if let decision::Decision::Stop { run, .. } = &decision
+                && self.placed_slot(run).is_none()
+            {
+                continue;
+            }
             round.decisions.push(decision);
         }
     }
--- a/crates/placement/src/group/replace.rs
+++ b/crates/placement/src/group/replace.rs
@@ -40,7 +40,7 @@
             return;
         }
         // A higher attempt keeps runs unique when the index is used again.
-        let attempt: ids::Attempt = attempt.next();
+        let attempt: ids::Attempt = attempt.next().max(self.tasks[slot].next_attempt);
         let mut twin = table::Task::new(work, twin_index, attempt, now_ms);
         twin.replaces = Some(slot);
         self.tasks[slot].replaced = true;
@@ -48,10 +48,13 @@
         self.enqueue(twin, true);
     }
 
-    /// Replaces the replicas of a service that run on leaving workers.
-    pub(super) fn replace_leaving(&mut self, number: u32, now_ms: u64) {
-        if self.works[number].work.kind != work::WorkKind::Service {
-            return;
+    /// Settles the replicas of a service whose definition has just become known.
+    ///
+    /// Twins that were found on workers are paired again, and replicas on
+    /// leaving workers are replaced.
+    pub(super) fn settle_replicas(&mut self, number: u32, now_ms: u64) {
+        for slot in self.works[number].members.clone() {
+            self.pair(slot);
         }
         for slot in self.works[number].members.clone() {
             let placement = self.tasks[slot].life.placement();
@@ -61,6 +64,43 @@
         }
     }
 
+    /// Lets only one of two twins stay, after a replica was found on a worker.
+    pub(super) fn pair(&mut self, slot: u32) {
+        let Some(task) = self.tasks.get(slot) else {
+            return;
+        };
+        let service = self.works[task.work].work.kind == work::WorkKind::Service;
+        if !service || task.orphan || task.life.placement().is_none() {
+            return;
+        }
+        let Some(twin) = self.twin(task.work, task.index) else {
+            return;
+        };
+        let related = |slot: u32| {
+            let task = &self.tasks[slot];
+            task.replaced || task.replaces.is_some()
+        };
+        if related(slot) || related(twin) {
+            return;
+        }
+        if self.tasks[twin].life.placement().is_none() {
+            self.withdraw(twin);
+            self.remove_task(twin);
+            return;
+        }
+        let attempt = |slot: u32| self.tasks[slot].life.attempt();
+        let (old, new) = if attempt(slot) < attempt(twin) {
+            (slot, twin)
+        } else {
+            (twin, slot)
+        };
+        self.tasks[old].replaced = true;
+        self.tasks[new].replaces = Some(old);
+        if !self.tasks[new].life.is_starting() {
+            self.drain_replaced(new);
+        }
+    }
+
     /// Drains the replica that a task replaces, now that the task runs.
     pub(super) fn drain_replaced(&mut self, slot: u32) {
         if let Some(old) = self.tasks[slot].replaces.take() {
--- a/crates/placement/src/group/submit.rs
+++ b/crates/placement/src/group/submit.rs
@@ -15,6 +15,8 @@
 impl Group {
     /// Takes tasks of a piece of work into the queue.
     ///
+    /// A gang starts once all its members are here; one that stands in several
+    /// groups is started by [`Group::reserve`] and [`Group::confirm`] instead.
     /// Sending the same runs again changes nothing. Tasks of a cancelled job
     /// are not taken; a service that comes back is.
     pub fn submit(
@@ -33,6 +35,17 @@
         self.forget_work(number);
     }
 
+    /// Says how many members of a submitted gang completed under an earlier owner.
+    ///
+    /// A gang starts here only when all its members that have not completed wait
+    /// here; without this a group that has taken over would wait for the others.
+    pub fn gang_completed(&mut self, work: &ids::WorkId, completed: u32) {
+        if let Some(&number) = self.work_numbers.get(work) {
+            let entry = &mut self.works[number];
+            entry.completed = entry.completed.max(completed);
+        }
+    }
+
     /// The entry of a work, made or updated; `None` if it was cancelled.
     pub(super) fn take_work(
         &mut self,
@@ -53,7 +66,9 @@
         self.works[number].shard = shard;
         if self.works[number].provisional || *self.works[number].work != **work {
             self.update_work(number, work);
-            self.replace_leaving(number, now_ms);
+            if work.kind == work::WorkKind::Service {
+                self.settle_replicas(number, now_ms);
+            }
         }
         Some(number)
     }
--- a/crates/placement/src/group/workers.rs
+++ b/crates/placement/src/group/workers.rs
@@ -161,6 +161,8 @@
         let stale = self.tasks[slot].orphan || self.tasks[slot].next_attempt > order.run.attempt;
         if cancelled || stale {
             self.stop(slot, workers::StopMode::Kill);
+        } else {
+            self.pair(slot);
         }
     }
 
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -38,6 +38,11 @@
         entry
     }
 
+    /// The entry of a number, if it exists.
+    pub fn get(&self, slot: u32) -> Option<&T> {
+        self.entries.get(slot as usize)?.as_ref()
+    }
+
     /// All entries with their numbers.
     pub fn iter(&self) -> impl Iterator<Item = (u32, &T)> {
         self.entries
