--- /dev/null
+++ b/crates/placement/examples/figures.rs
@@ -0,0 +1,16 @@
+//! Prints the time of decisions by number of workers, and the packing of each mix.
+
+use hickorychute_placement as placement;
+use placement::measure;
+
+fn main() {
+    const TASKS: u32 = 97_000;
+    const SEED: u64 = 1;
+    for workers in [48, 660, 6_600, 66_000] {
+        let figures = measure::decisions(workers, TASKS, SEED);
+        println!("{workers} workers: {figures:?}");
+    }
+    for mix in measure::Mix::ALL {
+        println!("{mix}: {:?}", measure::packing(mix, SEED));
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -26,6 +26,7 @@
 mod health;
 mod index;
 mod life;
+pub mod measure;
 pub mod scorer;
 mod slots;
 mod table;
--- /dev/null
+++ b/crates/placement/src/measure/baseline.rs
@@ -0,0 +1,89 @@
+//! Simple ways to choose a worker, for comparison in the same run.
+
+use kernel::random;
+use kernel::work;
+use rand::Rng;
+
+use super::cell::CAPACITY;
+
+/// Workers probed at random before a random choice gives up and scans.
+const PROBES: usize = 64;
+
+/// Free amounts of all workers, as filled by a first-fit scan.
+#[derive(Debug)]
+pub struct Baseline {
+    free: Vec<work::Resources>,
+    tasks: Vec<(usize, work::Resources)>,
+    random: random::Random,
+}
+
+impl Baseline {
+    /// The same load as a [`Cell`](super::Cell) carries, spread at random.
+    pub fn new(workers: u32, tasks: u32, seed: u64) -> Self {
+        let mut baseline = Self {
+            free: vec![CAPACITY; workers as usize],
+            tasks: Vec::new(),
+            random: random::from_seed(seed),
+        };
+        let share = |capacity: u64| {
+            (capacity * u64::from(workers) * 8 / 10 / u64::from(tasks)).clamp(2, capacity / 2)
+        };
+        let (cpu, memory) = (share(CAPACITY.cpu_milli), share(CAPACITY.memory_mb));
+        for _ in 0..tasks {
+            let demand = work::Resources::new(
+                (cpu / 2 + baseline.random.next_u64() % cpu).max(1),
+                (memory / 2 + baseline.random.next_u64() % memory).max(1),
+                0,
+            );
+            if let Some(worker) = baseline.first_fit(demand) {
+                baseline.place(worker, demand);
+            }
+        }
+        baseline
+    }
+
+    /// Ends a random task and returns its size, for the next choice.
+    ///
+    /// # Panics
+    ///
+    /// If no task runs.
+    pub fn end_one(&mut self) -> work::Resources {
+        let which = self.random.next_u64() as usize % self.tasks.len();
+        let (worker, demand) = self.tasks.swap_remove(which);
+        self.free[worker] += demand;
+        demand
+    }
+
+    /// Puts a task on a worker.
+    pub fn place(&mut self, worker: usize, demand: work::Resources) {
+        self.free[worker] = self.free[worker].saturating_sub(demand);
+        self.tasks.push((worker, demand));
+    }
+
+    /// The first worker with room.
+    pub fn first_fit(&self, demand: work::Resources) -> Option<usize> {
+        self.free.iter().position(|free| demand.fits_in(*free))
+    }
+
+    /// A random worker with room; a scan after too many misses.
+    pub fn random_choice(&mut self, demand: work::Resources) -> Option<usize> {
+        for _ in 0..PROBES {
+            let worker = self.random.next_u64() as usize % self.free.len();
+            if demand.fits_in(self.free[worker]) {
+                return Some(worker);
+            }
+        }
+        self.first_fit(demand)
+    }
+
+    /// The one with more free processor time of two random workers with room.
+    pub fn two_choices(&mut self, demand: work::Resources) -> Option<usize> {
+        let first = self.random_choice(demand)?;
+        let second = self.random_choice(demand)?;
+        if self.free[first].cpu_milli >= self.free[second].cpu_milli {
+            Some(first)
+        } else {
+            Some(second)
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/measure/mod.rs
@@ -0,0 +1,50 @@
+//! Measurements that benches and `cargo xtask measure` share.
+
+mod baseline;
+mod cell;
+mod packing;
+
+use std::time::Instant;
+
+pub use baseline::Baseline;
+pub use cell::Cell;
+pub use packing::{Mix, PackingFigures, packing};
+
+/// Decisions that are timed one at a time.
+const TIMED: usize = 20_000;
+
+/// Time of one decision in a loaded group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DecisionFigures {
+    /// Median time of one call of `decide` that starts one task, in microseconds.
+    pub p50_us: f64,
+    /// 99th percentile of the same.
+    pub p99_us: f64,
+    /// Starts a second on one core, with the arrival of a task and the end of another for each.
+    pub per_s: f64,
+}
+
+/// Times decisions of a group with `workers` workers and `tasks` running tasks.
+///
+/// # Panics
+///
+/// If a decision does not start the task, which is a bug.
+pub fn decisions(workers: u32, tasks: u32, seed: u64) -> DecisionFigures {
+    let mut cell = Cell::new(workers, tasks, seed);
+    let mut times_us = Vec::with_capacity(TIMED);
+    let begin = Instant::now();
+    for _ in 0..TIMED {
+        cell.replace_one();
+        let before = Instant::now();
+        let started = cell.decide_one();
+        times_us.push(before.elapsed().as_secs_f64() * 1e6);
+        cell.accept(started);
+    }
+    let elapsed_s = begin.elapsed().as_secs_f64();
+    times_us.sort_by(f64::total_cmp);
+    DecisionFigures {
+        p50_us: times_us[TIMED / 2],
+        p99_us: times_us[TIMED * 99 / 100],
+        per_s: TIMED as f64 / elapsed_s,
+    }
+}
--- /dev/null
+++ b/crates/placement/src/measure/packing.rs
@@ -0,0 +1,210 @@
+//! How many workers tasks of wrongly declared sizes take.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use indexmap::IndexSet;
+use kernel::ids;
+use kernel::random;
+use kernel::work;
+use platform::workers;
+use rand::Rng;
+
+use super::cell;
+use crate::decision;
+use crate::group;
+
+/// Classes of jobs in a mix.
+const CLASSES: usize = 40;
+/// Tasks of a mix.
+const TASKS: u32 = 4_000;
+/// Runs of each class from which sizes are learned first.
+const LEARNING_RUNS: u32 = 40;
+/// Runs of a class differ from each other by this much up and down, in thousandths.
+const JITTER_PERMILLE: u64 = 20;
+/// Workers that are offered.
+const WORKERS: u32 = 2_000;
+
+/// A mix of task sizes.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+pub enum Mix {
+    /// Many small tasks with balanced needs.
+    Small,
+    /// Small and large tasks.
+    Broad,
+    /// Tasks that need either much memory or much processor time.
+    Unbalanced,
+}
+
+impl Mix {
+    /// All mixes.
+    pub const ALL: [Self; 3] = [Self::Small, Self::Broad, Self::Unbalanced];
+
+    /// A true size, in parts of a worker's capacity.
+    fn size(self, random: &mut random::Random) -> work::Resources {
+        let mut permille = |low: u64, high: u64| low + random.next_u64() % (high - low);
+        let (cpu, memory) = match self {
+            Self::Small => (permille(10, 60), permille(10, 60)),
+            Self::Broad if permille(0, 10) < 7 => (permille(10, 80), permille(10, 80)),
+            Self::Broad => (permille(100, 400), permille(100, 400)),
+            Self::Unbalanced if permille(0, 2) == 0 => (permille(80, 200), permille(10, 40)),
+            Self::Unbalanced => (permille(10, 40), permille(80, 200)),
+        };
+        work::Resources::new(
+            cell::CAPACITY.cpu_milli * cpu / 1_000,
+            cell::CAPACITY.memory_mb * memory / 1_000,
+            0,
+        )
+    }
+}
+
+/// Workers that a mix takes, and the bounds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PackingFigures {
+    /// Tasks that were placed.
+    pub tasks: usize,
+    /// Workers with tasks.
+    pub workers_used: usize,
+    /// Workers that first fit decreasing takes with the true sizes.
+    pub first_fit_decreasing: usize,
+    /// Total true size over the capacity of a worker, rounded up.
+    pub lower_bound: usize,
+    /// `workers_used / first_fit_decreasing`.
+    pub ratio: f64,
+    /// Runs that used more than was assigned and found no more room on their worker.
+    pub held_back: usize,
+}
+
+#[derive(Debug)]
+struct Class {
+    truth: work::Resources,
+    declared: work::Resources,
+}
+
+/// A declared amount that is wrong by 2 to 10 times, within a worker's capacity.
+fn wrong(truth: u64, capacity: u64, random: &mut random::Random) -> u64 {
+    let factor = 2 + random.next_u64() % 9;
+    if random.next_u64().is_multiple_of(2) {
+        (truth * factor).min(capacity)
+    } else {
+        (truth / factor).max(1)
+    }
+}
+
+fn jittered(truth: work::Resources, random: &mut random::Random) -> work::Resources {
+    let mut vary = |amount: u64| {
+        let permille = 1_000 - JITTER_PERMILLE + random.next_u64() % (2 * JITTER_PERMILLE + 1);
+        (amount * permille / 1_000).max(1)
+    };
+    work::Resources::new(vary(truth.cpu_milli), vary(truth.memory_mb), 0)
+}
+
+fn classes(mix: Mix, random: &mut random::Random) -> Vec<Class> {
+    (0..CLASSES)
+        .map(|_| {
+            let truth = mix.size(random);
+            let declared = work::Resources::new(
+                wrong(truth.cpu_milli, cell::CAPACITY.cpu_milli, random),
+                wrong(truth.memory_mb, cell::CAPACITY.memory_mb, random),
+                0,
+            );
+            Class { truth, declared }
+        })
+        .collect()
+}
+
+/// Places a mix whose declared sizes are wrong by 2 to 10 times.
+///
+/// Some runs of each class end first and report their usage; then all tasks
+/// of the mix arrive at once.
+pub fn packing(mix: Mix, seed: u64) -> PackingFigures {
+    let mut random = random::from_seed(seed);
+    let classes = classes(mix, &mut random);
+    let mut group = cell::empty_group(WORKERS, seed, cell::config());
+    for number in 0..CLASSES {
+        submit(&mut group, &classes, number, "learn", LEARNING_RUNS);
+    }
+    for start in group.decide(0, usize::MAX) {
+        if let Some((worker, run, truth)) = reported(&start, &classes, &mut random) {
+            group.usage(&worker, &run, truth, 1);
+            group.ended(&run, workers::RunEnd::Completed, 1_000, 1);
+        }
+    }
+    group.decide(1, usize::MAX);
+    let each = TASKS / CLASSES as u32;
+    for number in 0..CLASSES {
+        submit(&mut group, &classes, number, "measured", each);
+    }
+    let starts = group.decide(2, usize::MAX);
+    let mut used = IndexSet::new();
+    let mut truths = Vec::new();
+    for start in &starts {
+        if let Some((worker, run, truth)) = reported(start, &classes, &mut random) {
+            group.usage(&worker, &run, truth, 3);
+            used.insert(worker);
+            truths.push(truth);
+        }
+    }
+    let held_back = group.decide(3, usize::MAX).len();
+    let first_fit_decreasing = first_fit_decreasing(&mut truths);
+    PackingFigures {
+        tasks: truths.len(),
+        workers_used: used.len(),
+        first_fit_decreasing,
+        lower_bound: lower_bound(&truths),
+        ratio: used.len() as f64 / first_fit_decreasing as f64,
+        held_back,
+    }
+}
+
+fn submit(group: &mut group::Group, classes: &[Class], number: usize, prefix: &str, tasks: u32) {
+    let id = format!("{prefix}-{number}");
+    let run = cell::batch_run(&id, number as u64, tasks, classes[number].declared);
+    group.submit(&Arc::new(run), &cell::first_runs(tasks), None, 0);
+}
+
+/// Where a started task runs and what it will use.
+fn reported(
+    start: &decision::Decision,
+    classes: &[Class],
+    random: &mut random::Random,
+) -> Option<(ids::WorkerId, ids::TaskAttempt, work::Resources)> {
+    let decision::Decision::Start { worker, order } = start else {
+        return None;
+    };
+    let (_, number) = order.run.task.work.as_str().rsplit_once('-')?;
+    let class = classes.get(number.parse::<usize>().ok()?)?;
+    let truth = jittered(class.truth, random);
+    Some((worker.clone(), order.run.clone(), truth))
+}
+
+/// The largest part of a worker's capacity that a task needs, in millionths.
+fn dominant(size: &work::Resources) -> u64 {
+    let cpu = size.cpu_milli * 1_000_000 / cell::CAPACITY.cpu_milli;
+    let memory = size.memory_mb * 1_000_000 / cell::CAPACITY.memory_mb;
+    cpu.max(memory)
+}
+
+fn first_fit_decreasing(sizes: &mut [work::Resources]) -> usize {
+    sizes.sort_by_key(|size| std::cmp::Reverse(dominant(size)));
+    let mut free: Vec<work::Resources> = Vec::new();
+    for size in sizes.iter() {
+        let fitting = free.iter_mut().find(|free| size.fits_in(**free));
+        if let Some(free) = fitting {
+            *free = free.saturating_sub(*size);
+        } else {
+            free.push(cell::CAPACITY.saturating_sub(*size));
+        }
+    }
+    free.len()
+}
+
+fn lower_bound(sizes: &[work::Resources]) -> usize {
+    let total = sizes
+        .iter()
+        .fold(work::Resources::default(), |sum, size| sum + *size);
+    let cpu = total.cpu_milli.div_ceil(cell::CAPACITY.cpu_milli);
+    let memory = total.memory_mb.div_ceil(cell::CAPACITY.memory_mb);
+    cpu.max(memory) as usize
+}
