--- /dev/null
+++ b/crates/checker/src/rules/calls.rs
@@ -0,0 +1,135 @@
+//! Requests and answers: whole, to the right request, truthful, and run at most once.
+
+use indexmap::IndexMap;
+use kernel::errors;
+use kernel::history::{Event, Record};
+use kernel::ids;
+
+use crate::violation::Violation;
+
+#[derive(Debug, Default)]
+struct Calls {
+    digests: IndexMap<u64, u64>,
+    first_run_ms: IndexMap<u64, u64>,
+    key_run_ms: IndexMap<ids::IdempotencyKey, u64>,
+    not_run_ms: IndexMap<u64, u64>,
+    answered_ms: IndexMap<u64, u64>,
+    violations: Vec<Violation>,
+}
+
+/// Holds every answer against its request and against what ran.
+pub(crate) fn check_calls(records: &[&Record]) -> Vec<Violation> {
+    let mut calls = Calls::default();
+    for record in records {
+        calls.note(record);
+    }
+    for (&request, &answered_ms) in &calls.not_run_ms {
+        // A run after the answer breaks the promise as much as one before it.
+        if let Some(&ran_ms) = calls.first_run_ms.get(&request) {
+            calls.violations.push(Violation::NotRunButRan {
+                request,
+                answered_ms,
+                ran_ms,
+            });
+        }
+    }
+    calls.violations
+}
+
+impl Calls {
+    fn note(&mut self, record: &Record) {
+        let at_ms = record.at_ms;
+        match &record.event {
+            Event::RequestSent {
+                request, digest, ..
+            } => {
+                self.digests.insert(*request, *digest);
+            }
+            Event::RequestRan {
+                task,
+                request,
+                key,
+                open_calls,
+                slots,
+            } => {
+                self.first_run_ms.entry(*request).or_insert(at_ms);
+                self.note_key(key.as_ref(), at_ms);
+                if open_calls > slots {
+                    self.violations.push(Violation::OverSlots {
+                        at_ms,
+                        task: task.clone(),
+                        open_calls: *open_calls,
+                        slots: *slots,
+                    });
+                }
+            }
+            Event::AnswerReceived {
+                request,
+                outcome,
+                digest,
+                whole,
+            } => self.note_answer(at_ms, *request, *outcome, *digest, *whole),
+            _ => {}
+        }
+    }
+
+    fn note_key(&mut self, key: Option<&ids::IdempotencyKey>, at_ms: u64) {
+        let Some(key) = key else {
+            return;
+        };
+        let Some(&first_ms) = self.key_run_ms.get(key) else {
+            self.key_run_ms.insert(key.clone(), at_ms);
+            return;
+        };
+        self.violations.push(Violation::RanTwice {
+            key: key.clone(),
+            first_ms,
+            second_ms: at_ms,
+        });
+    }
+
+    fn note_answer(
+        &mut self,
+        at_ms: u64,
+        request: u64,
+        outcome: errors::Outcome,
+        digest: Option<u64>,
+        whole: bool,
+    ) {
+        if self.answered_ms.insert(request, at_ms).is_some() {
+            let violation = Violation::AnsweredTwice { request, at_ms };
+            self.violations.push(violation);
+        }
+        let expected = self.digests.get(&request).copied();
+        if digest.is_some() && digest != expected {
+            let violation = Violation::CrossedAnswer { request, at_ms };
+            self.violations.push(violation);
+        }
+        if outcome == errors::Outcome::Done && !whole {
+            let violation = Violation::CutAnswer { request, at_ms };
+            self.violations.push(violation);
+        }
+        if outcome == errors::Outcome::NotRun {
+            self.not_run_ms.entry(request).or_insert(at_ms);
+        }
+    }
+}
+
+/// Finds requests without an answer in a history that has ended.
+pub(crate) fn check_answered(records: &[&Record]) -> Vec<Violation> {
+    let mut open = IndexMap::new();
+    for record in records {
+        match &record.event {
+            Event::RequestSent { request, .. } => {
+                open.insert(*request, record.at_ms);
+            }
+            Event::AnswerReceived { request, .. } => {
+                open.swap_remove(request);
+            }
+            _ => {}
+        }
+    }
+    let open = open.into_iter();
+    open.map(|(request, sent_ms)| Violation::Unanswered { request, sent_ms })
+        .collect()
+}
