--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -144,7 +144,7 @@
 /// The error of the last attempt.
 pub async fn route(shared: &Arc<shared::Shared>, call: Call) -> errors::Result<Answered> {
     let deadline_at_ms = shared.now_ms() + call.deadline_ms;
-    shared.routing.retries().record_request();
+    shared.routing.retries().record_request(&call.team);
     let mut tried = Vec::new();
     let mut attempts = 0;
     loop {
@@ -175,6 +175,7 @@
             Err(error) => error,
         };
         let request = RetryRequest {
+            team: &call.team,
             kind: error.kind,
             idempotent: call.key.is_none(),
             attempts,
--- a/crates/node/src/group/exchange.rs
+++ b/crates/node/src/group/exchange.rs
@@ -63,7 +63,7 @@
             state.placement.worker_confirmed(worker);
         }
         for refusal in &reply.refused {
-            self.apply_refusal(state, worker, refusal, now_ms);
+            Self::apply_refusal(state, worker, refusal, now_ms);
         }
         if let Some(running) = reply.running {
             self.apply_running(state, worker, request, &running, &reply.finished, now_ms);
@@ -75,12 +75,11 @@
             }
         }
         if reply.state == workers::WorkerState::Leaving {
-            self.worker_leaves(state, worker, now_ms);
+            Self::worker_leaves(state, worker, now_ms);
         }
     }
 
     fn apply_refusal(
-        &self,
         state: &mut state::GroupState,
         worker: &ids::WorkerId,
         refusal: &workers::Refusal,
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -96,7 +96,7 @@
                 None => self.add_link(state, info.clone(), now_ms),
             }
             if leaving {
-                self.worker_leaves(state, &info.id, now_ms);
+                Self::worker_leaves(state, &info.id, now_ms);
             }
         }
         for (id, link) in &mut state.links {
@@ -114,7 +114,6 @@
 
     /// Nothing new starts on the worker, and its instances get no new calls.
     pub(super) fn worker_leaves(
-        &self,
         state: &mut state::GroupState,
         worker: &ids::WorkerId,
         now_ms: u64,
@@ -202,7 +201,7 @@
                     }
                 }
                 Decision::Stop { worker, run, mode } => {
-                    self.stop_run(state, &worker, run, mode);
+                    Self::stop_run(state, &worker, run, mode);
                 }
                 Decision::HandBack { run, reason } => {
                     log::debug!("{run} is handed back: {reason}");
@@ -214,7 +213,6 @@
     }
 
     fn stop_run(
-        &self,
         state: &mut state::GroupState,
         worker: &ids::WorkerId,
         run: ids::TaskAttempt,
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -51,7 +51,7 @@
     };
     match body {
         messages::Body::GossipRequest(gossip) => Ok(gossip::answer(shared, gossip)),
-        messages::Body::ReleaseFetch(fetch) => shared.releases.content(&fetch),
+        messages::Body::ReleaseFetch(fetch) => shared.releases.content(fetch),
         messages::Body::AssignRequest(assign) => {
             let group = owned_group(shared, &assign.zone, assign.group)?;
             Ok(messages::Body::AssignReply(group.assign(&assign)?))
--- a/crates/node/src/releases.rs
+++ b/crates/node/src/releases.rs
@@ -68,7 +68,7 @@
     /// # Errors
     ///
     /// [`errors::ErrorKind::NotFound`] if this host is behind itself.
-    pub fn content(&self, fetch: &messages::ReleaseFetch) -> errors::Result<messages::Body> {
+    pub fn content(&self, fetch: messages::ReleaseFetch) -> errors::Result<messages::Body> {
         let current = self
             .in_force
             .current()
--- a/crates/ownership/src/mirror.rs
+++ b/crates/ownership/src/mirror.rs
@@ -89,9 +89,7 @@
     }
 
     async fn follow(&self, view: &mut MirrorView) -> Result<(), store::StoreError> {
-        if !view.complete {
-            self.read_all(view).await?;
-        } else {
+        if view.complete {
             let reply = self
                 .store
                 .watch(&self.prefix, view.revision, WATCH_WAIT_MS)
@@ -104,6 +102,8 @@
                 apply(view, change);
             }
             view.revision = view.revision.max(reply.revision);
+        } else {
+            self.read_all(view).await?;
         }
         if !view.connected {
             kernel::log_event!(events::STORE_REACHABLE, "revision {}", view.revision);
