--- a/crates/node/src/daemon/dev.rs
+++ b/crates/node/src/daemon/dev.rs
@@ -20,7 +20,9 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::{Node, clock, config, entry, local, operators, shared, telemetry, topology};
+use crate::{
+    Node, Operations, clock, config, entry, local, operators, shared, telemetry, topology,
+};
 
 const POLL_MS: u64 = 50;
 const SETTLE_LIMIT_MS: u64 = 60_000;
@@ -75,10 +77,8 @@
     let address = listen(settings, &shared, metrics).await?;
     println!("{firm} cell: http={address}, zones {}", names(&platform));
 
-    let acceptor =
-        release::Acceptor::new(Arc::clone(&shared.platform.store), limits(&platform).await);
-    let accepted = acceptor.submit(&note, SUBMITTER, None).await?;
-    shared.releases.shared().offer(Arc::clone(&accepted.newest));
+    let operations = Operations::new(Arc::clone(&shared));
+    let accepted = operations.submit_release(&note, SUBMITTER, None).await?;
     println!("release {} accepted", accepted.version);
     if !settings.exit_when_settled {
         tokio::signal::ctrl_c().await.map_err(|source| {
@@ -87,7 +87,7 @@
         return Ok(());
     }
     let limit = time::Duration::from_millis(SETTLE_LIMIT_MS);
-    let settled = tokio::time::timeout(limit, settle(&shared)).await;
+    let settled = tokio::time::timeout(limit, settle(&operations)).await;
     print_outcome(&shared).await;
     println!("{} ms", started.elapsed().as_millis());
     settled.map_err(|_| {
@@ -124,18 +124,6 @@
     ))
 }
 
-async fn limits(platform: &Embedded) -> release::CellLimits {
-    let mut workers = Vec::new();
-    for zone in platform.zones() {
-        let list = platform.connect(zone).workers.list(zone).await;
-        workers.extend(list.unwrap_or_default());
-    }
-    release::CellLimits::from_workers(
-        platform.zones(),
-        workers.iter().map(|worker| (&worker.zone, worker.capacity)),
-    )
-}
-
 fn names(platform: &Embedded) -> String {
     let names: Vec<&str> = platform.zones().map(ids::ZoneId::as_str).collect();
     names.join(", ")
@@ -209,29 +197,12 @@
     Ok(address)
 }
 
-/// Waits until every job has ended and every replica of a service runs.
-async fn settle(shared: &Arc<shared::Shared>) {
-    while !is_settled(shared).await {
+async fn settle(operations: &Operations) {
+    while !operations.is_settled().await {
         tokio::time::sleep(time::Duration::from_millis(POLL_MS)).await;
     }
 }
 
-async fn is_settled(shared: &Arc<shared::Shared>) -> bool {
-    let release = shared.releases.current();
-    let jobs = operators::jobs(shared).await;
-    let by_name: IndexMap<&ids::WorkId, &api::JobStatus> =
-        jobs.iter().map(|job| (&job.work, job)).collect();
-    release.work.values().all(|work| {
-        by_name.get(&work.id).is_some_and(|job| {
-            if work.kind == work::WorkKind::Service {
-                job.running == work.tasks
-            } else {
-                job.is_settled()
-            }
-        })
-    })
-}
-
 #[derive(Debug, Tabled)]
 struct JobLine {
     work: String,
--- a/crates/node/src/entry/calls.rs
+++ b/crates/node/src/entry/calls.rs
@@ -6,7 +6,6 @@
 use axum::response::{IntoResponse, Response};
 use kernel::errors;
 use kernel::ids;
-use kernel::lifecycle;
 use opentelemetry::trace::SpanKind;
 use platform::upstreams;
 
@@ -64,12 +63,6 @@
     request: Request<Body>,
     arrived_ms: u64,
 ) -> errors::Result<forward::Answered> {
-    if entry.shared.phase() != lifecycle::Phase::Serving {
-        return Err(errors::Error::new(
-            errors::ErrorKind::Draining,
-            "this host takes no requests now",
-        ));
-    }
     let query = request
         .uri()
         .query()
@@ -84,7 +77,7 @@
     // The time that the body took is part of the caller's deadline.
     let spent_ms = entry.shared.now_ms() - arrived_ms;
     call.deadline_ms = call.deadline_ms.saturating_sub(spent_ms);
-    forward::enter(&entry.shared, call).await
+    entry.operations.call(call).await
 }
 
 fn read_headers(entry: &Entry, headers: &HeaderMap) -> errors::Result<forward::Call> {
--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -6,15 +6,11 @@
 use axum::http::{Request, StatusCode};
 use kernel::errors;
 use kernel::ids;
-use kernel::lifecycle;
-use wire::messages;
 
 use super::Entry;
 use super::calls::{header, read_body};
 use super::reply::Reply;
-use crate::{operators, peer, shared};
 
-const SUBMIT_DEADLINE_MS: u64 = 8_000;
 const NAME_LIMIT_CHARS: usize = 100;
 const TASKS_LIMIT: u32 = 100_000;
 
@@ -23,9 +19,6 @@
     State(entry): State<Entry>,
     request: Request<Body>,
 ) -> Reply<(StatusCode, Json<api::JobAccepted>)> {
-    if entry.shared.phase() != lifecycle::Phase::Serving {
-        return Err(draining().into());
-    }
     let key = header(request.headers(), api::headers::IDEMPOTENCY_KEY)
         .filter(|key| !key.is_empty())
         .ok_or_else(|| bad("idempotency-key is required; send a job again under the same key"))?;
@@ -38,16 +31,8 @@
         .clone()
         .unwrap_or_else(|| ids::WorkId::new(format!("job-{key}")));
     let work = request.into_work(name);
-    let encoded = serde_json::to_vec(&work)
-        .map_err(|error| bad(&format!("the job does not encode: {error}")))?;
-    let shard = entry.shared.config.topology.shard_of(work.id.as_str());
-    let submit = messages::SubmitRequest {
-        shard: u32::from(shard.0),
-        work: encoded.into(),
-        idempotency_key: key,
-        cancel: String::new(),
-    };
-    let job = ask(&entry, shard, submit).await?;
+    let key = ids::IdempotencyKey::new(key);
+    let job = entry.operations.submit_job(&work, &key).await?;
     Ok((StatusCode::ACCEPTED, Json(api::JobAccepted { job })))
 }
 
@@ -80,50 +65,24 @@
     State(entry): State<Entry>,
     Path(job): Path<String>,
 ) -> Reply<Json<api::JobAccepted>> {
-    let shard = entry.shared.config.topology.shard_of(&job);
-    let submit = messages::SubmitRequest {
-        shard: u32::from(shard.0),
-        cancel: job,
-        ..messages::SubmitRequest::default()
-    };
-    let job = ask(&entry, shard, submit).await?;
+    let job = entry.operations.cancel_job(&ids::WorkId::new(&job)).await?;
     Ok(Json(api::JobAccepted { job }))
 }
 
-async fn ask(
-    entry: &Entry,
-    shard: ids::ShardId,
-    submit: messages::SubmitRequest,
-) -> errors::Result<ids::WorkId> {
-    let body = messages::Body::SubmitRequest(submit);
-    let reply = peer::ask_shard(&entry.shared, shard, body, SUBMIT_DEADLINE_MS).await?;
-    let messages::Body::SubmitReply(reply) = reply else {
-        return Err(shared::unexpected_reply());
-    };
-    Ok(ids::WorkId::new(&reply.work))
-}
-
 /// The status of one job.
 pub(super) async fn status(
     State(entry): State<Entry>,
     Path(job): Path<String>,
 ) -> Reply<Json<api::JobStatus>> {
-    let status = operators::job_status(&entry.shared, &ids::WorkId::new(&job)).await?;
+    let status = entry.operations.job_status(&ids::WorkId::new(&job)).await?;
     Ok(Json(status))
 }
 
 /// The status of all jobs whose shards can be reached.
 pub(super) async fn list(State(entry): State<Entry>) -> Json<Vec<api::JobStatus>> {
-    Json(operators::jobs(&entry.shared).await)
+    Json(entry.operations.jobs().await)
 }
 
 fn bad(detail: &str) -> errors::Error {
     errors::Error::new(errors::ErrorKind::BadRequest, detail)
 }
-
-fn draining() -> errors::Error {
-    errors::Error::new(
-        errors::ErrorKind::Draining,
-        "this host takes no requests now",
-    )
-}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -20,7 +20,7 @@
 use platform::upstreams;
 use tokio::sync::Semaphore;
 
-use crate::{shared, telemetry};
+use crate::{Operations, shared, telemetry};
 
 pub use listener::{HttpConfig, HttpServer};
 
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug)]
 pub struct Entry {
     shared: Arc<shared::Shared>,
-    acceptor: Arc<release::Acceptor>,
+    operations: Operations,
     metrics: Option<telemetry::MetricsPage>,
     /// Bytes of request bodies that may be held at once, in kibibytes.
     body_memory: Arc<Semaphore>,
@@ -43,14 +43,9 @@
 impl Entry {
     /// Makes the entry of one host.
     pub fn new(shared: Arc<shared::Shared>, metrics: Option<telemetry::MetricsPage>) -> Self {
-        let limits = release::CellLimits::from_workers(shared.config.topology.zones.keys(), []);
-        let acceptor = Arc::new(release::Acceptor::new(
-            Arc::clone(&shared.platform.store),
-            limits,
-        ));
         Self {
+            operations: Operations::new(Arc::clone(&shared)),
             shared,
-            acceptor,
             metrics,
             body_memory: Arc::new(Semaphore::new(BODY_MEMORY_KB)),
         }
--- a/crates/node/src/entry/releases.rs
+++ b/crates/node/src/entry/releases.rs
@@ -1,19 +1,16 @@
 //! Release notes.
 
-use std::time;
-
 use axum::Json;
 use axum::body::Body;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, Request};
 use kernel::errors;
-use kernel::history;
 use kernel::ids;
 use kernel::lifecycle;
 
+use super::Entry;
 use super::calls::{header, read_body};
 use super::reply::Reply;
-use super::{BODY_TIMEOUT, Entry};
 use crate::operators;
 
 /// Accepts a release note.
@@ -23,18 +20,10 @@
 ) -> Reply<Json<api::SubmitReply>> {
     let (submitter, base) = read_headers(request.headers())?;
     let (note, _memory) = read_body(&entry, request.into_body()).await?;
-    entry.acceptor.set_limits(cell_limits(&entry).await);
-    let accepted = entry.acceptor.submit(&note, &submitter, base).await?;
-    if !accepted.repeated {
-        entry.shared.record(history::Event::ReleaseAccepted {
-            version: accepted.version,
-        });
-    }
-    entry
-        .shared
-        .releases
-        .shared()
-        .offer(std::sync::Arc::clone(&accepted.newest));
+    let accepted = entry
+        .operations
+        .submit_release(&note, &submitter, base)
+        .await?;
     Ok(Json(api::SubmitReply {
         version: accepted.version,
         added: accepted.changes.added,
@@ -55,29 +44,6 @@
     Ok((submitter, base))
 }
 
-/// What the platform says about the workers of each zone; a zone that does not answer is unknown.
-async fn cell_limits(entry: &Entry) -> release::CellLimits {
-    let zones: Vec<&ids::ZoneId> = entry.shared.config.topology.zones.keys().collect();
-    let lists = zones.iter().map(|zone| async move {
-        let list = entry.shared.platform.workers.list(zone);
-        let limit = time::Duration::from_millis(500).min(BODY_TIMEOUT);
-        tokio::time::timeout(limit, list)
-            .await
-            .ok()
-            .and_then(Result::ok)
-            .unwrap_or_default()
-    });
-    let workers: Vec<platform::workers::WorkerInfo> = futures::future::join_all(lists)
-        .await
-        .into_iter()
-        .flatten()
-        .collect();
-    release::CellLimits::from_workers(
-        zones,
-        workers.iter().map(|worker| (&worker.zone, worker.capacity)),
-    )
-}
-
 /// The release in force at this host.
 pub(super) async fn current(State(entry): State<Entry>) -> Reply<Json<api::ReleaseView>> {
     let accepted = entry.shared.releases.shared().current().ok_or_else(|| {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod journals;
 pub mod local;
 mod node;
+mod operations;
 mod operators;
 mod peer;
 mod releases;
@@ -37,4 +38,5 @@
 pub mod topology;
 
 pub use node::Node;
+pub use operations::Operations;
 pub use peer::PeerHandler;
