--- /dev/null
+++ b/crates/histories/src/workload.rs
@@ -0,0 +1,293 @@
+//! Callers, submitters and operators of a run.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time;
+
+use bytes::Bytes;
+use kernel::errors;
+use kernel::history;
+use kernel::ids;
+use kernel::random;
+use kernel::work;
+use node::Operations;
+use node::forward;
+use rand::RngExt as _;
+use rand::seq::IndexedRandom as _;
+use standin::MemoryPlatform;
+use tokio::task::JoinSet;
+
+use crate::gate;
+
+/// The service that callers call.
+pub const SERVICE: &str = "desk";
+/// The team of all work.
+pub const TEAM: &str = "workshop";
+
+const CALLERS: u64 = 4;
+const CALL_PAUSE_MS: u64 = 150;
+const CALL_DEADLINE_MS: u64 = 3_000;
+/// Time that a caller waits beyond its deadline before it gives up.
+const CALLER_PATIENCE_MS: u64 = 500;
+const KEYS: u64 = 60;
+const JOB_PAUSE_MS: u64 = 1_500;
+const JOB_TRIES: u32 = 4;
+
+/// A host as callers see it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What can be asked of it.
+    pub operations: Operations,
+    /// Whether it runs.
+    pub gate: gate::Gate,
+}
+
+/// The hosts that callers may choose from, as the balancer would show them.
+pub type Targets = Arc<Mutex<Vec<Target>>>;
+
+/// What callers and operators share.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    /// The hosts.
+    pub targets: Targets,
+    /// Where their events go.
+    pub sink: Arc<history::MemorySink>,
+    /// The platform, for its clock.
+    pub platform: MemoryPlatform,
+    next_request: Arc<AtomicU64>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl Workload {
+    /// Makes a workload without hosts.
+    pub fn new(sink: Arc<history::MemorySink>, platform: MemoryPlatform) -> Self {
+        Self {
+            targets: Targets::default(),
+            sink,
+            platform,
+            next_request: Arc::default(),
+            stopping: Arc::default(),
+        }
+    }
+
+    /// Starts all callers and submitters.
+    pub fn start(&self, seed: u64) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
+        for caller in 0..CALLERS {
+            tasks.spawn(self.clone().call_for_ever(seed.wrapping_add(caller)));
+        }
+        tasks.spawn(self.clone().submit_for_ever(seed.wrapping_add(CALLERS)));
+        tasks
+    }
+
+    /// Lets all callers and submitters end once their present request is answered.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn pick(&self, random: &mut random::Random) -> Option<Target> {
+        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        targets.choose(random).cloned()
+    }
+
+    fn record(&self, process: &str, event: history::Event) {
+        history::Sink::append(
+            self.sink.as_ref(),
+            history::Record {
+                at_ms: self.platform.clock().now_ms(),
+                process: process.to_owned(),
+                event,
+            },
+        );
+    }
+
+    async fn call_for_ever(self, seed: u64) {
+        let mut random = random::from_seed(seed);
+        while !self.is_stopping() {
+            let pause_ms = random.random_range(0..CALL_PAUSE_MS * 2);
+            tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+            let Some(target) = self.pick(&mut random) else {
+                continue;
+            };
+            let key = random
+                .random_bool(0.5)
+                .then(|| random.random_range(0..KEYS));
+            self.call_once(&target, key).await;
+        }
+    }
+
+    /// One request; those with the same key are the same request.
+    async fn call_once(&self, target: &Target, key: Option<u64>) {
+        let request = self.next_request.fetch_add(1, Ordering::Relaxed) + 1;
+        let (path, body) = match key {
+            Some(key) => ("/charge".to_owned(), format!("charge {key}")),
+            None => (
+                format!("/look-up?request={request}"),
+                format!("look up {request}"),
+            ),
+        };
+        let digest = standin::digest(body.as_bytes());
+        let key = key.map(|key| ids::IdempotencyKey::new(format!("key-{key}")));
+        let sent = history::Event::RequestSent {
+            request,
+            key: key.clone(),
+            digest,
+        };
+        self.record("caller", sent);
+        let call = forward::Call {
+            service: ids::WorkId::new(SERVICE),
+            path,
+            body: Bytes::from(body),
+            key,
+            team: ids::TeamId::new(TEAM),
+            urgency: work::Urgency::Normal,
+            deadline_ms: CALL_DEADLINE_MS,
+        };
+        let answer = self.ask(target, call).await;
+        let (outcome, digest) = match answer {
+            Some(Ok(answered)) => (errors::Outcome::Done, digest_in(&answered.body)),
+            Some(Err(error)) => (error.kind.answer().outcome, None),
+            // The host is gone or too late; the caller knows nothing.
+            None => (errors::Outcome::Unknown, None),
+        };
+        let received = history::Event::AnswerReceived {
+            request,
+            outcome,
+            digest,
+            whole: true,
+        };
+        self.record("caller", received);
+    }
+
+    /// Sends a call through a host that may be paused before or after it answers.
+    async fn ask(
+        &self,
+        target: &Target,
+        call: forward::Call,
+    ) -> Option<errors::Result<forward::Answered>> {
+        let limit = time::Duration::from_millis(CALL_DEADLINE_MS + CALLER_PATIENCE_MS);
+        let asked = async {
+            target.gate.pass().await;
+            let result = target.operations.call(call).await;
+            target.gate.pass().await;
+            result
+        };
+        tokio::time::timeout(limit, asked).await.ok()
+    }
+
+    async fn submit_for_ever(self, seed: u64) {
+        let mut random = random::from_seed(seed);
+        for number in 0_u64.. {
+            if self.is_stopping() {
+                return;
+            }
+            let pause_ms = random.random_range(0..JOB_PAUSE_MS * 2);
+            tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+            self.submit_job(&mut random, number).await;
+        }
+    }
+
+    /// Submits one job, again under the same key if there is no answer.
+    async fn submit_job(&self, random: &mut random::Random, number: u64) {
+        let job = batch_job(&format!("job-{number}"), random.random_range(1..=4));
+        let key = ids::IdempotencyKey::new(format!("submit-{number}"));
+        for _ in 0..JOB_TRIES {
+            let Some(target) = self.pick(random) else {
+                continue;
+            };
+            if !target.gate.is_open() {
+                continue;
+            }
+            if target.operations.submit_job(&job, &key).await.is_ok() {
+                return;
+            }
+        }
+    }
+}
+
+/// A job of short tasks that may be started again.
+fn batch_job(name: &str, tasks: u32) -> work::Work {
+    work::Work {
+        id: ids::WorkId::new(name),
+        team: ids::TeamId::new(TEAM),
+        kind: work::WorkKind::BatchRun,
+        tasks,
+        demand: work::Resources::new(2_000, 1_024, 0),
+        urgency: work::Urgency::Normal,
+        policy: work::Policy::QuickStart,
+        run_time_ms: Some(700),
+        max_attempts: 50,
+        zones: Vec::new(),
+        idempotent: true,
+        slots: 0,
+        connections: 0,
+    }
+}
+
+/// The digest of the request that an answer of the stand-in belongs to.
+fn digest_in(body: &[u8]) -> Option<u64> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    value.get("digest")?.as_u64()
+}
+
+/// The release note with which a run starts.
+pub fn first_note() -> String {
+    format!(
+        r#"
+[[added.quota]]
+team = "{TEAM}"
+cpu_milli = 150000
+memory_mb = 300000
+
+[[added.service]]
+name = "{SERVICE}"
+team = "{TEAM}"
+replicas = 6
+cpu_milli = 4000
+memory_mb = 4096
+slots = 4
+connections = 64
+
+[[added.batch_run]]
+name = "nightly"
+team = "{TEAM}"
+tasks = 20
+cpu_milli = 2000
+memory_mb = 1024
+run_time_ms = 1500
+max_attempts = 50
+idempotent = true
+
+[[added.gang_job]]
+name = "plan"
+team = "{TEAM}"
+tasks = 4
+cpu_milli = 2000
+memory_mb = 1024
+run_time_ms = 1500
+max_attempts = 50
+idempotent = true
+"#
+    )
+}
+
+/// A later note, which adds one batch run.
+pub fn later_note(name: &str) -> String {
+    format!(
+        r#"
+[[added.batch_run]]
+name = "{name}"
+team = "{TEAM}"
+tasks = 3
+cpu_milli = 1000
+memory_mb = 512
+run_time_ms = 500
+max_attempts = 50
+idempotent = true
+"#
+    )
+}
