--- a/crates/journal/src/claims/mod.rs
+++ b/crates/journal/src/claims/mod.rs
@@ -61,6 +61,10 @@
     ///
     /// A duplicate of a request that is running waits for the answer.
     ///
+    /// An error that means "not run" speaks of this request alone. If the shard
+    /// moved, an earlier request with the key may have run elsewhere; whoever
+    /// forwards a request should try the shard's new owner on `stale_epoch`.
+    ///
     /// # Errors
     ///
     /// - [`errors::ErrorKind::Conflict`]: another request has the key.
--- a/crates/journal/src/driver/config.rs
+++ b/crates/journal/src/driver/config.rs
@@ -43,7 +43,7 @@
             budget,
             batch_delay_ms: 25,
             batch_bytes: 256 * 1024,
-            call_timeout_ms: 1_000,
+            call_timeout_ms: 5_000,
             retry_min_ms: 50,
             retry_max_ms: 1_000,
             open_timeout_ms: 10_000,
--- a/crates/journal/src/driver/snapshots.rs
+++ b/crates/journal/src/driver/snapshots.rs
@@ -190,6 +190,26 @@
     }
 }
 
+/// The state at one entry, encoded.
+#[derive(Debug)]
+struct Image {
+    seq: u64,
+    epoch: ids::Epoch,
+    seals: Vec<u64>,
+    bytes: Bytes,
+}
+
+impl Image {
+    fn of(state: &ShardState) -> errors::Result<Self> {
+        Ok(Self {
+            seq: state.seq(),
+            epoch: state.epoch(),
+            seals: state.seals().collect(),
+            bytes: state.snapshot()?,
+        })
+    }
+}
+
 #[derive(Debug)]
 struct Snapshotter {
     store: PacedStore,
@@ -203,19 +223,15 @@
 
 impl Snapshotter {
     async fn run(&mut self, shared: &Shared) {
-        let state = {
-            let state = shared.state.read();
-            state.unwrap_or_else(PoisonError::into_inner).clone()
+        let image = Image::of(&shared.state.read().unwrap_or_else(PoisonError::into_inner));
+        let written = match image {
+            Ok(image) => self.write(shared.shard, &image).await.map(|()| image),
+            Err(error) => Err(error),
         };
-        match self.write(shared.shard, &state).await {
-            Ok(()) => {
-                kernel::log_event!(
-                    events::SNAPSHOT,
-                    "shard {} at {}",
-                    shared.shard,
-                    state.seq()
-                );
-                self.trim(shared.shard, &state).await;
+        match written {
+            Ok(image) => {
+                kernel::log_event!(events::SNAPSHOT, "shard {} at {}", shared.shard, image.seq);
+                self.trim(shared.shard, &image).await;
             }
             Err(error) => {
                 kernel::log_event!(events::SNAPSHOT_FAILED, "shard {}: {error}", shared.shard);
@@ -223,27 +239,26 @@
         }
     }
 
-    async fn write(&mut self, shard: ids::ShardId, state: &ShardState) -> errors::Result<()> {
-        let bytes = state.snapshot()?;
-        self.last_bytes.store(bytes.len() as u64, Ordering::Relaxed);
-        let prefix = keys::snapshot(shard, state.epoch(), state.seq(), self.session);
-        let mut chunks = 0;
-        for chunk in bytes.chunks(self.chunk_bytes) {
-            let key = keys::chunk(&prefix, chunks);
-            let value = Bytes::copy_from_slice(chunk);
-            self.store.put(&key, value, Condition::Any).await?;
-            chunks += 1;
-        }
+    async fn write(&mut self, shard: ids::ShardId, image: &Image) -> errors::Result<()> {
+        let bytes = image.bytes.len();
+        self.last_bytes.store(bytes as u64, Ordering::Relaxed);
+        let chunks = bytes.div_ceil(self.chunk_bytes) as u32;
         if chunks > CHUNK_LIMIT {
-            let detail = format!("a snapshot of {} bytes is too large", bytes.len());
+            let detail = format!("a snapshot of {bytes} bytes is too large");
             return Err(errors::Error::new(errors::ErrorKind::TooLarge, detail));
         }
+        let prefix = keys::snapshot(shard, image.epoch, image.seq, self.session);
+        for (index, chunk) in (0..).zip(image.bytes.chunks(self.chunk_bytes)) {
+            let key = keys::chunk(&prefix, index);
+            let value = image.bytes.slice_ref(chunk);
+            self.store.put(&key, value, Condition::Any).await?;
+        }
         let message = HeadMessage {
-            seq: state.seq(),
+            seq: image.seq,
             prefix,
             chunks,
             trimmed_seq: self.trimmed_seq(),
-            bytes: bytes.len() as u64,
+            bytes: bytes as u64,
         };
         self.install(shard, &message).await
     }
@@ -290,19 +305,19 @@
     }
 
     /// Deletes what the snapshot in force replaces; whatever fails is tried after the next one.
-    async fn trim(&mut self, shard: ids::ShardId, state: &ShardState) {
-        let seals: Vec<u64> = state.seals().collect();
+    async fn trim(&mut self, shard: ids::ShardId, image: &Image) {
+        let seals = &image.seals;
         let dropped = self.seals.iter().filter(|seq| !seals.contains(seq));
-        let entries = (self.trimmed_seq() + 1..state.seq()).filter(|seq| !seals.contains(seq));
+        let entries = (self.trimmed_seq() + 1..image.seq).filter(|seq| !seals.contains(seq));
         let entries: Vec<u64> = dropped.copied().chain(entries).collect();
         for seq in entries {
             if self.store.delete(&keys::entry(shard, seq)).await.is_err() {
                 return;
             }
         }
-        self.seals = seals;
+        self.seals.clone_from(seals);
         if let Some(head) = &mut self.head {
-            head.trimmed_seq = state.seq().saturating_sub(1);
+            head.trimmed_seq = image.seq.saturating_sub(1);
         }
         let _ = self.delete_older_chunks(shard).await;
     }
--- a/crates/journal/tests/journal/support.rs
+++ b/crates/journal/tests/journal/support.rs
@@ -315,3 +315,9 @@
     names.sort();
     names
 }
+
+/// Seeds of a history: 100, or as many as `HICKORY_TEST_SEEDS` says.
+pub fn seeds() -> std::ops::Range<u64> {
+    let wanted = std::env::var("HICKORY_TEST_SEEDS").ok();
+    0..wanted.map_or(100, |count| count.parse().unwrap())
+}
