--- a/crates/journal/tests/journal/claims.rs
+++ b/crates/journal/tests/journal/claims.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use checker::linearizable::{ClaimOperation, Operation, is_claim};
 use hickorychute_journal as journal;
 use journal::Begin;
 use kernel::{errors, ids, random};
 use rand::RngExt;
 use tokio::{task, time};
 
-use crate::support::{FakeStore, SHARD, config, open, seeds};
+use crate::support::{FakeStore, Guard, SHARD, config, open, seeds};
 
 fn request(key: &str, digest: u64, attempt_id: u64) -> journal::Request {
     journal::Request {
@@ -274,3 +275,106 @@
         );
     }
 }
+
+/// What a claim through one writer came to; `None` if it certainly had no effect.
+async fn claim_directly(
+    journal: Arc<journal::ShardJournal>,
+    key: ids::IdempotencyKey,
+    attempt_id: u64,
+    started: time::Instant,
+) -> Option<Operation<ClaimOperation>> {
+    let called_ms = started.elapsed().as_millis() as u64;
+    let record = journal::Record::Claimed {
+        key: key.clone(),
+        request_digest: 1,
+        attempt_id,
+        host: ids::HostId::new("h"),
+    };
+    let appended = journal.append(vec![record], 1_500).await;
+    let content = match appended {
+        Ok(applied) if applied[0].is_changed() => ClaimOperation::Won { attempt_id },
+        Ok(_) => match journal.state().claim(&key) {
+            journal::ClaimState::Claimed(owner) | journal::ClaimState::Unknown(owner) => {
+                ClaimOperation::Lost {
+                    holder: owner.attempt_id,
+                }
+            }
+            other => panic!("{other:?}"),
+        },
+        Err(error) if error.kind == errors::ErrorKind::AnswerLost => {
+            ClaimOperation::Unanswered { attempt_id }
+        }
+        Err(_) => return None,
+    };
+    let is_unanswered = matches!(content, ClaimOperation::Unanswered { .. });
+    let responded_ms = started.elapsed().as_millis() as u64;
+    let responded_ms = (!is_unanswered).then_some(responded_ms);
+    Some(Operation {
+        called_ms,
+        responded_ms,
+        content,
+    })
+}
+
+/// Operations on each key, through two writers of which the second fences the first.
+async fn claims_by_key(seed: u64, removed: Option<Guard>) -> Vec<Vec<Operation<ClaimOperation>>> {
+    const KEYS: usize = 12;
+    let store = FakeStore::new(seed);
+    let mut random = random::from_seed(seed);
+    let started = time::Instant::now();
+    let mut writers = Vec::new();
+    let mut claims = Vec::new();
+    for attempt_id in 0..60 {
+        if attempt_id == 0 || attempt_id == 20 {
+            let epoch = writers.len() as u64 + 1;
+            let connection = store.connect();
+            connection.set_faults(|faults| {
+                faults.latency_ms = random.random_range(1..40);
+                faults.lost_after_effect = random.random_range(0..300);
+                faults.delayed_effect = random.random_range(0..300);
+                faults.removed = removed;
+            });
+            let host = format!("host-{epoch}");
+            let opened = open(&connection, &host, epoch, &config(epoch)).await;
+            writers.extend(opened.ok().map(Arc::new));
+        }
+        // The later the claim, the later the key, so that both writers see new keys.
+        let key = (attempt_id as usize / 6 + random.random_range(0..3)).min(KEYS - 1);
+        let writer = random.random_range(0..writers.len());
+        let journal = Arc::clone(&writers[writer]);
+        let id = ids::IdempotencyKey::new(format!("k{key}"));
+        claims.push((
+            key,
+            task::spawn(claim_directly(journal, id, attempt_id, started)),
+        ));
+        time::sleep(Duration::from_millis(random.random_range(0..40))).await;
+    }
+    let mut by_key = vec![Vec::new(); KEYS];
+    for (key, claim) in claims {
+        by_key[key].extend(claim.await.unwrap());
+    }
+    by_key
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_are_linearizable() {
+    for seed in seeds() {
+        for operations in claims_by_key(seed, None).await {
+            assert!(is_claim(&operations), "seed {seed}: {operations:?}");
+        }
+    }
+}
+
+/// With the store's condition ignored, two writers let a key be claimed twice.
+#[tokio::test(start_paused = true)]
+async fn the_condition_matters_for_claims() {
+    let mut found = 0;
+    for seed in 0..20 {
+        let by_key = claims_by_key(seed, Some(Guard::Conditions)).await;
+        found += by_key
+            .iter()
+            .filter(|operations| !is_claim(operations))
+            .count();
+    }
+    assert!(found > 0, "removing the guard is not noticed");
+}
--- a/crates/journal/tests/journal/driver.rs
+++ b/crates/journal/tests/journal/driver.rs
@@ -64,3 +64,26 @@
         "{entries} entries, more than a period and the seals"
     );
 }
+
+/// A write hangs past the deadlines of its own record and of one that waits behind it.
+#[tokio::test(start_paused = true)]
+async fn deadlines_are_answered_with_what_is_known() {
+    let store = FakeStore::new(1);
+    let journal = open(&store, "a", 1, &config(1)).await.unwrap();
+    store.set_faults(|faults| faults.frozen = true);
+    let sent = journal.append(vec![accepted("sent", 1)], 500);
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    let queued = journal.append(vec![accepted("queued", 1)], 200);
+    let (sent, queued) = tokio::join!(sent, queued);
+    assert_eq!(sent.unwrap_err().kind, errors::ErrorKind::AnswerLost);
+    assert_eq!(
+        queued.unwrap_err().kind,
+        errors::ErrorKind::StoreUnavailable
+    );
+    let mut applied = journal.applied_seq();
+    store.set_faults(|faults| faults.frozen = false);
+    applied.wait_for(|seq| *seq == 2).await.unwrap();
+    assert_eq!(names(&journal.state()), ["sent"]);
+    tokio::time::sleep(std::time::Duration::from_secs(10)).await;
+    assert_eq!(names(&journal.state()), ["sent"]);
+}
--- a/crates/journal/tests/journal/support.rs
+++ b/crates/journal/tests/journal/support.rs
@@ -22,6 +22,8 @@
     LostAnswers,
     /// Reads of the snapshot's head return what is there.
     SnapshotHead,
+    /// A write is answered only after its effect.
+    Durability,
 }
 
 /// What the store does to calls.
@@ -122,6 +124,9 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         if self.is_last_write() {
+            if faults.removed == Some(Guard::Durability) {
+                return Ok(Revision(0));
+            }
             if faults.hangs_after_effect {
                 let _ = apply(&mut lock(&self.contents));
             }
