--- a/crates/journal/src/driver/mod.rs
+++ b/crates/journal/src/driver/mod.rs
@@ -86,7 +86,11 @@
                 detail,
             ));
         };
-        let recovered = recovered?;
+        let recovered = recovered.inspect_err(|error| {
+            if error.kind == errors::ErrorKind::Internal {
+                kernel::log_event!(events::CORRUPT, "shard {shard}: {error}");
+            }
+        })?;
         kernel::log_event!(
             events::OPENED,
             "shard {shard} at {} under epoch {epoch}",
--- a/crates/journal/src/driver/recovery.rs
+++ b/crates/journal/src/driver/recovery.rs
@@ -71,7 +71,7 @@
         };
         loop {
             if !self.read_entries(&mut state).await? {
-                return Ok(Step::Again);
+                return self.after_gap(head.as_ref(), &state).await;
             }
             self.check_epoch(&state)?;
             if self.seal(&mut state).await? {
@@ -80,6 +80,25 @@
         }
     }
 
+    /// A gap without a newer snapshot is a loss, and trying again would not end.
+    async fn after_gap<T>(
+        &self,
+        head: Option<&Head>,
+        state: &ShardState,
+    ) -> Result<Step<T>, Failure> {
+        let newer = snapshots::read_head(self.store, self.shard).await?;
+        if newer.as_ref() != head {
+            return Ok(Step::Again);
+        }
+        let detail = format!(
+            "entry {} of shard {} is missing",
+            state.seq() + 1,
+            self.shard
+        );
+        let error = errors::Error::new(errors::ErrorKind::Internal, detail);
+        Err(Failure::Final(error))
+    }
+
     /// Applies all entries after the state's last one; false if some were trimmed meanwhile.
     async fn read_entries(&self, state: &mut ShardState) -> Result<bool, Failure> {
         let prefix = keys::entries(self.shard);
--- a/crates/journal/tests/journal/driver.rs
+++ b/crates/journal/tests/journal/driver.rs
@@ -3,6 +3,7 @@
 use crate::support::{FakeStore, accepted, config, names, open};
 use hickorychute_journal as journal;
 use kernel::{errors, ids};
+use platform::store::{Condition, Store};
 
 #[tokio::test(start_paused = true)]
 async fn appended_records_are_there_on_a_fresh_host() {
@@ -87,3 +88,65 @@
     tokio::time::sleep(std::time::Duration::from_secs(10)).await;
     assert_eq!(names(&journal.state()), ["sent"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_journal_that_cannot_be_read_is_not_opened() {
+    struct Case {
+        name: &'static str,
+        key: &'static str,
+        value: Option<&'static [u8]>,
+        told: &'static str,
+    }
+    let entry = "journal/00003/000000000002";
+    let head = "snapshot/00003";
+    let cases = [
+        Case {
+            name: "missing entry",
+            key: entry,
+            value: None,
+            told: "entry 2 of shard 3 is missing",
+        },
+        Case {
+            name: "broken entry",
+            key: entry,
+            value: Some(b"x"),
+            told: "malformed",
+        },
+        Case {
+            name: "empty entry",
+            key: entry,
+            value: Some(b""),
+            told: "malformed",
+        },
+        Case {
+            name: "broken head",
+            key: head,
+            value: Some(b"\x01x"),
+            told: "malformed",
+        },
+    ];
+    for case in cases {
+        let store = FakeStore::new(1);
+        let journal = open(&store, "a", 1, &config(1)).await.unwrap();
+        for name in ["one", "two"] {
+            journal
+                .append(vec![accepted(name, 1)], 1_000)
+                .await
+                .unwrap();
+        }
+        drop(journal);
+        match case.value {
+            None => store.delete(case.key, Condition::Any).await.unwrap(),
+            Some(value) => {
+                let value = bytes::Bytes::from_static(value);
+                store
+                    .put(case.key, value, Condition::Any, None)
+                    .await
+                    .unwrap()
+            }
+        };
+        let error = open(&store, "b", 2, &config(2)).await.unwrap_err();
+        assert_eq!(error.kind, errors::ErrorKind::Internal, "{}", case.name);
+        assert!(error.detail.contains(case.told), "{}: {error}", case.name);
+    }
+}
