--- a/crates/journal/src/driver/writer.rs
+++ b/crates/journal/src/driver/writer.rs
@@ -59,12 +59,42 @@
             self.wait_for_batch().await;
             match self.commit().await {
                 Committed::Durable(bytes) => self.snapshots.after_entry(&self.shared, bytes),
-                Committed::Nothing => self.shared.notify(),
+                Committed::Nothing => {
+                    self.shared.notify();
+                    if self.is_fenced_while_idle().await {
+                        return self.fence();
+                    }
+                }
                 Committed::Fenced => return self.fence(),
             }
         }
     }
 
+    /// Finds out whether a store that was away is back, while nothing waits to be written.
+    ///
+    /// Whoever refuses requests while the journal is blocked would otherwise never
+    /// see it open again. True if another writer's entry has the next number.
+    async fn is_fenced_while_idle(&self) -> bool {
+        let key = keys::entry(self.shared.shard, self.shared.last_seq() + 1);
+        let mut failures = 0;
+        while self.shared.queue().is_empty() {
+            match self.store.get(&key).await {
+                Ok(Some(_)) => return true,
+                Ok(None) => {
+                    self.shared.set_status(Status::Open);
+                    return false;
+                }
+                Err(_) => failures += 1,
+            }
+            let more = self.shared.wake.notified();
+            tokio::select! {
+                () = self.store.back_off(failures) => {}
+                () = more => return false,
+            }
+        }
+        false
+    }
+
     /// Waits until the oldest append has waited long enough or the batch is large enough.
     async fn wait_for_batch(&self) {
         let delay = Duration::from_millis(self.config.batch_delay_ms);
@@ -198,6 +228,9 @@
             }
             Err(error) => {
                 kernel::log_event!(events::CORRUPT, "shard {}: {error}", self.shared.shard);
+                // The records are durable, but nobody can say what they came to.
+                let mut queue = self.shared.queue();
+                queue.refuse_batch(errors::ErrorKind::Internal, &error.detail);
                 Committed::Fenced
             }
         }
--- a/crates/journal/tests/journal/driver.rs
+++ b/crates/journal/tests/journal/driver.rs
@@ -150,3 +150,33 @@
         assert!(error.detail.contains(case.told), "{}: {error}", case.name);
     }
 }
+
+/// Found while reading: with all records withdrawn the journal stayed blocked for good.
+#[tokio::test(start_paused = true)]
+async fn an_idle_journal_notices_that_the_store_is_back() {
+    let cases = [
+        (false, journal::Status::Open),
+        (true, journal::Status::Fenced),
+    ];
+    for (is_taken_over, expected) in cases {
+        let store = FakeStore::new(1);
+        let host = store.connect();
+        let journal = open(&host, "a", 1, &config(1)).await.unwrap();
+        host.set_faults(|faults| faults.down = true);
+        let refused = journal.append(vec![accepted("refused", 1)], 500).await;
+        assert_eq!(
+            refused.unwrap_err().kind,
+            errors::ErrorKind::StoreUnavailable
+        );
+        assert_eq!(*journal.status().borrow(), journal::Status::Blocked);
+        if is_taken_over {
+            open(&store, "b", 2, &config(2)).await.unwrap();
+        }
+        host.set_faults(|faults| faults.down = false);
+        let mut status = journal.status();
+        let changed = status
+            .wait_for(|status| *status != journal::Status::Blocked)
+            .await;
+        assert_eq!(*changed.unwrap(), expected);
+    }
+}
