--- a/crates/journal/src/measure/load.rs
+++ b/crates/journal/src/measure/load.rs
@@ -132,28 +132,31 @@
 /// A state in which some jobs are open.
 pub(super) fn state_of(jobs: u64, tasks: u32) -> errors::Result<ShardState> {
     let mut state = ShardState::new(Limits {
-        open_jobs: jobs as usize,
+        open_jobs: jobs.max(1_000) as usize,
         ..Limits::default()
     });
-    let writer = ids::HostId::new("measure");
     let opened = Record::Opened {
         epoch: ids::Epoch(1),
-        writer: writer.clone(),
+        writer: ids::HostId::new("measure"),
     };
     let accepted = (0..jobs).map(|index| Record::Accepted {
         work: Box::new(work_of(index, tasks)),
         key: None,
     });
-    let entry = Entry {
+    state.apply_entry(&entry(std::iter::once(opened).chain(accepted)))?;
+    Ok(state)
+}
+
+/// An entry of the writer that measures.
+pub(super) fn entry(records: impl IntoIterator<Item = Record>) -> Entry {
+    Entry {
         epoch: ids::Epoch(1),
-        writer,
+        writer: ids::HostId::new("measure"),
         session: 1,
-        batch: 0,
+        batch: 1,
         at_ms: 0,
-        records: std::iter::once(opened).chain(accepted).collect(),
-    };
-    state.apply_entry(&entry)?;
-    Ok(state)
+        records: records.into_iter().collect(),
+    }
 }
 
 fn work_of(index: u64, tasks: u32) -> work::Work {
--- a/crates/journal/src/measure/mod.rs
+++ b/crates/journal/src/measure/mod.rs
@@ -187,6 +187,52 @@
     })
 }
 
+/// Processor time of the journal for one record, in nanoseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Processing {
+    /// To encode and compress it within its entry.
+    pub encode_ns: f64,
+    /// To decompress and decode it.
+    pub decode_ns: f64,
+    /// To apply it to the state.
+    pub apply_ns: f64,
+}
+
+/// Times the records of some jobs of one task, in entries of `tasks_per_entry` jobs.
+///
+/// # Errors
+///
+/// [`errors::ErrorKind::Internal`] if an entry cannot be encoded or applied.
+pub fn processing(tasks: u64, tasks_per_entry: u64) -> errors::Result<Processing> {
+    let mut state = load::state_of(0, 0)?;
+    let mut spent = [Duration::ZERO; 3];
+    let mut records = 0;
+    for first in (0..tasks).step_by(tasks_per_entry.max(1) as usize) {
+        let mut entry =
+            load::entry((first..first + tasks_per_entry).flat_map(load::life_of_a_task));
+        entry.at_ms = first;
+        records += entry.records.len();
+        let value = timed(&mut spent[0], || entry.encode())?;
+        let decoded = timed(&mut spent[1], || Entry::decode(&value))?;
+        timed(&mut spent[2], || state.apply_entry(&decoded))?;
+    }
+    let [encode_ns, decode_ns, apply_ns] =
+        spent.map(|sum| sum.as_secs_f64() * 1e9 / records.max(1) as f64);
+    Ok(Processing {
+        encode_ns,
+        decode_ns,
+        apply_ns,
+    })
+}
+
+/// Runs a step and adds its duration to `spent`.
+fn timed<T>(spent: &mut Duration, step: impl FnOnce() -> T) -> T {
+    let begun = std::time::Instant::now();
+    let result = step();
+    *spent += begun.elapsed();
+    result
+}
+
 /// Bytes of the encoded state for some open jobs, as a measure of its size.
 ///
 /// # Errors
@@ -220,14 +266,7 @@
 
 /// An entry with one record, as a way without batches would write it.
 fn single(record: Record) -> Entry {
-    Entry {
-        epoch: ids::Epoch(1),
-        writer: ids::HostId::new("measure"),
-        session: 1,
-        batch: 1,
-        at_ms: 0,
-        records: vec![record],
-    }
+    load::entry([record])
 }
 
 /// The pause between two operations at a rate.
--- a/crates/journal/tests/memory.rs
+++ b/crates/journal/tests/memory.rs
@@ -1,4 +1,4 @@
-//! Memory of a shard's state, measured on the whole process.
+//! Memory and processor time of a shard's state, measured on the whole process.
 //!
 //! This file holds one test, so that nothing else runs in its process.
 
@@ -38,4 +38,7 @@
         assert!(grown < NODE_BYTES, "{grown} bytes");
         kept.push(state);
     }
+    drop(kept);
+    let processing = measure::processing(200_000, 100).unwrap();
+    println!("processor time for each record: {processing:.0?}");
 }
