--- a/crates/journal/src/driver/snapshots.rs
+++ b/crates/journal/src/driver/snapshots.rs
@@ -7,12 +7,18 @@
 //! lower epoch or number, so that a fenced writer cannot delete chunks which
 //! its successor is about to name.
 //!
+//! A snapshot is taken when the entries since the last one are together as
+//! large as it was, so that snapshots at most double the bytes written, however
+//! large the state is; and after a fixed number of entries at the latest, which
+//! bounds the calls of a recovery.
+//!
 //! Two kinds of entries outlive trimming. The entry that the snapshot ends
 //! with stays, so that a reader sees a gap instead of an empty journal. The
 //! latest seals stay, because the number after a fenced writer's last entry is
 //! always that of a seal: as long as it is in the store, the fenced writer
 //! cannot create it.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError};
 
 use bytes::Bytes;
@@ -31,8 +37,8 @@
 use crate::record;
 use crate::state::{Limits, ShardState};
 
-/// Size of entries after which a snapshot is taken, in bytes after compression.
-const SNAPSHOT_ENTRY_BYTES: usize = 8 * 1024 * 1024;
+/// A snapshot is due at the latest after this many times the configured number of entries.
+const LONGEST_PERIODS: u64 = 8;
 /// Most chunks of a snapshot.
 const CHUNK_LIMIT: u32 = 512;
 /// Largest head after decompression, in bytes.
@@ -48,6 +54,8 @@
     chunks: u32,
     #[prost(uint64, tag = "4")]
     trimmed_seq: u64,
+    #[prost(uint64, tag = "5")]
+    bytes: u64,
 }
 
 /// The head of the snapshot in force.
@@ -59,6 +67,8 @@
     chunks: u32,
     /// All entries up to this one had been trimmed before the snapshot.
     trimmed_seq: u64,
+    /// Size of all chunks together.
+    bytes: u64,
     revision: Revision,
 }
 
@@ -80,6 +90,7 @@
         prefix: message.prefix,
         chunks: message.chunks.min(CHUNK_LIMIT),
         trimmed_seq: message.trimmed_seq,
+        bytes: message.bytes,
         revision: stored.revision,
     }))
 }
@@ -113,8 +124,10 @@
     work: Arc<tokio::sync::Mutex<Snapshotter>>,
     running: Option<task::JoinHandle<()>>,
     entries: u64,
-    bytes: usize,
+    bytes: u64,
     entries_limit: u64,
+    /// Size of the last snapshot.
+    last_bytes: Arc<AtomicU64>,
 }
 
 impl Snapshots {
@@ -125,8 +138,11 @@
         recovered: &super::Recovered,
     ) -> Self {
         let snapshot_seq = recovered.head.as_ref().map_or(0, |head| head.seq);
+        let last_bytes = recovered.head.as_ref().map_or(0, |head| head.bytes);
+        let last_bytes = Arc::new(AtomicU64::new(last_bytes));
         let snapshotter = Snapshotter {
             store,
+            last_bytes: Arc::clone(&last_bytes),
             chunk_bytes: config.chunk_bytes,
             session,
             head: recovered.head.clone(),
@@ -138,14 +154,17 @@
             entries: recovered.state.seq() - snapshot_seq,
             bytes: 0,
             entries_limit: config.snapshot_entries,
+            last_bytes,
         }
     }
 
     /// Counts an entry and takes a snapshot if it is time and none is being taken.
     pub fn after_entry(&mut self, shared: &Arc<Shared>, bytes: usize) {
         self.entries += 1;
-        self.bytes += bytes;
-        let is_due = self.entries >= self.entries_limit || self.bytes >= SNAPSHOT_ENTRY_BYTES;
+        self.bytes += bytes as u64;
+        let is_worth_it = self.bytes >= self.last_bytes.load(Ordering::Relaxed)
+            || self.entries >= self.entries_limit * LONGEST_PERIODS;
+        let is_due = self.entries >= self.entries_limit && is_worth_it;
         let is_running = self
             .running
             .as_ref()
@@ -171,6 +190,26 @@
     }
 }
 
+/// The state at one entry, encoded.
+#[derive(Debug)]
+struct Image {
+    seq: u64,
+    epoch: ids::Epoch,
+    seals: Vec<u64>,
+    bytes: Bytes,
+}
+
+impl Image {
+    fn of(state: &ShardState) -> errors::Result<Self> {
+        Ok(Self {
+            seq: state.seq(),
+            epoch: state.epoch(),
+            seals: state.seals().collect(),
+            bytes: state.snapshot()?,
+        })
+    }
+}
+
 #[derive(Debug)]
 struct Snapshotter {
     store: PacedStore,
@@ -179,23 +218,20 @@
     head: Option<Head>,
     /// Seals that earlier trimming left in the store.
     seals: Vec<u64>,
+    last_bytes: Arc<AtomicU64>,
 }
 
 impl Snapshotter {
     async fn run(&mut self, shared: &Shared) {
-        let state = {
-            let state = shared.state.read();
-            state.unwrap_or_else(PoisonError::into_inner).clone()
+        let image = Image::of(&shared.state.read().unwrap_or_else(PoisonError::into_inner));
+        let written = match image {
+            Ok(image) => self.write(shared.shard, &image).await.map(|()| image),
+            Err(error) => Err(error),
         };
-        match self.write(shared.shard, &state).await {
-            Ok(()) => {
-                kernel::log_event!(
-                    events::SNAPSHOT,
-                    "shard {} at {}",
-                    shared.shard,
-                    state.seq()
-                );
-                self.trim(shared.shard, &state).await;
+        match written {
+            Ok(image) => {
+                kernel::log_event!(events::SNAPSHOT, "shard {} at {}", shared.shard, image.seq);
+                self.trim(shared.shard, &image).await;
             }
             Err(error) => {
                 kernel::log_event!(events::SNAPSHOT_FAILED, "shard {}: {error}", shared.shard);
@@ -203,25 +239,26 @@
         }
     }
 
-    async fn write(&mut self, shard: ids::ShardId, state: &ShardState) -> errors::Result<()> {
-        let bytes = state.snapshot()?;
-        let prefix = keys::snapshot(shard, state.epoch(), state.seq(), self.session);
-        let mut chunks = 0;
-        for chunk in bytes.chunks(self.chunk_bytes) {
-            let key = keys::chunk(&prefix, chunks);
-            let value = Bytes::copy_from_slice(chunk);
-            self.store.put(&key, value, Condition::Any).await?;
-            chunks += 1;
-        }
+    async fn write(&mut self, shard: ids::ShardId, image: &Image) -> errors::Result<()> {
+        let bytes = image.bytes.len();
+        self.last_bytes.store(bytes as u64, Ordering::Relaxed);
+        let chunks = bytes.div_ceil(self.chunk_bytes) as u32;
         if chunks > CHUNK_LIMIT {
-            let detail = format!("a snapshot of {} bytes is too large", bytes.len());
+            let detail = format!("a snapshot of {bytes} bytes is too large");
             return Err(errors::Error::new(errors::ErrorKind::TooLarge, detail));
         }
+        let prefix = keys::snapshot(shard, image.epoch, image.seq, self.session);
+        for (index, chunk) in (0..).zip(image.bytes.chunks(self.chunk_bytes)) {
+            let key = keys::chunk(&prefix, index);
+            let value = image.bytes.slice_ref(chunk);
+            self.store.put(&key, value, Condition::Any).await?;
+        }
         let message = HeadMessage {
-            seq: state.seq(),
+            seq: image.seq,
             prefix,
             chunks,
             trimmed_seq: self.trimmed_seq(),
+            bytes: bytes as u64,
         };
         self.install(shard, &message).await
     }
@@ -261,25 +298,26 @@
             prefix: message.prefix.clone(),
             chunks: message.chunks,
             trimmed_seq: message.trimmed_seq,
+            bytes: message.bytes,
             revision: put?,
         });
         Ok(())
     }
 
     /// Deletes what the snapshot in force replaces; whatever fails is tried after the next one.
-    async fn trim(&mut self, shard: ids::ShardId, state: &ShardState) {
-        let seals: Vec<u64> = state.seals().collect();
+    async fn trim(&mut self, shard: ids::ShardId, image: &Image) {
+        let seals = &image.seals;
         let dropped = self.seals.iter().filter(|seq| !seals.contains(seq));
-        let entries = (self.trimmed_seq() + 1..state.seq()).filter(|seq| !seals.contains(seq));
+        let entries = (self.trimmed_seq() + 1..image.seq).filter(|seq| !seals.contains(seq));
         let entries: Vec<u64> = dropped.copied().chain(entries).collect();
         for seq in entries {
             if self.store.delete(&keys::entry(shard, seq)).await.is_err() {
                 return;
             }
         }
-        self.seals = seals;
+        self.seals.clone_from(seals);
         if let Some(head) = &mut self.head {
-            head.trimmed_seq = state.seq().saturating_sub(1);
+            head.trimmed_seq = image.seq.saturating_sub(1);
         }
         let _ = self.delete_older_chunks(shard).await;
     }
--- a/crates/journal/tests/journal/driver.rs
+++ b/crates/journal/tests/journal/driver.rs
@@ -3,6 +3,7 @@
 use crate::support::{FakeStore, accepted, config, names, open};
 use hickorychute_journal as journal;
 use kernel::{errors, ids};
+use platform::store::{Condition, Store};
 
 #[tokio::test(start_paused = true)]
 async fn appended_records_are_there_on_a_fresh_host() {
@@ -64,3 +65,118 @@
         "{entries} entries, more than a period and the seals"
     );
 }
+
+/// A write hangs past the deadlines of its own record and of one that waits behind it.
+#[tokio::test(start_paused = true)]
+async fn deadlines_are_answered_with_what_is_known() {
+    let store = FakeStore::new(1);
+    let journal = open(&store, "a", 1, &config(1)).await.unwrap();
+    store.set_faults(|faults| faults.frozen = true);
+    let sent = journal.append(vec![accepted("sent", 1)], 500);
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    let queued = journal.append(vec![accepted("queued", 1)], 200);
+    let (sent, queued) = tokio::join!(sent, queued);
+    assert_eq!(sent.unwrap_err().kind, errors::ErrorKind::AnswerLost);
+    assert_eq!(
+        queued.unwrap_err().kind,
+        errors::ErrorKind::StoreUnavailable
+    );
+    let mut applied = journal.applied_seq();
+    store.set_faults(|faults| faults.frozen = false);
+    applied.wait_for(|seq| *seq == 2).await.unwrap();
+    assert_eq!(names(&journal.state()), ["sent"]);
+    tokio::time::sleep(std::time::Duration::from_secs(10)).await;
+    assert_eq!(names(&journal.state()), ["sent"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_journal_that_cannot_be_read_is_not_opened() {
+    struct Case {
+        name: &'static str,
+        key: &'static str,
+        value: Option<&'static [u8]>,
+        told: &'static str,
+    }
+    let entry = "journal/00003/000000000002";
+    let head = "snapshot/00003";
+    let cases = [
+        Case {
+            name: "missing entry",
+            key: entry,
+            value: None,
+            told: "entry 2 of shard 3 is missing",
+        },
+        Case {
+            name: "broken entry",
+            key: entry,
+            value: Some(b"x"),
+            told: "malformed",
+        },
+        Case {
+            name: "empty entry",
+            key: entry,
+            value: Some(b""),
+            told: "malformed",
+        },
+        Case {
+            name: "broken head",
+            key: head,
+            value: Some(b"\x01x"),
+            told: "malformed",
+        },
+    ];
+    for case in cases {
+        let store = FakeStore::new(1);
+        let journal = open(&store, "a", 1, &config(1)).await.unwrap();
+        for name in ["one", "two"] {
+            journal
+                .append(vec![accepted(name, 1)], 1_000)
+                .await
+                .unwrap();
+        }
+        drop(journal);
+        match case.value {
+            None => store.delete(case.key, Condition::Any).await.unwrap(),
+            Some(value) => {
+                let value = bytes::Bytes::from_static(value);
+                store
+                    .put(case.key, value, Condition::Any, None)
+                    .await
+                    .unwrap()
+            }
+        };
+        let error = open(&store, "b", 2, &config(2)).await.unwrap_err();
+        assert_eq!(error.kind, errors::ErrorKind::Internal, "{}", case.name);
+        assert!(error.detail.contains(case.told), "{}: {error}", case.name);
+    }
+}
+
+/// Found while reading: with all records withdrawn the journal stayed blocked for good.
+#[tokio::test(start_paused = true)]
+async fn an_idle_journal_notices_that_the_store_is_back() {
+    let cases = [
+        (false, journal::Status::Open),
+        (true, journal::Status::Fenced),
+    ];
+    for (is_taken_over, expected) in cases {
+        let store = FakeStore::new(1);
+        let host = store.connect();
+        let journal = open(&host, "a", 1, &config(1)).await.unwrap();
+        host.set_faults(|faults| faults.down = true);
+        let refused = journal.append(vec![accepted("refused", 1)], 500).await;
+        assert_eq!(
+            refused.unwrap_err().kind,
+            errors::ErrorKind::StoreUnavailable
+        );
+        assert_eq!(*journal.status().borrow(), journal::Status::Blocked);
+        if is_taken_over {
+            open(&store, "b", 2, &config(2)).await.unwrap();
+        }
+        host.set_faults(|faults| faults.down = false);
+        let mut status = journal.status();
+        let changed = status
+            .wait_for(|status| *status != journal::Status::Blocked)
+            .await;
+        assert_eq!(*changed.unwrap(), expected);
+    }
+}
