Deliver requests of senders that gave up, and break watches in an outage

A fake that ran within the caller's future forgot a request as soon as its caller stopped waiting; a real one arrives all the same, possibly late. Writes, exchanges with workers and calls now run apart from the caller, and a fault delays the requests to a worker. A watch that waits when the store goes away ends with a lost answer at once, as its connection would break.

A drain order to a minion on a leaving worker ends it when it is idle; before, the worker's state kept it running. The link counts microseconds, since small messages took no time at all in milliseconds. The served history is bounded.

--- a/crates/platform/src/upstreams.rs
+++ b/crates/platform/src/upstreams.rs
@@ -18,7 +18,7 @@
 /// Where an upstream instance is reached.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UpstreamAddress {
-    /// Address of the worker, as `IP:PORT`.
+    /// Address of the worker, as the list of workers gives it.
     pub address: String,
     /// The instance.
     pub run: ids::TaskAttempt,
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -36,7 +36,7 @@
     pub zone: ids::ZoneId,
     /// Its rack.
     pub rack: ids::RackId,
-    /// Where its agent is reached, as `IP:PORT`.
+    /// Where its agent is reached, as `IP:PORT`, or `IP:PORT/PATH` if several share a port.
     pub address: String,
     /// What it can hold.
     pub capacity: work::Resources,
--- a/crates/standin/src/cli/load.rs
+++ b/crates/standin/src/cli/load.rs
@@ -44,6 +44,9 @@
     /// How many in a hundred requests carry an idempotency key.
     #[arg(long, env = "HICKORY_LOAD_KEY_PERCENT", default_value_t = 0, value_parser = clap::value_parser!(u64).range(0..=100))]
     key_percent: u64,
+    /// One-way latency between the clients and the target, in milliseconds.
+    #[arg(long, env = "HICKORY_LOAD_CLIENT_LATENCY_MS", default_value_t = 0, value_parser = clap::value_parser!(u64).range(0..=10_000))]
+    client_latency_ms: u64,
     /// Length of each request's body, in bytes.
     #[arg(long, env = "HICKORY_LOAD_BODY_BYTES", default_value_t = 128, value_parser = clap::value_parser!(u32).range(0..=16_777_216))]
     body_bytes: u32,
@@ -69,6 +72,7 @@
         seconds: settings.seconds,
         deadline_ms: settings.deadline_ms,
         key_percent: settings.key_percent,
+        client_latency_ms: settings.client_latency_ms,
         body_bytes: settings.body_bytes as usize,
         open_limit: settings.open_limit as usize,
         run_id: super::unix_ms(),
--- a/crates/standin/src/cli/platform.rs
+++ b/crates/standin/src/cli/platform.rs
@@ -5,11 +5,11 @@
 
 use clap::Args;
 use kernel::errors;
-use kernel::history;
 use kernel::ids;
 
 use crate::config;
 use crate::memory;
+use crate::recent;
 use crate::server;
 
 /// Settings of the platform.
@@ -36,10 +36,10 @@
     #[arg(long, env = "HICKORY_STANDIN_STORE_LATENCY_MS", value_parser = clap::value_parser!(u64).range(0..=60_000))]
     store_latency_ms: Option<u64>,
     /// Writes a second that the store takes before it refuses calls.
-    #[arg(long, env = "HICKORY_STANDIN_STORE_WRITES_PER_S", value_parser = clap::value_parser!(u64).range(1..))]
+    #[arg(long, env = "HICKORY_STANDIN_STORE_WRITES_PER_S", value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
     store_writes_per_s: Option<u64>,
     /// Reads a second that the store takes before it refuses calls.
-    #[arg(long, env = "HICKORY_STANDIN_STORE_READS_PER_S", value_parser = clap::value_parser!(u64).range(1..))]
+    #[arg(long, env = "HICKORY_STANDIN_STORE_READS_PER_S", value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
     store_reads_per_s: Option<u64>,
     /// One-way latency between zones of a region, in milliseconds.
     #[arg(long, env = "HICKORY_STANDIN_REGION_LATENCY_MS", value_parser = clap::value_parser!(u64).range(0..=60_000))]
@@ -53,6 +53,16 @@
     /// How long a minion works on a call, in milliseconds.
     #[arg(long, env = "HICKORY_STANDIN_CALL_MS", value_parser = clap::value_parser!(u64).range(0..=600_000))]
     call_ms: Option<u64>,
+    /// Accelerators of each worker.
+    #[arg(long, env = "HICKORY_STANDIN_ACCELERATORS", value_parser = clap::value_parser!(u64).range(0..=64))]
+    accelerators: Option<u64>,
+    /// Events that the history keeps; older ones are dropped and counted.
+    #[arg(
+        long,
+        env = "HICKORY_STANDIN_HISTORY_LIMIT",
+        default_value_t = 1_000_000
+    )]
+    history_limit: usize,
     /// Seed of everything that is drawn.
     #[arg(long, env = "HICKORY_STANDIN_SEED", default_value_t = 1)]
     seed: u64,
@@ -99,6 +109,7 @@
             &mut latencies.between_regions_ms,
             self.between_regions_latency_ms,
         );
+        set(&mut config.capacity.accelerators, self.accelerators);
         set(&mut config.workers, self.workers);
         set(&mut config.store_latency_ms, self.store_latency_ms);
         set(&mut config.list_lag_ms, self.list_lag_ms);
@@ -119,7 +130,7 @@
 pub(super) async fn run(settings: Settings) -> errors::Result<()> {
     let (listener, address) = super::listen(settings.listen).await?;
     let config = settings.config(address);
-    let sink = history::MemorySink::default();
+    let sink = recent::RecentHistory::new(settings.history_limit);
     let clock = memory::Clock::starting_at(super::unix_ms());
     let events = Arc::new(sink.clone());
     let platform = memory::MemoryPlatform::with_clock(&config, settings.seed, events, clock);
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -7,6 +7,7 @@
 use kernel::random;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
+use tokio::sync;
 
 use crate::config;
 
@@ -78,6 +79,13 @@
         /// How many.
         count: u32,
     },
+    /// Delivers requests to a worker late, even if their sender has given them up.
+    WorkerDelay {
+        /// The worker.
+        worker: ids::WorkerId,
+        /// How late, in milliseconds; zero ends the fault.
+        delay_ms: u64,
+    },
     /// Lets the tasks of some work fail wherever they are started.
     WorkFails {
         /// The work.
@@ -106,6 +114,7 @@
     upstream_answers: Option<LostAnswers>,
     unreachable: IndexSet<ids::WorkerId>,
     lost_replies: IndexMap<ids::WorkerId, u32>,
+    delays_ms: IndexMap<ids::WorkerId, u64>,
     latencies: config::Latencies,
     random: random::Random,
 }
@@ -114,6 +123,7 @@
 #[derive(Clone, Debug)]
 pub struct Faults {
     state: Arc<Mutex<State>>,
+    changed: Arc<sync::Notify>,
 }
 
 impl Faults {
@@ -128,11 +138,13 @@
             upstream_answers: None,
             unreachable: IndexSet::new(),
             lost_replies: IndexMap::new(),
+            delays_ms: IndexMap::new(),
             latencies: config.topology.latencies,
             random: random::from_seed(seed),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            changed: Arc::default(),
         }
     }
 
@@ -172,10 +184,26 @@
             Fault::LoseWorkerReplies { worker, count } => {
                 state.lost_replies.insert(worker, count);
             }
+            Fault::WorkerDelay { worker, delay_ms } => {
+                state.delays_ms.insert(worker, delay_ms);
+            }
             Fault::WorkFails { .. } | Fault::ListLag { .. } => {}
             Fault::Latencies(latencies) => state.latencies = latencies,
             Fault::HealAll => state.heal_all(),
         }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Resolves when a fault is next applied; counts from when the future is enabled or polled.
+    pub(crate) fn changed(&self) -> sync::futures::Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// How late requests to a worker are delivered, in milliseconds.
+    pub fn worker_delay_ms(&self, worker: &ids::WorkerId) -> u64 {
+        let state = self.lock();
+        state.delays_ms.get(worker).copied().unwrap_or_default()
     }
 
     /// Whether two zones are joined.
@@ -248,6 +276,7 @@
         self.upstream_answers = None;
         self.unreachable.clear();
         self.lost_replies.clear();
+        self.delays_ms.clear();
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod memory;
 pub mod model;
 pub mod proxy;
+mod recent;
 pub mod server;
 
 pub use config::{Config, Firm, Topology};
@@ -29,3 +30,4 @@
 pub use faults::{Fault, Faults, LostAnswers};
 pub use memory::{MemoryPlatform, MemoryStore, MemoryUpstreams, MemoryWorkers};
 pub use model::digest;
+pub use recent::RecentHistory;
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -29,6 +29,8 @@
     pub deadline_ms: u64,
     /// How many in a hundred requests carry an idempotency key.
     pub key_percent: u64,
+    /// One-way latency between the clients and the target, in milliseconds.
+    pub client_latency_ms: u64,
     /// Length of each request's body.
     pub body_bytes: usize,
     /// Requests open at a time; more are counted as not sent.
--- a/crates/standin/src/load/request.rs
+++ b/crates/standin/src/load/request.rs
@@ -40,8 +40,11 @@
     let Ok(request) = request(&plan, number, body) else {
         return Outcome::not_sent();
     };
+    let latency = Duration::from_millis(plan.client_latency_ms);
+    time::sleep(latency).await;
     let timeout = Duration::from_millis(plan.deadline_ms + GRACE_MS);
     let answer = time::timeout(timeout, exchange(&client, request)).await;
+    time::sleep(latency).await;
     let kind = match answer {
         Err(_) => "timeout".to_owned(),
         Ok(Err(kind)) => kind.to_owned(),
--- a/crates/standin/src/memory/clock.rs
+++ b/crates/standin/src/memory/clock.rs
@@ -25,6 +25,11 @@
         self.origin_ms + self.origin.elapsed().as_millis() as u64
     }
 
+    /// Microseconds since the clock was made, for intervals below a millisecond.
+    pub fn now_us(&self) -> u64 {
+        self.origin.elapsed().as_micros() as u64
+    }
+
     /// The instant at which the clock shows a time.
     pub fn instant(&self, at_ms: u64) -> time::Instant {
         let since_origin_ms = at_ms.saturating_sub(self.origin_ms);
--- a/crates/standin/src/memory/mod.rs
+++ b/crates/standin/src/memory/mod.rs
@@ -5,6 +5,7 @@
 //! fakes over HTTP.
 
 mod clock;
+mod detach;
 mod network;
 mod platform;
 mod store;
--- a/crates/standin/src/memory/network.rs
+++ b/crates/standin/src/memory/network.rs
@@ -13,7 +13,8 @@
 use crate::faults;
 
 const BITS_PER_BYTE: u64 = 8;
-const MS_PER_S: u64 = 1_000;
+const US_PER_MS: u64 = 1_000;
+const US_PER_S: u64 = 1_000_000;
 
 /// Bytes that crossed the link from one region to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,7 +31,7 @@
 struct Direction {
     bytes: u64,
     // When everything handed to the link so far has been sent.
-    busy_until_ms: u64,
+    busy_until_us: u64,
 }
 
 #[derive(Debug, Default)]
@@ -108,16 +109,16 @@
     }
 
     fn queue_ms(&self, pair: (ids::RegionId, ids::RegionId), bytes: u64) -> u64 {
-        let now_ms = self.clock.now_ms();
+        let now_us = self.clock.now_us();
         let mut links = self.lock();
         let direction = links.directions.entry(pair).or_default();
         direction.bytes += bytes;
         let Some(bits_per_s) = self.topology.link_bits_per_s else {
             return 0;
         };
-        let sending_ms = bytes * BITS_PER_BYTE * MS_PER_S / bits_per_s.max(1);
-        direction.busy_until_ms = direction.busy_until_ms.max(now_ms) + sending_ms;
-        direction.busy_until_ms - now_ms
+        let sending_us = bytes * BITS_PER_BYTE * US_PER_S / bits_per_s.max(1);
+        direction.busy_until_us = direction.busy_until_us.max(now_us) + sending_us;
+        (direction.busy_until_us - now_us) / US_PER_MS
     }
 
     fn lock(&self) -> MutexGuard<'_, Links> {
--- a/crates/standin/src/memory/store.rs
+++ b/crates/standin/src/memory/store.rs
@@ -1,10 +1,12 @@
 //! The store in memory.
 
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
+use futures::future;
 use kernel::ids;
 use platform::store::{
     Condition, Entry, LeaseId, Revision, Store, StoreError, StoreFuture, WatchReply,
@@ -12,6 +14,7 @@
 use tokio::{sync, time};
 
 use super::clock;
+use super::detach;
 use super::network;
 use crate::faults;
 use crate::model;
@@ -19,6 +22,9 @@
 /// Bytes of a call or an answer besides its keys and values.
 const OVERHEAD_BYTES: usize = 100;
 
+/// Longest wait of a watch; a longer one returns without changes.
+const WAIT_LIMIT_MS: u64 = 3_600_000;
+
 /// The state that all connections to one store share.
 #[derive(Debug)]
 pub(super) struct SharedStore {
@@ -53,9 +59,8 @@
 impl MemoryStore {
     /// Carries a call to the store and waits until the store turns to it.
     async fn send(&self, bytes: usize) -> Result<(), StoreError> {
-        let reachable = !self.faults.store_down() && self.faults.platform_joined(&self.zone);
         let to = self.network.store_zone();
-        let sent = reachable
+        let sent = self.is_connected()
             && self
                 .network
                 .carry(&self.zone, to, OVERHEAD_BYTES + bytes)
@@ -76,13 +81,17 @@
     /// Carries an answer back.
     async fn receive(&self, bytes: usize) -> Result<(), StoreError> {
         let from = self.network.store_zone();
-        let joined = !self.faults.store_down() && self.faults.platform_joined(&self.zone);
         let bytes = OVERHEAD_BYTES + bytes;
-        if joined && self.network.carry(from, &self.zone, bytes).await {
+        if self.is_connected() && self.network.carry(from, &self.zone, bytes).await {
             return Ok(());
         }
-        let detail = "the connection to the store broke".to_owned();
-        Err(StoreError::AnswerLost { detail })
+        Err(broken())
+    }
+
+    fn is_connected(&self) -> bool {
+        !self.faults.store_down()
+            && self.faults.platform_joined(&self.zone)
+            && self.faults.joined(&self.zone, self.network.store_zone())
     }
 
     /// Carries the answer to a write back, unless a fault loses it.
@@ -95,13 +104,23 @@
         self.receive(0).await
     }
 
-    async fn wait_for_changes(&self, prefix: &str, after: Revision, wait_ms: u64) -> WatchReply {
-        let until_ms = self.clock.now_ms().saturating_add(wait_ms);
+    /// Waits for changes as long as the connection holds.
+    async fn wait_for_changes(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait_ms: u64,
+    ) -> Result<WatchReply, StoreError> {
+        let until_ms = self.clock.now_ms() + wait_ms.min(WAIT_LIMIT_MS);
         loop {
             // Registered before looking, so that no change is missed.
-            let changed = self.shared.changed.notified();
-            let mut changed = std::pin::pin!(changed);
+            let mut changed = pin!(self.shared.changed.notified());
             changed.as_mut().enable();
+            let mut disturbed = pin!(self.faults.changed());
+            disturbed.as_mut().enable();
+            if !self.is_connected() {
+                return Err(broken());
+            }
             let (reply, lapse_ms) = {
                 let mut model = self.shared.lock();
                 let reply = model.changes(self.clock.now_ms(), prefix, after);
@@ -109,10 +128,11 @@
             };
             let over = self.clock.now_ms() >= until_ms;
             if over || reply.compacted || !reply.changes.is_empty() {
-                return reply;
+                return Ok(reply);
             }
             let wake_ms = lapse_ms.map_or(until_ms, |lapse_ms| lapse_ms.min(until_ms));
-            let _ = time::timeout_at(self.clock.instant(wake_ms), changed).await;
+            let woken = future::select(changed, disturbed);
+            let _ = time::timeout_at(self.clock.instant(wake_ms), woken).await;
         }
     }
 }
@@ -136,24 +156,29 @@
         condition: Condition,
         lease: Option<LeaseId>,
     ) -> StoreFuture<'a, Revision> {
-        async move {
-            self.send(key.len() + value.len()).await?;
-            let now_ms = self.clock.now_ms();
-            let result = self.shared.lock().put(now_ms, key, value, condition, lease);
-            self.receive_write(key).await?;
-            result
-        }
+        let (store, key) = (self.clone(), key.to_owned());
+        detach::detached(async move {
+            store.send(key.len() + value.len()).await?;
+            let now_ms = store.clock.now_ms();
+            let put = store
+                .shared
+                .lock()
+                .put(now_ms, &key, value, condition, lease);
+            store.receive_write(&key).await?;
+            put
+        })
         .boxed()
     }
 
     fn delete<'a>(&'a self, key: &'a str, condition: Condition) -> StoreFuture<'a, Revision> {
-        async move {
-            self.send(key.len()).await?;
-            let now_ms = self.clock.now_ms();
-            let result = self.shared.lock().delete(now_ms, key, condition);
-            self.receive_write(key).await?;
-            result
-        }
+        let (store, key) = (self.clone(), key.to_owned());
+        detach::detached(async move {
+            store.send(key.len()).await?;
+            let now_ms = store.clock.now_ms();
+            let deleted = store.shared.lock().delete(now_ms, &key, condition);
+            store.receive_write(&key).await?;
+            deleted
+        })
         .boxed()
     }
 
@@ -183,7 +208,7 @@
             self.send(prefix.len()).await?;
             let now_ms = self.clock.now_ms();
             self.shared.lock().begin_watch(now_ms)?;
-            let reply = self.wait_for_changes(prefix, after, wait_ms).await;
+            let reply = self.wait_for_changes(prefix, after, wait_ms).await?;
             self.receive(reply_bytes(&reply)).await?;
             Ok(reply)
         }
@@ -224,6 +249,12 @@
     }
 }
 
+fn broken() -> StoreError {
+    StoreError::AnswerLost {
+        detail: "the connection to the store broke".to_owned(),
+    }
+}
+
 fn entry_bytes(entry: &Entry) -> usize {
     entry.key.len() + entry.value.len()
 }
--- a/crates/standin/src/memory/upstreams.rs
+++ b/crates/standin/src/memory/upstreams.rs
@@ -9,9 +9,10 @@
 use platform::upstreams::{
     Inquiry, UpstreamAddress, UpstreamAnswer, UpstreamCall, UpstreamError, Upstreams,
 };
-use tokio::{task, time};
+use tokio::time;
 
 use super::clock;
+use super::detach;
 use super::network;
 use super::workers;
 use crate::faults;
@@ -63,7 +64,7 @@
             let answered = shared.change(|model| model.finish_call(&open, now_ms));
             answered.then_some(open.answer)
         };
-        task::spawn(work).await.ok().flatten()
+        detach::detached(work).await
     }
 
     /// Sends one attempt, and gives the answer with its framing.
--- a/crates/standin/src/memory/workers.rs
+++ b/crates/standin/src/memory/workers.rs
@@ -10,6 +10,7 @@
 use tokio::{sync, time};
 
 use super::clock;
+use super::detach;
 use super::network;
 use crate::faults;
 use crate::model;
@@ -87,6 +88,37 @@
         let detail = format!("no connection to {what}");
         WorkerError::Unreachable { detail }
     }
+
+    async fn exchange(
+        &self,
+        worker: &WorkerInfo,
+        request: &SyncRequest,
+    ) -> Result<SyncReply, WorkerError> {
+        let bytes = request_bytes(request);
+        let sent = self.faults.reachable(&worker.id)
+            && self.network.carry(&self.zone, &worker.zone, bytes).await
+            && self.shared.lock().is_alive(&worker.id);
+        if !sent {
+            return Err(self.unreachable(worker.id.as_str()).await);
+        }
+        let delay_ms = self.faults.worker_delay_ms(&worker.id);
+        if delay_ms > 0 {
+            time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        let now_ms = self.clock.now_ms();
+        let synced = self
+            .shared
+            .change(|model| model.sync(&worker.id, request, now_ms));
+        let bytes = synced.as_ref().map_or(OVERHEAD_BYTES, reply_bytes);
+        let lost = self.faults.loses_worker_reply(&worker.id)
+            || !self.faults.reachable(&worker.id)
+            || !self.network.carry(&worker.zone, &self.zone, bytes).await;
+        if lost {
+            let detail = format!("the connection to {} broke", worker.id);
+            return Err(WorkerError::ReplyLost { detail });
+        }
+        synced
+    }
 }
 
 impl Workers for MemoryWorkers {
@@ -119,31 +151,8 @@
         worker: &'a WorkerInfo,
         request: &'a SyncRequest,
     ) -> future::BoxFuture<'a, Result<SyncReply, WorkerError>> {
-        async move {
-            let sent = self.faults.reachable(&worker.id)
-                && self
-                    .network
-                    .carry(&self.zone, &worker.zone, request_bytes(request))
-                    .await
-                && self.shared.lock().is_alive(&worker.id);
-            if !sent {
-                return Err(self.unreachable(worker.id.as_str()).await);
-            }
-            let now_ms = self.clock.now_ms();
-            let reply = self
-                .shared
-                .change(|model| model.sync(&worker.id, request, now_ms))?;
-            let bytes = reply_bytes(&reply);
-            let lost = self.faults.loses_worker_reply(&worker.id)
-                || !self.faults.reachable(&worker.id)
-                || !self.network.carry(&worker.zone, &self.zone, bytes).await;
-            if lost {
-                let detail = format!("the connection to {} broke", worker.id);
-                return Err(WorkerError::ReplyLost { detail });
-            }
-            Ok(reply)
-        }
-        .boxed()
+        let (workers, worker, request) = (self.clone(), worker.clone(), request.clone());
+        detach::detached(async move { workers.exchange(&worker, &request).await }).boxed()
     }
 }
 
--- a/crates/standin/src/model/fleet.rs
+++ b/crates/standin/src/model/fleet.rs
@@ -178,8 +178,7 @@
                 return false;
             };
             instance.minion.finish(call);
-            let drained = instance.draining && instance.minion.open_calls == 0;
-            if drained && worker.state == WorkerState::Live {
+            if instance.ends_when_idle && instance.minion.open_calls == 0 {
                 worker.end(shared, &call.run.task, RunEnd::Stopped, now_ms);
             }
             true
--- a/crates/standin/src/model/run.rs
+++ b/crates/standin/src/model/run.rs
@@ -15,7 +15,10 @@
     pub(super) started_at_ms: u64,
     /// When the run ends by itself and how; `None` for a service.
     pub(super) own_end: Option<(u64, RunEnd)>,
+    /// Whether it refuses new calls.
     pub(super) draining: bool,
+    /// Whether it was ordered to end when no call is open.
+    pub(super) ends_when_idle: bool,
     pub(super) throttled: bool,
     pub(super) minion: minion::Minion,
     used: work::Resources,
@@ -45,6 +48,7 @@
             started_at_ms: now_ms,
             own_end,
             draining: false,
+            ends_when_idle: false,
             throttled: false,
             minion: minion::Minion::default(),
             used: scaled(order.demand, behaviour.usage_percent.pick(hash)),
--- a/crates/standin/src/model/worker.rs
+++ b/crates/standin/src/model/worker.rs
@@ -150,6 +150,9 @@
 
     /// Marks the worker as leaving, and its upstream instances with it.
     pub(super) fn leave(&mut self, shared: &mut Shared) {
+        if self.state == WorkerState::Leaving {
+            return;
+        }
         self.state = WorkerState::Leaving;
         for run in self.runs.values_mut().filter(|run| is_upstream(&run.order)) {
             run.draining |= shared.behaviour.leaving_refuses;
@@ -228,6 +231,7 @@
             StopMode::Checkpoint => self.end(shared, task, RunEnd::Checkpointed, now_ms),
             StopMode::Kill => self.end(shared, task, RunEnd::Stopped, now_ms),
             StopMode::Drain => {
+                run.ends_when_idle = true;
                 if !run.draining {
                     run.draining = true;
                     let task = task.clone();
--- a/crates/standin/src/server/admin.rs
+++ b/crates/standin/src/server/admin.rs
@@ -60,8 +60,22 @@
     reply::json(WorkerMessage { worker })
 }
 
-pub(super) async fn history(extract::State(state): Shared) -> Response {
-    let records = state.history.records();
+/// Header with the number of events that the history no longer has.
+const DROPPED_HEADER: &str = "x-dropped-events";
+
+/// Which part of the history is wanted.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(super) struct HistoryQuery {
+    /// Number of events to leave out at the start.
+    #[serde(default)]
+    after: u64,
+}
+
+pub(super) async fn history(
+    extract::State(state): Shared,
+    extract::Query(query): extract::Query<HistoryQuery>,
+) -> Response {
+    let records = state.history.records(query.after);
     let mut lines = String::new();
     for record in &records {
         let Ok(line) = serde_json::to_string(record) else {
@@ -70,7 +84,12 @@
         lines.push_str(&line);
         lines.push('\n');
     }
-    ([(header::CONTENT_TYPE, "application/jsonl")], lines).into_response()
+    let content_type = (
+        header::CONTENT_TYPE.as_str(),
+        "application/jsonl".to_owned(),
+    );
+    let dropped = (DROPPED_HEADER, state.history.dropped().to_string());
+    ([content_type, dropped], lines).into_response()
 }
 
 pub(super) async fn counters(extract::State(state): Shared) -> Response {
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -14,12 +14,12 @@
 use axum::extract::DefaultBodyLimit;
 use axum::routing;
 use http::HeaderMap;
-use kernel::history;
 use kernel::ids;
 use platform::http::ZONE_HEADER;
 use platform::upstreams::BODY_LIMIT_BYTES;
 
 use crate::memory;
+use crate::recent;
 
 /// Largest request: a body of an upstream call, or a value as base64, with room to spare.
 const REQUEST_LIMIT_BYTES: usize = BODY_LIMIT_BYTES + 1024 * 1024;
@@ -28,12 +28,12 @@
 #[derive(Clone, Debug)]
 pub struct State {
     platform: memory::MemoryPlatform,
-    history: history::MemorySink,
+    history: recent::RecentHistory,
 }
 
 impl State {
     /// Serves a platform whose events go to `history`.
-    pub const fn new(platform: memory::MemoryPlatform, history: history::MemorySink) -> Self {
+    pub const fn new(platform: memory::MemoryPlatform, history: recent::RecentHistory) -> Self {
         Self { platform, history }
     }
 
--- a/crates/standin/tests/standin/http_failures.rs
+++ b/crates/standin/tests/standin/http_failures.rs
@@ -130,7 +130,7 @@
     let second = connection.workers.sync(worker, &request).await.unwrap();
     assert_eq!(second.running.unwrap().len(), 1);
     assert!(second.refused.is_empty(), "{:?}", second.refused);
-    let started = served.history.records();
+    let started = served.history.records(0);
     let started = started
         .iter()
         .filter(|record| matches!(record.event, kernel::history::Event::TaskStarted { .. }));
--- a/crates/standin/tests/standin/memory.rs
+++ b/crates/standin/tests/standin/memory.rs
@@ -152,6 +152,64 @@
     assert_eq!(platform.counters().store.watches, 3);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_outage_breaks_a_waiting_watch() {
+    let (platform, _) = platform();
+    let store = platform.connect(&zone("muc-ost")).store;
+    let start = time::Instant::now();
+    let watch = store.watch("a/", Revision(0), 60_000);
+    let outage = async {
+        time::sleep(Duration::from_millis(100)).await;
+        platform.apply(Fault::StoreDown { down: true });
+    };
+    let (watched, ()) = tokio::join!(watch, outage);
+    assert!(
+        matches!(watched, Err(StoreError::AnswerLost { .. })),
+        "{watched:?}"
+    );
+    assert_eq!(start.elapsed(), Duration::from_millis(100));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_delayed_request_arrives_though_its_sender_gave_up() {
+    let (platform, _) = platform();
+    let worker = first_worker(&platform, "muc-ost").await;
+    let workers = platform.connect(&zone("muc-ost")).workers;
+    let delay = |delay_ms| Fault::WorkerDelay {
+        worker: worker.id.clone(),
+        delay_ms,
+    };
+    platform.apply(delay(500));
+    let patience = Duration::from_millis(100);
+    let late = support::starts(1, vec![support::batch("report", 1, 60_000)]);
+    assert!(
+        time::timeout(patience, workers.sync(&worker, &late))
+            .await
+            .is_err()
+    );
+    time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(platform.counters().running_tasks, 1);
+
+    let later = support::next(&support::starts(
+        1,
+        vec![support::batch("audit", 1, 60_000)],
+    ));
+    assert!(
+        time::timeout(patience, workers.sync(&worker, &later))
+            .await
+            .is_err()
+    );
+    platform.apply(delay(0));
+    let newer = support::next(&support::next(&support::starts(1, Vec::new())));
+    workers.sync(&worker, &newer).await.unwrap();
+    time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(
+        platform.counters().running_tasks,
+        1,
+        "a newer request overtook the start"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_cut_zone_keeps_its_own_workers() {
     let (platform, _) = platform();
--- a/crates/standin/tests/standin/processes.rs
+++ b/crates/standin/tests/standin/processes.rs
@@ -60,6 +60,7 @@
         seconds: 1,
         deadline_ms: 5_000,
         key_percent: 10,
+        client_latency_ms: 1,
         body_bytes: 64,
         open_limit: 64,
         run_id: 1,
--- a/crates/standin/tests/standin/support.rs
+++ b/crates/standin/tests/standin/support.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hickorychute_standin as standin;
-use kernel::{history, ids, work};
+use kernel::{ids, work};
 use platform::upstreams::UpstreamCall;
 use platform::workers::{StartOrder, SyncRequest};
 use tokio::net;
@@ -84,7 +84,7 @@
 pub struct Served {
     pub address: SocketAddr,
     pub platform: standin::MemoryPlatform,
-    pub history: history::MemorySink,
+    pub history: standin::RecentHistory,
 }
 
 impl Served {
@@ -94,7 +94,7 @@
         let address = listener.local_addr().unwrap();
         let mut config = standin::Config::preset(standin::Firm::Huber);
         config.address = address.to_string();
-        let history = history::MemorySink::default();
+        let history = standin::RecentHistory::new(1_000);
         let platform = standin::MemoryPlatform::new(&config, 1, Arc::new(history.clone()));
         let state = standin::server::State::new(platform.clone(), history.clone());
         tokio::spawn(axum::serve(listener, standin::server::router(state)).into_future());
--- a/crates/standin/tests/standin/worker_model.rs
+++ b/crates/standin/tests/standin/worker_model.rs
@@ -276,6 +276,27 @@
     );
 }
 
+#[test]
+fn a_drain_order_ends_a_minion_of_a_leaving_worker() {
+    let mut fleet = Fleet::new();
+    let order = support::service("bankbuch", 1);
+    fleet.start(0, order.clone());
+    let worker = fleet.worker.clone();
+    let call = support::call(1, "/", b"");
+    let open = fleet
+        .model
+        .begin_call(&worker, &order.run, &call, 1)
+        .unwrap();
+    fleet.model.leave(&worker, 2);
+    fleet.stop(3, order.run, StopMode::Drain);
+    assert!(fleet.model.finish_call(&open, 4));
+    assert_eq!(ends(&fleet.renew(5)), [RunEnd::Stopped]);
+    assert_eq!(
+        fleet.count(|event| matches!(event, Event::UpstreamLeaving { .. })),
+        1
+    );
+}
+
 #[test]
 fn a_key_that_was_never_seen_is_refused_after_an_inquiry() {
     let mut fleet = Fleet::new();
