Split the store's watch log and counters off; log dropped answers

The store's model had grown past the size of a module with one job. Answers that are crossed or have no marked end are logged with numbers, since each points at something that an operator has to mend.

--- a/crates/platform/src/http/connection.rs
+++ b/crates/platform/src/http/connection.rs
@@ -16,6 +16,7 @@
 
 use super::ZONE_HEADER;
 use super::messages;
+use crate::events;
 
 /// Time in which a connection must be made.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -135,6 +136,7 @@
             answer_lost(&error)
         })?;
         if !has_marked_end(&response) {
+            kernel::log_event!(events::ANSWER_UNMARKED, "status {}", response.status());
             return Err(answer_lost("the end of the body is not marked"));
         }
         let (parts, body) = response.into_parts();
--- a/crates/platform/src/http/upstreams.rs
+++ b/crates/platform/src/http/upstreams.rs
@@ -14,6 +14,7 @@
     ATTEMPT_HEADER, DEADLINE_HEADER, EPOCH_HEADER, KEY_HEADER, NOT_RUN_HEADER, NOT_RUN_LEAVING,
     RUN_HEADER, TASK_HEADER, TRACE_HEADER,
 };
+use crate::events;
 use crate::upstreams::{
     BODY_LIMIT_BYTES, Inquiry, UpstreamAddress, UpstreamAnswer, UpstreamCall, UpstreamError,
     Upstreams,
@@ -108,6 +109,11 @@
     let attempt_id = attempt_id.and_then(|value| value.to_str().ok()?.parse().ok());
     if attempt_id != Some(call.attempt_id) {
         let detail = format!("the answer belongs to attempt {attempt_id:?}");
+        kernel::log_event!(
+            events::ANSWER_CROSSED,
+            "attempt {}: {detail}",
+            call.attempt_id
+        );
         return Err(UpstreamError::AnswerLost { detail });
     }
     if reply.body.len() > BODY_LIMIT_BYTES {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 //! store's compare-and-swap, and the epoch that a worker compares. Lease times
 //! and lists only decide when something is tried.
 
+pub mod events;
 pub mod http;
 pub mod store;
 pub mod upstreams;
--- a/crates/standin/src/model/mod.rs
+++ b/crates/standin/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Pure models of the platform: no I/O, the time passed in.
 
 mod answer;
+mod counters;
 mod digest;
 mod fleet;
 mod host_list;
@@ -8,9 +9,11 @@
 mod rate;
 mod run;
 mod store;
+mod watch_log;
 mod worker;
 
+pub use counters::StoreCounters;
 pub use digest::digest;
 pub use fleet::FleetModel;
 pub use minion::{CallRefusal, Echo, MinionAnswer, OpenCall};
-pub use store::{StoreCounters, StoreModel};
+pub use store::StoreModel;
--- a/crates/standin/src/model/store.rs
+++ b/crates/standin/src/model/store.rs
@@ -1,6 +1,6 @@
 //! The key-value store: revisions, conditions, leases and the watch log.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::ops;
 
 use bytes::Bytes;
@@ -8,45 +8,11 @@
 use platform::store::{
     Change, Condition, Entry, LeaseId, Revision, StoreError, VALUE_LIMIT_BYTES, WatchReply,
 };
-use serde::{Deserialize, Serialize};
 
-use super::rate;
+use super::counters::StoreCounters;
+use super::{rate, watch_log};
 use crate::config;
 
-/// Calls counted by kind, and the bytes that they carried.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct StoreCounters {
-    /// Reads of one key.
-    pub gets: u64,
-    /// Writes.
-    pub puts: u64,
-    /// Deletions.
-    pub deletes: u64,
-    /// Reads of a range.
-    pub ranges: u64,
-    /// Watches.
-    pub watches: u64,
-    /// Leases granted.
-    pub grants: u64,
-    /// Extensions of leases.
-    pub keep_alives: u64,
-    /// Leases ended by their holder.
-    pub revokes: u64,
-    /// Calls refused because of their rate.
-    pub throttled: u64,
-    /// Writes and deletions whose condition did not hold.
-    pub conflicts: u64,
-    /// Bytes of values written.
-    pub written_bytes: u64,
-    /// Bytes of values read.
-    pub read_bytes: u64,
-    /// The largest value written, in bytes.
-    pub largest_value_bytes: u64,
-    /// Writes and deletions by the first part of the key.
-    pub writes_by_prefix: IndexMap<String, u64>,
-}
-
 #[derive(Clone, Debug)]
 struct Stored {
     value: Bytes,
@@ -66,9 +32,7 @@
     // Ordered, because ranges and watches read by prefix.
     entries: BTreeMap<String, Stored>,
     revision: u64,
-    log: VecDeque<Change>,
-    compacted_through: u64,
-    log_limit: usize,
+    log: watch_log::WatchLog,
     leases: IndexMap<LeaseId, Lease>,
     next_lease: u64,
     writes: Option<rate::Bucket>,
@@ -82,9 +46,7 @@
         Self {
             entries: BTreeMap::new(),
             revision: 0,
-            log: VecDeque::new(),
-            compacted_through: 0,
-            log_limit: limits.watch_log_changes,
+            log: watch_log::WatchLog::new(limits.watch_log_changes),
             leases: IndexMap::new(),
             next_lease: 1,
             writes: limits.writes_per_s.map(rate::Bucket::new),
@@ -153,7 +115,7 @@
     ) -> Result<Revision, StoreError> {
         self.begin_write(now_ms)?;
         self.counters.puts += 1;
-        self.count_write(key);
+        self.counters.count_prefix(key);
         if value.len() > VALUE_LIMIT_BYTES {
             let bytes = value.len();
             return Err(StoreError::TooLarge { bytes });
@@ -162,16 +124,14 @@
             return Err(StoreError::LeaseLapsed);
         }
         self.check(key, condition)?;
-        self.counters.written_bytes += value.len() as u64;
-        let largest = self.counters.largest_value_bytes.max(value.len() as u64);
-        self.counters.largest_value_bytes = largest;
+        self.counters.count_written(value.len() as u64);
         let revision = self.next_revision();
         let stored = Stored {
             value,
             revision,
             lease,
         };
-        self.log_change(Change::Put(to_entry(key, &stored)));
+        self.log.append(Change::Put(to_entry(key, &stored)));
         self.entries.insert(key.to_owned(), stored);
         Ok(revision)
     }
@@ -189,7 +149,7 @@
     ) -> Result<Revision, StoreError> {
         self.begin_write(now_ms)?;
         self.counters.deletes += 1;
-        self.count_write(key);
+        self.counters.count_prefix(key);
         self.check(key, condition)?;
         self.remove(key);
         Ok(self.revision())
@@ -240,23 +200,7 @@
     /// The changes after `after` of keys that start with `prefix`, without waiting.
     pub fn changes(&mut self, now_ms: u64, prefix: &str, after: Revision) -> WatchReply {
         self.lapse_leases(now_ms);
-        if after.0 < self.compacted_through {
-            return WatchReply {
-                revision: self.revision(),
-                changes: Vec::new(),
-                compacted: true,
-            };
-        }
-        let skipped = usize::try_from(after.0 - self.compacted_through).unwrap_or(usize::MAX);
-        let changes = self.log.iter().skip(skipped);
-        WatchReply {
-            revision: Revision(self.revision.max(after.0)),
-            changes: changes
-                .filter(|change| key_of(change).starts_with(prefix))
-                .cloned()
-                .collect(),
-            compacted: false,
-        }
+        self.log.since(prefix, after)
     }
 
     /// Grants a lease.
@@ -328,16 +272,6 @@
         Err(StoreError::Throttled)
     }
 
-    fn count_write(&mut self, key: &str) {
-        let prefix = key.split('/').next().unwrap_or(key);
-        if let Some(count) = self.counters.writes_by_prefix.get_mut(prefix) {
-            *count += 1;
-            return;
-        }
-        let prefix = prefix.to_owned();
-        self.counters.writes_by_prefix.insert(prefix, 1);
-    }
-
     fn entry(&self, key: &str) -> Option<Entry> {
         self.entries.get(key).map(|stored| to_entry(key, stored))
     }
@@ -368,16 +302,7 @@
         }
         let revision = self.next_revision();
         let key = key.to_owned();
-        self.log_change(Change::Deleted { key, revision });
-    }
-
-    // Invariant: the log holds exactly the changes `compacted_through + 1 ..= revision`.
-    fn log_change(&mut self, change: Change) {
-        self.log.push_back(change);
-        while self.log.len() > self.log_limit {
-            self.log.pop_front();
-            self.compacted_through += 1;
-        }
+        self.log.append(Change::Deleted { key, revision });
     }
 
     fn end_lease(&mut self, id: LeaseId) {
@@ -401,10 +326,3 @@
         revision: stored.revision,
     }
 }
-
-fn key_of(change: &Change) -> &str {
-    match change {
-        Change::Put(entry) => &entry.key,
-        Change::Deleted { key, .. } => key,
-    }
-}
