--- a/crates/ownership/src/mirror.rs
+++ b/crates/ownership/src/mirror.rs
@@ -25,6 +25,8 @@
     pub revision: store::Revision,
     /// Whether the store answered the last call.
     pub connected: bool,
+    /// Whether the entries were read as a whole; changes can be applied to them only then.
+    complete: bool,
 }
 
 impl MirrorView {
@@ -87,21 +89,21 @@
     }
 
     async fn follow(&self, view: &mut MirrorView) -> Result<(), store::StoreError> {
-        if view.revision == store::Revision::default() {
-            self.read_all(view).await?;
-        } else {
+        if view.complete {
             let reply = self
                 .store
                 .watch(&self.prefix, view.revision, WATCH_WAIT_MS)
                 .await?;
             if reply.compacted {
-                view.revision = store::Revision::default();
+                view.complete = false;
                 return Ok(());
             }
             for change in reply.changes {
                 apply(view, change);
             }
             view.revision = view.revision.max(reply.revision);
+        } else {
+            self.read_all(view).await?;
         }
         if !view.connected {
             kernel::log_event!(events::STORE_REACHABLE, "revision {}", view.revision);
@@ -132,7 +134,8 @@
             }
         }
         view.entries = entries;
-        view.revision = position.max(store::Revision(1));
+        view.revision = position;
+        view.complete = true;
         Ok(())
     }
 }
