--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -33,3 +33,6 @@
 pub use error::ErrorBody;
 pub use jobs::{DEFAULT_MAX_ATTEMPTS, JobAccepted, JobKind, JobRequest, JobStatus};
 pub use releases::{HostRelease, ReleaseStatus, ReleaseView, SubmitReply};
+
+/// Address at which an entry host serves the API, unless its settings say otherwise.
+pub const DEFAULT_HTTP_ADDRESS: &str = "127.0.0.1:7600";
--- a/crates/release/src/note/mod.rs
+++ b/crates/release/src/note/mod.rs
@@ -115,11 +115,8 @@
 /// syntax, unknown or missing fields, values out of range, repeated names.
 pub fn parse(bytes: &[u8]) -> Result<Note, Faults> {
     if bytes.len() > limits::NOTE_LIMIT_BYTES {
-        let message = format!(
-            "the note has {} bytes; at most {} are allowed",
-            bytes.len(),
-            limits::NOTE_LIMIT_BYTES
-        );
+        let limit = limits::NOTE_LIMIT_BYTES;
+        let message = format!("the note is larger than {limit} bytes; split it into several");
         return Err(Fault::of_note(message).into());
     }
     let text = decode(bytes)?;
--- a/src/bin/hickoryctl.rs
+++ b/src/bin/hickoryctl.rs
@@ -1,3 +1,10 @@
-//! Placeholder; the program's library follows.
+//! The command-line tool `hickoryctl`.
 
-fn main() {}
+use std::process;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> process::ExitCode {
+    ctl::main()
+}
