--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -97,7 +97,7 @@
         note: PathBuf,
         /// Names this submission; give the same one to submit again after an unknown outcome.
         ///
-        /// Made up and printed if left out.
+        /// Made up if left out; the message names it if the outcome is not known.
         #[arg(long, env = "HICKORY_SUBMITTER_ID")]
         submitter_id: Option<String>,
         /// Release on which the note must be applied; refused if another is the newest.
