Split one try of a submission from what the tries have shown

The loop of the acceptor had grown to fifty lines with three variables that belong together. They are now race::Progress, whose methods say what each means.

--- a/crates/release/src/accepted.rs
+++ b/crates/release/src/accepted.rs
@@ -105,7 +105,10 @@
     ///
     /// [`errors::ErrorKind::Internal`] if the entry is not a release or another one.
     pub fn from_entry(entry: &store::Entry) -> errors::Result<Arc<Self>> {
-        let release = Self::decode(&entry.value)?;
+        let release = Self::decode(&entry.value).map_err(|error| {
+            let detail = format!("the value of {} is not a release", entry.key);
+            errors::Error::with_source(error.kind, detail, error)
+        })?;
         if key(release.version()) != entry.key {
             let detail = format!("{} holds release {}", entry.key, release.version());
             return Err(errors::Error::new(errors::ErrorKind::Internal, detail));
--- a/crates/release/src/acceptor/mod.rs
+++ b/crates/release/src/acceptor/mod.rs
@@ -145,52 +145,47 @@
     }
 
     async fn write_until_settled(&self, submission: &Submission<'_>) -> errors::Result<Accepted> {
-        let mut random = kernel::random::from_seed(submission.digest);
-        let mut first_base: Option<Arc<accepted::AcceptedRelease>> = None;
-        // The version of a write whose answer was lost and that is not settled yet.
-        let mut unsettled: Option<ids::ReleaseVersion> = None;
-        let mut last_error = None;
+        let mut progress = race::Progress::default();
         for attempt in 0..SUBMIT_ATTEMPTS {
-            if attempt > 0 {
-                let longest_ms = RETRY_INTERVAL_MS << attempt;
-                let wait_ms = random.random_range(longest_ms / 2..=longest_ms);
-                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            pause(submission, attempt).await;
+            if let Some(accepted) = self.try_write(submission, &mut progress).await? {
+                return Ok(accepted);
             }
-            let head = match self.load_head().await {
-                Ok(head) => head,
-                Err(error) if unsettled.is_none() => return Err(error),
-                Err(error) => {
-                    last_error = Some(error);
-                    continue;
-                }
-            };
-            if let Some(head) = &head {
-                if let Some(earlier) = race::find_earlier(head, submission)? {
-                    return Ok(self.answer_repeated(&earlier, head).await);
-                }
-                // Another submission stands at that version, so the lost write failed.
-                unsettled = unsettled.filter(|version| *version > head.version());
+        }
+        Err(progress.give_up())
+    }
+
+    /// Writes once on top of the newest release; `None` if another try may succeed.
+    async fn try_write(
+        &self,
+        submission: &Submission<'_>,
+        progress: &mut race::Progress,
+    ) -> errors::Result<Option<Accepted>> {
+        let head = match self.load_head().await {
+            Ok(head) => head,
+            Err(error) if progress.is_unsettled() => {
+                progress.last_error = Some(error);
+                return Ok(None);
             }
-            race::check_base(first_base.as_ref(), head.as_ref(), submission)?;
-            first_base = first_base.or_else(|| head.clone());
-            let next = match self.prepare(submission, head.as_deref()) {
-                Ok(next) => Arc::new(next),
-                // What is known of the cell has changed since the unsettled write.
-                Err(error) if unsettled.is_some() => {
-                    return Err(race::give_up(unsettled, Some(error)));
-                }
-                Err(error) => return Err(error),
-            };
-            match self.write(&next).await? {
-                Written::Done(release) => return Ok(self.answer_written(release).await),
-                Written::NotNow(error) => last_error = Some(error),
-                Written::Perhaps(error) => {
-                    unsettled = Some(next.version());
-                    last_error = Some(error);
-                }
+            Err(error) => return Err(error),
+        };
+        if let Some(head) = &head {
+            if let Some(earlier) = race::find_earlier(head, submission)? {
+                return Ok(Some(self.answer_repeated(&earlier, head).await));
             }
+            progress.settle(head.version());
         }
-        Err(race::give_up(unsettled, last_error))
+        progress.check_base(head.as_ref(), submission)?;
+        let next = match self.prepare(submission, head.as_deref()) {
+            Ok(next) => Arc::new(next),
+            Err(error) => return Err(progress.refuse(error)),
+        };
+        match self.write(&next).await? {
+            Written::Done(release) => return Ok(Some(self.answer_written(release).await)),
+            Written::NotNow(error) => progress.last_error = Some(error),
+            Written::Perhaps(error) => progress.lose(next.version(), error),
+        }
+        Ok(None)
     }
 
     /// The release that the submission leads to on top of `head`.
@@ -280,6 +275,17 @@
     }
 }
 
+/// Waits before another try, longer from try to try.
+async fn pause(submission: &Submission<'_>, attempt: u32) {
+    if attempt == 0 {
+        return;
+    }
+    let mut random = kernel::random::from_seed(submission.digest ^ u64::from(attempt));
+    let longest_ms = RETRY_INTERVAL_MS << attempt;
+    let wait_ms = random.random_range(longest_ms / 2..=longest_ms);
+    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+}
+
 fn check_submitter(submitter_id: &str) -> errors::Result<()> {
     let printable = submitter_id.bytes().all(|byte| byte.is_ascii_graphic());
     if submitter_id.is_empty() || submitter_id.len() > SUBMITTER_LIMIT_BYTES || !printable {
--- a/crates/release/src/acceptor/race.rs
+++ b/crates/release/src/acceptor/race.rs
@@ -32,22 +32,78 @@
     Err(errors::Error::new(errors::ErrorKind::Conflict, detail))
 }
 
-/// Checks that the submission may be applied on top of `head`.
-///
-/// # Errors
-///
-/// `conflict` if another base was stated, or if a note that was accepted since
-/// `first_base` touches the same entries.
-pub(super) fn check_base(
-    first_base: Option<&Arc<accepted::AcceptedRelease>>,
-    head: Option<&Arc<accepted::AcceptedRelease>>,
-    submission: &Submission<'_>,
-) -> errors::Result<()> {
-    let version = head.map_or_else(Default::default, |head| head.version());
-    match submission.base {
-        Some(base) if base != version => Err(other_base(base, head)),
-        Some(_) => Ok(()),
-        None => check_overlap(first_base, head, submission),
+/// What the tries of one submission have shown so far.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// The newest release at the first try.
+    first_base: Option<Arc<accepted::AcceptedRelease>>,
+    /// The version of a write whose answer was lost and that is not settled yet.
+    unsettled: Option<ids::ReleaseVersion>,
+    /// What the latest try met.
+    pub(super) last_error: Option<errors::Error>,
+}
+
+impl Progress {
+    /// Whether an earlier write may have taken effect.
+    pub(super) fn is_unsettled(&self) -> bool {
+        self.unsettled.is_some()
+    }
+
+    /// A write's answer was lost.
+    pub(super) fn lose(&mut self, version: ids::ReleaseVersion, error: errors::Error) {
+        self.unsettled = Some(version);
+        self.last_error = Some(error);
+    }
+
+    /// Other submissions stand up to `version`, so a lost write at or below it failed.
+    pub(super) fn settle(&mut self, version: ids::ReleaseVersion) {
+        self.unsettled = self.unsettled.filter(|unsettled| *unsettled > version);
+    }
+
+    /// Checks that the submission may be applied on top of `head`.
+    ///
+    /// # Errors
+    ///
+    /// `conflict` if another base was stated, or if a note that was accepted since
+    /// the first try touches the same entries.
+    pub(super) fn check_base(
+        &mut self,
+        head: Option<&Arc<accepted::AcceptedRelease>>,
+        submission: &Submission<'_>,
+    ) -> errors::Result<()> {
+        let version = head.map_or_else(Default::default, |head| head.version());
+        match submission.base {
+            Some(base) if base != version => return Err(other_base(base, head)),
+            Some(_) => {}
+            None => check_overlap(self.first_base.as_ref(), head, submission)?,
+        }
+        if self.first_base.is_none() {
+            self.first_base = head.cloned();
+        }
+        Ok(())
+    }
+
+    /// The answer to a note that the latest checks refuse.
+    ///
+    /// What is known of the cell may have changed since a write that is not settled.
+    pub(super) fn refuse(&self, error: errors::Error) -> errors::Error {
+        let Some(version) = self.unsettled else {
+            return error;
+        };
+        perhaps_accepted(version, Some(error))
+    }
+
+    /// The answer after the last try.
+    pub(super) fn give_up(self) -> errors::Error {
+        if let Some(version) = self.unsettled {
+            return perhaps_accepted(version, self.last_error);
+        }
+        self.last_error.unwrap_or_else(|| {
+            errors::Error::new(
+                errors::ErrorKind::StoreUnavailable,
+                "the store gave no answer",
+            )
+        })
     }
 }
 
@@ -121,25 +177,13 @@
     )
 }
 
-/// The answer after the last try.
-pub(super) fn give_up(
-    unsettled: Option<ids::ReleaseVersion>,
-    last_error: Option<errors::Error>,
-) -> errors::Error {
-    let Some(version) = unsettled else {
-        return last_error.unwrap_or_else(|| {
-            errors::Error::new(
-                errors::ErrorKind::StoreUnavailable,
-                "the store gave no answer",
-            )
-        });
-    };
+fn perhaps_accepted(version: ids::ReleaseVersion, cause: Option<errors::Error>) -> errors::Error {
     let detail = format!(
         "the store's answer was lost: the note may have been accepted as release {version}; \
          submit it again under the same submitter id to find out"
     );
-    match last_error {
-        Some(error) => errors::Error::with_source(errors::ErrorKind::AnswerLost, detail, error),
+    match cause {
+        Some(cause) => errors::Error::with_source(errors::ErrorKind::AnswerLost, detail, cause),
         None => errors::Error::new(errors::ErrorKind::AnswerLost, detail),
     }
 }
