Put the newest release in force at once on a host that starts

Cause: a host that read the kept releases put each in force on the way to the newest, so its work followed up to fifteen releases that the cell had left behind. The range is now read to its end, and only the newest is offered. The new test failed before (release 8 in force first instead of 13) and passes now.

--- a/crates/release/src/watcher.rs
+++ b/crates/release/src/watcher.rs
@@ -181,8 +181,11 @@
                 sleep_ms(FIRST_RETRY_MS).await;
             }
             for change in &reply.changes {
-                if let store::Change::Put(entry) = change {
-                    self.offer_entry(entry);
+                let store::Change::Put(entry) = change else {
+                    continue;
+                };
+                if let Some(release) = read_entry(entry) {
+                    self.shared.offer(release);
                 }
             }
             revision = reply.revision.max(revision);
@@ -191,8 +194,12 @@
     }
 
     /// Reads all newer releases; returns the revision from which changes are to be followed.
+    ///
+    /// Only the newest is put in force: a host that has just started must not
+    /// pass through releases that the cell has left behind.
     async fn load(&self) -> Result<store::Revision, store::StoreError> {
         let mut revision = store::Revision::default();
+        let mut newest = None;
         let mut after = match self.shared.current() {
             // The release in force is read again, for its revision.
             Some(current) => accepted::key(ids::ReleaseVersion(current.version().0 - 1)),
@@ -204,14 +211,18 @@
                 .range(accepted::KEY_PREFIX, &after, PAGE_RELEASES)
                 .await?;
             for entry in &page {
-                self.offer_entry(entry);
+                newest = read_entry(entry).or(newest);
                 revision = revision.max(entry.revision);
             }
             match page.last() {
                 Some(last) if page.len() == PAGE_RELEASES => after.clone_from(&last.key),
-                _ => return Ok(revision),
+                _ => break,
             }
         }
+        if let Some(newest) = newest {
+            self.shared.offer(newest);
+        }
+        Ok(revision)
     }
 
     async fn follow_peers(&self) {
@@ -251,15 +262,15 @@
             .offer(accepted::AcceptedRelease::from_entry(&entry)?);
         Ok(())
     }
+}
 
-    fn offer_entry(&self, entry: &store::Entry) {
-        match accepted::AcceptedRelease::from_entry(entry) {
-            Ok(release) => {
-                self.shared.offer(release);
-            }
-            Err(error) => {
-                kernel::log_event!(events::RELEASE_UNREADABLE, "{}: {error}", entry.key);
-            }
+/// The release of a store entry; `None`, with a log event, if it is not one.
+fn read_entry(entry: &store::Entry) -> Option<Arc<accepted::AcceptedRelease>> {
+    match accepted::AcceptedRelease::from_entry(entry) {
+        Ok(release) => Some(release),
+        Err(error) => {
+            kernel::log_event!(events::RELEASE_UNREADABLE, "{}: {error}", entry.key);
+            None
         }
     }
 }
--- a/crates/release/tests/store/support.rs
+++ b/crates/release/tests/store/support.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use kernel::random;
 use platform::store;
+use rand::RngExt;
 use tokio::sync;
+use tokio::time;
 
 /// What happens to the next write.
 #[derive(Clone, Debug)]
@@ -19,6 +22,8 @@
     Unavailable,
     /// Another writer creates the same key first.
     Beaten(Bytes),
+    /// Is reported lost, and reaches the store this much later.
+    Late(Duration),
 }
 
 #[derive(Debug, Default)]
@@ -28,9 +33,19 @@
     revision: u64,
     compacted_below: u64,
     write_faults: VecDeque<WriteFault>,
+    late_writes: Vec<LateWrite>,
+    random: Option<random::Random>,
     is_down: bool,
 }
 
+/// A write that is still under way.
+#[derive(Debug)]
+struct LateWrite {
+    due: time::Instant,
+    key: String,
+    value: Bytes,
+}
+
 /// Keeps everything in memory and fails as told.
 #[derive(Debug, Default)]
 pub struct FakeStore {
@@ -43,6 +58,11 @@
         self.lock().write_faults.extend(faults);
     }
 
+    /// From now on every call takes a while, and half of the writes meet a fault.
+    pub fn disturb(&self, seed: u64) {
+        self.lock().random = Some(random::from_seed(seed));
+    }
+
     pub fn set_down(&self, is_down: bool) {
         self.lock().is_down = is_down;
         self.changed.notify_waiters();
@@ -79,12 +99,54 @@
     }
 
     fn check_up(&self) -> Result<(), store::StoreError> {
+        self.settle();
         if self.lock().is_down {
             return Err(unavailable());
         }
         Ok(())
     }
 
+    /// Lets writes that are due take effect.
+    pub fn settle(&self) {
+        let now = time::Instant::now();
+        let (due, rest) = std::mem::take(&mut self.lock().late_writes)
+            .into_iter()
+            .partition(|write| write.due <= now);
+        self.lock().late_writes = rest;
+        let due: Vec<LateWrite> = due;
+        for write in due {
+            if !self.lock().entries.contains_key(&write.key) {
+                self.insert(&write.key, write.value);
+            }
+        }
+    }
+
+    /// Takes a random time if calls are disturbed.
+    async fn travel(&self) {
+        let delay_ms = match &mut self.lock().random {
+            Some(random) => random.random_range(1..10),
+            None => return,
+        };
+        time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+
+    fn next_fault(&self) -> Option<WriteFault> {
+        let mut state = self.lock();
+        if let Some(fault) = state.write_faults.pop_front() {
+            return Some(fault);
+        }
+        let random = state.random.as_mut()?;
+        match random.random_range(0..8) {
+            0 => Some(WriteFault::LostAfterEffect),
+            1 => Some(WriteFault::LostBeforeEffect),
+            2 => Some(WriteFault::Unavailable),
+            3 => Some(WriteFault::Late(Duration::from_millis(
+                random.random_range(0..2_000),
+            ))),
+            _ => None,
+        }
+    }
+
     fn write(
         &self,
         key: &str,
@@ -92,13 +154,21 @@
         condition: store::Condition,
     ) -> Result<store::Revision, store::StoreError> {
         self.check_up()?;
-        let fault = self.lock().write_faults.pop_front();
+        let fault = self.next_fault();
         match &fault {
             Some(WriteFault::Unavailable) => return Err(unavailable()),
             Some(WriteFault::LostBeforeEffect) => return Err(lost()),
             Some(WriteFault::Beaten(other)) => {
                 self.insert(key, other.clone());
             }
+            Some(WriteFault::Late(delay)) => {
+                self.lock().late_writes.push(LateWrite {
+                    due: time::Instant::now() + *delay,
+                    key: key.to_owned(),
+                    value,
+                });
+                return Err(lost());
+            }
             Some(WriteFault::LostAfterEffect) | None => {}
         }
         let current = self.lock().entries.get(key).cloned();
@@ -165,7 +235,12 @@
         condition: store::Condition,
         _lease: Option<store::LeaseId>,
     ) -> store::StoreFuture<'a, store::Revision> {
-        Box::pin(async move { self.write(key, value, condition) })
+        Box::pin(async move {
+            self.travel().await;
+            let written = self.write(key, value, condition);
+            self.travel().await;
+            written
+        })
     }
 
     fn delete<'a>(
@@ -189,6 +264,7 @@
         limit: usize,
     ) -> store::StoreFuture<'a, Vec<store::Entry>> {
         Box::pin(async move {
+            self.travel().await;
             self.check_up()?;
             let state = self.lock();
             let matching = state
--- a/crates/release/tests/store/watcher.rs
+++ b/crates/release/tests/store/watcher.rs
@@ -151,3 +151,25 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(host.shared.version().0, 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_starts_puts_the_newest_release_in_force_first() {
+    let host = Fixture::start(true).await;
+    for number in 2..14 {
+        host.submit(&format!("run-{number}")).await;
+    }
+    // Calls take a while, so that a release read early would be seen in force.
+    host.store.disturb(1);
+    let shared = Arc::new(release::SharedRelease::default());
+    let mut in_force = shared.subscribe();
+    let watcher = release::ReleaseWatcher::new(
+        Arc::clone(&host.store) as Arc<dyn store::Store>,
+        Arc::clone(&host.peers) as Arc<dyn release::Peers>,
+        shared,
+        8,
+    );
+    tokio::spawn(watcher.run());
+    in_force.changed().await.unwrap();
+    let first = in_force.borrow().clone().unwrap();
+    assert_eq!(first.version().0, 13);
+}
