Follow the daemon's answers to job commands

The daemon answers a cancellation with the job's name, makes names from keys that release notes would not allow, and listens on port 7070; the tool expected counts, refused such names and had another default. Found by reading the two side by side; the table of the API now says what is answered.

--- a/crates/api/src/jobs.rs
+++ b/crates/api/src/jobs.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// The answer to an accepted job: it is durable and will run once.
+/// The answer to an accepted job, or to its cancellation: it is durable.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobAccepted {
     /// The job's name.
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -13,7 +13,8 @@
 //! | `GET /v1/releases/status` | | [`ReleaseStatus`] |
 //! | `POST /v1/jobs` | [`JobRequest`], header [`headers::IDEMPOTENCY_KEY`] | 202 with [`JobAccepted`] |
 //! | `GET /v1/jobs` | | list of [`JobStatus`] |
-//! | `GET /v1/jobs/{id}`, `DELETE /v1/jobs/{id}` | | [`JobStatus`] |
+//! | `GET /v1/jobs/{id}` | | [`JobStatus`] |
+//! | `DELETE /v1/jobs/{id}` | | [`JobAccepted`] |
 //! | `GET /v1/hosts` | | list of [`HostView`] |
 //! | `GET /v1/workers` | | list of [`WorkerView`] |
 //! | `GET /v1/tasks/{work}/{index}` | | [`Explanation`] |
@@ -35,4 +36,4 @@
 pub use releases::{HostRelease, ReleaseStatus, ReleaseView, SubmitReply};
 
 /// Address at which an entry host serves the API, unless its settings say otherwise.
-pub const DEFAULT_HTTP_ADDRESS: &str = "127.0.0.1:7600";
+pub const DEFAULT_HTTP_ADDRESS: &str = "127.0.0.1:7070";
--- a/crates/ctl/src/commands/jobs.rs
+++ b/crates/ctl/src/commands/jobs.rs
@@ -30,7 +30,11 @@
     let accepted = client.send_json::<api::JobAccepted>(&request).await;
     let again = format!("submit the job again with --key {key}");
     let accepted = accepted.map_err(|error| advise(error, &again))?;
-    render::answer(output, &accepted, |accepted| {
+    print_accepted(output, &accepted)
+}
+
+fn print_accepted(output: plan::Output, accepted: &api::JobAccepted) -> errors::Result<Answer> {
+    render::answer(output, accepted, |accepted| {
         let mut rows = render::Rows::new(&["JOB"]);
         rows.push(vec![accepted.job.to_string()]);
         rows
@@ -58,10 +62,8 @@
         method: http::Method::DELETE,
         ..client::Request::get(api::paths::job(job))
     };
-    let status: api::JobStatus = client.send_json(&request).await?;
-    render::answer(output, &status, |status| {
-        status_rows(std::slice::from_ref(status))
-    })
+    let cancelled: api::JobAccepted = client.send_json(&request).await?;
+    print_accepted(output, &cancelled)
 }
 
 pub(super) async fn list(client: &client::Client, output: plan::Output) -> errors::Result<Answer> {
--- a/crates/ctl/src/plan/checker.rs
+++ b/crates/ctl/src/plan/checker.rs
@@ -56,6 +56,16 @@
         text
     }
 
+    /// The name of an existing job, which may have been made from a key.
+    pub(super) fn job_name<'a>(&mut self, text: &'a str) -> &'a str {
+        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+        if text.is_empty() || !text.bytes().all(allowed) {
+            let message = format!("must have letters, digits, -, _ and . alone, not {text:?}");
+            self.fault("JOB", &message);
+        }
+        text
+    }
+
     /// Text that can stand in a header.
     pub(super) fn token(&mut self, flag: &str, text: &str) -> String {
         let is_token = text.bytes().all(|byte| byte.is_ascii_graphic());
--- a/crates/ctl/src/plan/jobs.rs
+++ b/crates/ctl/src/plan/jobs.rs
@@ -30,7 +30,7 @@
 }
 
 fn check_name(job: &str, checker: &mut Checker) -> ids::WorkId {
-    ids::WorkId::new(checker.name("JOB", job))
+    ids::WorkId::new(checker.job_name(job))
 }
 
 fn check_submission(job: &args::JobArgs, checker: &mut Checker) -> Action {
