Check jobs against the release and the cell; name the cell's module for what it is

The checks of a note's work served notes alone, so a job that no worker or quota can hold was accepted and waited for ever. check_job gives the same faults for one job. The module of cell limits shared its name with the limits of numbers in a note and is now called cell.

--- a/crates/release/src/acceptor/mod.rs
+++ b/crates/release/src/acceptor/mod.rs
@@ -19,8 +19,8 @@
 
 use crate::accepted;
 use crate::apply;
+use crate::cell;
 use crate::events;
-use crate::limits;
 use crate::note;
 
 use head::Head;
@@ -50,7 +50,7 @@
 pub struct Acceptor {
     store: Arc<dyn store::Store>,
     head: Mutex<Head>,
-    limits: Mutex<limits::CellLimits>,
+    limits: Mutex<cell::CellLimits>,
 }
 
 /// A well-formed note on its way to the store.
@@ -73,7 +73,7 @@
 
 impl Acceptor {
     /// Makes an acceptor; `limits` can be replaced as workers become known.
-    pub fn new(store: Arc<dyn store::Store>, limits: limits::CellLimits) -> Self {
+    pub fn new(store: Arc<dyn store::Store>, limits: cell::CellLimits) -> Self {
         Self {
             store,
             head: Mutex::new(Head::default()),
@@ -82,7 +82,7 @@
     }
 
     /// Replaces what is known of the cell.
-    pub fn set_limits(&self, limits: limits::CellLimits) {
+    pub fn set_limits(&self, limits: cell::CellLimits) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
     }
 
@@ -199,7 +199,7 @@
         let release = apply::apply(base, &submission.note)?;
         {
             let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-            limits::check(&submission.note, &release, &limits)?;
+            cell::check(&submission.note, &release, &limits)?;
         }
         let mut recent = head.map_or_else(Vec::new, |head| head.recent.clone());
         recent.push(accepted::Submission {
--- a/crates/release/src/cell.rs
+++ b/crates/release/src/cell.rs
@@ -51,7 +51,8 @@
 
     /// How many tasks of this size the permitted zones hold when empty; `None` if not known.
     fn room_for(&self, work: &work::Work) -> Option<u64> {
-        if self.zones.is_empty() {
+        let all_known = work.zones.iter().all(|zone| self.zones.contains_key(zone));
+        if self.zones.is_empty() || !all_known {
             return None;
         }
         let permitted = self
@@ -113,52 +114,70 @@
 ) -> Result<(), note::Faults> {
     let mut faults = Vec::new();
     for item in note.stated_work() {
-        check_zones(item, limits, &mut faults);
-        check_size(item, limits, &mut faults);
+        let mut of_item = unknown_zones(&item.value, limits);
+        of_item.extend(check_size(&item.value, limits).err());
+        for mut fault in of_item {
+            fault.position = Some(item.position);
+            faults.push(fault);
+        }
     }
     for work in release.work.values() {
-        if let Err(message) = check_quota(work, release) {
-            faults.push(quota_fault(note, work, message));
+        if let Err(mut fault) = check_quota(work, release) {
+            fault.position = quota_position(note, work);
+            faults.push(fault);
         }
     }
     check_total(release, &mut faults);
     note::Faults::new(faults).or_ok(())
 }
 
-fn check_zones(
-    item: &note::Located<work::Work>,
+/// Checks a job that is submitted by itself against the release and the cell.
+///
+/// # Errors
+///
+/// All faults, without positions: zones that do not exist, tasks larger than any
+/// worker or than their team's quota, gang jobs larger than the cell or the
+/// quota, and a team without a quota.
+pub fn check_job(
+    job: &work::Work,
+    release: &work::Release,
     limits: &CellLimits,
-    faults: &mut Vec<note::Fault>,
-) {
-    if limits.zones.is_empty() {
-        return;
+) -> Result<(), note::Faults> {
+    let mut faults = unknown_zones(job, limits);
+    faults.extend(check_size(job, limits).err());
+    faults.extend(check_quota(job, release).err());
+    note::Faults::new(faults).or_ok(())
+}
+
+/// A fault of a field whose place is not known yet.
+fn fault(field: &str, message: String) -> note::Fault {
+    note::Fault {
+        position: None,
+        field: field.to_owned(),
+        message,
     }
-    for zone in &item.value.zones {
-        if limits.zones.contains_key(zone) {
-            continue;
-        }
-        let known: Vec<&str> = limits.zones.keys().map(ids::ZoneId::as_str).collect();
-        let message = format!(
-            "{}: no zone {zone}; the zones are {}",
-            item.value.id,
-            known.join(", ")
-        );
-        faults.push(note::Fault::at(item.position, "zones", message));
+}
+
+/// One fault for each zone that the work names and the cell does not have.
+fn unknown_zones(work: &work::Work, limits: &CellLimits) -> Vec<note::Fault> {
+    if limits.zones.is_empty() {
+        return Vec::new();
     }
+    let known: Vec<&str> = limits.zones.keys().map(ids::ZoneId::as_str).collect();
+    let known = known.join(", ");
+    let zones = work.zones.iter();
+    zones
+        .filter(|zone| !limits.zones.contains_key(*zone))
+        .map(|zone| {
+            let message = format!("{}: no zone {zone}; the zones are {known}", work.id);
+            fault("zones", message)
+        })
+        .collect()
 }
 
-fn check_size(
-    item: &note::Located<work::Work>,
-    limits: &CellLimits,
-    faults: &mut Vec<note::Fault>,
-) {
-    let work = &item.value;
-    let all_known = work
-        .zones
-        .iter()
-        .all(|zone| limits.zones.contains_key(zone));
-    let Some(room) = limits.room_for(work).filter(|_| all_known) else {
-        return;
+fn check_size(work: &work::Work, limits: &CellLimits) -> Result<(), note::Fault> {
+    let Some(room) = limits.room_for(work) else {
+        return Ok(());
     };
     if room == 0 {
         let message = format!(
@@ -167,8 +186,7 @@
             describe(work.demand),
             limits.describe_shapes()
         );
-        faults.push(note::Fault::at(item.position, "", message));
-        return;
+        return Err(fault("", message));
     }
     let tasks = u64::from(work.tasks);
     if work.kind == work::WorkKind::GangJob && tasks > room {
@@ -176,23 +194,24 @@
             "{}: {tasks} tasks must start together, but the workers hold at most {room}",
             work.id
         );
-        faults.push(note::Fault::at(item.position, "tasks", message));
+        return Err(fault("tasks", message));
     }
+    Ok(())
 }
 
-fn check_quota(work: &work::Work, release: &work::Release) -> Result<(), String> {
+fn check_quota(work: &work::Work, release: &work::Release) -> Result<(), note::Fault> {
     let Some(quota) = release.quotas.get(&work.team) else {
         let known: Vec<&str> = release.quotas.keys().map(ids::TeamId::as_str).collect();
-        return Err(format!(
-            "{}: team {} has no quota; teams with one: {}",
-            work.id,
-            work.team,
-            if known.is_empty() {
-                "none".to_owned()
-            } else {
-                known.join(", ")
-            }
-        ));
+        let known = if known.is_empty() {
+            "none".to_owned()
+        } else {
+            known.join(", ")
+        };
+        let message = format!(
+            "{}: team {} has no quota; teams with one: {known}",
+            work.id, work.team
+        );
+        return Err(fault("team", message));
     };
     let together = match work.kind {
         work::WorkKind::GangJob => u64::from(work.tasks),
@@ -200,34 +219,31 @@
     };
     let needed = work.demand.times(together);
     if !needed.fits_in(quota.limit) {
-        return Err(format!(
+        let message = format!(
             "{}: {together} task(s) need {} at once, more than the quota of {}: {}",
             work.id,
             describe(needed),
             work.team,
             describe(quota.limit)
-        ));
+        );
+        return Err(fault("team", message));
     }
     Ok(())
 }
 
-/// Points at the work if the note states it, else at what the note says of the quota.
-fn quota_fault(note: &note::Note, work: &work::Work, message: String) -> note::Fault {
-    let stated = note.stated_work().find(|item| item.value.id == work.id);
-    let quota = note
-        .stated_quotas()
-        .find(|item| item.value.team == work.team);
-    let withdrawn = note.withdrawn.quotas.iter();
-    let withdrawn = withdrawn.filter(|item| item.value == work.team);
-    let position = stated
-        .map(|item| item.position)
-        .or(quota.map(|item| item.position))
-        .or(withdrawn.map(|item| item.position).next());
-    note::Fault {
-        position,
-        field: "team".to_owned(),
-        message,
+/// Where the note states the work, else where it speaks of the quota.
+fn quota_position(note: &note::Note, work: &work::Work) -> Option<note::Position> {
+    let mut stated = note.stated_work();
+    if let Some(item) = stated.find(|item| item.value.id == work.id) {
+        return Some(item.position);
+    }
+    let mut quotas = note.stated_quotas();
+    if let Some(item) = quotas.find(|item| item.value.team == work.team) {
+        return Some(item.position);
     }
+    let mut withdrawn = note.withdrawn.quotas.iter();
+    let item = withdrawn.find(|item| item.value == work.team)?;
+    Some(item.position)
 }
 
 fn check_total(release: &work::Release, faults: &mut Vec<note::Fault>) {
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`note`]: reads a note and reports every fault with line, column and field;
 //! - [`apply`] and [`diff`]: from a release and a note to the next release, and what differs;
-//! - [`check`]: whether the cell can hold what a note asks for;
+//! - [`check`] and [`check_job`]: whether the cell can hold what a note or a job asks for;
 //! - [`Acceptor`]: creates the next release in the store, which settles races and lost answers;
 //! - [`ReleaseTracker`]: the version in force in a process, which only goes up;
 //! - [`ReleaseWatcher`]: follows the store, and the peers while the store is away.
@@ -19,13 +19,13 @@
 
 mod acceptor;
 mod apply;
-mod limits;
+mod cell;
 mod tracker;
 mod watcher;
 
 pub use accepted::AcceptedRelease;
 pub use acceptor::{Accepted, Acceptor, SUBMIT_ATTEMPTS, SUBMITTER_LIMIT_BYTES};
 pub use apply::{Changes, apply, diff};
-pub use limits::{CellLimits, WorkerShape, check};
+pub use cell::{CellLimits, WorkerShape, check, check_job};
 pub use tracker::ReleaseTracker;
 pub use watcher::{Peers, ReleaseWatcher, SharedRelease};
--- a/crates/release/tests/properties.rs
+++ b/crates/release/tests/properties.rs
@@ -118,3 +118,78 @@
     let note = format!("base = {}", "[".repeat(500_000));
     assert!(release::note::parse(note.as_bytes()).is_err());
 }
+
+/// The size that the users expect in two years.
+const TARGET_TEAMS: u64 = 62;
+const TARGET_TASKS: u64 = 97_000;
+/// A fifth of the tasks are replicas of services; two each is the smallest that spreads.
+const TARGET_SERVICES: u64 = TARGET_TASKS / 5 / 2;
+
+#[test]
+fn a_release_of_the_target_size_fits_into_the_store() {
+    let mut accepted = accepted(1);
+    for index in 0..TARGET_SERVICES {
+        let id = ids::WorkId::new(format!("service-of-someone-{index}"));
+        let work = work::Work {
+            id: id.clone(),
+            team: ids::TeamId::new(format!("team-{}", index % TARGET_TEAMS)),
+            kind: work::WorkKind::Service,
+            tasks: 2,
+            demand: work::Resources::new(500 + index % 7 * 250, 512 + index % 11 * 256, 0),
+            urgency: work::Urgency::Normal,
+            policy: work::Policy::Spread,
+            run_time_ms: None,
+            max_attempts: u32::MAX,
+            zones: Vec::new(),
+            idempotent: true,
+            slots: 8,
+            connections: 64,
+        };
+        accepted.release.work.insert(id, work);
+    }
+    let encoded = accepted.encode().unwrap();
+    println!("{TARGET_SERVICES} services take {} bytes", encoded.len());
+    let decoded = release::AcceptedRelease::decode(&encoded).unwrap();
+    assert_eq!(decoded, accepted);
+}
+
+#[test]
+fn jobs_are_checked_against_the_release_and_the_cell() {
+    let quota = work::Quota {
+        team: ids::TeamId::new("huber"),
+        limit: work::Resources::new(100_000, 100_000, 0),
+        weight: 1,
+    };
+    let mut release_in_force = work::Release::default();
+    release_in_force.quotas.insert(quota.team.clone(), quota);
+    let zone = ids::ZoneId::new("muc-ost");
+    let capacity = work::Resources::new(16_000, 32_768, 0);
+    let cell = release::CellLimits::from_workers([&zone], [(&zone, capacity); 4]);
+    let job = |team: &str, cpu_milli: u64, tasks: u32, zone: &str| work::Work {
+        id: ids::WorkId::new("job"),
+        team: ids::TeamId::new(team),
+        kind: work::WorkKind::GangJob,
+        tasks,
+        demand: work::Resources::new(cpu_milli, 100, 0),
+        urgency: work::Urgency::Normal,
+        policy: work::Policy::QuickStart,
+        run_time_ms: Some(1_000),
+        max_attempts: 1,
+        zones: vec![ids::ZoneId::new(zone)],
+        idempotent: false,
+        slots: 0,
+        connections: 0,
+    };
+    let cases = [
+        (job("huber", 16_000, 4, "muc-ost"), 0),
+        (job("huber", 16_001, 1, "muc-ost"), 1),
+        (job("huber", 16_000, 5, "muc-ost"), 1),
+        (job("huber", 16_000, 7, "muc-ost"), 2),
+        (job("nobody", 1_000, 1, "muc-west"), 2),
+    ];
+    for (job, faults) in cases {
+        let seen = release::check_job(&job, &release_in_force, &cell);
+        let seen = seen.map_or_else(|faults| faults.as_slice().len(), |()| 0);
+        assert_eq!(seen, faults, "{job:?}");
+    }
+}
