--- /dev/null
+++ b/crates/placement/src/group/replace.rs
@@ -0,0 +1,129 @@
+//! Replacement of service replicas without a gap.
+//!
+//! A replica on a leaving worker gets a twin: the same replica under another
+//! index (`index + tasks`, and back again the next time). The old one drains
+//! once the twin runs, so no index ever runs in two places.
+
+use kernel::ids;
+use kernel::work;
+use platform::workers;
+
+use super::Group;
+use crate::table;
+
+impl Group {
+    fn twin_index(&self, work: u32, index: u32) -> Option<u32> {
+        match self.works[work].work.tasks {
+            0 => None,
+            tasks if index < tasks => index.checked_add(tasks),
+            tasks => Some(index - tasks),
+        }
+    }
+
+    /// The other task of the same replica, if it exists.
+    pub(super) fn twin(&self, work: u32, index: u32) -> Option<u32> {
+        let index = self.twin_index(work, index)?;
+        self.task_numbers.get(&(work, index)).copied()
+    }
+
+    /// Queues a twin of a placed replica ahead of other tasks.
+    pub(super) fn replace(&mut self, slot: u32, now_ms: u64) {
+        let task = &self.tasks[slot];
+        let (work, index, attempt) = (task.work, task.index, task.life.attempt());
+        if task.orphan || task.replaced || task.replaces.is_some() || self.works[work].cancelled {
+            return;
+        }
+        let Some(twin_index) = self.twin_index(work, index) else {
+            return;
+        };
+        if self.task_numbers.contains_key(&(work, twin_index)) {
+            return;
+        }
+        // A higher attempt keeps runs unique when the index is used again.
+        let attempt: ids::Attempt = attempt.next().max(self.tasks[slot].next_attempt);
+        let mut twin = table::Task::new(work, twin_index, attempt, now_ms);
+        twin.replaces = Some(slot);
+        self.tasks[slot].replaced = true;
+        let twin = self.insert_task(twin);
+        self.enqueue(twin, true);
+    }
+
+    /// Settles the replicas of a service whose definition has just become known.
+    ///
+    /// Twins that were found on workers are paired again, and replicas on
+    /// leaving workers are replaced.
+    pub(super) fn settle_replicas(&mut self, number: u32, now_ms: u64) {
+        for slot in self.works[number].members.clone() {
+            self.pair(slot);
+        }
+        for slot in self.works[number].members.clone() {
+            let placement = self.tasks[slot].life.placement();
+            if placement.is_some_and(|placement| self.workers[placement.worker as usize].leaving) {
+                self.replace(slot, now_ms);
+            }
+        }
+    }
+
+    /// Lets only one of two twins stay, after a replica was found on a worker.
+    pub(super) fn pair(&mut self, slot: u32) {
+        let Some(task) = self.tasks.get(slot) else {
+            return;
+        };
+        let service = self.works[task.work].work.kind == work::WorkKind::Service;
+        if !service || task.orphan || task.life.placement().is_none() {
+            return;
+        }
+        let Some(twin) = self.twin(task.work, task.index) else {
+            return;
+        };
+        let related = |slot: u32| {
+            let task = &self.tasks[slot];
+            task.replaced || task.replaces.is_some()
+        };
+        if related(slot) || related(twin) {
+            return;
+        }
+        if self.tasks[twin].life.placement().is_none() {
+            self.withdraw(twin);
+            self.remove_task(twin);
+            return;
+        }
+        let attempt = |slot: u32| self.tasks[slot].life.attempt();
+        let (old, new) = if attempt(slot) < attempt(twin) {
+            (slot, twin)
+        } else {
+            (twin, slot)
+        };
+        self.tasks[old].replaced = true;
+        self.tasks[new].replaces = Some(old);
+        if !self.tasks[new].life.is_starting() {
+            self.drain_replaced(new);
+        }
+    }
+
+    /// Drains the replica that a task replaces, now that the task runs.
+    pub(super) fn drain_replaced(&mut self, slot: u32) {
+        if let Some(old) = self.tasks[slot].replaces.take() {
+            self.stop(old, workers::StopMode::Drain);
+        }
+    }
+
+    /// A replaced replica is gone: its twin is an ordinary replica from now on.
+    pub(super) fn forget_replaced(&mut self, work: u32, old: u32, index: u32) {
+        let Some(twin) = self.twin(work, index) else {
+            return;
+        };
+        let task = &mut self.tasks[twin];
+        if task.replaces == Some(old) {
+            task.replaces = None;
+        }
+        let leaving = task
+            .life
+            .placement()
+            .is_some_and(|placement| self.workers[placement.worker as usize].leaving);
+        if leaving {
+            let since_ms = self.tasks[twin].since_ms;
+            self.replace(twin, since_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/standin/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the stand-ins: models, fakes on tokio's time, and the same over HTTP.
+
+mod http;
+mod http_failures;
+mod memory;
+mod processes;
+mod store_model;
+mod support;
+mod worker_model;
