Leave out the slash at the end of a call to a service's root

hickoryctl call SERVICE / got 404 without a body from the daemon, whose routes know the service without a slash or a path after it, and so ended as unknown.

--- a/crates/api/src/paths.rs
+++ b/crates/api/src/paths.rs
@@ -42,7 +42,11 @@
     format!("{TASKS}/{}/{}", task.work, task.index)
 }
 
-/// The path of a call; `path` is the service's own and starts with a slash or is empty.
+/// The path of a call; the service's root has no slash at its end.
 pub fn call(service: &ids::WorkId, path: &str) -> String {
-    format!("{CALL}/{service}/{}", path.trim_start_matches('/'))
+    let path = path.trim_start_matches('/');
+    if path.is_empty() {
+        return format!("{CALL}/{service}");
+    }
+    format!("{CALL}/{service}/{path}")
 }
--- a/crates/api/tests/json.rs
+++ b/crates/api/tests/messages.rs
@@ -1,4 +1,4 @@
-//! The JSON of the API: what may be left out and what is refused.
+//! Bodies and paths of the API: what may be left out and what is refused.
 
 use hickorychute_api as api;
 use kernel::errors;
@@ -62,3 +62,17 @@
         assert_eq!(errors::Error::from(read).kind, kind);
     }
 }
+
+#[test]
+fn paths_of_calls_match_the_routes() {
+    let service = ids::WorkId::new("bankbuch");
+    let cases = [
+        ("", "/v1/call/bankbuch"),
+        ("/", "/v1/call/bankbuch"),
+        ("book", "/v1/call/bankbuch/book"),
+        ("/book/1?day=2", "/v1/call/bankbuch/book/1?day=2"),
+    ];
+    for (path, expected) in cases {
+        assert_eq!(api::paths::call(&service, path), expected);
+    }
+}
