--- a/crates/release/src/acceptor/mod.rs
+++ b/crates/release/src/acceptor/mod.rs
@@ -111,19 +111,7 @@
         base: Option<ids::ReleaseVersion>,
     ) -> errors::Result<Accepted> {
         let result = self.try_submit(note_bytes, submitter_id, base).await;
-        match &result {
-            Ok(accepted) => kernel::log_event!(
-                events::RELEASE_ACCEPTED,
-                "release {} of submission {submitter_id:?}, repeated: {}",
-                accepted.version,
-                accepted.repeated
-            ),
-            Err(error) => kernel::log_event!(
-                events::RELEASE_REFUSED,
-                "submission {submitter_id:?}: {}",
-                error.kind
-            ),
-        }
+        log_result(submitter_id, &result);
         result
     }
 
@@ -286,6 +274,26 @@
     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
 }
 
+fn log_result(submitter_id: &str, result: &errors::Result<Accepted>) {
+    let error = match result {
+        Ok(accepted) => {
+            kernel::log_event!(
+                events::RELEASE_ACCEPTED,
+                "release {} of submission {submitter_id:?}, repeated: {}",
+                accepted.version,
+                accepted.repeated
+            );
+            return;
+        }
+        Err(error) => error,
+    };
+    let event = match error.kind.answer().outcome {
+        errors::Outcome::NotRun | errors::Outcome::Done => events::RELEASE_REFUSED,
+        errors::Outcome::Unknown => events::RELEASE_UNSETTLED,
+    };
+    kernel::log_event!(event, "submission {submitter_id:?}: {}", error.kind);
+}
+
 fn check_submitter(submitter_id: &str) -> errors::Result<()> {
     let printable = submitter_id.bytes().all(|byte| byte.is_ascii_graphic());
     if submitter_id.is_empty() || submitter_id.len() > SUBMITTER_LIMIT_BYTES || !printable {
--- a/crates/release/src/events.rs
+++ b/crates/release/src/events.rs
@@ -25,4 +25,7 @@
     /// An old release could not be removed.
     RELEASE_TRIM_FAILED = (3007, "release-trim-failed", Warn,
         "An old release was left in the store; the next accepted note tries again. Nothing to do unless it repeats.");
+    /// It is not known whether a note was accepted.
+    RELEASE_UNSETTLED = (3008, "release-unsettled", Warn,
+        "The store's answer to a release note was lost. The submitter is told to submit it again under the same id; hickoryctl release show tells whether it was accepted.");
 }
