Start gangs across groups through reservations in a fixed order

A coordinator, pure and in two states, reserves part after part in the order of the groups, gives everything up at a refusal and confirms only when all parts are reserved. A gang of which one part failed is aborted; its members leave the group instead of waiting for others elsewhere.

--- a/crates/kernel/src/work.rs
+++ b/crates/kernel/src/work.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// How many times `demand` fits into this amount; `u64::MAX` if nothing is demanded.
+    pub fn count_of(self, demand: Self) -> u64 {
+        let fits = |room: u64, each: u64| room.checked_div(each).unwrap_or(u64::MAX);
+        fits(self.cpu_milli, demand.cpu_milli)
+            .min(fits(self.memory_mb, demand.memory_mb))
+            .min(fits(self.accelerators, demand.accelerators))
+    }
+
     /// Multiplies each resource by a count of tasks.
     #[must_use]
     pub const fn times(self, count: u64) -> Self {
--- a/crates/placement/src/decision.rs
+++ b/crates/placement/src/decision.rs
@@ -15,6 +15,8 @@
     NeverFits,
     /// No room was found within the configured wait.
     NoRoom,
+    /// Its gang cannot run as a whole and was aborted here.
+    GangAborted,
     /// The reservation of its gang ran out before it was confirmed.
     ReservationExpired,
 }
@@ -55,6 +57,11 @@
         /// The next attempt.
         next: ids::Attempt,
     },
+    /// The task's gang was aborted here; its shard assigns it again.
+    Returned {
+        /// The next attempt.
+        next: ids::Attempt,
+    },
     /// The task is done, cancelled or replaced.
     Finished,
     /// The task failed too often and is not started again.
--- a/crates/placement/src/group/cancel.rs
+++ b/crates/placement/src/group/cancel.rs
@@ -5,6 +5,7 @@
 use platform::workers;
 
 use super::Group;
+use crate::table;
 
 impl Group {
     /// Cancels a piece of work; returns the runs that waited and now never start.
@@ -18,7 +19,7 @@
             return Vec::new();
         };
         let entry = &mut self.works[number];
-        entry.cancelled = true;
+        entry.standing = table::Standing::Cancelled;
         entry.waiting.clear();
         let mode = match entry.work.kind {
             work::WorkKind::Service => workers::StopMode::Drain,
@@ -38,4 +39,9 @@
         }
         dropped
     }
+
+    /// Whether the tasks of a work must not start any more.
+    pub(super) fn is_cancelled(&self, work: u32) -> bool {
+        self.works[work].standing == table::Standing::Cancelled
+    }
 }
--- a/crates/placement/src/group/feedback.rs
+++ b/crates/placement/src/group/feedback.rs
@@ -7,6 +7,7 @@
 use super::Group;
 use crate::decision;
 use crate::life;
+use crate::table;
 
 /// How long a worker gets no starts after a refusal or a lost reply.
 const REFUSAL_PAUSE_MS: u64 = 1_000;
@@ -116,7 +117,7 @@
     /// Whether a task that ended is not started again, whatever its end.
     fn is_over(&self, slot: u32) -> bool {
         let task = &self.tasks[slot];
-        task.orphan || task.replaced || self.works[task.work].cancelled
+        task.orphan || task.replaced || self.is_cancelled(task.work)
     }
 
     /// Forgets a task, and lets the task wait that an orphan kept from starting.
@@ -202,16 +203,31 @@
             }
             _ => {}
         }
+        let next = self.tasks[slot].life.attempt();
+        if self.works[work].standing == table::Standing::Aborted || self.is_split(work) {
+            let id = self.works[work].work.id.clone();
+            self.remove_task(slot);
+            self.abort_gang(&id);
+            return decision::EndEffect::Returned { next };
+        }
         let failed = matches!(end, workers::RunEnd::Failed | workers::RunEnd::Completed);
         let delay_ms = failed.then(|| {
             let doublings = self.tasks[slot].failures.saturating_sub(1);
             RESTART_DELAY_MS << doublings.min(RESTART_DOUBLINGS)
         });
-        let next = self.tasks[slot].life.attempt();
         self.requeue(slot, delay_ms, now_ms);
         decision::EndEffect::Restart { next }
     }
 
+    /// Whether other members of a gang stand in other groups.
+    ///
+    /// Such a gang cannot start again here alone: its members leave the group.
+    fn is_split(&self, work: u32) -> bool {
+        let entry = &self.works[work];
+        let here = entry.members.len() as u32 + entry.completed;
+        entry.work.kind == work::WorkKind::GangJob && !entry.provisional && here < entry.work.tasks
+    }
+
     /// Lets a task wait again, after a delay if there is one.
     fn requeue(&mut self, slot: u32, delay_ms: Option<u64>, now_ms: u64) {
         self.stop_gang(slot);
--- a/crates/placement/src/group/hold.rs
+++ b/crates/placement/src/group/hold.rs
@@ -26,14 +26,6 @@
     expires_ms: u64,
 }
 
-/// How many tasks of a size fit into an amount.
-fn count_in(room: work::Resources, size: work::Resources) -> u64 {
-    let per = |room: u64, size: u64| room.checked_div(size).unwrap_or(u64::MAX);
-    per(room.cpu_milli, size.cpu_milli)
-        .min(per(room.memory_mb, size.memory_mb))
-        .min(per(room.accelerators, size.accelerators))
-}
-
 /// Room for tasks of a gang on one worker from a time on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Opening {
@@ -103,7 +95,7 @@
             if !worker.accepts() {
                 continue;
             }
-            let at_once = count_in(worker.free(), size);
+            let at_once = worker.free().count_of(size);
             let mut later_room = worker.capacity;
             let mut last_end_ms = now_ms;
             for &slot in &worker.tasks {
@@ -118,7 +110,7 @@
                     None => later_room = later_room.saturating_sub(placement.assigned),
                 }
             }
-            let later = count_in(later_room, size);
+            let later = later_room.count_of(size);
             let worker = number as u32;
             openings.push(Opening {
                 at_ms: now_ms,
--- a/crates/placement/src/group/mod.rs
+++ b/crates/placement/src/group/mod.rs
@@ -71,7 +71,8 @@
     cancelled: tombstones::Tombstones,
     displacements: slots::Slots<displace::Displacement>,
     reservations: IndexMap<u64, reserve::Entry>,
-    next_reservation: u64,
+    /// Reservations confirmed of late.
+    confirmed: VecDeque<u64>,
     hold: Option<hold::Hold>,
     /// Stops and returned tasks that wait for the next decision.
     pending: VecDeque<decision::Decision>,
@@ -119,7 +120,7 @@
             cancelled: tombstones::Tombstones::default(),
             displacements: slots::Slots::default(),
             reservations: IndexMap::new(),
-            next_reservation: 1,
+            confirmed: VecDeque::new(),
             hold: None,
             pending: VecDeque::new(),
             restarts: BTreeSet::new(),
--- a/crates/placement/src/group/replace.rs
+++ b/crates/placement/src/group/replace.rs
@@ -30,7 +30,7 @@
     pub(super) fn replace(&mut self, slot: u32, now_ms: u64) {
         let task = &self.tasks[slot];
         let (work, index, attempt) = (task.work, task.index, task.life.attempt());
-        if task.orphan || task.replaced || task.replaces.is_some() || self.works[work].cancelled {
+        if task.orphan || task.replaced || task.replaces.is_some() || self.is_cancelled(work) {
             return;
         }
         let Some(twin_index) = self.twin_index(work, index) else {
--- a/crates/placement/src/group/reserve.rs
+++ b/crates/placement/src/group/reserve.rs
@@ -4,12 +4,17 @@
 
 use kernel::ids;
 use kernel::work;
+use platform::workers;
+use rand::Rng;
 
 use super::Group;
 use crate::decision;
 use crate::life;
 use crate::table;
 
+/// Confirmed reservations that are remembered for repeated confirmations.
+const CONFIRMED_KEPT: usize = 256;
+
 /// Room that a group keeps for some tasks of a gang.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reservation {
@@ -58,8 +63,8 @@
             self.forget_work(work);
             return None;
         };
-        let id = self.next_reservation;
-        self.next_reservation += 1;
+        // Random numbers, so that one given out by an earlier owner is not taken for ours.
+        let id = self.random.next_u64();
         self.reservations.insert(id, Entry { until_ms, slots });
         Some(Reservation { id, until_ms })
     }
@@ -152,7 +157,12 @@
     }
 
     /// Starts the tasks of a reservation; `None` if it ran out or was cancelled.
+    ///
+    /// Confirming again starts nothing and returns no decisions.
     pub fn confirm(&mut self, reservation: u64, now_ms: u64) -> Option<Vec<decision::Decision>> {
+        if self.confirmed.contains(&reservation) {
+            return Some(Vec::new());
+        }
         self.expire_reservations(now_ms);
         let entry = self.reservations.swap_remove(&reservation)?;
         let mut starts = Vec::new();
@@ -169,11 +179,38 @@
             starts.push(self.start_decision(slot));
         }
         let (first, _) = *entry.slots.first()?;
+        if self.confirmed.len() >= CONFIRMED_KEPT {
+            self.confirmed.pop_front();
+        }
+        self.confirmed.push_back(reservation);
         let id = self.works[self.tasks[first].work].work.id.clone();
         self.drop_hold_of(&id);
         Some(starts)
     }
 
+    /// Stops the members of a gang here because another group could not start its part.
+    ///
+    /// Each member leaves this group when its run has ended, which
+    /// [`Group::ended`] reports as [`EndEffect::Returned`](crate::EndEffect::Returned).
+    pub fn abort_gang(&mut self, gang: &ids::WorkId) {
+        let Some(&number) = self.work_numbers.get(gang) else {
+            return;
+        };
+        self.works[number].standing = table::Standing::Aborted;
+        for slot in self.works[number].members.clone() {
+            if self.tasks[slot].life.placement().is_some() {
+                self.stop(slot, workers::StopMode::Kill);
+                continue;
+            }
+            self.pending.push_back(decision::Decision::HandBack {
+                run: self.run_of(slot),
+                reason: decision::HandBackReason::GangAborted,
+            });
+            self.withdraw(slot);
+            self.remove_task(slot);
+        }
+    }
+
     /// Gives up a reservation; its tasks are forgotten unless they were submitted.
     pub fn release(&mut self, reservation: u64) {
         if let Some(entry) = self.reservations.swap_remove(&reservation) {
--- a/crates/placement/src/group/submit.rs
+++ b/crates/placement/src/group/submit.rs
@@ -62,7 +62,7 @@
         let Some(&number) = self.work_numbers.get(&work.id) else {
             return Some(self.new_work(work, shard));
         };
-        self.works[number].cancelled = false;
+        self.works[number].standing = table::Standing::Wanted;
         self.works[number].shard = shard;
         if self.works[number].provisional || *self.works[number].work != **work {
             self.update_work(number, work);
@@ -82,7 +82,7 @@
             shard,
             team,
             class,
-            cancelled: false,
+            standing: table::Standing::Wanted,
             queued: false,
             provisional: false,
             waiting: VecDeque::new(),
@@ -171,7 +171,9 @@
         });
         let number = self.new_work(&work, order.shard);
         self.works[number].provisional = true;
-        self.works[number].cancelled = self.cancelled.contains(&work.id);
+        if self.cancelled.contains(&work.id) {
+            self.works[number].standing = table::Standing::Cancelled;
+        }
         number
     }
 }
--- a/crates/placement/src/group/workers.rs
+++ b/crates/placement/src/group/workers.rs
@@ -157,7 +157,7 @@
         found.confirm();
         self.change_life(slot, |life| *life = found);
         self.enter(slot, number);
-        let cancelled = self.works[work].cancelled;
+        let cancelled = self.is_cancelled(work);
         let stale = self.tasks[slot].orphan || self.tasks[slot].next_attempt > order.run.attempt;
         if cancelled || stale {
             self.stop(slot, workers::StopMode::Kill);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -22,6 +22,7 @@
 mod config;
 mod decision;
 mod estimate;
+mod gang;
 mod group;
 mod health;
 mod index;
@@ -38,5 +39,8 @@
 pub use decision::{
     Decision, EndEffect, Explanation, HandBackReason, Snapshot, TaskState, TaskView, WorkerView,
 };
+pub use gang::{
+    ConfirmStep, Confirming, GangCoordinator, GangPart, GangRequest, ReserveStep, Reserving, divide,
+};
 pub use group::{Group, Reservation};
 pub use worker::WorkerSpec;
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -32,6 +32,18 @@
     Displacing,
 }
 
+/// Whether the tasks of a work are to run in this group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// They are.
+    #[default]
+    Wanted,
+    /// Its gang cannot run as a whole; members leave the group when they end.
+    Aborted,
+    /// It was cancelled.
+    Cancelled,
+}
+
 /// A piece of work with its tasks in this group.
 #[derive(Debug)]
 pub struct WorkEntry {
@@ -40,7 +52,7 @@
     pub team: u32,
     /// Class of learned sizes.
     pub class: u32,
-    pub cancelled: bool,
+    pub standing: Standing,
     /// Whether it stands in its team's queue.
     pub queued: bool,
     /// Made from a run found on a worker; replaced when the work is submitted.
