--- /dev/null
+++ b/crates/placement/tests/placement/packing.rs
@@ -0,0 +1,15 @@
+//! Packing of tasks whose declared sizes are wrong by 2 to 10 times.
+
+use hickorychute_placement::measure;
+
+/// Workers used over those of first fit decreasing with true sizes, at most.
+const TARGET_RATIO: f64 = 1.05;
+
+#[test]
+fn mixes_pack_within_the_target() {
+    for mix in measure::Mix::ALL {
+        let figures = measure::packing(mix, 1);
+        assert!(figures.ratio <= TARGET_RATIO, "{mix}: {figures:?}");
+        assert_eq!(figures.tasks, 4_000, "{mix}: every task is placed");
+    }
+}
--- a/crates/placement/tests/sequences.rs
+++ b/crates/placement/tests/placement/sequences.rs
@@ -1,7 +1,5 @@
 //! Invariants under random sequences of operations.
 
-mod world;
-
 use std::sync::Arc;
 
 use kernel::ids;
@@ -10,6 +8,8 @@
 use proptest::strategy::Strategy;
 use proptest::test_runner;
 
+use crate::world;
+
 const CASES: u32 = 300;
 const CAPACITY: work::Resources = work::Resources::new(8_000, 16_000, 2);
 const WORKERS: u32 = 6;
