--- a/crates/placement/src/group/feedback.rs
+++ b/crates/placement/src/group/feedback.rs
@@ -7,6 +7,7 @@
 use super::Group;
 use crate::decision;
 use crate::life;
+use crate::table;
 
 /// How long a worker gets no starts after a refusal or a lost reply.
 const REFUSAL_PAUSE_MS: u64 = 1_000;
@@ -14,6 +15,8 @@
 const RESTART_DELAY_MS: u64 = 100;
 /// Doublings of that wait at most.
 const RESTART_DOUBLINGS: u32 = 9;
+/// At most one worker in this many is in quarantine before suspicions stop counting.
+const SUSPECTED_PART: usize = 4;
 /// A service replica that ran this long speaks for its worker.
 const HEALTHY_RUN_MS: u64 = 10_000;
 
@@ -116,7 +119,7 @@
     /// Whether a task that ended is not started again, whatever its end.
     fn is_over(&self, slot: u32) -> bool {
         let task = &self.tasks[slot];
-        task.orphan || task.replaced || self.works[task.work].cancelled
+        task.orphan || task.replaced || self.is_cancelled(task.work)
     }
 
     /// Forgets a task, and lets the task wait that an orphan kept from starting.
@@ -149,21 +152,23 @@
         let Some(placement) = task.life.placement() else {
             return false;
         };
-        let entry = &mut self.works[task.work];
-        let worker = &mut self.workers[placement.worker as usize];
-        let service = entry.work.kind == work::WorkKind::Service;
+        let service = self.works[task.work].work.kind == work::WorkKind::Service;
         if end == workers::RunEnd::Completed || (service && ran_ms >= HEALTHY_RUN_MS) {
-            entry.health.success();
-            worker.health.success();
+            self.note_success(task.work, placement.worker, now_ms);
             return false;
         }
         if end != workers::RunEnd::Failed {
             return false;
         }
-        let quarantined =
-            worker
-                .health
-                .failure(placement.worker, entry.serial, &mut entry.health, now_ms);
+        let on_suspicion = self.may_suspect();
+        let entry = &mut self.works[task.work];
+        let quarantined = self.workers[placement.worker as usize].health.failure(
+            placement.worker,
+            entry.serial,
+            &mut entry.health,
+            on_suspicion,
+            now_ms,
+        );
         self.tasks[slot].failed_on = Some(placement.worker);
         if quarantined {
             self.watch_time(placement.worker);
@@ -171,6 +176,29 @@
         quarantined
     }
 
+    /// Counts a success for worker and job, and against workers on which the job failed.
+    fn note_success(&mut self, work: u32, worker: u32, now_ms: u64) {
+        self.workers[worker as usize].health.success();
+        for failed_on in self.works[work].health.success() {
+            let other = &mut self.workers[failed_on as usize];
+            if failed_on != worker && other.health.proven(now_ms) {
+                self.watch_time(failed_on);
+                self.reindex(failed_on);
+            }
+        }
+    }
+
+    /// Whether few enough workers are in quarantine for suspicions to add one.
+    ///
+    /// When many new jobs are broken, all workers are suspected at once.
+    fn may_suspect(&self) -> bool {
+        let quarantined = self.timed.iter().filter(|&&worker| {
+            let health = &self.workers[worker as usize].health;
+            health.quarantined_until().is_some()
+        });
+        quarantined.count() * SUSPECTED_PART < self.workers.len()
+    }
+
     /// What becomes of a task whose run ended.
     fn settle(
         &mut self,
@@ -202,16 +230,31 @@
             }
             _ => {}
         }
+        let next = self.tasks[slot].life.attempt();
+        if self.works[work].standing == table::Standing::Aborted || self.is_split(work) {
+            let id = self.works[work].work.id.clone();
+            self.remove_task(slot);
+            self.abort_gang(&id);
+            return decision::EndEffect::Returned { next };
+        }
         let failed = matches!(end, workers::RunEnd::Failed | workers::RunEnd::Completed);
         let delay_ms = failed.then(|| {
             let doublings = self.tasks[slot].failures.saturating_sub(1);
             RESTART_DELAY_MS << doublings.min(RESTART_DOUBLINGS)
         });
-        let next = self.tasks[slot].life.attempt();
         self.requeue(slot, delay_ms, now_ms);
         decision::EndEffect::Restart { next }
     }
 
+    /// Whether other members of a gang stand in other groups.
+    ///
+    /// Such a gang cannot start again here alone: its members leave the group.
+    fn is_split(&self, work: u32) -> bool {
+        let entry = &self.works[work];
+        let here = entry.members.len() as u32 + entry.completed;
+        entry.work.kind == work::WorkKind::GangJob && !entry.provisional && here < entry.work.tasks
+    }
+
     /// Lets a task wait again, after a delay if there is one.
     fn requeue(&mut self, slot: u32, delay_ms: Option<u64>, now_ms: u64) {
         self.stop_gang(slot);
