--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -58,21 +58,12 @@
         let again = answer.retryable || error.kind == errors::ErrorKind::AnswerLost;
         let left_ms = deadline_at_ms.saturating_sub(shared.now_ms());
         if !again || left_ms <= RETRY_INTERVAL_MS + RETURN_RESERVE_MS {
-            return Err(truthful(error, may_have_run));
+            return Err(forward::truthful(error, may_have_run));
         }
         tokio::time::sleep(time::Duration::from_millis(RETRY_INTERVAL_MS)).await;
     }
 }
 
-/// An error that says `not_run` becomes one that says `unknown` if an earlier attempt may have run.
-fn truthful(error: errors::Error, may_have_run: bool) -> errors::Error {
-    if may_have_run && error.kind.answer().outcome == errors::Outcome::NotRun {
-        let detail = format!("an earlier attempt brought no answer, and the last one: {error}");
-        return errors::Error::with_source(errors::ErrorKind::AnswerLost, detail, error);
-    }
-    error
-}
-
 /// Serves a non-idempotent call at the owner of its claim.
 ///
 /// The work goes on in a task of its own, so that a caller that goes away
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -147,14 +147,16 @@
     shared.routing.retries().record_request(&call.team);
     let mut tried = Vec::new();
     let mut attempts = 0;
+    let mut may_have_run = false;
     loop {
         let now_ms = shared.now_ms();
         let left_ms = deadline_at_ms.saturating_sub(now_ms);
         if left_ms <= RETURN_RESERVE_MS {
-            return Err(errors::Error::new(
+            let error = errors::Error::new(
                 errors::ErrorKind::DeadlineBeforeStart,
                 "the deadline passed before the call left",
-            ));
+            );
+            return Err(truthful(error, may_have_run));
         }
         let error = match pick(shared, &call, &tried) {
             Ok(route) => {
@@ -174,6 +176,7 @@
             }
             Err(error) => error,
         };
+        may_have_run |= error.kind.answer().outcome == errors::Outcome::Unknown;
         let request = RetryRequest {
             team: &call.team,
             kind: error.kind,
@@ -183,12 +186,21 @@
         };
         let RetryDecision::RetryAfter { after_ms } = shared.routing.retries().decide(&request)
         else {
-            return Err(error);
+            return Err(truthful(error, may_have_run));
         };
         tokio::time::sleep(time::Duration::from_millis(after_ms)).await;
     }
 }
 
+/// An error that says `not_run` becomes one that says `unknown` if an earlier attempt may have run.
+pub(crate) fn truthful(error: errors::Error, may_have_run: bool) -> errors::Error {
+    if may_have_run && error.kind.answer().outcome == errors::Outcome::NotRun {
+        let detail = format!("an earlier attempt brought no answer, and the last one: {error}");
+        return errors::Error::with_source(errors::ErrorKind::AnswerLost, detail, error);
+    }
+    error
+}
+
 fn pick(shared: &shared::Shared, call: &Call, tried: &[ids::GroupId]) -> errors::Result<Route> {
     let link_bytes = call.body.len() as u64;
     let request = RouteRequest {
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -71,10 +71,26 @@
 }
 
 /// Puts an assignment into the queue of tasks.
+///
+/// An attempt whose end is on its way to the shard is left out: the assignment
+/// was written before the shard knew.
 pub(super) fn submit(state: &mut state::GroupState, held: &state::HeldAssignment, now_ms: u64) {
+    let reports = state.reports.get(&held.shard);
+    let has_ended = |index: u32, attempt: ids::Attempt| {
+        let open = reports.into_iter().flat_map(|queue| queue.open.keys());
+        open.into_iter().any(|run| {
+            run.task.index == index && run.task.work == held.work.id && run.attempt >= attempt
+        })
+    };
+    let runs: Vec<(u32, ids::Attempt)> = held
+        .runs
+        .iter()
+        .filter(|(index, attempt)| !has_ended(*index, *attempt))
+        .copied()
+        .collect();
     state
         .placement
-        .submit(&held.work, &held.runs, Some(held.shard), now_ms);
+        .submit(&held.work, &runs, Some(held.shard), now_ms);
 }
 
 /// Takes the work's waiting tasks out of the queue and gives them back as never started.
--- a/crates/node/src/group/exchange.rs
+++ b/crates/node/src/group/exchange.rs
@@ -68,11 +68,13 @@
         if let Some(running) = reply.running {
             self.apply_running(state, worker, request, &running, &reply.finished, now_ms);
         }
-        // Before recovery the assignments are not in place yet; workers repeat unacknowledged ends.
         if state.recovered {
             for finished in &reply.finished {
                 self.apply_end(state, worker, finished, now_ms);
             }
+        } else if let Some(link) = state.links.get_mut(worker) {
+            // The assignments are not in place yet.
+            link.ends_at_recovery = reply.finished;
         }
         if reply.state == workers::WorkerState::Leaving {
             Self::worker_leaves(state, worker, now_ms);
@@ -219,6 +221,10 @@
     }
 
     /// Applies the end of a run; a repeated one changes nothing.
+    ///
+    /// If the task waits here for an attempt that has already ended, the run is
+    /// adopted first, so that its end counts. A run of a task that is not assigned
+    /// here is only reported: the shard alone says what becomes of it.
     pub(super) fn apply_end(
         &self,
         state: &mut state::GroupState,
@@ -227,8 +233,14 @@
         now_ms: u64,
     ) {
         let run = &finished.order.run;
-        if let Some(link) = state.links.get_mut(worker) {
-            link.runs.shift_remove(run);
+        if is_settled(state, worker, finished) {
+            return;
+        }
+        let link = state.links.get_mut(worker);
+        let known = link.is_none_or(|link| link.runs.shift_remove(run).is_some());
+        let waits = || state.placement.explain(&run.task).state != placement::TaskState::Unknown;
+        if !known && waits() {
+            state.placement.adopt(worker, &finished.order, now_ms);
         }
         if let Some(dispatcher) = state.dispatchers.get_mut(&run.task.work) {
             dispatcher.remove_instance(run);
@@ -238,8 +250,8 @@
             .ended(run, finished.end, finished.ran_ms, now_ms);
         if effect != EndEffect::Ignored {
             self.shared.metrics.end(finished.end);
-            log::debug!("{run} on {worker}: {}, {effect:?}", finished.end);
         }
+        log::debug!("{run} on {worker}: {}, {effect:?}", finished.end);
         reports::note_end(state, worker, finished);
     }
 
@@ -282,6 +294,25 @@
     }
 }
 
+/// Whether an end was applied before: its report is open, or its acknowledgement not yet sent.
+fn is_settled(
+    state: &state::GroupState,
+    worker: &ids::WorkerId,
+    finished: &workers::FinishedRun,
+) -> bool {
+    let run = &finished.order.run;
+    let acknowledged = state
+        .links
+        .get(worker)
+        .is_some_and(|link| link.acknowledged.contains(run));
+    let reported = finished
+        .order
+        .shard
+        .and_then(|shard| state.reports.get(&shard))
+        .is_some_and(|queue| queue.open.contains_key(run));
+    acknowledged || reported
+}
+
 /// The worker did not get the request: its starts did not happen.
 fn requeue(
     state: &mut state::GroupState,
--- a/crates/node/src/group/link.rs
+++ b/crates/node/src/group/link.rs
@@ -28,6 +28,8 @@
     pub listed: bool,
     /// Runs that the owner believes to be on the worker.
     pub runs: IndexMap<ids::TaskAttempt, LinkedRun>,
+    /// Ends that the worker reported before the group had recovered.
+    pub ends_at_recovery: Vec<workers::FinishedRun>,
     /// Orders to send.
     pub starts: Vec<workers::StartOrder>,
     /// Orders to send.
@@ -53,6 +55,7 @@
             confirmed: false,
             listed: true,
             runs: IndexMap::new(),
+            ends_at_recovery: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
             acknowledged: IndexSet::new(),
@@ -134,11 +137,4 @@
     pub fn is_failing(&self) -> bool {
         self.failures > 0
     }
-
-    /// Sends the next request as soon as possible.
-    pub fn hurry(&mut self, now_ms: u64) {
-        if self.failures == 0 {
-            self.due_at_ms = now_ms;
-        }
-    }
 }
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -185,11 +185,13 @@
         for held in std::mem::take(&mut state.held) {
             assign::submit(state, &held, now_ms);
         }
-        assign::cancel_held(state, now_ms);
-        // The ends that workers reported meanwhile were left for now.
-        for link in state.links.values_mut() {
-            link.hurry(now_ms);
+        // Before anything is decided, what has already ended is taken out of the queue.
+        for (worker, ends) in take_ends(state) {
+            for finished in &ends {
+                self.apply_end(state, &worker, finished, now_ms);
+            }
         }
+        assign::cancel_held(state, now_ms);
     }
 
     fn decide(&self, state: &mut state::GroupState, now_ms: u64) {
@@ -240,6 +242,14 @@
     }
 }
 
+fn take_ends(state: &mut state::GroupState) -> Vec<(ids::WorkerId, Vec<workers::FinishedRun>)> {
+    state
+        .links
+        .iter_mut()
+        .map(|(worker, link)| (worker.clone(), std::mem::take(&mut link.ends_at_recovery)))
+        .collect()
+}
+
 fn expire_calls(state: &mut state::GroupState, now_ms: u64) {
     let mut refusals = Vec::new();
     let mut ready = Vec::new();
