--- a/crates/standin/tests/standin/http.rs
+++ b/crates/standin/tests/standin/http.rs
@@ -35,6 +35,27 @@
     let echo: standin::model::Echo = serde_json::from_slice(&answer.body).unwrap();
     assert_eq!((echo.service.as_str(), echo.attempt_id), ("bankbuch", 7));
     assert_eq!(echo.digest, standin::digest(b"bay 4"));
+
+    let pattern = format!("{:016x}", echo.digest).into_bytes();
+    for path in ["/size/3000000", "/chunked/3000000"] {
+        let call = support::call(8, path, b"bay 4");
+        let answer = connection.upstreams.call(&target, &call).await.unwrap();
+        let expected = pattern.iter().cycle().take(3_000_000);
+        assert!(answer.body.iter().eq(expected), "{path}");
+    }
+    let failed = support::call(9, "/fail", b"bay 4");
+    let failed = connection.upstreams.call(&target, &failed).await.unwrap();
+    assert_eq!((failed.status, failed.attempt_id), (500, 9));
+
+    let leaving = workers[0].id.clone();
+    assert!(
+        served
+            .platform
+            .change_fleet(|fleet, now_ms| fleet.leave(&leaving, now_ms))
+    );
+    let refused = connection.upstreams.call(&target, &call).await;
+    let is_leaving = matches!(refused, Err(UpstreamError::NotRun { leaving: true, .. }));
+    assert!(is_leaving, "{refused:?}");
 }
 
 #[tokio::test]
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -3,6 +3,7 @@
 mod http;
 mod http_failures;
 mod memory;
+mod presets;
 mod processes;
 mod store_model;
 mod support;
