--- a/crates/standin/src/model/fleet.rs
+++ b/crates/standin/src/model/fleet.rs
@@ -322,27 +322,22 @@
 }
 
 fn initial_workers(config: &config::Config) -> Vec<WorkerInfo> {
-    let zones = config.topology.zones.len() as u32;
+    let zones = &config.topology.zones;
+    let zone_count = zones.len().max(1) as u32;
     let per_rack = config.workers_per_rack.max(1);
-    (0..config.workers)
-        .map(|number| {
-            let zone_index = (number % zones) as usize;
-            let (zone, _) = &config
-                .topology
-                .zones
-                .get_index(zone_index)
-                .expect("in range");
-            let in_zone = number / zones;
-            let rack = format!("{zone}-r{}", in_zone / per_rack);
-            let id = format!("{rack}-w{}", in_zone % per_rack);
-            WorkerInfo {
-                zone: (*zone).clone(),
-                rack: ids::RackId::new(rack),
-                address: format!("{}/workers/{id}", config.address),
-                id: ids::WorkerId::new(id),
-                capacity: config.capacity,
-                state: WorkerState::Live,
-            }
+    let workers = (0..config.workers).filter_map(|number| {
+        let (zone, _) = zones.get_index((number % zone_count) as usize)?;
+        let in_zone = number / zone_count;
+        let rack = format!("{zone}-r{}", in_zone / per_rack);
+        let id = format!("{rack}-w{}", in_zone % per_rack);
+        Some(WorkerInfo {
+            zone: zone.clone(),
+            rack: ids::RackId::new(rack),
+            address: format!("{}/workers/{id}", config.address),
+            id: ids::WorkerId::new(id),
+            capacity: config.capacity,
+            state: WorkerState::Live,
         })
-        .collect()
+    });
+    workers.collect()
 }
