--- a/crates/calls/src/load_model/simulation.rs
+++ b/crates/calls/src/load_model/simulation/mod.rs
@@ -1,4 +1,7 @@
-//! The events of a run.
+//! The events of a run: a call's way, and what it meets.
+
+mod build;
+mod rounds;
 
 use indexmap::IndexMap;
 use kernel::errors;
@@ -88,6 +91,7 @@
     attempts: Vec<Attempt>,
     open_attempts: attempts::AttemptTable<usize, usize>,
     points: Vec<Point>,
+    groups: Vec<ids::GroupId>,
     point_of_group: IndexMap<ids::GroupId, usize>,
     lenders: Vec<lending::Lender>,
     routers: Vec<router::Router>,
@@ -97,47 +101,6 @@
 }
 
 impl Simulation {
-    pub(super) fn new(case: &case::LoadCase) -> Self {
-        let service = ids::WorkId::new("service");
-        let groups = cell::GROUP_OWNERS.len();
-        let hosts = cell::HOST_ZONES.len();
-        let seeds = (0..hosts as u64).map(|host| case.seed.wrapping_add(host));
-        let routers = seeds.clone().enumerate().map(|(host, seed)| {
-            let zone = cell::zone_id(cell::HOST_ZONES[host]);
-            let config = router::RouterConfig::new(&zone, cell::regions());
-            router::Router::new(config, seed)
-        });
-        let policies = seeds.map(|seed| {
-            let mut config = retry::RetryConfig::default();
-            if !case.retries {
-                config.max_attempts = 1;
-            }
-            retry::RetryPolicy::new(config, seed)
-        });
-        let lenders = (0..groups).map(|group| lending::Lender::new(&service, group, case.seed));
-        let ids = (0..groups).map(|group| (cell::group_id(group), group));
-        Self {
-            case: *case,
-            teams: (0..case.teams)
-                .map(|team| ids::TeamId::new(format!("team-{team}")))
-                .collect(),
-            arrivals: requests::Arrivals::new(case),
-            timeline: timeline::Timeline::new(),
-            now_us: 0,
-            requests: Vec::new(),
-            attempts: Vec::new(),
-            open_attempts: attempts::AttemptTable::new(0),
-            points: points(case, &service),
-            point_of_group: ids.collect(),
-            lenders: lenders.collect(),
-            routers: routers.collect(),
-            policies: policies.collect(),
-            open_calls: vec![0; groups * cell::GROUP_INSTANCES as usize],
-            tally: tally::Tally::new(case),
-            service,
-        }
-    }
-
     pub(super) fn run(mut self) -> figures::LoadFigures {
         self.timeline.add(0, Event::Gossip);
         self.timeline.add(0, Event::Tick);
@@ -306,8 +269,8 @@
             return;
         };
         let request = &self.requests[request];
-        let group = cell::group_id(self.points[state.point].group);
-        self.routers[request.host].record_success(&group, self.now_us / 1_000);
+        let group = &self.groups[self.points[state.point].group];
+        self.routers[request.host].record_success(group, self.now_us / 1_000);
         let at_caller_us = self.now_us + self.case.workload.caller_latency_us();
         let way_us = self.instance_latency_us(attempt);
         let queued_us = state.started_at_us - way_us - state.at_point_us;
@@ -340,98 +303,6 @@
         }
     }
 
-    fn tick(&mut self) {
-        let now_ms = self.now_ms();
-        let mut waiting = false;
-        for point in 0..self.points.len() {
-            let dispatcher = &mut self.points[point].dispatcher;
-            let ready = dispatcher.dispatch_ready(now_ms);
-            let refused = dispatcher.expire(now_ms);
-            waiting |= dispatcher.load().queued_calls > 0;
-            self.start_all(&ready);
-            for refused in refused {
-                self.send_refusal(&refused);
-            }
-        }
-        if waiting || !self.is_over() {
-            self.after(TICK_US, Event::Tick);
-        }
-    }
-
-    fn gossip(&mut self) {
-        if self.case.path == case::CallPath::OwnerForwarded {
-            for host in 0..self.routers.len() {
-                self.observe(host, 0);
-            }
-        }
-        if !self.is_over() {
-            self.after(self.case.gossip_interval_ms * 1_000, Event::Gossip);
-        }
-    }
-
-    /// What a host knows about its own dispatchers is always fresh.
-    fn observe_own(&mut self, host: usize) {
-        self.observe(host, host * cell::GROUP_OWNERS.len());
-    }
-
-    fn observe(&mut self, host: usize, first_point: usize) {
-        for point in first_point..first_point + cell::GROUP_OWNERS.len() {
-            let load = self.points[point].dispatcher.load();
-            self.observe_load(host, point, load);
-        }
-    }
-
-    fn observe_answer(&mut self, attempt: usize, load: crate::DispatcherLoad) {
-        if self.case.load_in_answers && self.case.path == case::CallPath::OwnerForwarded {
-            let state = &self.attempts[attempt];
-            let host = self.requests[state.request].host;
-            self.observe_load(host, state.point, load);
-        }
-    }
-
-    fn observe_load(&mut self, host: usize, point: usize, load: crate::DispatcherLoad) {
-        let load = router::GroupLoad {
-            instances: load.instances,
-            free_slots: load.free_slots,
-            queue_delay_ms: load.queue_delay_ms,
-        };
-        let group = cell::group_id(self.points[point].group);
-        let now_ms = self.now_ms();
-        self.routers[host].observe(&group, &self.service, load, now_ms);
-    }
-
-    fn ask(&mut self, index: usize) {
-        let now_ms = self.now_ms();
-        let point = &mut self.points[index];
-        let ask = point.borrower.ask(&mut point.dispatcher, now_ms);
-        let way_us = owner_latency_us(point);
-        self.after(way_us, Event::Lend { point: index, ask });
-        if !self.is_over() {
-            let interval_us = self.case.credit_interval_ms * 1_000;
-            self.after(interval_us, Event::Ask { point: index });
-        }
-    }
-
-    fn lend(&mut self, index: usize, ask: &crate::CreditAsk) {
-        let point = &self.points[index];
-        let way_us = owner_latency_us(point);
-        let grant = self.lenders[point.group].exchange(point.host, ask, self.now_us / 1_000);
-        self.after(
-            way_us,
-            Event::Grant {
-                point: index,
-                grant,
-            },
-        );
-    }
-
-    fn grant(&mut self, index: usize, grant: crate::CreditGrant) {
-        let now_ms = self.now_ms();
-        let point = &mut self.points[index];
-        let ready = point.borrower.accept(grant, &mut point.dispatcher, now_ms);
-        self.start_all(&ready);
-    }
-
     fn start_all(&mut self, ready: &[dispatch::Dispatch]) {
         for dispatch in ready {
             self.start(dispatch);
@@ -486,54 +357,3 @@
         cell::latency_us(cell::HOST_ZONES[point.host], group_zone)
     }
 }
-
-fn owner_latency_us(point: &Point) -> u64 {
-    let group_zone = cell::zone_of_group(point.group);
-    cell::latency_us(cell::HOST_ZONES[point.host], group_zone)
-}
-
-fn points(case: &case::LoadCase, service: &ids::WorkId) -> Vec<Point> {
-    let groups = 0..cell::GROUP_OWNERS.len();
-    if case.path == case::CallPath::OwnerForwarded {
-        let owned = groups.map(|group| (cell::GROUP_OWNERS[group], group));
-        return owned
-            .map(|(host, group)| point(case, service, host, group))
-            .collect();
-    }
-    let hosts = 0..cell::HOST_ZONES.len();
-    let pairs = hosts.flat_map(|host| groups.clone().map(move |group| (host, group)));
-    pairs
-        .map(|(host, group)| point(case, service, host, group))
-        .collect()
-}
-
-fn point(case: &case::LoadCase, service: &ids::WorkId, host: usize, group: usize) -> Point {
-    let config = dispatch::DispatcherConfig {
-        order: case.order,
-        ..dispatch::DispatcherConfig::default()
-    };
-    let seed = case.seed.wrapping_add((host * 64 + group) as u64);
-    let mut dispatcher = dispatch::Dispatcher::new(config, seed);
-    for index in 0..cell::GROUP_INSTANCES {
-        let run = cell::instance(service, group, index);
-        let slots = match case.path {
-            case::CallPath::OwnerForwarded => cell::SLOTS,
-            case::CallPath::Credits => 0,
-            case::CallPath::FixedShares => fixed_share(host, run.task.index),
-        };
-        dispatcher.set_instance(&run, "", slots, cell::CONNECTIONS, 0);
-    }
-    Point {
-        host,
-        group,
-        dispatcher,
-        borrower: lending::Borrower::default(),
-    }
-}
-
-/// Slots of an instance that one host may always use; all hosts together use all.
-fn fixed_share(host: usize, instance: u32) -> u32 {
-    let hosts = cell::HOST_ZONES.len() as u32;
-    let extra = (host as u32 + instance) % hosts < cell::SLOTS % hosts;
-    cell::SLOTS / hosts + u32::from(extra)
-}
