Probe a silent worker before its runs count as ended

A worker whose replies were lost was left alone until its leases had ended and then counted as lost without being asked, so that runs which had completed ran again. Orders that waited for it were dropped and their tasks never started.

--- a/crates/api/src/cell.rs
+++ b/crates/api/src/cell.rs
@@ -91,6 +91,16 @@
     Unknown,
 }
 
+impl TaskState {
+    /// Whether the task will not run any more.
+    pub const fn is_final(self) -> bool {
+        matches!(
+            self,
+            Self::Completed | Self::Failed | Self::Cancelled | Self::Unknown
+        )
+    }
+}
+
 /// Why a task waits, or where it runs or ran.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Explanation {
--- a/crates/node/src/group/link.rs
+++ b/crates/node/src/group/link.rs
@@ -8,6 +8,15 @@
 const FAILURE_LIMIT: u32 = 3;
 const RETRY_INTERVAL_MS: u64 = 250;
 
+/// For how long a request extends the leases of a worker's tasks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaseTime {
+    /// As the worker counts it, from the receipt of the request.
+    pub granted_ms: u64,
+    /// As the owner counts it, from the sending, with the drift of the clocks.
+    pub end_ms: u64,
+}
+
 /// A run that the owner believes to be on a worker.
 #[derive(Clone, Debug)]
 pub(super) struct LinkedRun {
@@ -41,6 +50,8 @@
     in_flight: bool,
     due_at_ms: u64,
     failures: u32,
+    probing: bool,
+    lost: bool,
     leases_end_at_ms: u64,
     sequence: u64,
 }
@@ -63,6 +74,8 @@
             in_flight: false,
             due_at_ms: now_ms,
             failures: 0,
+            probing: false,
+            lost: false,
             leases_end_at_ms,
             sequence: now_ms,
         }
@@ -80,15 +93,30 @@
     /// The next request, and notes that it is on its way.
     ///
     /// The leases are counted from now on: should the reply be lost, the worker
-    /// may have extended them.
+    /// may have extended them. A worker that was left alone until its leases had
+    /// ended is probed: the request extends nothing and starts nothing, and the
+    /// worker can still say how its runs ended.
     pub fn take_request(
         &mut self,
         epoch: ids::Epoch,
-        lease_ms: u64,
-        leases_end_at_ms: u64,
+        now_ms: u64,
+        lease: LeaseTime,
     ) -> workers::SyncRequest {
         self.in_flight = true;
-        self.leases_end_at_ms = self.leases_end_at_ms.max(leases_end_at_ms);
+        self.sequence += 1;
+        self.probing = self.failures >= FAILURE_LIMIT && now_ms >= self.leases_end_at_ms;
+        let request = workers::SyncRequest {
+            epoch,
+            sequence: self.sequence,
+            known_digest: self.known_digest,
+            stops: std::mem::take(&mut self.stops),
+            acknowledged: std::mem::take(&mut self.acknowledged).into_iter().collect(),
+            ..workers::SyncRequest::default()
+        };
+        if self.probing {
+            return request;
+        }
+        self.leases_end_at_ms = self.leases_end_at_ms.max(now_ms + lease.end_ms);
         let starts = std::mem::take(&mut self.starts);
         for order in &starts {
             let linked = LinkedRun {
@@ -97,15 +125,10 @@
             };
             self.runs.insert(order.run.clone(), linked);
         }
-        self.sequence += 1;
         workers::SyncRequest {
-            epoch,
-            sequence: self.sequence,
-            lease_ms,
-            known_digest: self.known_digest,
+            lease_ms: lease.granted_ms,
             starts,
-            stops: std::mem::take(&mut self.stops),
-            acknowledged: std::mem::take(&mut self.acknowledged).into_iter().collect(),
+            ..request
         }
     }
 
@@ -121,6 +144,7 @@
     pub fn failed(&mut self, now_ms: u64) {
         self.in_flight = false;
         self.failures += 1;
+        self.lost = self.probing;
         self.due_at_ms = if self.failures >= FAILURE_LIMIT {
             self.leases_end_at_ms.max(now_ms + RETRY_INTERVAL_MS)
         } else {
@@ -128,9 +152,9 @@
         };
     }
 
-    /// Whether the worker has not answered for so long that all its leases have ended.
-    pub fn is_lost(&self, now_ms: u64) -> bool {
-        !self.in_flight && self.failures >= FAILURE_LIMIT && now_ms >= self.leases_end_at_ms
+    /// Whether the worker did not even answer after all its leases had ended.
+    pub const fn is_lost(&self) -> bool {
+        self.lost
     }
 
     /// Whether the worker fails to answer.
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -130,12 +130,12 @@
         }
     }
 
-    /// A worker that has been silent for longer than every lease runs nothing any more.
+    /// A worker that is silent even after all its leases have ended runs nothing any more.
     fn drop_lost_workers(&self, state: &mut state::GroupState, now_ms: u64) {
         let lost: Vec<ids::WorkerId> = state
             .links
             .iter()
-            .filter(|(_, link)| link.is_lost(now_ms))
+            .filter(|(_, link)| link.is_lost())
             .map(|(id, _)| id.clone())
             .collect();
         for worker in lost {
@@ -156,6 +156,9 @@
                 };
                 self.apply_end(state, &worker, &finished, now_ms);
             }
+            for order in &link.starts {
+                state.placement.not_started(&order.run, now_ms);
+            }
             state.placement.remove_worker(&worker, now_ms);
             if link.listed {
                 self.add_link(state, link.info, now_ms);
@@ -231,11 +234,13 @@
     }
 
     fn send_requests(self: &Arc<Self>, state: &mut state::GroupState, now_ms: u64) {
-        let lease_ms = self.shared.config.task_lease_ms;
-        let leases_end_ms = now_ms + self.shared.config.lease_end_ms();
+        let lease = link::LeaseTime {
+            granted_ms: self.shared.config.task_lease_ms,
+            end_ms: self.shared.config.lease_end_ms(),
+        };
         for link in state.links.values_mut() {
             if link.is_due(now_ms) {
-                let request = link.take_request(self.epoch, lease_ms, leases_end_ms);
+                let request = link.take_request(self.epoch, now_ms, lease);
                 tokio::spawn(Arc::clone(self).exchange(link.info.clone(), request));
             }
         }
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -113,6 +113,16 @@
         operators::job_status(&self.shared, job).await
     }
 
+    /// Why a task waits, or where it runs or ran.
+    ///
+    /// # Errors
+    ///
+    /// [`errors::ErrorKind::NotFound`] if there is no such task, or that its shard cannot be
+    /// reached.
+    pub async fn explain(&self, task: &ids::TaskId) -> errors::Result<api::Explanation> {
+        operators::explain(&self.shared, task).await
+    }
+
     /// The status of all jobs whose shards can be reached.
     pub async fn jobs(&self) -> Vec<api::JobStatus> {
         operators::jobs(&self.shared).await
