Keep a roster of the workers that a group's owners have used

The platform's list forgets a dead worker after its lag. The owner now writes a worker into a value of the store before it starts anything there, and the next owner asks every worker of it; what may have run on one that stays silent ends as unknown, or goes on under the next attempt if the work allows it. Waiting out the lease alone was ruled out: it prevents two runs at once, but not a second run after a completed one.

--- a/crates/histories/src/workload.rs
+++ b/crates/histories/src/workload.rs
@@ -219,7 +219,11 @@
 
 /// A job of short tasks; every second one may be started again after an unknown end.
 fn batch_job(number: u64, tasks: u32) -> work::Work {
-    let prefix = if number.is_multiple_of(2) { REPEATABLE_PREFIX } else { "charge-" };
+    let prefix = if number.is_multiple_of(2) {
+        REPEATABLE_PREFIX
+    } else {
+        "charge-"
+    };
     let id = ids::WorkId::new(format!("{prefix}{number}"));
     work::Work {
         idempotent: is_repeatable(&id),
--- a/crates/node/src/group/link.rs
+++ b/crates/node/src/group/link.rs
@@ -26,6 +26,17 @@
     pub seen: bool,
 }
 
+/// What is known of a worker that does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// It has not been asked since all its leases have ended.
+    Unasked,
+    /// It is being asked.
+    Probed,
+    /// It did not answer.
+    Lost,
+}
+
 /// The exchange with one worker.
 #[derive(Debug)]
 pub(super) struct WorkerLink {
@@ -50,8 +61,7 @@
     in_flight: bool,
     due_at_ms: u64,
     failures: u32,
-    probing: bool,
-    lost: bool,
+    silence: Silence,
     leases_end_at_ms: u64,
     sequence: u64,
 }
@@ -60,11 +70,16 @@
     /// A link to a worker that has not answered yet; its leases may last until the given time.
     ///
     /// The sequence of requests starts at the owner's clock, so that it goes on rising when a link is made anew.
-    pub fn new(info: workers::WorkerInfo, now_ms: u64, leases_end_at_ms: u64) -> Self {
+    pub fn new(
+        info: workers::WorkerInfo,
+        listed: bool,
+        now_ms: u64,
+        leases_end_at_ms: u64,
+    ) -> Self {
         Self {
             info,
             confirmed: false,
-            listed: true,
+            listed,
             runs: IndexMap::new(),
             ends_at_recovery: Vec::new(),
             starts: Vec::new(),
@@ -74,8 +89,7 @@
             in_flight: false,
             due_at_ms: now_ms,
             failures: 0,
-            probing: false,
-            lost: false,
+            silence: Silence::Unasked,
             leases_end_at_ms,
             sequence: now_ms,
         }
@@ -104,7 +118,12 @@
     ) -> workers::SyncRequest {
         self.in_flight = true;
         self.sequence += 1;
-        self.probing = self.failures >= FAILURE_LIMIT && now_ms >= self.leases_end_at_ms;
+        let probing = self.failures >= FAILURE_LIMIT && now_ms >= self.leases_end_at_ms;
+        self.silence = if probing {
+            Silence::Probed
+        } else {
+            Silence::Unasked
+        };
         let request = workers::SyncRequest {
             epoch,
             sequence: self.sequence,
@@ -113,7 +132,7 @@
             acknowledged: std::mem::take(&mut self.acknowledged).into_iter().collect(),
             ..workers::SyncRequest::default()
         };
-        if self.probing {
+        if probing {
             return request;
         }
         self.leases_end_at_ms = self.leases_end_at_ms.max(now_ms + lease.end_ms);
@@ -144,7 +163,9 @@
     pub fn failed(&mut self, now_ms: u64) {
         self.in_flight = false;
         self.failures += 1;
-        self.lost = self.probing;
+        if self.silence == Silence::Probed {
+            self.silence = Silence::Lost;
+        }
         self.due_at_ms = if self.failures >= FAILURE_LIMIT {
             self.leases_end_at_ms.max(now_ms + RETRY_INTERVAL_MS)
         } else {
@@ -153,8 +174,8 @@
     }
 
     /// Whether the worker did not even answer after all its leases had ended.
-    pub const fn is_lost(&self) -> bool {
-        self.lost
+    pub fn is_lost(&self) -> bool {
+        self.silence == Silence::Lost
     }
 
     /// Whether the worker fails to answer.
--- a/crates/node/src/group/mod.rs
+++ b/crates/node/src/group/mod.rs
@@ -14,10 +14,13 @@
 mod calls;
 mod exchange;
 mod link;
+mod recovery;
 mod reports;
+mod roster;
 mod state;
 mod views;
 mod work_loop;
+mod workers;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
--- a/crates/node/src/group/state.rs
+++ b/crates/node/src/group/state.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 use wire::messages;
 
-use super::link;
+use super::{link, roster};
 use crate::config;
 
 /// Who waits for the slot of a call.
@@ -54,6 +54,11 @@
 pub(super) struct GroupState {
     pub placement: Group,
     pub links: IndexMap<ids::WorkerId, link::WorkerLink>,
+    /// The workers of the newest list.
+    pub listed: IndexMap<ids::WorkerId, platform::workers::WorkerInfo>,
+    pub roster: roster::Roster,
+    /// A worker that was given up before the group had recovered.
+    pub lost_before_recovery: Option<ids::WorkerId>,
     pub listed_once: bool,
     pub listing: bool,
     pub list_due_at_ms: u64,
@@ -76,6 +81,9 @@
         Self {
             placement,
             links: IndexMap::new(),
+            listed: IndexMap::new(),
+            roster: roster::Roster::default(),
+            lost_before_recovery: None,
             listed_once: false,
             listing: false,
             list_due_at_ms: now_ms,
--- /dev/null
+++ b/crates/node/src/group/workers.rs
@@ -0,0 +1,160 @@
+//! Which workers the group has, from the platform's list and the roster.
+
+use std::sync::Arc;
+use std::time;
+
+use calls::LeavingSource;
+use indexmap::IndexMap;
+use kernel::ids;
+use platform::workers;
+
+use super::{GroupOwner, link, state};
+
+const LIST_TIMEOUT_MS: u64 = 2_000;
+
+impl GroupOwner {
+    pub(super) fn refresh_list(self: &Arc<Self>, state: &mut state::GroupState, now_ms: u64) {
+        if state.listing || now_ms < state.list_due_at_ms {
+            return;
+        }
+        state.listing = true;
+        let owner = Arc::clone(self);
+        tokio::spawn(async move {
+            let limit = time::Duration::from_millis(LIST_TIMEOUT_MS);
+            let list = owner.shared.platform.workers.list(&owner.id.zone);
+            let result = tokio::time::timeout(limit, list).await;
+            let now_ms = owner.shared.now_ms();
+            let mut state = owner.state();
+            state.listing = false;
+            state.list_due_at_ms = now_ms + owner.shared.config.worker_list_interval_ms;
+            match result {
+                Ok(Ok(list)) => owner.apply_list(&mut state, list, now_ms),
+                Ok(Err(error)) => log::debug!("list of workers: {error}"),
+                Err(_) => log::debug!("list of workers: no answer in time"),
+            }
+            drop(state);
+            owner.wake.notify_one();
+        });
+    }
+
+    /// Notes which workers are listed and which are leaving.
+    ///
+    /// A new worker is used once it stands in the roster. One that is no longer
+    /// listed stays until it stops answering, because the list may be wrong.
+    fn apply_list(
+        &self,
+        state: &mut state::GroupState,
+        list: Vec<workers::WorkerInfo>,
+        now_ms: u64,
+    ) {
+        let topology = &self.shared.config.topology;
+        let mine =
+            |info: &workers::WorkerInfo| topology.group_of(&info.zone, &info.rack) == self.id;
+        let listed: IndexMap<ids::WorkerId, workers::WorkerInfo> = list
+            .into_iter()
+            .filter(mine)
+            .map(|info| (info.id.clone(), info))
+            .collect();
+        for (id, link) in &mut state.links {
+            link.listed = listed.contains_key(id);
+        }
+        for info in listed.values() {
+            if state.links.contains_key(&info.id) || state.roster.has(&info.id) {
+                self.use_worker(state, info.clone(), now_ms);
+            }
+        }
+        state.listed = listed;
+        state.listed_once = true;
+    }
+
+    /// Uses a worker that stands in the roster, or takes over what the list says about it.
+    pub(super) fn use_worker(
+        &self,
+        state: &mut state::GroupState,
+        info: workers::WorkerInfo,
+        now_ms: u64,
+    ) {
+        state
+            .placement
+            .set_worker(&placement::WorkerSpec::from(&info), now_ms);
+        let id = info.id.clone();
+        let leaving = info.state == workers::WorkerState::Leaving;
+        if let Some(link) = state.links.get_mut(&id) {
+            link.info = info;
+        } else {
+            self.add_link(state, info, now_ms);
+        }
+        if leaving {
+            Self::worker_leaves(state, &id, now_ms);
+        }
+    }
+
+    fn add_link(&self, state: &mut state::GroupState, info: workers::WorkerInfo, now_ms: u64) {
+        let leases_end_ms = now_ms + self.shared.config.lease_end_ms();
+        state.placement.fence_pending(&info.id, leases_end_ms);
+        let listed = state.listed.contains_key(&info.id);
+        let link = link::WorkerLink::new(info.clone(), listed, now_ms, leases_end_ms);
+        state.links.insert(info.id, link);
+    }
+
+    /// Nothing new starts on the worker, and its instances get no new calls.
+    pub(super) fn worker_leaves(
+        state: &mut state::GroupState,
+        worker: &ids::WorkerId,
+        now_ms: u64,
+    ) {
+        state.placement.set_worker_state(worker, true, now_ms);
+        let Some(link) = state.links.get(worker) else {
+            return;
+        };
+        let runs: Vec<ids::TaskAttempt> = link.runs.keys().cloned().collect();
+        for run in runs {
+            if let Some(dispatcher) = state.dispatchers.get_mut(&run.task.work) {
+                dispatcher.set_leaving(&run, LeavingSource::HostList);
+            }
+        }
+    }
+
+    /// A worker that is silent even after all its leases have ended runs nothing any more.
+    pub(super) fn drop_lost_workers(&self, state: &mut state::GroupState, now_ms: u64) {
+        let lost: Vec<ids::WorkerId> = state
+            .links
+            .iter()
+            .filter(|(_, link)| link.is_lost())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for worker in lost {
+            self.drop_worker(state, &worker, now_ms);
+        }
+    }
+
+    fn drop_worker(&self, state: &mut state::GroupState, worker: &ids::WorkerId, now_ms: u64) {
+        let Some(link) = state.links.shift_remove(worker) else {
+            return;
+        };
+        kernel::log_event!(
+            crate::events::WORKER_LOST,
+            "{worker} of {}: {} runs have ended by their leases",
+            self.id,
+            link.runs.len()
+        );
+        if !state.recovered {
+            state.lost_before_recovery = Some(worker.clone());
+        }
+        for (_, run) in link.runs {
+            let finished = workers::FinishedRun {
+                order: run.order,
+                end: workers::RunEnd::LeaseLapsed,
+                ran_ms: 0,
+            };
+            self.apply_end(state, worker, &finished, now_ms);
+        }
+        for order in &link.starts {
+            state.placement.not_started(&order.run, now_ms);
+        }
+        state.placement.remove_worker(worker, now_ms);
+        if link.listed {
+            self.use_worker(state, link.info, now_ms);
+        }
+    }
+}
