--- a/crates/journal/src/driver/writer.rs
+++ b/crates/journal/src/driver/writer.rs
@@ -88,6 +88,7 @@
             }
             let more = self.shared.wake.notified();
             tokio::select! {
+                biased;
                 () = self.store.back_off(failures) => {}
                 () = more => return false,
             }
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -21,6 +21,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 () = self.stopped.cancelled() => return,
                 () = self.wake.notified() => {}
                 _ = ticks.tick() => {}
--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -87,6 +87,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 () = self.wake.notified() => {}
                 _ = ticks.tick() => {}
             }
--- a/crates/node/src/tenure.rs
+++ b/crates/node/src/tenure.rs
@@ -55,6 +55,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 changed = mirror.changed() => if changed.is_err() { return },
                 _ = ticks.tick() => {}
             }
--- a/crates/ownership/src/session.rs
+++ b/crates/ownership/src/session.rs
@@ -97,6 +97,7 @@
         let mut open = true;
         loop {
             tokio::select! {
+                biased;
                 _ = ticks.tick() => match self.store.keep_alive(lease).await {
                     Ok(()) => lease_until = self.expiry(),
                     Err(store::StoreError::LeaseLapsed) => return Err(store::StoreError::LeaseLapsed),
