Give work the version of the release that added it

A name says too little about work: a note may withdraw work and a later note may add other work under the same name. The version at which an entry was added tells both apart. An entry that is listed under changed keeps its version; submitted jobs have none.

--- a/crates/api/src/jobs.rs
+++ b/crates/api/src/jobs.rs
@@ -88,6 +88,7 @@
             idempotent: self.idempotent,
             slots: 0,
             connections: 0,
+            since: ids::ReleaseVersion::default(),
         }
     }
 }
--- a/crates/histories/src/workload.rs
+++ b/crates/histories/src/workload.rs
@@ -225,6 +225,7 @@
         idempotent: true,
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/journal/src/measure/load.rs
+++ b/crates/journal/src/measure/load.rs
@@ -174,6 +174,7 @@
         idempotent: true,
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/journal/tests/journal/support.rs
+++ b/crates/journal/tests/journal/support.rs
@@ -303,6 +303,7 @@
         idempotent: true,
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/kernel/src/work.rs
+++ b/crates/kernel/src/work.rs
@@ -170,9 +170,19 @@
     pub slots: u32,
     /// Connections that one replica accepts; zero unless a service.
     pub connections: u32,
+    /// The release version that added the work; zero for a submitted job.
+    ///
+    /// A name may be used again: work is the same only if name and version agree.
+    #[serde(default)]
+    pub since: ids::ReleaseVersion,
 }
 
 impl Work {
+    /// Whether the work is part of a release and not a submitted job.
+    pub fn is_from_release(&self) -> bool {
+        self.since.0 > 0
+    }
+
     /// The identifiers of all tasks, in order.
     pub fn task_ids(&self) -> impl Iterator<Item = ids::TaskId> + '_ {
         (0..self.tasks).map(|index| ids::TaskId::new(&self.id, index))
--- a/crates/placement/src/group/submit.rs
+++ b/crates/placement/src/group/submit.rs
@@ -121,6 +121,9 @@
             self.uncount(slot);
         }
         let entry = &mut self.works[number];
+        if !entry.provisional && entry.work.since != work.since {
+            entry.completed = 0;
+        }
         entry.work = Arc::clone(work);
         entry.team = team;
         entry.class = class;
@@ -168,6 +171,7 @@
             idempotent: false,
             slots: order.slots,
             connections: order.connections,
+            since: ids::ReleaseVersion::default(),
         });
         let number = self.new_work(&work, order.shard);
         self.works[number].provisional = true;
--- a/crates/placement/src/measure/cell.rs
+++ b/crates/placement/src/measure/cell.rs
@@ -72,6 +72,7 @@
         idempotent: true,
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/placement/tests/placement/world.rs
+++ b/crates/placement/tests/placement/world.rs
@@ -52,6 +52,7 @@
         idempotent: true,
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/release/src/apply.rs
+++ b/crates/release/src/apply.rs
@@ -59,11 +59,17 @@
         release.work.shift_remove(&named.id);
     }
     for item in &note.changed.work {
-        if let Err(message) = find_work(release, &item.value.id, item.value.kind) {
-            faults.push(note::Fault::at(item.position, "changed", message));
-            continue;
-        }
-        let work = item.value.clone();
+        let since = match find_work(release, &item.value.id, item.value.kind) {
+            Ok(existing) => existing.since,
+            Err(message) => {
+                faults.push(note::Fault::at(item.position, "changed", message));
+                continue;
+            }
+        };
+        let work = work::Work {
+            since,
+            ..item.value.clone()
+        };
         release.work.insert(work.id.clone(), work);
     }
     for item in &note.added.work {
@@ -76,16 +82,19 @@
             faults.push(note::Fault::at(item.position, "added", message));
             continue;
         }
-        let work = item.value.clone();
+        let work = work::Work {
+            since: release.version,
+            ..item.value.clone()
+        };
         release.work.insert(work.id.clone(), work);
     }
 }
 
-fn find_work(
-    release: &work::Release,
+fn find_work<'release>(
+    release: &'release work::Release,
     id: &ids::WorkId,
     kind: work::WorkKind,
-) -> Result<(), String> {
+) -> Result<&'release work::Work, String> {
     let Some(existing) = release.work.get(id) else {
         return Err(format!(
             "no {} {id} in release {}",
@@ -100,7 +109,7 @@
             note::kind_name(kind)
         ));
     }
-    Ok(())
+    Ok(existing)
 }
 
 /// The version on which the release under construction is based.
--- a/crates/release/src/note/entries.rs
+++ b/crates/release/src/note/entries.rs
@@ -99,6 +99,7 @@
         idempotent: shape.idempotent,
         slots: shape.slots,
         connections: shape.connections,
+        since: ids::ReleaseVersion::default(),
     };
     Some(Located { value, position })
 }
