Accept the work of a release once, and names that are used again

Cause: a shard accepted work of a release whenever it knew no job of the name. Work added again under a withdrawn name was never started, since the old job is remembered; a finished batch run that was forgotten would have been accepted and run again; a new owner on a host that lagged behind withdrew what a newer release had added; a job submitted without a key counted as work of the release; work of a release was dropped by a full shard.

Work under a known name becomes the successor of the job that has it and starts in the entry that ends the older job's last run; attempts go on counting. An assignment lifts an earlier cancellation of its name, which is safe because a shard's messages are applied in their order. Replicas of services are wanted whatever their end.

--- a/crates/journal/src/record/codec.rs
+++ b/crates/journal/src/record/codec.rs
@@ -163,6 +163,8 @@
                 end: code_of(&ENDS, end),
             }),
             Record::Cancelled { work } => Self::Cancelled(work.to_string()),
+            Record::Withdrawn { work } => Self::Withdrawn(work.to_string()),
+            Record::Followed { version } => Self::Followed(version.0),
             Record::Claimed {
                 key,
                 request_digest,
@@ -229,6 +231,12 @@
             RecordBody::Cancelled(work) => Self::Cancelled {
                 work: ids::WorkId::from(work),
             },
+            RecordBody::Withdrawn(work) => Self::Withdrawn {
+                work: ids::WorkId::from(work),
+            },
+            RecordBody::Followed(version) => Self::Followed {
+                version: ids::ReleaseVersion(version),
+            },
             RecordBody::Claimed(claimed) => Self::Claimed {
                 key: ids::IdempotencyKey::from(claimed.key),
                 request_digest: claimed.request_digest,
--- a/crates/journal/src/record/message.rs
+++ b/crates/journal/src/record/message.rs
@@ -23,7 +23,7 @@
 /// Wire form of a record.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct RecordMessage {
-    #[prost(oneof = "RecordBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "RecordBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<RecordBody>,
 }
 
@@ -48,6 +48,10 @@
     Answered(AnsweredMessage),
     #[prost(message, tag = "9")]
     ClaimUnknown(ClaimUnknownMessage),
+    #[prost(string, tag = "10")]
+    Withdrawn(String),
+    #[prost(uint64, tag = "11")]
+    Followed(u64),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/journal/src/record/mod.rs
+++ b/crates/journal/src/record/mod.rs
@@ -73,6 +73,16 @@
         /// The work.
         work: ids::WorkId,
     },
+    /// Work is no longer part of the release; a submitted job of the name stays.
+    Withdrawn {
+        /// The work.
+        work: ids::WorkId,
+    },
+    /// All work of the shard in a release is accepted, or withdrawn, up to this version.
+    Followed {
+        /// The release's version.
+        version: ids::ReleaseVersion,
+    },
     /// A non-idempotent request is about to leave for an upstream.
     Claimed {
         /// The request's key.
--- a/crates/journal/src/state/cells.rs
+++ b/crates/journal/src/state/cells.rs
@@ -77,10 +77,18 @@
 impl Cells {
     /// All tasks waiting for their first attempt.
     pub fn new(tasks: u32) -> Self {
+        Self::after_attempt(tasks, 0)
+    }
+
+    /// All tasks waiting for the attempt after `attempt`.
+    pub fn after_attempt(tasks: u32, attempt: u32) -> Self {
         let span = Span {
             start: 0,
             end: tasks,
-            cell: Cell::default(),
+            cell: Cell {
+                attempt,
+                ..Cell::default()
+            },
         };
         let spans = if tasks == 0 { Vec::new() } else { vec![span] };
         Self { spans }
--- a/crates/journal/src/state/job.rs
+++ b/crates/journal/src/state/job.rs
@@ -64,6 +64,10 @@
     pub(crate) finished_ms: Option<u64>,
     pub(crate) cancelled: bool,
     pub(crate) cells: Cells,
+    /// Work that a later release added under the same name.
+    pub(crate) successor: Option<Arc<work::Work>>,
+    /// The highest attempt known of runs under this name that are in no cell.
+    pub(crate) attempt_floor: u32,
     counts: TaskCounts,
 }
 
@@ -97,20 +101,39 @@
             finished_ms: None,
             cancelled: false,
             cells,
+            successor: None,
+            attempt_floor: 0,
             counts,
         }
     }
 
+    /// The job of work that uses the name of an older job without live runs.
+    pub(crate) fn after(older: &Self, work: Arc<work::Work>, order: u64, accepted_ms: u64) -> Self {
+        let attempts = older.cells.spans().iter().map(|span| span.cell.attempt);
+        let highest = attempts.max().unwrap_or(0).max(older.attempt_floor);
+        let cells = Cells::after_attempt(work.tasks, highest);
+        let mut job = Self::restored(work, older.key.clone(), order, accepted_ms, cells);
+        job.attempt_floor = highest;
+        job
+    }
+
+    /// Notes the attempt of a run of which no cell knows.
+    pub(crate) fn note_attempt(&mut self, run: &ids::TaskAttempt) {
+        if run.task.index >= self.cells.len() {
+            self.attempt_floor = self.attempt_floor.max(run.attempt.0);
+        }
+    }
+
+    /// The work that is the newest under the job's name.
+    pub fn newest(&self) -> &Arc<work::Work> {
+        self.successor.as_ref().unwrap_or(&self.work)
+    }
+
     /// The work.
     pub fn work(&self) -> &Arc<work::Work> {
         &self.work
     }
 
-    /// Whether it came from a release note; a submitted job has its submitter's key.
-    pub fn is_from_release(&self) -> bool {
-        self.key.is_none()
-    }
-
     /// Whether it was cancelled.
     pub fn is_cancelled(&self) -> bool {
         self.cancelled
@@ -192,6 +215,10 @@
     pub(crate) fn end(&mut self, index: u32, end: workers::RunEnd) {
         let failures = self.cells.get(index).map_or(0, |cell| cell.failures);
         match end {
+            // A replica is wanted until its service is withdrawn.
+            _ if self.work.kind == work::WorkKind::Service => {
+                self.finish(index, TaskState::Waiting, 0);
+            }
             workers::RunEnd::Completed => self.finish(index, TaskState::Completed, 0),
             workers::RunEnd::Failed if u32::from(failures) + 1 >= self.work.max_attempts => {
                 self.finish(index, TaskState::Failed, 1);
--- a/crates/journal/src/state/mod.rs
+++ b/crates/journal/src/state/mod.rs
@@ -18,6 +18,7 @@
 mod claims;
 mod job;
 mod query;
+mod release;
 mod snapshot;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -109,6 +110,9 @@
     /// No open claim with this key and attempt.
     #[display("no such claim")]
     NoSuchClaim,
+    /// The release was followed already.
+    #[display("the release was followed already")]
+    OldRelease,
     /// The shard holds as much as its limits allow.
     #[display("the shard is full")]
     Full,
@@ -134,6 +138,7 @@
     groups: IndexSet<ids::GroupId>,
     claims: claims::Claims,
     seals: VecDeque<u64>,
+    followed: ids::ReleaseVersion,
 }
 
 impl ShardState {
@@ -186,6 +191,7 @@
             Record::Assigned { work, runs, group } => self.assign(work, runs, group),
             Record::HandedBack { work, runs } => self.hand_back(work, runs),
             Record::Ended { run, end } => self.change_live(&run.task.work, |job| {
+                job.note_attempt(run);
                 if !job.is_live(run.task.index, run.attempt) {
                     return Err(IgnoredReason::NotLive);
                 }
@@ -196,6 +202,8 @@
                 job.cancelled = true;
                 Ok(())
             }),
+            Record::Withdrawn { work } => self.withdraw(work),
+            Record::Followed { version } => self.follow(*version),
             Record::Claimed {
                 key,
                 request_digest,
@@ -230,10 +238,14 @@
         key: Option<&ids::IdempotencyKey>,
     ) -> Result<(), IgnoredReason> {
         let known_key = key.is_some_and(|key| self.job_keys.contains_key(key));
-        if known_key || self.jobs.contains_key(&work.id) {
+        if known_key {
             return Err(IgnoredReason::KnownWork);
         }
-        if self.open.len() >= self.limits.open_jobs {
+        if self.jobs.contains_key(&work.id) {
+            return self.supersede(work);
+        }
+        // The work of a release is accepted already, so it cannot be refused here.
+        if !work.is_from_release() && self.open.len() >= self.limits.open_jobs {
             return Err(IgnoredReason::Full);
         }
         let order = self.next_order;
@@ -300,6 +312,10 @@
         if job.phase() != JobPhase::Open {
             self.open.remove(&order);
             self.waiting.remove(&order);
+            if job.successor.is_some() {
+                self.start_successor(work);
+                return;
+            }
             if job.finished_ms.is_none() {
                 job.finished_ms = Some(self.time_ms);
                 self.finished.push_back((self.time_ms, work.clone()));
--- a/crates/journal/src/state/snapshot.rs
+++ b/crates/journal/src/state/snapshot.rs
@@ -44,6 +44,8 @@
     finished: Vec<u64>,
     #[prost(uint64, tag = "12")]
     stripped_answers: u64,
+    #[prost(uint64, tag = "13")]
+    followed: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -62,6 +64,10 @@
     cancelled: bool,
     #[prost(message, repeated, tag = "7")]
     spans: Vec<SpanMessage>,
+    #[prost(bytes = "vec", optional, tag = "8")]
+    successor: Option<Vec<u8>>,
+    #[prost(uint32, tag = "9")]
+    attempt_floor: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -136,6 +142,7 @@
                 .filter_map(|work| Some(self.jobs.get(work)?.order))
                 .collect(),
             stripped_answers: self.claims.stripped() as u64,
+            followed: self.followed.0,
         };
         record::compress(&message.encode_to_vec())
     }
@@ -160,6 +167,7 @@
             next_order: message.next_order,
             groups: groups?,
             seals: message.seals.into(),
+            followed: ids::ReleaseVersion(message.followed),
             claims: restore_claims(message.claims, message.stripped_answers)?,
             ..Self::new(limits)
         };
@@ -199,16 +207,26 @@
 fn job_message(job: &Job) -> JobMessage {
     let spans = job.cells.spans().iter();
     JobMessage {
-        work: serde_json::to_vec(&job.work).unwrap_or_default(),
+        work: encode_work(&job.work),
         key: job.key.as_ref().map(ToString::to_string),
         order: job.order,
         accepted_ms: job.accepted_ms,
         finished_ms: job.finished_ms,
         cancelled: job.cancelled,
         spans: spans.map(span_message).collect(),
+        successor: job.successor.as_ref().map(encode_work),
+        attempt_floor: job.attempt_floor,
     }
 }
 
+fn encode_work(work: &Arc<kernel::work::Work>) -> Vec<u8> {
+    serde_json::to_vec(work).unwrap_or_default()
+}
+
+fn decode_work(bytes: &[u8]) -> errors::Result<kernel::work::Work> {
+    serde_json::from_slice(bytes).map_err(|error| corrupt(&error.to_string()))
+}
+
 fn span_message(span: &Span) -> SpanMessage {
     let state = TaskState::ALL
         .iter()
@@ -224,8 +242,7 @@
 }
 
 fn restore_job(message: JobMessage) -> errors::Result<Job> {
-    let work: kernel::work::Work =
-        serde_json::from_slice(&message.work).map_err(|error| corrupt(&error.to_string()))?;
+    let work = decode_work(&message.work)?;
     let spans: Option<Vec<Span>> = message.spans.iter().map(restore_span).collect();
     let cells = spans.and_then(Cells::from_spans);
     let cells = cells.filter(|cells| cells.len() == work.tasks);
@@ -240,6 +257,9 @@
     );
     job.finished_ms = message.finished_ms;
     job.cancelled = message.cancelled;
+    job.attempt_floor = message.attempt_floor;
+    let successor = message.successor.as_deref().map(decode_work).transpose()?;
+    job.successor = successor.map(Arc::new);
     Ok(job)
 }
 
--- a/crates/journal/tests/journal/state.rs
+++ b/crates/journal/tests/journal/state.rs
@@ -75,7 +75,9 @@
             };
             Record::Ended { run, end }
         }),
-        1 => work.prop_map(|work| Record::Cancelled { work: name(work) }),
+        1 => work.clone().prop_map(|work| Record::Cancelled { work: name(work) }),
+        1 => work.prop_map(|work| Record::Withdrawn { work: name(work) }),
+        1 => (0..9_u64).prop_map(|version| Record::Followed { version: ids::ReleaseVersion(version) }),
         1 => (0..3_u32, any::<u64>(), 0..3_u64).prop_map(|(index, request_digest, attempt_id)| {
             Record::Claimed { key: key(index), request_digest, attempt_id, host: "h".into() }
         }),
@@ -311,3 +313,148 @@
     let counts = state.job(&"w".into()).unwrap().counts();
     assert_eq!((counts.cancelled, counts.assigned), (999, 1));
 }
+
+/// Work of a release, in a shard that it does not fit into otherwise.
+fn released(name: &str, tasks: u32, since: u64) -> Record {
+    let mut work = batch_run(name, tasks);
+    work.since = ids::ReleaseVersion(since);
+    Record::Accepted {
+        work: Box::new(work),
+        key: None,
+    }
+}
+
+fn assigned(runs: Vec<Run>) -> Record {
+    Record::Assigned {
+        work: "w".into(),
+        runs,
+        group: ids::GroupId::new(&"z".into(), 0),
+    }
+}
+
+fn ended(index: u32, attempt: u32, end: workers::RunEnd) -> Record {
+    let task = ids::TaskId::new(&"w".into(), index);
+    let attempt = ids::Attempt(attempt);
+    let run = ids::TaskAttempt { task, attempt };
+    Record::Ended { run, end }
+}
+
+/// Applies records one by one and holds a restored state against the state after each.
+fn apply_all(state: &mut ShardState, records: Vec<Record>) -> Vec<Applied> {
+    let mut applied = Vec::new();
+    for record in records {
+        let batch = state.seq();
+        applied.extend(state.apply_entry(&entry(batch, vec![record])).unwrap());
+        let snapshot = state.snapshot().unwrap();
+        let restored = ShardState::restore(&snapshot, *state.limits()).unwrap();
+        assert_eq!(&restored, state);
+    }
+    applied
+}
+
+#[test]
+fn a_name_used_again_waits_for_the_runs_of_the_older_job() {
+    struct Case {
+        name: &'static str,
+        before: Vec<Record>,
+        /// The first run that may be assigned, if one may.
+        expected: Option<Run>,
+    }
+    let withdrawn = || Record::Withdrawn { work: "w".into() };
+    let first = || vec![released("w", 2, 1), assigned(vec![run_of(0, 1)])];
+    let again = || released("w", 3, 5);
+    let stopped = || ended(0, 1, workers::RunEnd::Stopped);
+    let submitted = || Record::Accepted {
+        work: Box::new(batch_run("w", 1)),
+        key: Some(key(1)),
+    };
+    let cases = [
+        Case {
+            name: "the older run is live",
+            before: [first(), vec![withdrawn(), again()]].concat(),
+            expected: None,
+        },
+        Case {
+            name: "the older run has ended",
+            before: [first(), vec![withdrawn(), again(), stopped()]].concat(),
+            expected: Some(run_of(0, 2)),
+        },
+        Case {
+            name: "ended before the name was used again",
+            before: [first(), vec![withdrawn(), stopped(), again()]].concat(),
+            expected: Some(run_of(0, 2)),
+        },
+        Case {
+            name: "the withdrawal was never seen",
+            before: [first(), vec![again(), stopped()]].concat(),
+            expected: Some(run_of(0, 2)),
+        },
+        Case {
+            name: "withdrawn once more",
+            before: [first(), vec![again(), withdrawn(), stopped()]].concat(),
+            expected: None,
+        },
+        Case {
+            name: "a run of which no task knows had a higher attempt",
+            before: [
+                first(),
+                vec![ended(2, 7, workers::RunEnd::Stopped), again(), stopped()],
+            ]
+            .concat(),
+            expected: Some(run_of(0, 8)),
+        },
+        Case {
+            name: "behind a submitted job, which goes on",
+            before: vec![submitted(), assigned(vec![run_of(0, 1)]), again()],
+            expected: None,
+        },
+        Case {
+            name: "after a submitted job",
+            before: vec![
+                submitted(),
+                assigned(vec![run_of(0, 1)]),
+                again(),
+                ended(0, 1, workers::RunEnd::Completed),
+            ],
+            expected: Some(run_of(0, 2)),
+        },
+    ];
+    for case in cases {
+        let mut state = opened();
+        let applied = apply_all(&mut state, case.before);
+        let is_changed = |applied: &Applied| applied.is_changed();
+        let ignored = applied
+            .iter()
+            .filter(|applied| !is_changed(applied))
+            .count();
+        // Only the run of which no task knows changes nothing.
+        assert!(ignored <= 1, "{}: {applied:?}", case.name);
+        let waiting = state.tasks_to_assign(10);
+        let found = waiting.first().map(|assignment| assignment.runs[0]);
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn work_of_a_release_is_accepted_once_and_by_a_full_shard_too() {
+    let mut state = ShardState::new(journal::Limits {
+        open_jobs: 0,
+        ..*opened().limits()
+    });
+    let (epoch, writer) = (ids::Epoch(1), ids::HostId::new("h"));
+    let opening = entry(0, vec![Record::Opened { epoch, writer }]);
+    state.apply_entry(&opening).unwrap();
+    let version = ids::ReleaseVersion(4);
+    let older = ids::ReleaseVersion(3);
+    let records = vec![
+        released("w", 1, 4),
+        released("w", 1, 4),
+        Record::Followed { version },
+        Record::Followed { version: older },
+    ];
+    let applied = apply_all(&mut state, records);
+    let known = Applied::Ignored(journal::IgnoredReason::KnownWork);
+    let old = Applied::Ignored(journal::IgnoredReason::OldRelease);
+    assert_eq!(applied, [Applied::Changed, known, Applied::Changed, old]);
+    assert_eq!(state.followed(), version);
+}
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -28,6 +28,7 @@
             self.check_order(&mut state, request)?;
             let shard = ids::ShardId(request.shard as u16);
             for (work, runs) in works {
+                lift_cancellation(&mut state, shard, &work.id);
                 let held = state::HeldAssignment { shard, work, runs };
                 if state.recovered {
                     submit(&mut state, &held, now_ms);
@@ -93,6 +94,17 @@
         .submit(&held.work, &runs, Some(held.shard), now_ms);
 }
 
+/// Forgets an earlier cancellation of a name that is assigned again.
+///
+/// Messages of a shard are applied in its order, and it assigns nothing under a
+/// name between the cancellation and the end of all runs of the cancelled work.
+fn lift_cancellation(state: &mut state::GroupState, shard: ids::ShardId, work: &ids::WorkId) {
+    state
+        .cancel_at_recovery
+        .retain(|(from, cancelled)| (*from, cancelled) != (shard, work));
+    state.placement.lift_cancellation(work);
+}
+
 /// Takes the work's waiting tasks out of the queue and gives them back as never started.
 fn cancel(state: &mut state::GroupState, shard: ids::ShardId, work: &ids::WorkId, now_ms: u64) {
     if !state.recovered {
--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -40,10 +40,17 @@
         let applied = journal
             .append(records, crate::journals::APPEND_WAIT_MS)
             .await?;
+        let state = journal.state();
         let mut outbox = self.outbox();
         for ((group, assignment), applied) in chosen.into_iter().zip(applied) {
             if applied.is_changed() {
-                outbox.group(&group).fresh.push(assignment);
+                let entry = outbox.group(&group);
+                let work = &assignment.work.id;
+                // A cancellation that is still to be sent may be that of an older job of the name.
+                if state.job(work).is_some_and(|job| !job.is_cancelled()) {
+                    entry.cancelled.shift_remove(work);
+                }
+                entry.fresh.push(assignment);
             }
         }
         Ok(())
--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -12,7 +12,6 @@
 mod release_work;
 mod reports;
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time;
 
@@ -39,7 +38,6 @@
     journal: OnceLock<Arc<ShardJournal>>,
     outbox: Mutex<outbox::Outbox>,
     balance: Mutex<balance::Balance>,
-    followed_release: AtomicU64,
     wake: Notify,
     stopped: CancellationToken,
 }
@@ -54,7 +52,6 @@
             journal: OnceLock::new(),
             outbox: Mutex::default(),
             balance: Mutex::default(),
-            followed_release: AtomicU64::new(0),
             wake: Notify::new(),
             stopped: CancellationToken::new(),
         });
@@ -156,15 +153,6 @@
         self.journal().cloned()
     }
 
-    /// The release whose work the journal has.
-    fn followed(&self) -> ids::ReleaseVersion {
-        ids::ReleaseVersion(self.followed_release.load(Ordering::Acquire))
-    }
-
-    fn set_followed(&self, version: ids::ReleaseVersion) {
-        self.followed_release.store(version.0, Ordering::Release);
-    }
-
     fn outbox(&self) -> MutexGuard<'_, outbox::Outbox> {
         self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/shard/release_work.rs
+++ b/crates/node/src/shard/release_work.rs
@@ -1,63 +1,73 @@
 //! The work of the release that belongs to the shard.
 
-use journal::{JobPhase, Record};
+use journal::{JobPhase, Record, ShardState};
 use kernel::errors;
+use kernel::ids;
 use kernel::work;
 
 use super::ShardOwner;
 
+/// Records in one append, few enough that they fit one entry.
+const APPEND_LIMIT: usize = 500;
+
 impl ShardOwner {
-    /// Accepts what the release has added and cancels what it has withdrawn.
+    /// Accepts what the release has added and withdraws what it no longer has.
     ///
-    /// Only work that came from a release is withdrawn; it is told apart by
-    /// having no submitter's key.
+    /// The journal remembers up to which release this was done, so that neither
+    /// a new owner nor a host that lags behind does any of it again.
     pub(super) async fn follow_release(&self) -> errors::Result<()> {
         let release = self.shared.releases.current();
-        if release.version.0 == 0 || self.followed() == release.version {
+        let journal = self.journal()?;
+        if release.version <= journal.state().followed() {
             return Ok(());
         }
-        let (records, cancelled) = self.changes(&release)?;
-        if !records.is_empty() {
-            self.journal()?
-                .append(records, crate::journals::APPEND_WAIT_MS)
+        let records = changes(&journal.state(), &release, |work| self.owns(work));
+        // The version comes last: what a crash leaves half done is done again, and
+        // records that were written already change nothing then.
+        for records in records.chunks(APPEND_LIMIT) {
+            journal
+                .append(records.to_vec(), crate::journals::APPEND_WAIT_MS)
                 .await?;
         }
-        for work in &cancelled {
+        let ending: Vec<ids::WorkId> = journal.state().cancelled_work().cloned().collect();
+        for work in &ending {
             self.note_cancelled(work);
         }
-        self.set_followed(release.version);
+        let followed = vec![Record::Followed {
+            version: release.version,
+        }];
+        journal
+            .append(followed, crate::journals::APPEND_WAIT_MS)
+            .await?;
         Ok(())
     }
 
-    fn changes(
-        &self,
-        release: &work::Release,
-    ) -> errors::Result<(Vec<Record>, Vec<kernel::ids::WorkId>)> {
-        let topology = &self.shared.config.topology;
-        let journal = self.journal()?;
-        let state = journal.state();
-        let mine = release
-            .work
-            .values()
-            .filter(|work| topology.shard_of(work.id.as_str()) == self.id);
-        let mut records: Vec<Record> = mine
-            .filter(|work| state.job(&work.id).is_none())
-            .map(|work| Record::Accepted {
-                work: Box::new(work.clone()),
-                key: None,
-            })
-            .collect();
-        let withdrawn: Vec<kernel::ids::WorkId> = state
-            .jobs()
-            .filter(|job| job.is_from_release() && job.phase() == JobPhase::Open)
-            .filter(|job| !job.is_cancelled() && !release.work.contains_key(&job.work().id))
-            .map(|job| job.work().id.clone())
-            .collect();
-        records.extend(
-            withdrawn
-                .iter()
-                .map(|work| Record::Cancelled { work: work.clone() }),
-        );
-        Ok((records, withdrawn))
+    fn owns(&self, work: &ids::WorkId) -> bool {
+        self.shared.config.topology.shard_of(work.as_str()) == self.id
     }
 }
+
+/// What a release means for a shard that has followed an earlier one.
+fn changes(
+    state: &ShardState,
+    release: &work::Release,
+    owns: impl Fn(&ids::WorkId) -> bool,
+) -> Vec<Record> {
+    let added = release.work.values().filter(|work| {
+        let known = state.job(&work.id).map(|job| job.newest().since);
+        let is_new = known.is_none_or(|known| known < work.since);
+        owns(&work.id) && work.since > state.followed() && is_new
+    });
+    let accepted = added.map(|work| Record::Accepted {
+        work: Box::new(work.clone()),
+        key: None,
+    });
+    let withdrawn = state.jobs().filter(|job| {
+        let is_open = job.newest().is_from_release() && job.phase() == JobPhase::Open;
+        is_open && !release.work.contains_key(&job.work().id)
+    });
+    let withdrawn = withdrawn.map(|job| Record::Withdrawn {
+        work: job.work().id.clone(),
+    });
+    accepted.chain(withdrawn).collect()
+}
--- a/crates/placement/src/group/cancel.rs
+++ b/crates/placement/src/group/cancel.rs
@@ -40,6 +40,13 @@
         dropped
     }
 
+    /// Lets tasks under a cancelled name be submitted again.
+    ///
+    /// To be called only for an assignment that is known to be newer than the cancellation.
+    pub fn lift_cancellation(&mut self, work: &ids::WorkId) {
+        self.cancelled.remove(work);
+    }
+
     /// Whether the tasks of a work must not start any more.
     pub(super) fn is_cancelled(&self, work: u32) -> bool {
         self.works[work].standing == table::Standing::Cancelled
