--- a/crates/histories/src/workload.rs
+++ b/crates/histories/src/workload.rs
@@ -239,6 +239,7 @@
         zones: Vec::new(),
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
     }
 }
 
