Refuse bad input at the port for peers with bounded memory, and count all of it

A connection that ended, or stayed silent, right after a frame's length was taken for an idle one: the length had left the read buffer, so nothing told that a frame was open. It was closed but not counted. The codec now says whether it awaits content.

Large requests were bounded for each connection only, so that 256 connections of 1,024 calls could hold any memory.

Ruled out: a smaller frame limit, since a call's body may have 16 MiB.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -33,6 +33,15 @@
 #[derive(Debug)]
 pub struct EnvelopeCodec {
     frames: LengthDelimitedCodec,
+    /// A frame's length was taken from the input and its content has not come yet.
+    length_read: bool,
+}
+
+impl EnvelopeCodec {
+    /// Whether the input ended within a frame whose length was already read.
+    pub fn awaits_content(&self) -> bool {
+        self.length_read
+    }
 }
 
 impl Default for EnvelopeCodec {
@@ -41,6 +50,7 @@
             frames: LengthDelimitedCodec::builder()
                 .max_frame_length(FRAME_LIMIT_BYTES)
                 .new_codec(),
+            length_read: false,
         }
     }
 }
@@ -50,9 +60,12 @@
     type Error = FrameError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
+        let bytes_before = source.len();
         let Some(frame) = self.frames.decode(source)? else {
+            self.length_read |= source.len() < bytes_before;
             return Ok(None);
         };
+        self.length_read = false;
         Ok(Some(messages::Envelope::decode(frame)?))
     }
 }
--- a/crates/wire/src/events.rs
+++ b/crates/wire/src/events.rs
@@ -7,6 +7,9 @@
     /// Too many connections.
     PEER_CONNECTIONS_FULL = (1001, "peer-connections-full", Warn,
         "The peer port refused a connection because its limit is reached. Check who connects to the peer port.");
+    /// Large requests hold all memory that they may.
+    PEER_MEMORY_FULL = (1003, "peer-memory-full", Warn,
+        "A large request of a peer was refused because others hold all memory for large requests. Look for large bodies of calls if it recurs.");
     /// A reply had no open call.
     REPLY_DROPPED = (1002, "peer-reply-dropped", Debug,
         "A reply came after its call had ended and was dropped. Nothing to do.");
