--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Developer tasks, run as `cargo xtask NAME`.
 
 mod codegen;
+mod histories;
 
 use std::process;
 
@@ -12,14 +13,17 @@
 enum Task {
     /// Writes the message types again from the protobuf definitions.
     Codegen,
+    /// Runs whole cells under seeded faults and checks their histories.
+    Histories(histories::Settings),
 }
 
 fn main() -> process::ExitCode {
     let result = match Task::parse() {
-        Task::Codegen => codegen::run(),
+        Task::Codegen => codegen::run().map(|()| process::ExitCode::SUCCESS),
+        Task::Histories(settings) => histories::run(&settings),
     };
     match result {
-        Ok(()) => process::ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("xtask: {error}");
             process::ExitCode::FAILURE
