--- a/crates/journal/src/driver/config.rs
+++ b/crates/journal/src/driver/config.rs
@@ -1,5 +1,8 @@
 //! Settings of a journal.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
 use crate::budget::StoreBudget;
 use crate::state::Limits;
 
@@ -31,6 +34,8 @@
     pub range_limit: usize,
     /// Largest part of a snapshot in one value of the store, in bytes.
     pub chunk_bytes: usize,
+    /// Openings so far, so that each has a session number of its own; clones share the count.
+    pub openings: Arc<AtomicU64>,
     /// Seed of jitter and session numbers; must differ between starts of a process.
     pub seed: u64,
 }
@@ -50,6 +55,7 @@
             snapshot_entries: 512,
             range_limit: 32,
             chunk_bytes: 512 * 1024,
+            openings: Arc::default(),
             seed,
         }
     }
--- a/crates/journal/src/driver/mod.rs
+++ b/crates/journal/src/driver/mod.rs
@@ -10,7 +10,7 @@
 mod writer;
 
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError, RwLockReadGuard};
 use std::time::Duration;
 
@@ -31,9 +31,6 @@
 pub use config::{BATCH_LIMIT_BYTES, Config};
 pub use shared::Status;
 
-/// Openings in this process, so that each has a session number of its own.
-static OPENINGS: AtomicU64 = AtomicU64::new(0);
-
 /// The journal of one shard, open for writing.
 ///
 /// Dropping it stops the writer; records that were not durable are refused, or
@@ -60,7 +57,7 @@
         epoch: ids::Epoch,
         config: Config,
     ) -> errors::Result<Self> {
-        let opening = OPENINGS.fetch_add(1, Ordering::Relaxed);
+        let opening = config.openings.fetch_add(1, Ordering::Relaxed);
         let hasher = BuildHasherDefault::<DefaultHasher>::default();
         let session = hasher.hash_one((config.seed, shard, opening));
         let paced = paced::PacedStore::new(store, &config, session);
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -30,7 +30,7 @@
             for (work, runs) in works {
                 lift_cancellation(&mut state, shard, &work.id);
                 let held = state::HeldAssignment { shard, work, runs };
-                if state.recovered {
+                if state.recovered || !request.everything {
                     submit(&mut state, &held, now_ms);
                 } else {
                     state.held.push(held);
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -38,9 +38,7 @@
         self.tend_roster(&mut state, now_ms);
         self.drop_lost_workers(&mut state, now_ms);
         self.check_recovery(&mut state, now_ms);
-        if state.recovered {
-            self.decide(&mut state, now_ms);
-        }
+        self.decide(&mut state, now_ms);
         self.send_requests(&mut state, now_ms);
         self.send_reports(&mut state, now_ms);
         expire_calls(&mut state, now_ms);
--- a/crates/node/src/journals.rs
+++ b/crates/node/src/journals.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use journal::{Config, ShardJournal};
+use journal::ShardJournal;
 use kernel::errors;
 use kernel::ids;
 
@@ -21,8 +21,7 @@
     shard: ids::ShardId,
     epoch: ids::Epoch,
 ) -> errors::Result<ShardJournal> {
-    let seed = shared.config.seed ^ shared.config.incarnation_ms;
-    let config = Config::new(shared.store_budget.clone(), seed);
+    let config = shared.journals.clone();
     let store = Arc::clone(&shared.platform.store);
     ShardJournal::open(store, shard, &shared.config.host, epoch, config).await
 }
--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -37,9 +37,7 @@
                 group: group.clone(),
             })
             .collect();
-        let applied = journal
-            .append(records, crate::journals::APPEND_WAIT_MS)
-            .await?;
+        let applied = self.append(records).await?;
         let state = journal.state();
         let mut outbox = self.outbox();
         for ((group, assignment), applied) in chosen.into_iter().zip(applied) {
@@ -88,6 +86,7 @@
         // with a higher number never knows less.
         let state = journal.state();
         let mut outbox = self.outbox();
+        outbox.settle(state.seq());
         let groups: Vec<ids::GroupId> = self.shared.config.topology.groups().collect();
         for group in groups {
             let Some(location) = directory.group(&group) else {
@@ -124,8 +123,10 @@
                 sequence: outbox.next_sequence(),
                 assignments: assignments.iter().filter_map(encode).collect(),
                 cancelled: cancelled.iter().map(ToString::to_string).collect(),
+                everything: !complete,
             };
-            tokio::spawn(Arc::clone(self).deliver(group, location.epoch, request));
+            let generation = outbox.generation();
+            tokio::spawn(Arc::clone(self).deliver(group, location.epoch, generation, request));
         }
     }
 
@@ -133,6 +134,7 @@
         self: Arc<Self>,
         group: ids::GroupId,
         epoch: ids::Epoch,
+        generation: u64,
         request: messages::AssignRequest,
     ) {
         let body = messages::Body::AssignRequest(request);
@@ -144,10 +146,11 @@
         let now_ms = self.shared.now_ms();
         {
             let mut outbox = self.outbox();
+            let is_current = outbox.generation() == generation;
             let entry: &mut outbox::GroupOutbox = outbox.group(&group);
             entry.in_flight = false;
             match reply {
-                Ok(_) => entry.complete_for = Some(epoch),
+                Ok(_) => entry.complete_for = is_current.then_some(epoch),
                 Err(error) => {
                     // Whether it arrived is not known: everything is sent again from the state.
                     log::debug!("assignment of shard {} to {group}: {error}", self.id);
--- a/crates/node/src/shard/jobs.rs
+++ b/crates/node/src/shard/jobs.rs
@@ -51,9 +51,7 @@
             work: Box::new(work.clone()),
             key: key.clone(),
         };
-        let applied = journal
-            .append(vec![record], crate::journals::APPEND_WAIT_MS)
-            .await?;
+        let applied = self.append(vec![record]).await?;
         match applied.first() {
             Some(Applied::Changed) => {
                 let accepted = kernel::history::Event::WorkAccepted {
@@ -74,12 +72,8 @@
     }
 
     async fn cancel(&self, work: &ids::WorkId) -> errors::Result<ids::WorkId> {
-        let journal = self.journal()?;
-        let applied = journal
-            .append(
-                vec![Record::Cancelled { work: work.clone() }],
-                crate::journals::APPEND_WAIT_MS,
-            )
+        let applied = self
+            .append(vec![Record::Cancelled { work: work.clone() }])
             .await?;
         if !applied.iter().any(|applied| applied.is_changed()) {
             return Err(no_such_job(work));
--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time;
 
-use journal::ShardJournal;
+use journal::{Applied, Record, ShardJournal};
 use kernel::errors;
 use kernel::ids;
 use kernel::random;
@@ -149,6 +149,25 @@
         })
     }
 
+    /// Appends records, and sees to it that groups learn of them even if the answer is lost.
+    ///
+    /// # Errors
+    ///
+    /// As [`ShardJournal::append`].
+    async fn append(&self, records: Vec<Record>) -> errors::Result<Vec<Applied>> {
+        let journal = self.journal()?;
+        let result = journal
+            .append(records, crate::journals::APPEND_WAIT_MS)
+            .await;
+        if let Err(error) = &result
+            && error.kind == errors::ErrorKind::AnswerLost
+        {
+            let applied_seq = *journal.applied_seq().borrow();
+            self.outbox().note_unsettled(applied_seq);
+        }
+        result
+    }
+
     /// The journal, for work that goes on after a request has ended.
     pub(crate) fn shared_journal(&self) -> errors::Result<Arc<ShardJournal>> {
         self.journal().cloned()
--- a/crates/node/src/shard/outbox.rs
+++ b/crates/node/src/shard/outbox.rs
@@ -22,9 +22,39 @@
 pub(super) struct Outbox {
     pub groups: IndexMap<ids::GroupId, GroupOutbox>,
     sequence: u64,
+    generation: u64,
+    /// The last applied entry when an append was left unsettled.
+    unsettled_at: Option<u64>,
 }
 
 impl Outbox {
+    /// Notes that records have become durable, or will with the next entry, of which the
+    /// outbox does not hear.
+    pub fn note_unsettled(&mut self, applied_seq: u64) {
+        self.unsettled_at = Some(applied_seq);
+        self.send_everything();
+    }
+
+    /// Lets every group get everything again once the unsettled entry has been applied.
+    pub fn settle(&mut self, applied_seq: u64) {
+        if self.unsettled_at.is_some_and(|seq| seq < applied_seq) {
+            self.unsettled_at = None;
+            self.send_everything();
+        }
+    }
+
+    /// Grows whenever everything has to be sent again.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    fn send_everything(&mut self) {
+        self.generation += 1;
+        for group in self.groups.values_mut() {
+            group.complete_for = None;
+        }
+    }
+
     /// The number of the next message.
     pub fn next_sequence(&mut self) -> u64 {
         self.sequence += 1;
--- a/crates/node/src/shard/release_work.rs
+++ b/crates/node/src/shard/release_work.rs
@@ -25,9 +25,7 @@
         // The version comes last: what a crash leaves half done is done again, and
         // records that were written already change nothing then.
         for records in records.chunks(APPEND_LIMIT) {
-            journal
-                .append(records.to_vec(), crate::journals::APPEND_WAIT_MS)
-                .await?;
+            self.append(records.to_vec()).await?;
         }
         let ending: Vec<ids::WorkId> = journal.state().cancelled_work().cloned().collect();
         for work in &ending {
@@ -36,9 +34,7 @@
         let followed = vec![Record::Followed {
             version: release.version,
         }];
-        journal
-            .append(followed, crate::journals::APPEND_WAIT_MS)
-            .await?;
+        self.append(followed).await?;
         Ok(())
     }
 
--- a/crates/node/src/shard/reports.rs
+++ b/crates/node/src/shard/reports.rs
@@ -28,9 +28,7 @@
         for report in &request.reports {
             self.add_records(&mut records, report, &from)?;
         }
-        self.journal()?
-            .append(records, crate::journals::APPEND_WAIT_MS)
-            .await?;
+        self.append(records).await?;
         self.wake.notify_one();
         Ok(messages::ReportReply {
             shard_epoch: self.epoch.0,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -35,8 +35,8 @@
     pub releases: releases::Releases,
     /// Counters and gauges.
     pub metrics: telemetry::Metrics,
-    /// The host's budget of calls to the store.
-    pub store_budget: journal::StoreBudget,
+    /// The settings of the host's journals, which share its budget of calls to the store.
+    pub journals: journal::Config,
     /// The entry's choice of groups for calls.
     pub routing: forward::Routing,
     mirror: watch::Receiver<Arc<MirrorView>>,
@@ -74,7 +74,10 @@
             )),
             releases: releases::Releases::new(config.host.clone()),
             metrics: telemetry::Metrics::new(),
-            store_budget: journal::StoreBudget::new(STORE_CALLS_PER_S, STORE_BURST_CALLS),
+            journals: journal::Config::new(
+                journal::StoreBudget::new(STORE_CALLS_PER_S, STORE_BURST_CALLS),
+                config.seed ^ config.incarnation_ms,
+            ),
             routing: forward::Routing::new(&config),
             clock: clock::Clock::start(),
             directory: RwLock::default(),
