--- a/crates/checker/tests/histories.rs
+++ b/crates/checker/tests/histories.rs
@@ -109,6 +109,7 @@
         settled: Some(checker::Settled {
             known_work: ["known".into()].into_iter().collect(),
         }),
+        ..checker::Expectations::default()
     };
     for case in cases {
         let found = checker::check_with(&history(case.history), &expectations);
--- a/crates/standin/tests/standin/processes.rs
+++ b/crates/standin/tests/standin/processes.rs
@@ -46,7 +46,7 @@
     let router = Router::new()
         .route("/ready", routing::get(readiness))
         .route("/v1/call/{service}/{*path}", routing::post(echo))
-        .route("/v1/call/crossed/", routing::post(async || "no echo"));
+        .route("/v1/call/crossed", routing::post(async || "no echo"));
     tokio::spawn(axum::serve(listener, router).into_future());
     (address, ready)
 }
@@ -76,7 +76,13 @@
         path: String::new(),
         ..plan(address, "crossed")
     });
-    assert_eq!(crossed.await.outcomes["crossed"], 50);
+    let crossed = crossed.await;
+    assert_eq!(
+        crossed.outcomes.get("crossed"),
+        Some(&50),
+        "{:?}",
+        crossed.outcomes
+    );
 }
 
 /// One request over a connection of its own; `None` if no backend took it.
