Follow changes of work that is in force

Cause: a shard ignored a changed definition of work that it knew, so a service that shrank kept all its replicas, and a changed size was ignored.

Change: the shard journals the changed definition and sends the live runs of the work to their groups again. Groups drain surplus replicas and give surplus tasks back that wait; tasks that have not started take the new size. A group's own next attempt counts for cancelled and surplus work too, in the entry of the end before it, so that nothing else starts beside it. A group also gives runs of cancelled work back that it does not have, which kept a job open for ever after one of its replicas had been replaced by its twin.

The indexes of twins no longer depend on the number of replicas.

--- a/crates/histories/tests/changes.rs
+++ b/crates/histories/tests/changes.rs
@@ -29,6 +29,15 @@
     cell
 }
 
+/// Replaces all hosts one after another, each without notice.
+async fn replace_hosts(cell: &mut cell::Cell) {
+    for address in cell.hosts().keys().cloned().collect::<Vec<String>>() {
+        let zone = cell.hosts()[&address].zone.clone();
+        cell.start_host(&zone).await;
+        cell.kill_host(&address);
+    }
+}
+
 fn operations(cell: &cell::Cell) -> Operations {
     let host = cell.hosts().values().next().expect("the cell has hosts");
     host.operations().clone()
@@ -193,14 +202,100 @@
     until(&cell, "report", |running, _| running.len() == 6).await;
     submit(&cell, "withdraw", &withdrawn("service")).await;
     // The owners go away between the two notes.
-    for address in cell.hosts().keys().cloned().collect::<Vec<String>>() {
-        let zone = cell.hosts()[&address].zone.clone();
-        cell.start_host(&zone).await;
-        cell.kill_host(&address);
-    }
+    replace_hosts(&mut cell).await;
     submit(&cell, "again", &service("added", 4, 1_000)).await;
     until(&cell, "report", |running, _| running.len() == 4).await;
     tokio::time::sleep(KEPT).await;
     assert_eq!(runs(&cell, "report").0.len(), 4);
     check(&cell);
 }
+
+/// Waits until as many replicas run as are wanted, and sees that they stay.
+async fn until_replicas(cell: &cell::Cell, replicas: usize) {
+    until(cell, "report", |running, _| running.len() == replicas).await;
+    tokio::time::sleep(KEPT).await;
+    assert_eq!(runs(cell, "report").0.len(), replicas);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_grows_and_shrinks() {
+    let mut cell = start_cell().await;
+    submit(
+        &cell,
+        "add",
+        &(QUOTA.to_owned() + &service("added", 12, 1_000)),
+    )
+    .await;
+    until_replicas(&cell, 12).await;
+    submit(&cell, "shrink", &service("changed", 5, 1_000)).await;
+    until_replicas(&cell, 5).await;
+    submit(&cell, "grow", &service("changed", 9, 1_000)).await;
+    until_replicas(&cell, 9).await;
+    // All owners are replaced while the change is under way.
+    submit(&cell, "shrink-again", &service("changed", 4, 1_000)).await;
+    replace_hosts(&mut cell).await;
+    until_replicas(&cell, 4).await;
+    submit(&cell, "withdraw", &withdrawn("service")).await;
+    until_replicas(&cell, 0).await;
+    check(&cell);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_is_replaced_after_its_workers_left() {
+    let cell = start_cell().await;
+    submit(
+        &cell,
+        "add",
+        &(QUOTA.to_owned() + &service("added", 6, 1_000)),
+    )
+    .await;
+    until_replicas(&cell, 6).await;
+    let started = cell
+        .records()
+        .into_iter()
+        .filter_map(|record| match record.event {
+            history::Event::TaskStarted { worker, .. } => Some(worker),
+            _ => None,
+        });
+    let leaving = started.last().expect("replicas have started");
+    let platform = &cell.platform;
+    platform.change_fleet(|fleet, now_ms| fleet.leave(&leaving, now_ms));
+    tokio::time::sleep(KEPT).await;
+    submit(&cell, "withdraw", &withdrawn("service")).await;
+    submit(&cell, "again", &service("added", 3, 1_000)).await;
+    until_replicas(&cell, 3).await;
+    check(&cell);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_batch_run_grows_and_its_later_tasks_take_the_new_size() {
+    let cell = start_cell().await;
+    submit(
+        &cell,
+        "add",
+        &(QUOTA.to_owned() + &batch_run("added", 4, 3_000)),
+    )
+    .await;
+    until(&cell, "report", |running, _| running.len() == 4).await;
+    submit(
+        &cell,
+        "grow",
+        &batch_run("changed", 7, 1_000).replace("cpu_milli = 1000", "cpu_milli = 2000"),
+    )
+    .await;
+    until(&cell, "report", |running, done| {
+        running.is_empty() && done == 7
+    })
+    .await;
+    let sizes = cell
+        .records()
+        .into_iter()
+        .filter_map(|record| match record.event {
+            history::Event::TaskStarted { demand, .. } => Some(demand.cpu_milli),
+            _ => None,
+        });
+    let mut sizes: Vec<u64> = sizes.collect();
+    sizes.sort_unstable();
+    assert_eq!(sizes, [1_000, 1_000, 1_000, 1_000, 2_000, 2_000, 2_000]);
+    check(&cell);
+}
--- a/crates/journal/src/record/codec.rs
+++ b/crates/journal/src/record/codec.rs
@@ -153,6 +153,9 @@
             Record::Assigned { work, runs, group } => {
                 Self::Assigned(runs_message(work, runs, group.to_string()))
             }
+            Record::Restarted { work, runs, group } => {
+                Self::Restarted(runs_message(work, runs, group.to_string()))
+            }
             Record::HandedBack { work, runs } => {
                 Self::HandedBack(runs_message(work, runs, String::new()))
             }
@@ -163,6 +166,7 @@
                 end: code_of(&ENDS, end),
             }),
             Record::Cancelled { work } => Self::Cancelled(work.to_string()),
+            Record::Changed { work } => Self::Changed(serde_json::to_vec(work).unwrap_or_default()),
             Record::Withdrawn { work } => Self::Withdrawn(work.to_string()),
             Record::Followed { version } => Self::Followed(version.0),
             Record::Claimed {
@@ -217,6 +221,11 @@
                 group: group_from_text(&assigned.group)?,
                 work: ids::WorkId::from(assigned.work),
             },
+            RecordBody::Restarted(restarted) => Self::Restarted {
+                runs: runs_from(&restarted)?,
+                group: group_from_text(&restarted.group)?,
+                work: ids::WorkId::from(restarted.work),
+            },
             RecordBody::HandedBack(back) => Self::HandedBack {
                 runs: runs_from(&back)?,
                 work: ids::WorkId::from(back.work),
@@ -231,6 +240,9 @@
             RecordBody::Cancelled(work) => Self::Cancelled {
                 work: ids::WorkId::from(work),
             },
+            RecordBody::Changed(work) => Self::Changed {
+                work: serde_json::from_slice(&work).map_err(|error| malformed("work", error))?,
+            },
             RecordBody::Withdrawn(work) => Self::Withdrawn {
                 work: ids::WorkId::from(work),
             },
--- a/crates/journal/src/record/message.rs
+++ b/crates/journal/src/record/message.rs
@@ -23,7 +23,10 @@
 /// Wire form of a record.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct RecordMessage {
-    #[prost(oneof = "RecordBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "RecordBody",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub body: Option<RecordBody>,
 }
 
@@ -52,6 +55,11 @@
     Withdrawn(String),
     #[prost(uint64, tag = "11")]
     Followed(u64),
+    #[prost(message, tag = "12")]
+    Restarted(RunsMessage),
+    /// The work as JSON.
+    #[prost(bytes, tag = "13")]
+    Changed(Vec<u8>),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/journal/src/record/mod.rs
+++ b/crates/journal/src/record/mod.rs
@@ -54,6 +54,18 @@
         /// The group of racks.
         group: ids::GroupId,
     },
+    /// A group went on by itself with the next attempts of tasks that it has.
+    ///
+    /// In contrast to an assignment this counts for cancelled work too: the runs
+    /// may have started before the group was told.
+    Restarted {
+        /// The work.
+        work: ids::WorkId,
+        /// The runs.
+        runs: Vec<Run>,
+        /// The group of racks.
+        group: ids::GroupId,
+    },
     /// A group gave runs back that it has not started and never will.
     HandedBack {
         /// The work.
@@ -73,6 +85,11 @@
         /// The work.
         work: ids::WorkId,
     },
+    /// A release has changed work, which keeps its identity.
+    Changed {
+        /// The work as it is now.
+        work: Box<work::Work>,
+    },
     /// Work is no longer part of the release; a submitted job of the name stays.
     Withdrawn {
         /// The work.
--- a/crates/journal/src/state/cells.rs
+++ b/crates/journal/src/state/cells.rs
@@ -94,6 +94,20 @@
         Self { spans }
     }
 
+    /// Adds tasks that wait for the attempt after `attempt`.
+    pub fn extend(&mut self, tasks: u32, attempt: u32) {
+        let start = self.len();
+        let added = Self::after_attempt(tasks, attempt).spans;
+        self.spans.extend(added.into_iter().map(|span| Span {
+            start: span.start + start,
+            end: span.end + start,
+            ..span
+        }));
+        if let Some(previous) = self.spans.len().checked_sub(2) {
+            self.merge_with_next(previous);
+        }
+    }
+
     /// Restores cells from spans, unless they leave a gap or overlap.
     pub fn from_spans(spans: Vec<Span>) -> Option<Self> {
         let mut next = 0;
--- a/crates/journal/src/state/job.rs
+++ b/crates/journal/src/state/job.rs
@@ -142,6 +142,7 @@
     /// How many tasks are in each state.
     pub fn counts(&self) -> TaskCounts {
         let mut counts = self.counts;
+        counts.waiting -= self.surplus_waiting();
         if self.cancelled {
             counts.cancelled += counts.waiting;
             counts.waiting = 0;
@@ -155,7 +156,7 @@
         if counts.waiting > 0 || counts.assigned > 0 {
             return JobPhase::Open;
         }
-        if counts.completed == self.work.tasks {
+        if counts.failed == 0 && counts.cancelled == 0 && counts.end_unknown == 0 {
             JobPhase::Completed
         } else {
             JobPhase::Ended
@@ -166,7 +167,9 @@
     pub fn task(&self, index: u32) -> Option<(TaskState, ids::Attempt)> {
         let cell = self.cells.get(index)?;
         let state = match cell.state {
-            TaskState::Waiting if self.cancelled => TaskState::Cancelled,
+            TaskState::Waiting if self.cancelled || index >= self.work.tasks => {
+                TaskState::Cancelled
+            }
             state => state,
         };
         Some((state, ids::Attempt(cell.attempt)))
@@ -185,6 +188,46 @@
             })
     }
 
+    /// Whether every run is a later attempt of a task without a live one.
+    pub(crate) fn may_restart(&self, runs: &[Run]) -> bool {
+        self.finished_ms.is_none()
+            && runs.is_sorted_by(|left, right| left.index < right.index)
+            && runs.iter().all(|run| {
+                let cell = self.cells.get(run.index);
+                cell.is_some_and(|cell| {
+                    cell.state == TaskState::Waiting && cell.attempt < run.attempt.0
+                })
+            })
+    }
+
+    /// Whether a changed definition can still be followed.
+    pub(crate) fn may_change(&self) -> bool {
+        match self.work.kind {
+            work::WorkKind::Service | work::WorkKind::BatchRun => self.finished_ms.is_none(),
+            work::WorkKind::GangJob => self.counts.waiting == self.cells.len(),
+        }
+    }
+
+    /// Follows a changed definition.
+    ///
+    /// Tasks beyond the new number stay in the cells, so that their attempts go on
+    /// counting if the number grows again; those that wait are not assigned.
+    pub(crate) fn change(&mut self, work: Arc<work::Work>) {
+        let added = work.tasks.saturating_sub(self.cells.len());
+        self.cells.extend(added, self.attempt_floor);
+        self.counts.waiting += added;
+        self.work = work;
+    }
+
+    /// Waiting tasks beyond the number that the work has.
+    fn surplus_waiting(&self) -> u32 {
+        let tasks = self.work.tasks;
+        let spans = self.cells.spans().iter().rev();
+        let beyond = spans.take_while(|span| span.end > tasks);
+        let waiting = beyond.filter(|span| span.cell.state == TaskState::Waiting);
+        waiting.map(|span| span.end - span.start.max(tasks)).sum()
+    }
+
     /// Records that runs may run from now on.
     pub(crate) fn assign(&mut self, runs: &[Run], group: u16) {
         for run in runs {
@@ -265,11 +308,12 @@
 
     /// The next attempts of tasks that wait, in order.
     pub(crate) fn waiting_runs(&self) -> impl Iterator<Item = Run> + '_ {
-        let cancelled = self.cancelled;
-        self.runs(
+        let (cancelled, tasks) = (self.cancelled, self.work.tasks);
+        let runs = self.runs(
             move |cell| cell.state == TaskState::Waiting && !cancelled,
             1,
-        )
+        );
+        runs.take_while(move |run| run.index < tasks)
     }
 
     /// The live attempts that were assigned to a group, in order.
--- a/crates/journal/src/state/mod.rs
+++ b/crates/journal/src/state/mod.rs
@@ -139,6 +139,8 @@
     claims: claims::Claims,
     seals: VecDeque<u64>,
     followed: ids::ReleaseVersion,
+    /// Jobs that nothing is left to do of, unless a later record of the entry says otherwise.
+    ending: Vec<ids::WorkId>,
 }
 
 impl ShardState {
@@ -177,6 +179,9 @@
         }
         let records = entry.records.iter();
         let applied = records.map(|record| self.apply(record)).collect();
+        for work in std::mem::take(&mut self.ending) {
+            self.end_job(&work);
+        }
         self.prune();
         Ok(applied)
     }
@@ -188,7 +193,12 @@
                 Ok(())
             }
             Record::Accepted { work, key } => self.accept(work, key.as_ref()),
-            Record::Assigned { work, runs, group } => self.assign(work, runs, group),
+            Record::Assigned { work, runs, group } => {
+                self.assign(work, runs, group, Job::may_assign)
+            }
+            Record::Restarted { work, runs, group } => {
+                self.assign(work, runs, group, Job::may_restart)
+            }
             Record::HandedBack { work, runs } => self.hand_back(work, runs),
             Record::Ended { run, end } => self.change_live(&run.task.work, |job| {
                 job.note_attempt(run);
@@ -202,6 +212,7 @@
                 job.cancelled = true;
                 Ok(())
             }),
+            Record::Changed { work } => self.change(work),
             Record::Withdrawn { work } => self.withdraw(work),
             Record::Followed { version } => self.follow(*version),
             Record::Claimed {
@@ -264,11 +275,12 @@
         work: &ids::WorkId,
         runs: &[Run],
         group: &ids::GroupId,
+        allowed: fn(&Job, &[Run]) -> bool,
     ) -> Result<(), IgnoredReason> {
         let (group, _) = self.groups.insert_full(group.clone());
         let group = u16::try_from(group).map_err(|_| IgnoredReason::Full)?;
         self.change_live(work, |job| {
-            if !job.may_assign(runs) {
+            if !allowed(job, runs) {
                 return Err(IgnoredReason::NotWaiting);
             }
             job.assign(runs, group);
@@ -303,7 +315,7 @@
         Ok(())
     }
 
-    /// Brings the indexes of open, waiting and finished jobs up to date.
+    /// Brings the indexes of open and waiting jobs up to date.
     fn index_job(&mut self, work: &ids::WorkId) {
         let Some(job) = self.jobs.get_mut(work) else {
             return;
@@ -312,14 +324,7 @@
         if job.phase() != JobPhase::Open {
             self.open.remove(&order);
             self.waiting.remove(&order);
-            if job.successor.is_some() {
-                self.start_successor(work);
-                return;
-            }
-            if job.finished_ms.is_none() {
-                job.finished_ms = Some(self.time_ms);
-                self.finished.push_back((self.time_ms, work.clone()));
-            }
+            self.ending.push(work.clone());
             return;
         }
         self.open.insert(order, work.clone());
@@ -330,6 +335,19 @@
         }
     }
 
+    /// Notes that a job is finished, or lets its successor take its place.
+    fn end_job(&mut self, work: &ids::WorkId) {
+        let Some(job) = self.jobs.get_mut(work) else {
+            return;
+        };
+        if job.phase() != JobPhase::Open && job.successor.is_some() {
+            self.start_successor(work);
+        } else if job.phase() != JobPhase::Open && job.finished_ms.is_none() {
+            job.finished_ms = Some(self.time_ms);
+            self.finished.push_back((self.time_ms, work.clone()));
+        }
+    }
+
     fn add_claim(
         &mut self,
         key: &ids::IdempotencyKey,
--- a/crates/journal/src/state/query.rs
+++ b/crates/journal/src/state/query.rs
@@ -106,6 +106,17 @@
         assignments.filter(|found| !found.runs.is_empty()).collect()
     }
 
+    /// Live attempts of one piece of work that were assigned to a group.
+    pub fn assigned_of(&self, work: &ids::WorkId, group: &ids::GroupId) -> Option<Assignment> {
+        let job = self.jobs.get(work)?;
+        let number = self.groups.get_index_of(group)?;
+        let runs: Vec<Run> = job.runs_in(number as u16).collect();
+        (!runs.is_empty()).then(|| Assignment {
+            work: Arc::clone(&job.work),
+            runs,
+        })
+    }
+
     /// The group to which the live attempt of a task was assigned.
     pub fn group_of(&self, task: &ids::TaskId) -> Option<&ids::GroupId> {
         let cell = self.jobs.get(&task.work)?.cells.get(task.index)?;
--- a/crates/journal/src/state/release.rs
+++ b/crates/journal/src/state/release.rs
@@ -1,4 +1,4 @@
-//! Work that a release adds and withdraws.
+//! Work that a release adds, changes and withdraws.
 //!
 //! The state remembers durably up to which release it has followed, because a
 //! finished job is forgotten while its work may still be in force: only the
@@ -42,6 +42,31 @@
         Ok(())
     }
 
+    /// Puts a changed definition in place.
+    ///
+    /// A finished batch run stays finished, and a gang job that was assigned keeps
+    /// its size, since its members belong together.
+    pub(super) fn change(&mut self, work: &work::Work) -> Result<(), IgnoredReason> {
+        let changed = Arc::new(work.clone());
+        self.change_live(&work.id, |job| {
+            if !work.is_from_release() || job.newest().since != work.since {
+                return Err(IgnoredReason::NoSuchWork);
+            }
+            if *job.newest() == changed {
+                return Err(IgnoredReason::KnownWork);
+            }
+            if job.successor.is_some() {
+                job.successor = Some(changed);
+                return Ok(());
+            }
+            if !job.may_change() {
+                return Err(IgnoredReason::NotWaiting);
+            }
+            job.change(changed);
+            Ok(())
+        })
+    }
+
     pub(super) fn withdraw(&mut self, work: &ids::WorkId) -> Result<(), IgnoredReason> {
         self.change_live(work, |job| {
             let had_successor = job.successor.take().is_some();
--- a/crates/journal/src/state/snapshot.rs
+++ b/crates/journal/src/state/snapshot.rs
@@ -245,7 +245,7 @@
     let work = decode_work(&message.work)?;
     let spans: Option<Vec<Span>> = message.spans.iter().map(restore_span).collect();
     let cells = spans.and_then(Cells::from_spans);
-    let cells = cells.filter(|cells| cells.len() == work.tasks);
+    let cells = cells.filter(|cells| cells.len() >= work.tasks);
     let cells = cells.ok_or_else(|| corrupt("states of tasks"))?;
     let key = message.key.map(ids::IdempotencyKey::from);
     let mut job = Job::restored(
--- a/crates/journal/tests/journal/state.rs
+++ b/crates/journal/tests/journal/state.rs
@@ -4,7 +4,7 @@
 
 use hickorychute_journal as journal;
 use journal::{Applied, Entry, Record, Run, ShardState, TaskState};
-use kernel::{errors, ids};
+use kernel::{errors, ids, work};
 use platform::workers;
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
@@ -67,6 +67,10 @@
             let group = ids::GroupId::new(&"muc-ost".into(), group);
             Record::Assigned { work: name(work), runs, group }
         }),
+        1 => (work.clone(), runs.clone(), 0..2_u16).prop_map(|(work, runs, group)| {
+            let group = ids::GroupId::new(&"muc-ost".into(), group);
+            Record::Restarted { work: name(work), runs, group }
+        }),
         1 => (work.clone(), runs).prop_map(|(work, runs)| Record::HandedBack { work: name(work), runs }),
         4 => (work.clone(), task, attempt, ends()).prop_map(|(work, task, attempt, end)| {
             let run = ids::TaskAttempt {
@@ -140,6 +144,12 @@
                 let live = self.live.insert(task, run.attempt.0);
                 live.is_none() && run.attempt.0 == highest + 1
             }),
+            Record::Restarted { work, runs, .. } => runs.iter().all(|run| {
+                let task = (work.clone(), run.index);
+                let highest = self.highest.insert(task.clone(), run.attempt.0);
+                let live = self.live.insert(task, run.attempt.0);
+                live.is_none() && run.attempt.0 > highest.unwrap_or(0)
+            }),
             Record::HandedBack { work, runs } => {
                 for run in runs {
                     let task = (work.clone(), run.index);
@@ -435,6 +445,118 @@
     }
 }
 
+#[test]
+fn a_group_that_goes_on_with_cancelled_work_keeps_the_job_open() {
+    let mut state = opened();
+    let restarted = Record::Restarted {
+        work: "w".into(),
+        runs: vec![run_of(0, 2)],
+        group: ids::GroupId::new(&"z".into(), 0),
+    };
+    let records = vec![
+        released("w", 1, 1),
+        assigned(vec![run_of(0, 1)]),
+        released("w", 1, 2),
+    ];
+    apply_all(&mut state, records);
+    // In one entry, as a report of a group is journaled.
+    let report = vec![ended(0, 1, workers::RunEnd::Failed), restarted];
+    let batch = state.seq();
+    state.apply_entry(&entry(batch, report)).unwrap();
+    assert!(state.tasks_to_assign(10).is_empty());
+    apply_all(&mut state, vec![ended(0, 2, workers::RunEnd::Stopped)]);
+    assert_eq!(state.tasks_to_assign(10)[0].runs, [run_of(0, 3)]);
+}
+
+#[test]
+fn a_changed_number_of_tasks_decides_what_is_assigned() {
+    struct Case {
+        name: &'static str,
+        kind: work::WorkKind,
+        /// Numbers of tasks that releases give one after the other, at first three.
+        tasks: Vec<u32>,
+        /// Whether the first and the last of the three tasks have ended before.
+        ended: bool,
+        expected: Vec<Run>,
+    }
+    let case = |name, kind, tasks: &[u32], ended, expected: &[Run]| Case {
+        name,
+        kind,
+        tasks: tasks.to_vec(),
+        ended,
+        expected: expected.to_vec(),
+    };
+    let (service, batch) = (work::WorkKind::Service, work::WorkKind::BatchRun);
+    let cases = [
+        case(
+            "grows",
+            service,
+            &[5],
+            false,
+            &[run_of(1, 1), run_of(3, 1), run_of(4, 1)],
+        ),
+        case("shrinks", service, &[1], false, &[]),
+        case("shrinks after ends", service, &[1], true, &[run_of(0, 2)]),
+        case(
+            "shrinks and grows",
+            service,
+            &[1, 3],
+            true,
+            &[run_of(0, 2), run_of(1, 1), run_of(2, 2)],
+        ),
+        case(
+            "batch run grows",
+            batch,
+            &[4],
+            true,
+            &[run_of(1, 1), run_of(3, 1)],
+        ),
+        case("batch run shrinks", batch, &[1], true, &[]),
+        case(
+            "gang job keeps its size",
+            work::WorkKind::GangJob,
+            &[5],
+            false,
+            &[run_of(1, 1)],
+        ),
+    ];
+    for case in cases {
+        let mut state = opened();
+        let work = |tasks| {
+            let mut work = batch_run("w", tasks);
+            work.kind = case.kind;
+            work.since = ids::ReleaseVersion(1);
+            Box::new(work)
+        };
+        let accepted = Record::Accepted {
+            work: work(3),
+            key: None,
+        };
+        let mut records = vec![accepted, assigned(vec![run_of(0, 1), run_of(2, 1)])];
+        if case.ended {
+            records.push(ended(0, 1, workers::RunEnd::Completed));
+            records.push(ended(2, 1, workers::RunEnd::Completed));
+        }
+        records.extend(
+            case.tasks
+                .iter()
+                .map(|&tasks| Record::Changed { work: work(tasks) }),
+        );
+        apply_all(&mut state, records);
+        let waiting = state.tasks_to_assign(10);
+        let found: Vec<Run> = waiting.into_iter().flat_map(|found| found.runs).collect();
+        assert_eq!(found, case.expected, "{}", case.name);
+        let is_over = found.is_empty() && case.ended;
+        let phase = state.job(&"w".into()).unwrap().phase();
+        assert_eq!(
+            phase == journal::JobPhase::Completed,
+            is_over,
+            "{}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn work_of_a_release_is_accepted_once_and_by_a_full_shard_too() {
     let mut state = ShardState::new(journal::Limits {
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -27,11 +27,18 @@
             let mut state = self.state();
             self.check_order(&mut state, request)?;
             let shard = ids::ShardId(request.shard as u16);
+            let names = &request.cancelled;
+            let is_cancelled =
+                |work: &work::Work| names.iter().any(|name| name == work.id.as_str());
+            let mut cancelled = Vec::new();
             for (work, runs) in works {
                 lift_cancellation(&mut state, shard, &work.id);
                 let held = state::HeldAssignment { shard, work, runs };
                 if state.recovered {
                     submit(&mut state, &held, now_ms);
+                    if is_cancelled(&held.work) {
+                        cancelled.push(held);
+                    }
                 } else {
                     state.held.push(held);
                 }
@@ -39,6 +46,9 @@
             for name in &request.cancelled {
                 cancel(&mut state, shard, &ids::WorkId::new(name), now_ms);
             }
+            for assignment in cancelled {
+                hand_back_unknown(&mut state, &assignment);
+            }
         }
         self.wake.notify_one();
         Ok(messages::AssignReply {
@@ -76,22 +86,33 @@
 /// An attempt whose end is on its way to the shard is left out: the assignment
 /// was written before the shard knew.
 pub(super) fn submit(state: &mut state::GroupState, held: &state::HeldAssignment, now_ms: u64) {
-    let reports = state.reports.get(&held.shard);
-    let has_ended = |index: u32, attempt: ids::Attempt| {
-        let open = reports.into_iter().flat_map(|queue| queue.open.keys());
-        open.into_iter().any(|run| {
-            run.task.index == index && run.task.work == held.work.id && run.attempt >= attempt
-        })
-    };
     let runs: Vec<(u32, ids::Attempt)> = held
         .runs
         .iter()
-        .filter(|(index, attempt)| !has_ended(*index, *attempt))
+        .filter(|(index, attempt)| !has_ended(state, held, *index, *attempt))
         .copied()
         .collect();
     state
         .placement
         .submit(&held.work, &runs, Some(held.shard), now_ms);
+    let mut cancelled = state.cancel_at_recovery.iter();
+    if cancelled.any(|(shard, work)| *shard == held.shard && *work == held.work.id) {
+        hand_back_unknown(state, held);
+    }
+}
+
+/// Whether the end of an assigned run, or of a later one of its task, is on its way to the shard.
+fn has_ended(
+    state: &state::GroupState,
+    held: &state::HeldAssignment,
+    index: u32,
+    attempt: ids::Attempt,
+) -> bool {
+    let reports = state.reports.get(&held.shard);
+    let mut open = reports.into_iter().flat_map(|queue| queue.open.keys());
+    open.any(|run| {
+        run.task.index == index && run.task.work == held.work.id && run.attempt >= attempt
+    })
 }
 
 /// Forgets an earlier cancellation of a name that is assigned again.
@@ -117,6 +138,23 @@
     }
 }
 
+/// Gives runs of cancelled work back that the group neither has nor reports.
+///
+/// A replica that was replaced by its twin is such a run: the shard counts on it
+/// under a number that was never started.
+fn hand_back_unknown(state: &mut state::GroupState, assignment: &state::HeldAssignment) {
+    for (index, attempt) in &assignment.runs {
+        let run = ids::TaskAttempt {
+            task: ids::TaskId::new(&assignment.work.id, *index),
+            attempt: *attempt,
+        };
+        let is_known = state.placement.explain(&run.task).state != placement::TaskState::Unknown;
+        if !is_known && !has_ended(state, assignment, *index, *attempt) {
+            super::reports::note_hand_back(state, assignment.shard, &run);
+        }
+    }
+}
+
 /// Cancels what was cancelled while the group recovered.
 pub(super) fn cancel_held(state: &mut state::GroupState, now_ms: u64) {
     for (shard, work) in std::mem::take(&mut state.cancel_at_recovery) {
--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -99,12 +99,15 @@
             }
             let complete = entry.complete_for == Some(location.epoch);
             let (assignments, cancelled) = if complete {
-                (
-                    std::mem::take(&mut entry.fresh),
-                    std::mem::take(&mut entry.cancelled),
-                )
+                let mut assignments = std::mem::take(&mut entry.fresh);
+                let changed = std::mem::take(&mut entry.changed);
+                // Read only now: a run that has ended since the change must not be sent.
+                let known = changed.iter();
+                assignments.extend(known.filter_map(|work| state.assigned_of(work, &group)));
+                (assignments, std::mem::take(&mut entry.cancelled))
             } else {
                 entry.fresh.clear();
+                entry.changed.clear();
                 entry.cancelled.clear();
                 (
                     state.assigned_to(&group),
--- a/crates/node/src/shard/jobs.rs
+++ b/crates/node/src/shard/jobs.rs
@@ -93,7 +93,10 @@
         let groups: Vec<ids::GroupId> = self.shared.config.topology.groups().collect();
         let mut outbox = self.outbox();
         for group in &groups {
-            outbox.group(group).cancelled.insert(work.clone());
+            let entry = outbox.group(group);
+            entry.cancelled.insert(work.clone());
+            // With its live runs a group can tell which of them it does not have.
+            entry.changed.insert(work.clone());
         }
     }
 
--- a/crates/node/src/shard/outbox.rs
+++ b/crates/node/src/shard/outbox.rs
@@ -11,6 +11,8 @@
     pub complete_for: Option<ids::Epoch>,
     /// Assignments since then.
     pub fresh: Vec<Assignment>,
+    /// Work that was changed or cancelled since then; its live runs are sent again.
+    pub changed: IndexSet<ids::WorkId>,
     /// Cancelled work since then.
     pub cancelled: IndexSet<ids::WorkId>,
     pub in_flight: bool,
--- a/crates/node/src/shard/release_work.rs
+++ b/crates/node/src/shard/release_work.rs
@@ -25,9 +25,11 @@
         // The version comes last: what a crash leaves half done is done again, and
         // records that were written already change nothing then.
         for records in records.chunks(APPEND_LIMIT) {
-            journal
+            let appended = journal
                 .append(records.to_vec(), crate::journals::APPEND_WAIT_MS)
-                .await?;
+                .await;
+            self.note_changed(records, appended.is_ok());
+            appended?;
         }
         let ending: Vec<ids::WorkId> = journal.state().cancelled_work().cloned().collect();
         for work in &ending {
@@ -42,6 +44,27 @@
         Ok(())
     }
 
+    /// Tells the groups about changed work.
+    ///
+    /// If it is not known whether the records count, everything is sent again from
+    /// the state, as to a new owner of a group.
+    fn note_changed(&self, records: &[Record], appended: bool) {
+        let mut outbox = self.outbox();
+        for group in self.shared.config.topology.groups() {
+            let entry = outbox.group(&group);
+            for record in records {
+                let Record::Changed { work } = record else {
+                    continue;
+                };
+                if appended {
+                    entry.changed.insert(work.id.clone());
+                } else {
+                    entry.complete_for = None;
+                }
+            }
+        }
+    }
+
     fn owns(&self, work: &ids::WorkId) -> bool {
         self.shared.config.topology.shard_of(work.as_str()) == self.id
     }
@@ -58,6 +81,13 @@
         let is_new = known.is_none_or(|known| known < work.since);
         owns(&work.id) && work.since > state.followed() && is_new
     });
+    let changed = release.work.values().filter(|work| {
+        let job = state.job(&work.id);
+        job.is_some_and(|job| job.newest().since == work.since && **job.newest() != **work)
+    });
+    let changed = changed.map(|work| Record::Changed {
+        work: Box::new(work.clone()),
+    });
     let accepted = added.map(|work| Record::Accepted {
         work: Box::new(work.clone()),
         key: None,
@@ -69,5 +99,5 @@
     let withdrawn = withdrawn.map(|job| Record::Withdrawn {
         work: job.work().id.clone(),
     });
-    accepted.chain(withdrawn).collect()
+    accepted.chain(changed).chain(withdrawn).collect()
 }
--- a/crates/node/src/shard/reports.rs
+++ b/crates/node/src/shard/reports.rs
@@ -73,7 +73,7 @@
                 index,
                 attempt: ids::Attempt(report.next_attempt),
             }];
-            records.push(Record::Assigned {
+            records.push(Record::Restarted {
                 work,
                 runs,
                 group: from.clone(),
@@ -115,7 +115,7 @@
                 work: task.work.clone(),
                 runs: run(passed),
             });
-            records.push(Record::Assigned {
+            records.push(Record::Restarted {
                 work: task.work.clone(),
                 runs: run(passed + 1),
                 group: from.clone(),
--- a/crates/placement/src/decision.rs
+++ b/crates/placement/src/decision.rs
@@ -19,6 +19,8 @@
     GangAborted,
     /// The reservation of its gang ran out before it was confirmed.
     ReservationExpired,
+    /// Its work was changed to have fewer tasks.
+    Surplus,
 }
 
 /// What the caller has to carry out.
--- /dev/null
+++ b/crates/placement/src/group/change.rs
@@ -0,0 +1,49 @@
+//! Changes of the number of tasks of a piece of work.
+//!
+//! A task whose index is not below the number of tasks is *surplus*. It is not
+//! started; a replica of a service that runs is drained, and a task of a batch
+//! run that runs goes on to its end and is not started again.
+
+use kernel::work;
+use platform::workers;
+
+use super::{Group, replace};
+use crate::decision;
+
+impl Group {
+    /// Whether a task is one more than its work has.
+    pub(super) fn is_surplus(&self, slot: u32) -> bool {
+        let task = &self.tasks[slot];
+        self.is_surplus_index(task.work, task.index)
+    }
+
+    pub(super) fn is_surplus_index(&self, work: u32, index: u32) -> bool {
+        let entry = &self.works[work];
+        let is_sized = entry.work.kind != work::WorkKind::GangJob && entry.work.tasks > 0;
+        is_sized && replace::replica_of(index) >= entry.work.tasks
+    }
+
+    /// Drains the surplus replicas of a service whose definition has changed.
+    pub(super) fn drain_surplus(&mut self, work: u32) {
+        if self.works[work].work.kind != work::WorkKind::Service {
+            return;
+        }
+        for slot in self.works[work].members.clone() {
+            if self.is_surplus(slot) {
+                self.stop(slot, workers::StopMode::Drain);
+            }
+        }
+    }
+
+    /// Gives a surplus task back that waits at the front of its work's queue.
+    pub(super) fn hand_back_surplus(&mut self, slot: u32) -> decision::Decision {
+        let run = self.run_of(slot);
+        let work = self.tasks[slot].work;
+        self.works[work].waiting.pop_front();
+        self.remove_task(slot);
+        decision::Decision::HandBack {
+            run,
+            reason: decision::HandBackReason::Surplus,
+        }
+    }
+}
--- a/crates/placement/src/group/decide.rs
+++ b/crates/placement/src/group/decide.rs
@@ -146,6 +146,11 @@
         let Some(&slot) = self.works[work].waiting.front() else {
             return Step::Empty;
         };
+        if self.is_surplus(slot) {
+            let decision = self.hand_back_surplus(slot);
+            round.decisions.push(decision);
+            return Step::Progress;
+        }
         let outcome = if self.works[work].work.kind == work::WorkKind::GangJob {
             self.start_gang(work, round)
         } else {
--- a/crates/placement/src/group/feedback.rs
+++ b/crates/placement/src/group/feedback.rs
@@ -117,9 +117,9 @@
     }
 
     /// Whether a task that ended is not started again, whatever its end.
-    fn is_over(&self, slot: u32) -> bool {
+    pub(super) fn is_over(&self, slot: u32) -> bool {
         let task = &self.tasks[slot];
-        task.orphan || task.replaced || self.is_cancelled(task.work)
+        task.orphan || task.replaced || self.is_cancelled(task.work) || self.is_surplus(slot)
     }
 
     /// Forgets a task, and lets the task wait that an orphan kept from starting.
--- a/crates/placement/src/group/mod.rs
+++ b/crates/placement/src/group/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod cancel;
+mod change;
 mod choose;
 mod decide;
 mod displace;
@@ -33,6 +34,7 @@
 use crate::tombstones;
 use crate::worker;
 
+pub use replace::TWIN_BIT;
 pub use reserve::Reservation;
 
 /// The placement state of one group of racks under one owner.
--- a/crates/placement/src/group/replace.rs
+++ b/crates/placement/src/group/replace.rs
@@ -1,8 +1,8 @@
 //! Replacement of service replicas without a gap.
 //!
 //! A replica on a leaving worker gets a twin: the same replica under another
-//! index (`index + tasks`, and back again the next time). The old one drains
-//! once the twin runs, so no index ever runs in two places.
+//! index (the one that differs in [`TWIN_BIT`], and back again the next time). The
+//! old one drains once the twin runs, so no index ever runs in two places.
 
 use kernel::ids;
 use kernel::work;
@@ -11,13 +11,18 @@
 use super::Group;
 use crate::table;
 
+/// Tells the indexes of two twins apart; independent of the number of tasks, which may change.
+pub const TWIN_BIT: u32 = 1 << 31;
+
+/// The index that a replica has in its service, whichever twin it is.
+pub(super) const fn replica_of(index: u32) -> u32 {
+    index & !TWIN_BIT
+}
+
 impl Group {
+    /// The index of the other twin, unless the definition of the work is not known.
     fn twin_index(&self, work: u32, index: u32) -> Option<u32> {
-        match self.works[work].work.tasks {
-            0 => None,
-            tasks if index < tasks => index.checked_add(tasks),
-            tasks => Some(index - tasks),
-        }
+        (self.works[work].work.tasks > 0).then_some(index ^ TWIN_BIT)
     }
 
     /// The other task of the same replica, if it exists.
@@ -30,7 +35,7 @@
     pub(super) fn replace(&mut self, slot: u32, now_ms: u64) {
         let task = &self.tasks[slot];
         let (work, index, attempt) = (task.work, task.index, task.life.attempt());
-        if task.orphan || task.replaced || task.replaces.is_some() || self.is_cancelled(work) {
+        if task.orphan || task.replaced || task.replaces.is_some() || self.is_over(slot) {
             return;
         }
         let Some(twin_index) = self.twin_index(work, index) else {
--- a/crates/placement/tests/placement/mechanisms.rs
+++ b/crates/placement/tests/placement/mechanisms.rs
@@ -375,3 +375,48 @@
     world.group.set_worker_state(&leaving, true, 0);
     assert_eq!(world.decide().len(), 1, "a new twin starts");
 }
+
+#[test]
+fn a_changed_number_of_tasks_drains_replicas_and_hands_waiting_tasks_back() {
+    struct Case {
+        kind: work::WorkKind,
+        drained: usize,
+    }
+    let case = |kind, drained| Case { kind, drained };
+    let cases = [
+        case(work::WorkKind::Service, 1),
+        case(work::WorkKind::BatchRun, 0),
+    ];
+    for case in cases {
+        // Two workers have room for two tasks; the other two wait.
+        let mut world = world(2);
+        let mut changed = world::job("work", case.kind, 4, WHOLE);
+        world.submit(changed.clone());
+        world.decide();
+        let started = running(&world);
+        assert_eq!(started.len(), 2);
+        for run in &started {
+            world.group.started(run);
+        }
+        changed.tasks = 1;
+        let changed = std::sync::Arc::new(changed);
+        world.group.submit(&changed, &[], None, world.now_ms);
+        let decisions = world.group.decide(world.now_ms, 100);
+        let drained = decisions.iter().filter(|decision| {
+            let Decision::Stop { run, mode, .. } = decision else {
+                return false;
+            };
+            run.task.index > 0 && *mode == workers::StopMode::Drain
+        });
+        assert_eq!(drained.count(), case.drained, "{decisions:?}");
+        let back = decisions.iter().filter(
+            |decision| matches!(decision, Decision::HandBack { run, .. } if run.task.index > 1),
+        );
+        assert_eq!(back.count(), 2, "{decisions:?}");
+        let last = &started[1];
+        let effect = world
+            .group
+            .ended(last, workers::RunEnd::Failed, 5, world.now_ms);
+        assert_eq!(effect, EndEffect::Finished);
+    }
+}
