Tell a shard which replica goes on when twins are replaced

Cause: a replica that is replaced without a gap runs on under its twin's index, which the shard does not know. The end of the old one looked like a lost replica, so the shard assigned it anew, to another group perhaps, and it counted on a run that never started.

Change: the shard takes both indexes for the replica; the report of an end names the attempt with which the twin goes on, and an attempt lower than the ended one says that the replaced replica goes on. A group does not give a twin back while what it replaces runs.

--- a/crates/histories/tests/changes.rs
+++ b/crates/histories/tests/changes.rs
@@ -261,6 +261,7 @@
     let platform = &cell.platform;
     platform.change_fleet(|fleet, now_ms| fleet.leave(&leaving, now_ms));
     tokio::time::sleep(KEPT).await;
+    until_replicas(&cell, 6).await;
     submit(&cell, "withdraw", &withdrawn("service")).await;
     submit(&cell, "again", &service("added", 3, 1_000)).await;
     until_replicas(&cell, 3).await;
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -111,7 +111,9 @@
     let reports = state.reports.get(&held.shard);
     let mut open = reports.into_iter().flat_map(|queue| queue.open.keys());
     open.any(|run| {
-        run.task.index == index && run.task.work == held.work.id && run.attempt >= attempt
+        placement::replica_of(run.task.index) == index
+            && run.task.work == held.work.id
+            && run.attempt >= attempt
     })
 }
 
--- a/crates/node/src/group/reports.rs
+++ b/crates/node/src/group/reports.rs
@@ -82,10 +82,12 @@
 }
 
 /// The attempt with which this group goes on after `run`; zero if it does not.
+///
+/// It is lower than that of the run if the run was to replace a replica that goes on.
 fn live_attempt_after(state: &state::GroupState, run: &ids::TaskAttempt) -> ids::Attempt {
     let explanation = state.placement.explain(&run.task);
     let live = explanation.state != placement::TaskState::Unknown;
-    if live && explanation.attempt > run.attempt {
+    if live && explanation.attempt != run.attempt {
         explanation.attempt
     } else {
         ids::Attempt(0)
--- a/crates/node/src/shard/reports.rs
+++ b/crates/node/src/shard/reports.rs
@@ -3,6 +3,7 @@
 use journal::{Record, Run, TaskState};
 use kernel::errors;
 use kernel::ids;
+use kernel::work;
 use platform::workers;
 use wire::messages;
 
@@ -44,8 +45,12 @@
         report: &messages::RunReport,
         from: &ids::GroupId,
     ) -> errors::Result<()> {
-        let task: ids::TaskId = report.task.parse()?;
+        let task = self.replica(report.task.parse()?)?;
         let attempt = ids::Attempt(report.attempt);
+        if (1..report.attempt).contains(&report.next_attempt) {
+            // The run was to replace a replica, which goes on instead.
+            return Ok(());
+        }
         self.catch_up(records, &task, attempt, from)?;
         if report.end == group::HANDED_BACK {
             self.balance()
@@ -84,6 +89,19 @@
 }
 
 impl ShardOwner {
+    /// The task of a replica, whichever of its two indexes it runs under.
+    fn replica(&self, task: ids::TaskId) -> errors::Result<ids::TaskId> {
+        let journal = self.journal()?;
+        let state = journal.state();
+        let job = state.job(&task.work);
+        Ok(match job.map(|job| job.work().kind) {
+            Some(work::WorkKind::Service) => {
+                ids::TaskId::new(&task.work, placement::replica_of(task.index))
+            }
+            _ => task,
+        })
+    }
+
     /// Journals the attempts that a group has passed over.
     ///
     /// A group numbers its attempts by itself; one that a worker refused is passed
--- a/crates/placement/src/group/change.rs
+++ b/crates/placement/src/group/change.rs
@@ -14,13 +14,9 @@
     /// Whether a task is one more than its work has.
     pub(super) fn is_surplus(&self, slot: u32) -> bool {
         let task = &self.tasks[slot];
-        self.is_surplus_index(task.work, task.index)
-    }
-
-    pub(super) fn is_surplus_index(&self, work: u32, index: u32) -> bool {
-        let entry = &self.works[work];
-        let is_sized = entry.work.kind != work::WorkKind::GangJob && entry.work.tasks > 0;
-        is_sized && replace::replica_of(index) >= entry.work.tasks
+        let work = &self.works[task.work].work;
+        let is_sized = work.kind != work::WorkKind::GangJob && work.tasks > 0;
+        is_sized && replace::replica_of(task.index) >= work.tasks
     }
 
     /// Drains the surplus replicas of a service whose definition has changed.
--- a/crates/placement/src/group/decide.rs
+++ b/crates/placement/src/group/decide.rs
@@ -1,5 +1,7 @@
 //! The decision loop.
 
+use std::collections::VecDeque;
+
 use kernel::work;
 use platform::workers;
 
@@ -264,6 +266,11 @@
             return Step::Blocked;
         }
         let gang = entry.work.kind == work::WorkKind::GangJob;
+        let twins = self.take_twins(work);
+        if self.works[work].waiting.is_empty() {
+            self.works[work].waiting = twins;
+            return Step::Blocked;
+        }
         while gang || !round.is_full() {
             let Some(slot) = self.works[work].waiting.pop_front() else {
                 break;
@@ -274,9 +281,19 @@
                 .push(decision::Decision::HandBack { run, reason });
             self.remove_task(slot);
         }
+        self.works[work].waiting.extend(twins);
         Step::Progress
     }
 
+    /// Takes twins out of a queue: what they replace runs here, so they are not given back.
+    fn take_twins(&mut self, work: u32) -> VecDeque<u32> {
+        let waiting = std::mem::take(&mut self.works[work].waiting);
+        let is_twin = |slot: &u32| self.tasks[*slot].replaces.is_some();
+        let (twins, others) = waiting.into_iter().partition(is_twin);
+        self.works[work].waiting = others;
+        twins
+    }
+
     /// The start of a task that was placed.
     pub(super) fn start_decision(&self, slot: u32) -> decision::Decision {
         let task = &self.tasks[slot];
--- a/crates/placement/src/group/mod.rs
+++ b/crates/placement/src/group/mod.rs
@@ -34,7 +34,7 @@
 use crate::tombstones;
 use crate::worker;
 
-pub use replace::TWIN_BIT;
+pub use replace::{TWIN_BIT, replica_of};
 pub use reserve::Reservation;
 
 /// The placement state of one group of racks under one owner.
--- a/crates/placement/src/group/query.rs
+++ b/crates/placement/src/group/query.rs
@@ -51,8 +51,10 @@
     }
 
     /// Says where a task is and why, in one sentence that an operator can act on.
+    ///
+    /// For a replica whose twin has taken its place, that of the twin.
     pub fn explain(&self, task: &ids::TaskId) -> decision::Explanation {
-        let Some(slot) = self.task_slot(task) else {
+        let Some(slot) = self.replica_slot(task) else {
             return decision::Explanation {
                 task: task.clone(),
                 state: decision::TaskState::Unknown,
--- a/crates/placement/src/group/replace.rs
+++ b/crates/placement/src/group/replace.rs
@@ -15,7 +15,7 @@
 pub const TWIN_BIT: u32 = 1 << 31;
 
 /// The index that a replica has in its service, whichever twin it is.
-pub(super) const fn replica_of(index: u32) -> u32 {
+pub const fn replica_of(index: u32) -> u32 {
     index & !TWIN_BIT
 }
 
@@ -31,6 +31,16 @@
         self.task_numbers.get(&(work, index)).copied()
     }
 
+    /// The task that stands for a replica: the one of this index, or its twin.
+    pub(super) fn replica_slot(&self, task: &ids::TaskId) -> Option<u32> {
+        let twin = || {
+            let work = *self.work_numbers.get(&task.work)?;
+            let is_service = self.works[work].work.kind == work::WorkKind::Service;
+            is_service.then(|| self.twin(work, task.index)).flatten()
+        };
+        self.task_slot(task).or_else(twin)
+    }
+
     /// Queues a twin of a placed replica ahead of other tasks.
     pub(super) fn replace(&mut self, slot: u32, now_ms: u64) {
         let task = &self.tasks[slot];
--- a/crates/placement/src/group/submit.rs
+++ b/crates/placement/src/group/submit.rs
@@ -9,7 +9,6 @@
 use platform::workers;
 
 use super::Group;
-use crate::decision;
 use crate::health;
 use crate::table;
 
@@ -136,22 +135,10 @@
         self.queue_work(number);
     }
 
-    /// Gives a surplus task back that does not run, because its twin does.
-    fn refuse_surplus(&mut self, number: u32, index: u32, attempt: ids::Attempt) {
-        let task = ids::TaskId::new(&self.works[number].work.id, index);
-        self.pending.push_back(decision::Decision::HandBack {
-            run: ids::TaskAttempt { task, attempt },
-            reason: decision::HandBackReason::Surplus,
-        });
-    }
-
     fn submit_task(&mut self, number: u32, index: u32, attempt: ids::Attempt, now_ms: u64) {
         if self.works[number].work.kind == work::WorkKind::Service
             && self.twin(number, index).is_some()
         {
-            if self.is_surplus_index(number, index) {
-                self.refuse_surplus(number, index, attempt);
-            }
             return;
         }
         let Some(&slot) = self.task_numbers.get(&(number, index)) else {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -42,5 +42,5 @@
 pub use gang::{
     ConfirmStep, Confirming, GangCoordinator, GangPart, GangRequest, ReserveStep, Reserving, divide,
 };
-pub use group::{Group, Reservation, TWIN_BIT};
+pub use group::{Group, Reservation, TWIN_BIT, replica_of};
 pub use worker::WorkerSpec;
