Replace replicas of a service whose definition has changed

Cause: replicas that ran kept the size, slots and policy under which they were started, whatever a later release said.

Change: work has a revision, the release that last changed anything but the number of its tasks, and a run carries it in its start order. A new owner reads the revisions from the workers and goes on.

--- a/crates/api/src/jobs.rs
+++ b/crates/api/src/jobs.rs
@@ -89,6 +89,7 @@
             slots: 0,
             connections: 0,
             since: ids::ReleaseVersion::default(),
+            revision: ids::ReleaseVersion::default(),
         }
     }
 }
--- a/crates/histories/src/workload.rs
+++ b/crates/histories/src/workload.rs
@@ -226,6 +226,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/histories/tests/changes.rs
+++ b/crates/histories/tests/changes.rs
@@ -4,6 +4,7 @@
 
 use checker::Violation;
 use hickorychute_histories::cell;
+use indexmap::IndexMap;
 use kernel::history;
 use kernel::ids;
 use node::Operations;
@@ -300,3 +301,57 @@
     assert_eq!(sizes, [1_000, 1_000, 1_000, 1_000, 2_000, 2_000, 2_000]);
     check(&cell);
 }
+
+/// Waits until all replicas have a size, and sees that they keep it.
+async fn until_size(cell: &cell::Cell, replicas: usize, cpu_milli: u64) {
+    let sizes = || {
+        let mut sizes = IndexMap::new();
+        for record in cell.records() {
+            match record.event {
+                history::Event::TaskStarted { run, demand, .. } => {
+                    sizes.insert(run, demand.cpu_milli);
+                }
+                history::Event::TaskEnded { run, .. } => {
+                    sizes.swap_remove(&run);
+                }
+                _ => {}
+            }
+        }
+        sizes
+    };
+    let is_reached =
+        || sizes().len() == replicas && sizes().values().all(|size| *size == cpu_milli);
+    until(cell, "report", |_, _| is_reached()).await;
+    tokio::time::sleep(KEPT).await;
+    assert!(is_reached(), "{:?}", sizes());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_changed_service_is_replaced_without_a_gap() {
+    const REPLICAS: usize = 8;
+    let mut cell = start_cell().await;
+    submit(
+        &cell,
+        "add",
+        &(QUOTA.to_owned() + &service("added", 8, 1_000)),
+    )
+    .await;
+    until_replicas(&cell, REPLICAS).await;
+    let seen = cell.records().len();
+    submit(&cell, "change", &service("changed", 8, 2_000)).await;
+    until_size(&cell, REPLICAS, 2_000).await;
+    let mut running = REPLICAS;
+    for record in cell.records().split_off(seen) {
+        match record.event {
+            history::Event::TaskStarted { .. } => running += 1,
+            history::Event::TaskEnded { .. } => running -= 1,
+            _ => {}
+        }
+        assert!(running >= REPLICAS, "{record:?}");
+    }
+    // All owners go away while the next change is under way; leases may lapse meanwhile.
+    submit(&cell, "change-again", &service("changed", 8, 1_500)).await;
+    replace_hosts(&mut cell).await;
+    until_size(&cell, REPLICAS, 1_500).await;
+    check(&cell);
+}
--- a/crates/journal/src/measure/load.rs
+++ b/crates/journal/src/measure/load.rs
@@ -175,6 +175,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/journal/tests/journal/support.rs
+++ b/crates/journal/tests/journal/support.rs
@@ -304,6 +304,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/kernel/src/work.rs
+++ b/crates/kernel/src/work.rs
@@ -175,6 +175,11 @@
     /// A name may be used again: work is the same only if name and version agree.
     #[serde(default)]
     pub since: ids::ReleaseVersion,
+    /// The release version that last changed anything but the number of tasks.
+    ///
+    /// Replicas that were started under an older revision are replaced.
+    #[serde(default)]
+    pub revision: ids::ReleaseVersion,
 }
 
 impl Work {
--- a/crates/placement/src/group/account.rs
+++ b/crates/placement/src/group/account.rs
@@ -91,6 +91,8 @@
         self.change_life(slot, |life| {
             life.start(placement);
         });
+        let task = &mut self.tasks[slot];
+        task.revision = self.works[task.work].work.revision;
         self.enter(slot, placement.worker);
     }
 
--- a/crates/placement/src/group/decide.rs
+++ b/crates/placement/src/group/decide.rs
@@ -67,6 +67,7 @@
         self.expire_reservations(now_ms);
         self.expire_hold(now_ms);
         self.expire_tasks(now_ms);
+        self.replace_outdated(now_ms);
         self.drain_pending(&mut round);
         for urgency in [
             work::Urgency::Urgent,
@@ -314,6 +315,7 @@
                 run_time_ms: entry.work.run_time_ms,
                 slots: entry.work.slots,
                 connections: entry.work.connections,
+                revision: entry.work.revision,
             },
         }
     }
--- a/crates/placement/src/group/mod.rs
+++ b/crates/placement/src/group/mod.rs
@@ -11,13 +11,14 @@
 mod query;
 mod replace;
 mod reserve;
+mod revise;
 mod submit;
 mod usage;
 mod workers;
 
 use std::collections::{BTreeSet, VecDeque};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kernel::errors;
 use kernel::ids;
 use kernel::random;
@@ -78,6 +79,8 @@
     hold: Option<hold::Hold>,
     /// Stops and returned tasks that wait for the next decision.
     pending: VecDeque<decision::Decision>,
+    /// Services that may have replicas of an older revision.
+    outdated: IndexSet<u32>,
     /// Failed tasks by the time at which they may start again.
     restarts: BTreeSet<(u64, u32)>,
     /// Stopping tasks by the time at which they are killed.
@@ -125,6 +128,7 @@
             confirmed: VecDeque::new(),
             hold: None,
             pending: VecDeque::new(),
+            outdated: IndexSet::new(),
             restarts: BTreeSet::new(),
             kills: BTreeSet::new(),
         })
--- a/crates/placement/src/group/submit.rs
+++ b/crates/placement/src/group/submit.rs
@@ -67,6 +67,7 @@
         if self.works[number].provisional || *self.works[number].work != **work {
             self.update_work(number, work);
             self.drain_surplus(number);
+            self.note_outdated(number);
             if work.kind == work::WorkKind::Service {
                 self.settle_replicas(number, now_ms);
             }
@@ -173,6 +174,7 @@
             slots: order.slots,
             connections: order.connections,
             since: ids::ReleaseVersion::default(),
+            revision: order.revision,
         });
         let number = self.new_work(&work, order.shard);
         self.works[number].provisional = true;
--- a/crates/placement/src/group/workers.rs
+++ b/crates/placement/src/group/workers.rs
@@ -156,7 +156,9 @@
         found.start(placement);
         found.confirm();
         self.change_life(slot, |life| *life = found);
+        self.tasks[slot].revision = order.revision;
         self.enter(slot, number);
+        self.note_outdated(work);
         let cancelled = self.is_cancelled(work);
         let stale = self.tasks[slot].orphan || self.tasks[slot].next_attempt > order.run.attempt;
         if cancelled || stale {
--- a/crates/placement/src/measure/cell.rs
+++ b/crates/placement/src/measure/cell.rs
@@ -73,6 +73,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -122,6 +122,8 @@
     pub replaces: Option<u32>,
     /// A replacement exists; the task is not started again.
     pub replaced: bool,
+    /// The revision of the work under which the placed run was started.
+    pub revision: ids::ReleaseVersion,
     /// An older attempt found on a worker while another one exists.
     pub orphan: bool,
 }
@@ -152,6 +154,7 @@
             victim_of: None,
             replaces: None,
             replaced: false,
+            revision: ids::ReleaseVersion::default(),
             orphan: false,
         }
     }
--- a/crates/placement/tests/placement/world.rs
+++ b/crates/placement/tests/placement/world.rs
@@ -53,6 +53,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -65,6 +65,9 @@
     pub slots: u32,
     /// Connections that the task accepts, if it is an upstream.
     pub connections: u32,
+    /// The revision of the work under which it was started.
+    #[serde(default)]
+    pub revision: ids::ReleaseVersion,
 }
 
 /// How a running task is held back or ended.
--- a/crates/release/src/apply.rs
+++ b/crates/release/src/apply.rs
@@ -59,17 +59,13 @@
         release.work.shift_remove(&named.id);
     }
     for item in &note.changed.work {
-        let since = match find_work(release, &item.value.id, item.value.kind) {
-            Ok(existing) => existing.since,
+        let work = match find_work(release, &item.value.id, item.value.kind) {
+            Ok(existing) => changed(existing, &item.value, release.version),
             Err(message) => {
                 faults.push(note::Fault::at(item.position, "changed", message));
                 continue;
             }
         };
-        let work = work::Work {
-            since,
-            ..item.value.clone()
-        };
         release.work.insert(work.id.clone(), work);
     }
     for item in &note.added.work {
@@ -84,12 +80,28 @@
         }
         let work = work::Work {
             since: release.version,
+            revision: release.version,
             ..item.value.clone()
         };
         release.work.insert(work.id.clone(), work);
     }
 }
 
+/// Work as a note changes it; it keeps its identity.
+fn changed(existing: &work::Work, stated: &work::Work, version: ids::ReleaseVersion) -> work::Work {
+    let mut changed = work::Work {
+        since: existing.since,
+        revision: existing.revision,
+        tasks: existing.tasks,
+        ..stated.clone()
+    };
+    if changed != *existing {
+        changed.revision = version;
+    }
+    changed.tasks = stated.tasks;
+    changed
+}
+
 fn find_work<'release>(
     release: &'release work::Release,
     id: &ids::WorkId,
--- a/crates/release/src/note/entries.rs
+++ b/crates/release/src/note/entries.rs
@@ -100,6 +100,7 @@
         slots: shape.slots,
         connections: shape.connections,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     };
     Some(Located { value, position })
 }
--- a/crates/release/tests/properties.rs
+++ b/crates/release/tests/properties.rs
@@ -145,6 +145,7 @@
             slots: 8,
             connections: 64,
             since: ids::ReleaseVersion::default(),
+            revision: ids::ReleaseVersion::default(),
         };
         accepted.release.work.insert(id, work);
     }
@@ -181,6 +182,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     };
     let cases = [
         (job("huber", 16_000, 4, "muc-ost"), 0),
--- a/crates/standin/tests/standin/support.rs
+++ b/crates/standin/tests/standin/support.rs
@@ -33,6 +33,7 @@
         run_time_ms: None,
         slots: 8,
         connections: 64,
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
