--- a/crates/histories/src/workload.rs
+++ b/crates/histories/src/workload.rs
@@ -240,6 +240,7 @@
         slots: 0,
         connections: 0,
         since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
 
--- a/crates/placement/src/group/decide.rs
+++ b/crates/placement/src/group/decide.rs
@@ -1,5 +1,7 @@
 //! The decision loop.
 
+use std::collections::VecDeque;
+
 use kernel::work;
 use platform::workers;
 
@@ -106,6 +108,7 @@
         self.expire_reservations(now_ms);
         self.expire_hold(now_ms);
         self.expire_tasks(now_ms);
+        self.replace_outdated(now_ms);
         self.drain_pending(&mut round);
         for urgency in [
             work::Urgency::Urgent,
@@ -194,6 +197,11 @@
         let Some(&slot) = self.works[work].waiting.front() else {
             return Step::Empty;
         };
+        if self.is_surplus(slot) {
+            let decision = self.hand_back_surplus(slot);
+            round.decisions.push(decision);
+            return Step::Progress;
+        }
         let outcome = if self.works[work].work.kind == work::WorkKind::GangJob {
             self.start_gang(work, round)
         } else {
@@ -307,6 +315,11 @@
             return Step::Blocked;
         }
         let gang = entry.work.kind == work::WorkKind::GangJob;
+        let twins = self.take_twins(work);
+        if self.works[work].waiting.is_empty() {
+            self.works[work].waiting = twins;
+            return Step::Blocked;
+        }
         while gang || !round.is_full() {
             let Some(slot) = self.works[work].waiting.pop_front() else {
                 break;
@@ -317,9 +330,19 @@
                 .push(decision::Decision::HandBack { run, reason });
             self.remove_task(slot);
         }
+        self.works[work].waiting.extend(twins);
         Step::Progress
     }
 
+    /// Takes twins out of a queue: what they replace runs here, so they are not given back.
+    fn take_twins(&mut self, work: u32) -> VecDeque<u32> {
+        let waiting = std::mem::take(&mut self.works[work].waiting);
+        let is_twin = |slot: &u32| self.tasks[*slot].replaces.is_some();
+        let (twins, others) = waiting.into_iter().partition(is_twin);
+        self.works[work].waiting = others;
+        twins
+    }
+
     /// The start of a task that was placed.
     pub(super) fn start_decision(&self, slot: u32) -> decision::Decision {
         let task = &self.tasks[slot];
@@ -340,6 +363,7 @@
                 run_time_ms: entry.work.run_time_ms,
                 slots: entry.work.slots,
                 connections: entry.work.connections,
+                revision: entry.work.revision,
             },
         }
     }
