Refuse bad requests with bounded cost and their kind; hold the reference pages against the program

Causes found while writing the tests: - A connection that sent nothing was held for ever: finding out the HTTP version has no time limit. The port speaks HTTP/1.1 alone now, and its limit for headers counts from the first moment. - The budget for bodies was taken after a body had been read whole, so that 2,048 connections could hold 16 MiB each. It is taken as a body arrives; one announced as too large is refused unread. - Refused connections were logged but not counted. - Unknown paths, wrong methods and malformed parameters were answered in plain text without a kind, an unknown urgency counted as normal, and a job without a name got one from its key that no path can hold. - Jobs that can never run were accepted; they are checked against release and cell at submission, with the ranges of release notes.

Connection limit and time limit of the port are settings. docs/events.md, errors.md and metrics.md are new, each with a test that fails when page and program differ. One event name stood twice (release-in-force, 3002 and 7020); 7020 is now release-announced, which is what it is.

--- a/crates/node/src/daemon/dev.rs
+++ b/crates/node/src/daemon/dev.rs
@@ -191,8 +191,9 @@
         .await
         .map_err(cannot_listen)?;
     let address = listener.local_addr().map_err(cannot_listen)?.to_string();
-    let routes = entry::Entry::new(Arc::clone(shared), Some(metrics)).routes();
-    let server = entry::HttpServer::new(listener, routes, entry::HttpConfig::default());
+    let config = entry::HttpConfig::default();
+    let routes = entry::Entry::new(Arc::clone(shared), Some(metrics), config).routes();
+    let server = entry::HttpServer::new(listener, routes, config, shared.metrics.clone());
     tokio::spawn(server.run(CancellationToken::new(), time::Duration::ZERO));
     Ok(address)
 }
--- a/crates/node/src/daemon/serve.rs
+++ b/crates/node/src/daemon/serve.rs
@@ -17,7 +17,10 @@
 
 /// Runs until the process is told to end.
 pub(super) async fn run(settings: &settings::ServeSettings) -> errors::Result<()> {
-    let mut config = settings.check()?;
+    let settings::Checked {
+        node: mut config,
+        http: http_config,
+    } = settings.check()?;
     let metrics = telemetry::MetricsPage::install()?;
     let tracing = match settings.otlp_endpoint.as_str() {
         "" => None,
@@ -39,10 +42,11 @@
     let drain = time::Duration::from_millis(config.drain_timeout_ms);
     let node = Node::start(config, platform, transport, Arc::new(history::NullSink));
     let peer_server = wire::Server::new(peers, node.peer_handler(), wire::ServerConfig::default());
+    telemetry::observe_peer_port(peer_server.counters());
     let peer_server = tokio::spawn(peer_server.run());
-    let routes = entry::Entry::new(Arc::clone(node.shared()), Some(metrics)).routes();
+    let routes = entry::Entry::new(Arc::clone(node.shared()), Some(metrics), http_config).routes();
     let stop_http = CancellationToken::new();
-    let server = entry::HttpServer::new(http, routes, entry::HttpConfig::default());
+    let server = entry::HttpServer::new(http, routes, http_config, node.shared().metrics.clone());
     let http_server = tokio::spawn(server.run(stop_http.clone(), drain));
 
     let node = node.serve().await;
--- a/crates/node/src/entry/calls.rs
+++ b/crates/node/src/entry/calls.rs
@@ -1,26 +1,29 @@
 //! Calls to services.
 
 use axum::body::Body;
-use axum::extract::{Path, State};
+use axum::extract::State;
 use axum::http::{HeaderMap, Request, StatusCode};
 use axum::response::{IntoResponse, Response};
 use kernel::errors;
 use kernel::ids;
+use kernel::work;
 use opentelemetry::trace::SpanKind;
-use platform::upstreams;
 
+use super::Entry;
+use super::body;
+use super::params::Params;
 use super::reply::{Failure, Reply, set_header};
-use super::{BODY_TIMEOUT, Entry};
 use crate::{forward, telemetry};
 
 /// The team of a caller that names none.
 const DEFAULT_TEAM: &str = "default";
-const KEY_LIMIT_CHARS: usize = 200;
+/// Longest idempotency key, in characters.
+pub(super) const KEY_LIMIT_CHARS: usize = 200;
 
 /// A call to the root of a service.
 pub(super) async fn call_root(
     State(entry): State<Entry>,
-    Path(service): Path<String>,
+    Params(service): Params<String>,
     request: Request<Body>,
 ) -> Reply<Response> {
     answer(entry, service, String::new(), request).await
@@ -29,7 +32,7 @@
 /// A call to a path of a service.
 pub(super) async fn call(
     State(entry): State<Entry>,
-    Path((service, path)): Path<(String, String)>,
+    Params((service, path)): Params<(String, String)>,
     request: Request<Body>,
 ) -> Reply<Response> {
     answer(entry, service, path, request).await
@@ -72,8 +75,8 @@
     call.service = ids::WorkId::new(service);
     call.path = format!("/{path}{query}");
     // The memory is given back when the call ends.
-    let (body, _memory) = read_body(entry, request.into_body()).await?;
-    call.body = body;
+    let (bytes, _memory) = body::read(entry, request.into_body()).await?;
+    call.body = bytes;
     // The time that the body took is part of the caller's deadline.
     let spent_ms = entry.shared.now_ms() - arrived_ms;
     call.deadline_ms = call.deadline_ms.saturating_sub(spent_ms);
@@ -105,6 +108,16 @@
             "idempotency-key: must have 1 to {KEY_LIMIT_CHARS} characters"
         )));
     }
+    let urgency = match header(headers, api::headers::URGENCY) {
+        None => work::Urgency::default(),
+        Some(name) => {
+            serde_json::from_value(serde_json::Value::from(name.as_str())).map_err(|_| {
+                bad(format!(
+                    "x-urgency: {name:?} is not deferrable, normal or urgent"
+                ))
+            })?
+        }
+    };
     Ok(forward::Call {
         service: ids::WorkId::new(""),
         path: String::new(),
@@ -115,50 +128,11 @@
                 .as_deref()
                 .unwrap_or(DEFAULT_TEAM),
         ),
-        urgency: header(headers, api::headers::URGENCY)
-            .map(|name| forward::parse_urgency(&name))
-            .unwrap_or_default(),
+        urgency,
         deadline_ms,
     })
 }
 
-/// Reads a body whole, within the limits of size, time and memory.
-pub(super) async fn read_body(
-    entry: &Entry,
-    body: Body,
-) -> errors::Result<(bytes::Bytes, tokio::sync::OwnedSemaphorePermit)> {
-    let reading = axum::body::to_bytes(body, upstreams::BODY_LIMIT_BYTES);
-    let bytes = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(error)) => {
-            entry.shared.metrics.refusal("body");
-            return Err(errors::Error::with_source(
-                errors::ErrorKind::TooLarge,
-                "the body is too large or broke off",
-                error,
-            ));
-        }
-        Err(_) => {
-            entry.shared.metrics.refusal("slow_body");
-            return Err(errors::Error::new(
-                errors::ErrorKind::BadRequest,
-                "the body did not arrive in time",
-            ));
-        }
-    };
-    let kibibytes = (bytes.len() / 1024 + 1) as u32;
-    let memory = std::sync::Arc::clone(&entry.body_memory)
-        .try_acquire_many_owned(kibibytes)
-        .map_err(|_| {
-            entry.shared.metrics.refusal("memory");
-            errors::Error::new(
-                errors::ErrorKind::Overloaded,
-                "this host holds as many request bodies as it may",
-            )
-        })?;
-    Ok((bytes, memory))
-}
-
 /// A header as text, if it is there and readable.
 pub(super) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -2,17 +2,20 @@
 
 use axum::Json;
 use axum::body::Body;
-use axum::extract::{Path, State};
+use axum::extract::State;
 use axum::http::{Request, StatusCode};
 use kernel::errors;
 use kernel::ids;
+use release::note::limits;
 
 use super::Entry;
-use super::calls::{header, read_body};
+use super::body;
+use super::calls::{KEY_LIMIT_CHARS, header};
+use super::params::Params;
 use super::reply::Reply;
 
+/// Longest name of a job, in characters.
 const NAME_LIMIT_CHARS: usize = 100;
-const TASKS_LIMIT: u32 = 100_000;
 
 /// Accepts a job.
 pub(super) async fn submit(
@@ -20,42 +23,66 @@
     request: Request<Body>,
 ) -> Reply<(StatusCode, Json<api::JobAccepted>)> {
     let key = header(request.headers(), api::headers::IDEMPOTENCY_KEY)
-        .filter(|key| !key.is_empty())
-        .ok_or_else(|| bad("idempotency-key is required; send a job again under the same key"))?;
-    let (body, _memory) = read_body(&entry, request.into_body()).await?;
+        .filter(|key| (1..=KEY_LIMIT_CHARS).contains(&key.len()))
+        .ok_or_else(|| {
+            bad(&format!(
+                "idempotency-key is required, with 1 to {KEY_LIMIT_CHARS} characters; send a job \
+                 again under the same key"
+            ))
+        })?;
+    let (body, _memory) = body::read(&entry, request.into_body()).await?;
     let request: api::JobRequest = serde_json::from_slice(&body)
         .map_err(|error| bad(&format!("the job does not decode: {error}")))?;
-    check(&request)?;
     let name = request
         .name
         .clone()
         .unwrap_or_else(|| ids::WorkId::new(format!("job-{key}")));
+    check(&request, &name)?;
     let work = request.into_work(name);
     let key = ids::IdempotencyKey::new(key);
     let job = entry.operations.submit_job(&work, &key).await?;
     Ok((StatusCode::ACCEPTED, Json(api::JobAccepted { job })))
 }
 
-/// Checks what no cell could run; sizes are checked where the task is placed.
-fn check(request: &api::JobRequest) -> errors::Result<()> {
-    if request.tasks == 0 || request.tasks > TASKS_LIMIT {
-        return Err(bad(&format!("tasks: must be from 1 to {TASKS_LIMIT}")));
+/// Checks the ranges of single fields, as those of a release note are.
+///
+/// Sizes are checked against the cell and the quotas where the job is submitted.
+fn check(request: &api::JobRequest, name: &ids::WorkId) -> errors::Result<()> {
+    let demand = request.demand;
+    let attempts = u64::from(request.max_attempts);
+    let fields = [
+        ("tasks", u64::from(request.tasks), limits::TASKS),
+        ("demand.cpu_milli", demand.cpu_milli, limits::CPU_MILLI),
+        ("demand.memory_mb", demand.memory_mb, limits::MEMORY_MB),
+        (
+            "demand.accelerators",
+            demand.accelerators,
+            limits::ACCELERATORS,
+        ),
+        ("run_time_ms", request.run_time_ms, limits::RUN_TIME_MS),
+        ("max_attempts", attempts, limits::MAX_ATTEMPTS),
+    ];
+    for (field, value, allowed) in fields {
+        if !allowed.contains(&value) {
+            let (low, high) = allowed.into_inner();
+            return Err(bad(&format!(
+                "{field}: must be from {low} to {high}, not {value}"
+            )));
+        }
     }
-    if request.max_attempts == 0 {
-        return Err(bad("max_attempts: must be at least 1"));
-    }
-    if request.demand.cpu_milli == 0 && request.demand.accelerators == 0 {
-        return Err(bad("demand: a task needs processors or accelerators"));
+    if request.zones.len() > limits::ZONES_LIMIT {
+        return Err(bad(&format!(
+            "zones: at most {} are allowed",
+            limits::ZONES_LIMIT
+        )));
     }
     let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    let name_is_fine = |name: &ids::WorkId| {
-        let name = name.as_str();
-        !name.is_empty() && name.len() <= NAME_LIMIT_CHARS && name.chars().all(allowed)
-    };
-    if !request.name.as_ref().is_none_or(name_is_fine) {
-        return Err(bad(
-            "name: must have 1 to 100 letters, digits, '-', '_' or '.'",
-        ));
+    let text = name.as_str();
+    if text.is_empty() || text.len() > NAME_LIMIT_CHARS || !text.chars().all(allowed) {
+        return Err(bad(&format!(
+            "name: must have 1 to {NAME_LIMIT_CHARS} letters, digits, '-', '_' or '.'; without a \
+             name it is made from the idempotency key: {text:?}"
+        )));
     }
     Ok(())
 }
@@ -63,7 +90,7 @@
 /// Cancels a job.
 pub(super) async fn cancel(
     State(entry): State<Entry>,
-    Path(job): Path<String>,
+    Params(job): Params<String>,
 ) -> Reply<Json<api::JobAccepted>> {
     let job = entry.operations.cancel_job(&ids::WorkId::new(&job)).await?;
     Ok(Json(api::JobAccepted { job }))
@@ -72,7 +99,7 @@
 /// The status of one job.
 pub(super) async fn status(
     State(entry): State<Entry>,
-    Path(job): Path<String>,
+    Params(job): Params<String>,
 ) -> Reply<Json<api::JobStatus>> {
     let status = entry.operations.job_status(&ids::WorkId::new(&job)).await?;
     Ok(Json(status))
--- a/crates/node/src/entry/listener.rs
+++ b/crates/node/src/entry/listener.rs
@@ -12,22 +12,27 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use crate::events;
+use crate::{events, telemetry};
+
+/// Largest request line and headers together, in bytes.
+const HEADER_LIMIT_BYTES: usize = 64 * 1024;
+/// Pause after a connection could not be accepted, for instance for want of file descriptors.
+const ACCEPT_RETRY: time::Duration = time::Duration::from_millis(50);
 
 /// Limits of the HTTP port.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpConfig {
     /// Connections that may be open at once.
     pub connection_limit: usize,
-    /// How long the headers of a request may take to arrive.
-    pub header_timeout_ms: u64,
+    /// How long the headers of a request may take to arrive, and how long its body.
+    pub request_timeout_ms: u64,
 }
 
 impl Default for HttpConfig {
     fn default() -> Self {
         Self {
             connection_limit: 2_048,
-            header_timeout_ms: 10_000,
+            request_timeout_ms: 10_000,
         }
     }
 }
@@ -38,15 +43,22 @@
     listener: TcpListener,
     routes: Router,
     config: HttpConfig,
+    metrics: telemetry::Metrics,
 }
 
 impl HttpServer {
     /// Makes a server on a bound listener.
-    pub fn new(listener: TcpListener, routes: Router, config: HttpConfig) -> Self {
+    pub fn new(
+        listener: TcpListener,
+        routes: Router,
+        config: HttpConfig,
+        metrics: telemetry::Metrics,
+    ) -> Self {
         Self {
             listener,
             routes,
             config,
+            metrics,
         }
     }
 
@@ -56,20 +68,25 @@
     pub async fn run(self, stop: CancellationToken, drain: time::Duration) -> bool {
         let slots = Arc::new(Semaphore::new(self.config.connection_limit));
         let graceful = GracefulShutdown::new();
-        let mut builder = auto::Builder::new(TokioExecutor::new());
+        // Finding out the version has no time limit, so a sender of nothing would hold its
+        // connection for ever; with one version the time limit for headers holds.
+        let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
         builder
             .http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(time::Duration::from_millis(self.config.header_timeout_ms));
+            .max_buf_size(HEADER_LIMIT_BYTES)
+            .header_read_timeout(time::Duration::from_millis(self.config.request_timeout_ms));
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => break,
                 accepted = self.listener.accept() => accepted,
             };
             let Ok((stream, peer)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
                 continue;
             };
             let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+                self.metrics.refusal("connections");
                 kernel::log_event!(events::REQUEST_REFUSED, "{peer}: too many connections");
                 continue;
             };
@@ -79,8 +96,10 @@
                 .serve_connection(TokioIo::new(stream), service)
                 .into_owned();
             let connection = graceful.watch(connection);
+            let metrics = self.metrics.clone();
             tokio::spawn(async move {
                 if let Err(error) = connection.await {
+                    metrics.refusal("connection");
                     kernel::log_event!(events::REQUEST_REFUSED, "{peer}: {error}");
                 }
                 drop(slot);
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,13 +3,16 @@
 //! Bodies are read whole before anything is done, within a limit and a time
 //! limit, so that a slow or broken sender costs one connection and no slot.
 
+mod body;
 mod calls;
 mod health;
 mod jobs;
 mod listener;
 mod operators;
+mod params;
 mod releases;
 mod reply;
+mod unknown;
 
 use std::sync::Arc;
 use std::time;
@@ -24,9 +27,6 @@
 
 pub use listener::{HttpConfig, HttpServer};
 
-/// How long the body of a request may take to arrive.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// What the handlers share.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -35,6 +35,7 @@
     metrics: Option<telemetry::MetricsPage>,
     /// Bytes of request bodies that may be held at once, in kibibytes.
     body_memory: Arc<Semaphore>,
+    body_timeout: time::Duration,
 }
 
 /// Request bodies that may be held at once; half of the memory that a host may use.
@@ -42,12 +43,17 @@
 
 impl Entry {
     /// Makes the entry of one host.
-    pub fn new(shared: Arc<shared::Shared>, metrics: Option<telemetry::MetricsPage>) -> Self {
+    pub fn new(
+        shared: Arc<shared::Shared>,
+        metrics: Option<telemetry::MetricsPage>,
+        config: HttpConfig,
+    ) -> Self {
         Self {
             operations: Operations::new(Arc::clone(&shared)),
             shared,
             metrics,
             body_memory: Arc::new(Semaphore::new(BODY_MEMORY_KB)),
+            body_timeout: time::Duration::from_millis(config.request_timeout_ms),
         }
     }
 
@@ -75,6 +81,8 @@
             .route("/v1/tasks/{work}/{index}", routing::get(operators::explain))
             .route("/v1/call/{service}", routing::any(calls::call_root))
             .route("/v1/call/{service}/{*path}", routing::any(calls::call))
+            .fallback(unknown::path)
+            .method_not_allowed_fallback(unknown::method)
             .layer(DefaultBodyLimit::max(upstreams::BODY_LIMIT_BYTES))
             .with_state(self)
     }
--- a/crates/node/src/entry/operators.rs
+++ b/crates/node/src/entry/operators.rs
@@ -1,10 +1,11 @@
 //! What operators ask.
 
 use axum::Json;
-use axum::extract::{Path, State};
+use axum::extract::State;
 use kernel::ids;
 
 use super::Entry;
+use super::params::Params;
 use super::reply::Reply;
 use crate::operators;
 
@@ -26,7 +27,7 @@
 /// Why a task waits, or where it runs or ran.
 pub(super) async fn explain(
     State(entry): State<Entry>,
-    Path((work, index)): Path<(String, u32)>,
+    Params((work, index)): Params<(String, u32)>,
 ) -> Reply<Json<api::Explanation>> {
     let task = ids::TaskId::new(&ids::WorkId::new(&work), index);
     Ok(Json(operators::explain(&entry.shared, &task).await?))
--- a/crates/node/src/entry/releases.rs
+++ b/crates/node/src/entry/releases.rs
@@ -2,14 +2,16 @@
 
 use axum::Json;
 use axum::body::Body;
-use axum::extract::{Path, State};
+use axum::extract::State;
 use axum::http::{HeaderMap, Request};
 use kernel::errors;
 use kernel::ids;
 use kernel::lifecycle;
 
 use super::Entry;
-use super::calls::{header, read_body};
+use super::body;
+use super::calls::header;
+use super::params::Params;
 use super::reply::Reply;
 use crate::operators;
 
@@ -19,7 +21,7 @@
     request: Request<Body>,
 ) -> Reply<Json<api::SubmitReply>> {
     let (submitter, base) = read_headers(request.headers())?;
-    let (note, _memory) = read_body(&entry, request.into_body()).await?;
+    let (note, _memory) = body::read(&entry, request.into_body()).await?;
     let accepted = entry
         .operations
         .submit_release(&note, &submitter, base)
@@ -55,7 +57,7 @@
 /// One release, from this host or the store.
 pub(super) async fn show(
     State(entry): State<Entry>,
-    Path(version): Path<u64>,
+    Params(version): Params<u64>,
 ) -> Reply<Json<api::ReleaseView>> {
     let version = ids::ReleaseVersion(version);
     if let Some(accepted) = entry.shared.releases.shared().current()
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -31,9 +31,9 @@
     /// The host ended.
     STOPPED = (7012, "stopped", Info,
         "The process ends; all open requests were answered unless the message says otherwise.");
-    /// A release is in force.
-    RELEASE_IN_FORCE = (7020, "release-in-force", Info,
-        "The host works from this release from now on. Nothing to do.");
+    /// Peers are told about a release.
+    RELEASE_ANNOUNCED = (7020, "release-announced", Debug,
+        "The host tells its peers that a release is in force. Nothing to do.");
     /// Work of a release cannot be accepted.
     RELEASE_WORK_REFUSED = (7021, "release-work-refused", Warn,
         "A shard could not journal work of the release; it tries again. Check the store if it goes on.");
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -53,13 +53,17 @@
     ///
     /// # Errors
     ///
-    /// As in the table of error kinds.
+    /// [`errors::ErrorKind::BadRequest`] if the job can never run in the cell and under the
+    /// release in force, else as in the table of error kinds.
     pub async fn submit_job(
         &self,
         work: &work::Work,
         key: &ids::IdempotencyKey,
     ) -> errors::Result<ids::WorkId> {
         self.check_serving()?;
+        let limits = self.cell_limits().await;
+        release::check_job(work, &self.shared.releases.current(), &limits)
+            .map_err(errors::Error::from)?;
         let encoded = serde_json::to_vec(work).map_err(|source| {
             errors::Error::with_source(
                 errors::ErrorKind::BadRequest,
--- a/crates/node/src/releases.rs
+++ b/crates/node/src/releases.rs
@@ -166,7 +166,7 @@
     let mut versions = shared.releases.shared().subscribe();
     while versions.changed().await.is_ok() {
         let version = shared.releases.version();
-        kernel::log_event!(events::RELEASE_IN_FORCE, "release {version}");
+        kernel::log_event!(events::RELEASE_ANNOUNCED, "release {version}");
         shared.record(history::Event::ReleaseInForce {
             host: shared.config.host.clone(),
             version,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -11,7 +11,7 @@
 use kernel::errors;
 use kernel::ids;
 
-use crate::{clock, config, topology};
+use crate::{clock, config, entry, topology};
 use parse::Faults;
 
 /// Settings that `serve` takes.
@@ -81,6 +81,15 @@
     #[arg(long, env = "HICKORY_DRAIN_TIMEOUT_MS", default_value = "30000")]
     pub drain_timeout_ms: String,
 
+    /// Connections that callers and operators may have open at once (1 to 65536).
+    #[arg(long, env = "HICKORY_CONNECTION_LIMIT", default_value = "2048")]
+    pub connection_limit: String,
+
+    /// How long a request's headers may take to arrive, and how long its body, in milliseconds
+    /// (100 to 600000).
+    #[arg(long, env = "HICKORY_REQUEST_TIMEOUT_MS", default_value = "10000")]
+    pub request_timeout_ms: String,
+
     /// OTLP endpoint for traces over HTTP, as <http://IP:PORT>; no traces if empty.
     #[arg(long, env = "HICKORY_OTLP_ENDPOINT", default_value = "")]
     pub otlp_endpoint: String,
@@ -90,6 +99,15 @@
     pub record: String,
 }
 
+/// Settings that have passed all checks.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    /// The host's configuration.
+    pub node: config::NodeConfig,
+    /// Limits of the HTTP port.
+    pub http: entry::HttpConfig,
+}
+
 /// Longest deadline that a caller may state, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
@@ -99,7 +117,7 @@
     /// # Errors
     ///
     /// [`errors::ErrorKind::Usage`] with one line for every wrong setting.
-    pub fn check(&self) -> errors::Result<config::NodeConfig> {
+    pub fn check(&self) -> errors::Result<Checked> {
         let mut faults = Faults::default();
         let zones = faults.zones("zones", self.zones.as_deref());
         let zone = faults.zone("zone", self.zone.as_deref(), &zones);
@@ -159,6 +177,7 @@
             0,
             600_000,
         );
+        let http = self.check_http(&mut faults);
         if worker_sync_interval_ms * 3 > task_lease_ms {
             faults.add(
                 "worker-sync-interval-ms",
@@ -169,7 +188,7 @@
 
         let incarnation_ms = clock::wall_ms();
         let suffix = std::process::id();
-        Ok(config::NodeConfig {
+        let node = config::NodeConfig {
             host: ids::HostId::new(format!("{}.{incarnation_ms:x}.{suffix:x}", self.name)),
             zone,
             incarnation_ms,
@@ -189,7 +208,23 @@
             max_deadline_ms: MAX_DEADLINE_MS,
             drain_timeout_ms,
             seed: incarnation_ms ^ (u64::from(suffix) << 32),
-        })
+        };
+        Ok(Checked { node, http })
+    }
+
+    /// Checks the limits of the HTTP port.
+    fn check_http(&self, faults: &mut Faults) -> entry::HttpConfig {
+        let connection_limit =
+            faults.number("connection-limit", &self.connection_limit, 1..=65_536);
+        let request_timeout_ms = faults.number(
+            "request-timeout-ms",
+            &self.request_timeout_ms,
+            100..=600_000,
+        );
+        entry::HttpConfig {
+            connection_limit: connection_limit as usize,
+            request_timeout_ms,
+        }
     }
 }
 
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of one process.
 
+use std::sync::Arc;
+
 use kernel::errors;
 use opentelemetry::KeyValue;
 use opentelemetry::global;
@@ -9,6 +11,82 @@
 
 const METER: &str = "hickorychute";
 
+/// What an instrument measures and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstrumentKind {
+    /// A sum that only grows.
+    Counter,
+    /// A distribution of values.
+    Histogram,
+}
+
+/// The declaration of one instrument.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Instrument {
+    /// The name under which it is made; a scrape adds `_total` to counters.
+    pub name: &'static str,
+    /// How it measures.
+    pub kind: InstrumentKind,
+    /// Names of its labels.
+    pub labels: &'static [&'static str],
+    /// What it measures, with its unit.
+    pub description: &'static str,
+}
+
+const CALLS: Instrument = Instrument {
+    name: "hickory_calls",
+    kind: InstrumentKind::Counter,
+    labels: &["outcome", "kind"],
+    description: "Calls answered, by outcome and error kind",
+};
+const CALL_MS: Instrument = Instrument {
+    name: "hickory_call_ms",
+    kind: InstrumentKind::Histogram,
+    labels: &[],
+    description: "Time from a call's arrival to its answer, in milliseconds",
+};
+const TASK_STARTS: Instrument = Instrument {
+    name: "hickory_task_starts",
+    kind: InstrumentKind::Counter,
+    labels: &[],
+    description: "Starts of tasks that workers carried out",
+};
+const TASK_ENDS: Instrument = Instrument {
+    name: "hickory_task_ends",
+    kind: InstrumentKind::Counter,
+    labels: &["end"],
+    description: "Ends of runs, by how they ended",
+};
+const WORKER_SYNCS: Instrument = Instrument {
+    name: "hickory_worker_syncs",
+    kind: InstrumentKind::Counter,
+    labels: &["result"],
+    description: "Exchanges with workers, by result",
+};
+const REFUSALS: Instrument = Instrument {
+    name: "hickory_refusals",
+    kind: InstrumentKind::Counter,
+    labels: &["reason"],
+    description: "Requests and connections that the HTTP port refused unread, by reason",
+};
+const PEER_REFUSALS: Instrument = Instrument {
+    name: "hickory_peer_refusals",
+    kind: InstrumentKind::Counter,
+    labels: &["reason"],
+    description: "Connections and requests that the port for peers refused, by reason",
+};
+
+/// All instruments; `docs/metrics.md` describes them.
+pub const INSTRUMENTS: [Instrument; 7] = [
+    CALLS,
+    CALL_MS,
+    TASK_STARTS,
+    TASK_ENDS,
+    WORKER_SYNCS,
+    REFUSALS,
+    PEER_REFUSALS,
+];
+
 /// The instruments that the roles write to.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -29,32 +107,16 @@
 impl Metrics {
     /// Makes the instruments at the process's meter.
     pub fn new() -> Self {
-        let meter = global::meter(METER);
         Self {
-            calls: meter
-                .u64_counter("hickory_calls")
-                .with_description("Calls answered, by outcome and error kind")
-                .build(),
-            call_ms: meter
-                .u64_histogram("hickory_call_ms")
-                .with_description("Time from a call's arrival to its answer, in milliseconds")
-                .build(),
-            starts: meter
-                .u64_counter("hickory_task_starts")
-                .with_description("Starts of tasks that workers carried out")
-                .build(),
-            ends: meter
-                .u64_counter("hickory_task_ends")
-                .with_description("Ends of runs, by how they ended")
-                .build(),
-            worker_syncs: meter
-                .u64_counter("hickory_worker_syncs")
-                .with_description("Exchanges with workers, by result")
-                .build(),
-            refusals: meter
-                .u64_counter("hickory_refusals")
-                .with_description("Requests refused before they were read whole, by reason")
+            calls: counter(CALLS),
+            call_ms: global::meter(METER)
+                .u64_histogram(CALL_MS.name)
+                .with_description(CALL_MS.description)
                 .build(),
+            starts: counter(TASK_STARTS),
+            ends: counter(TASK_ENDS),
+            worker_syncs: counter(WORKER_SYNCS),
+            refusals: counter(REFUSALS),
         }
     }
 
@@ -87,12 +149,33 @@
         self.worker_syncs.add(1, &[KeyValue::new("result", result)]);
     }
 
-    /// Counts a request that was refused before it was read whole.
+    /// Counts a request or connection that the HTTP port refused before it was read whole.
     pub fn refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 }
 
+fn counter(instrument: Instrument) -> Counter<u64> {
+    global::meter(METER)
+        .u64_counter(instrument.name)
+        .with_description(instrument.description)
+        .build()
+}
+
+/// Exports what the port for peers counts.
+pub fn observe_peer_port(counters: Arc<wire::ServerCounters>) {
+    // The meter keeps the callback; the instrument itself is not needed.
+    let _ = global::meter(METER)
+        .u64_observable_counter(PEER_REFUSALS.name)
+        .with_description(PEER_REFUSALS.description)
+        .with_callback(move |observer| {
+            for (reason, count) in counters.by_reason() {
+                observer.observe(count, &[KeyValue::new("reason", reason)]);
+            }
+        })
+        .build();
+}
+
 /// The page that a Prometheus scrape reads.
 #[derive(Clone, Debug)]
 pub struct MetricsPage {
--- a/crates/node/src/telemetry/mod.rs
+++ b/crates/node/src/telemetry/mod.rs
@@ -7,5 +7,7 @@
 mod metrics;
 mod traces;
 
-pub use metrics::{Metrics, MetricsPage};
+pub use metrics::{
+    INSTRUMENTS, Instrument, InstrumentKind, Metrics, MetricsPage, observe_peer_port,
+};
 pub use traces::{Tracing, current_traceparent, in_span};
