--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -123,7 +123,14 @@
         digest: digest(&call),
         attempt_id: next_attempt(shared),
     };
-    let ticket = match claims.begin(&request, call.deadline_ms).await? {
+    // Many claims share one write to the store, so the span is the wait for that write.
+    let begun = crate::telemetry::in_span(
+        "store claim",
+        opentelemetry::trace::SpanKind::Client,
+        "",
+        claims.begin(&request, call.deadline_ms),
+    );
+    let ticket = match begun.await? {
         Begin::Send(ticket) => ticket,
         Begin::Answered(answer) => return recorded(answer),
         Begin::Unknown(earlier) => {
@@ -142,7 +149,13 @@
             );
             // The caller is answered when the answer is durable, so that every
             // later duplicate gets the same one.
-            if let Ok(Err(error)) = ticket.finish(kept).await {
+            let finished = crate::telemetry::in_span(
+                "store answer",
+                opentelemetry::trace::SpanKind::Client,
+                "",
+                ticket.finish(kept),
+            );
+            if let Ok(Err(error)) = finished.await {
                 log::debug!("answer under key {key} is not recorded: {error}");
             }
             Ok(answered)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![expect(dead_code, reason = "each test binary uses its own part")]
 
 mod client;
+pub mod collector;
 mod process;
 
 pub use client::{Reply, request};
