--- a/crates/node/src/entry/listener.rs
+++ b/crates/node/src/entry/listener.rs
@@ -1,5 +1,7 @@
 //! The listening side of the HTTP port.
 
+use std::error;
+use std::net;
 use std::sync::Arc;
 use std::time;
 
@@ -99,8 +101,7 @@
             let metrics = self.metrics.clone();
             tokio::spawn(async move {
                 if let Err(error) = connection.await {
-                    metrics.refusal("connection");
-                    kernel::log_event!(events::REQUEST_REFUSED, "{peer}: {error}");
+                    note_failure(&metrics, peer, error.as_ref());
                 }
                 drop(slot);
             });
@@ -111,3 +112,22 @@
             .is_ok()
     }
 }
+
+/// Counts a connection that failed, and logs it unless it was only silent.
+fn note_failure(
+    metrics: &telemetry::Metrics,
+    peer: net::SocketAddr,
+    error: &(dyn error::Error + Send + Sync + 'static),
+) {
+    // Callers may keep a connection for later requests; its end is nobody's fault.
+    let is_silent = error
+        .downcast_ref::<hyper::Error>()
+        .is_some_and(hyper::Error::is_timeout);
+    if is_silent {
+        metrics.refusal("idle");
+        log::debug!("{peer}: {error}");
+        return;
+    }
+    metrics.refusal("connection");
+    kernel::log_event!(events::REQUEST_REFUSED, "{peer}: {error}");
+}
