Test requests that trickle in, and large bodies together

A head or body that comes byte by byte is given up at the time limit; two bodies of 15 MiB in the making leave no room for a third, and small requests are served meanwhile.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -14,7 +14,12 @@
 const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
 fn start() -> Cell {
-    let extra = ["--request-timeout-ms", "400", "--connection-limit", "16"];
+    start_with_timeout("400")
+}
+
+fn start_with_timeout(request_timeout_ms: &str) -> Cell {
+    let limits = ["--request-timeout-ms", request_timeout_ms];
+    let extra = [limits.as_slice(), &["--connection-limit", "16"]].concat();
     Cell::start(&["muc-ost"], &extra)
 }
 
@@ -224,6 +229,57 @@
     }
 }
 
+#[test]
+fn a_request_that_comes_byte_by_byte_is_not_waited_for() {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let cell = start();
+    let address = &cell.hosts[0].http;
+    let head = "POST /v1/call/any HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n\r\n";
+    for (name, sent_at_once) in [("a head", ""), ("a body", head)] {
+        let mut stream = TcpStream::connect(address).expect("the host accepts");
+        stream.write_all(sent_at_once.as_bytes()).expect("it takes");
+        wait_until(&format!("{name} is given up"), LIMIT, || {
+            std::thread::sleep(PAUSE);
+            stream.write_all(b"a").is_err()
+        });
+        assert_eq!(request("GET", address, "/live", &[], b"").status, 200);
+    }
+}
+
+#[test]
+fn bodies_above_the_memory_of_the_host_are_refused_before_they_are_held() {
+    const HELD_BYTES: usize = 15 * 1024 * 1024;
+    let cell = start_with_timeout("20000");
+    let address = &cell.hosts[0].http;
+    let announced = BODY_LIMIT_BYTES;
+    let head =
+        format!("POST /v1/call/any HTTP/1.1\r\nhost: a\r\ncontent-length: {announced}\r\n\r\n");
+    let held: Vec<TcpStream> = (0..2)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).expect("the host accepts");
+            stream
+                .write_all(head.as_bytes())
+                .expect("it takes the head");
+            stream
+                .write_all(&vec![b'a'; HELD_BYTES])
+                .expect("it takes the body");
+            stream
+        })
+        .collect();
+    let large = vec![b'a'; HELD_BYTES];
+    wait_until("a third large body is refused", LIMIT, || {
+        request("POST", address, "/v1/call/any", &[], &large);
+        counter(address, "hickory_refusals_total", "reason=\"memory\"") > 0
+    });
+    let small = request("POST", address, "/v1/jobs", &[], b"{}");
+    assert_eq!(small.status, 400, "{}", small.text());
+    drop(held);
+    wait_until("the memory is free again", LIMIT, || {
+        let reply = request("POST", address, "/v1/call/any", &[], &large);
+        reply.text().contains("no_upstream")
+    });
+}
+
 struct RefusalCase {
     name: &'static str,
     method: &'static str,
