Bring about failures of real processes and check their histories

What the in-process runs show had not been seen with real signals, sockets and clocks. Six test files start the stand-in platform and four entry hosts each: an owner killed, an owner stopped beyond its leases and woken, a zone without the store and without everything outside, the store away beyond every lease, all hosts restarted at once and one after another, a worker that leaves, operators who race. Each hands the platform's and the callers' events to the checker.

A key that ran and was answered "not run" cannot be seen by the checker, since keyed requests have no number of their own at the minion; the tests look for it by the key.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,8 +2,12 @@
 
 #![expect(dead_code, reason = "each test binary uses its own part")]
 
-mod client;
-mod process;
+pub mod client;
+pub mod faults;
+pub mod history;
+pub mod load;
+pub mod process;
+pub mod work;
 
 pub use client::{Reply, request};
 pub use process::Process;
@@ -43,45 +47,42 @@
 impl Cell {
     /// Starts the platform and one entry host for each zone given, and waits until all serve.
     pub fn start(zones: &[&str], extra: &[&str]) -> Self {
-        let mut platform = Process::start(
-            env!("CARGO_BIN_EXE_hickory-standin"),
-            &["platform", "--listen", "127.0.0.1:0", "--firm", "huber"],
-        );
+        let mut cell = Self::start_platform(&[]);
+        let store = cell.store.clone();
+        cell.start_hosts(zones, |_| store.clone(), extra);
+        cell
+    }
+
+    /// Starts the platform alone.
+    pub fn start_platform(extra: &[&str]) -> Self {
+        let mut arguments = vec!["platform", "--listen", "127.0.0.1:0", "--firm", "huber"];
+        arguments.extend(extra);
+        let mut platform = Process::start(env!("CARGO_BIN_EXE_hickory-standin"), &arguments);
         let line = platform.wait_for_line("ready ");
-        let store = field(&line, "store");
-        let mut hosts: Vec<(usize, Process)> = zones
-            .iter()
-            .enumerate()
-            .map(|(index, zone)| (index, start_host(&store, index, zone, extra)))
-            .collect();
-        let hosts = hosts
-            .drain(..)
-            .map(|(_, mut process)| {
-                let line = process.wait_for_line("ready ");
-                Host {
-                    http: field(&line, "http"),
-                    peers: field(&line, "peers"),
-                    process,
-                }
-            })
-            .collect();
         Self {
             platform,
-            store,
-            hosts,
+            store: field(&line, "store"),
+            hosts: Vec::new(),
         }
     }
 
+    /// Starts one more entry host for each zone given, and waits until all serve.
+    ///
+    /// `store` gives the address at which the hosts of a zone reach the store.
+    pub fn start_hosts(&mut self, zones: &[&str], store: impl Fn(&str) -> String, extra: &[&str]) {
+        let first = self.hosts.len();
+        let processes: Vec<Process> = zones
+            .iter()
+            .enumerate()
+            .map(|(index, zone)| start_host(&store(zone), first + index, zone, extra))
+            .collect();
+        let hosts = processes.into_iter().map(Host::when_ready);
+        self.hosts.extend(hosts);
+    }
+
     /// Submits a release note through a host.
     pub fn submit(&self, host: usize, submitter: &str, note: &str) -> Reply {
-        let headers = [("x-submitter-id", submitter)];
-        request(
-            "POST",
-            &self.hosts[host].http,
-            "/v1/releases",
-            &headers,
-            note.as_bytes(),
-        )
+        submit_note(&self.hosts[host].http, submitter, note)
     }
 
     /// Status of a job, if it is known.
@@ -97,8 +98,37 @@
     }
 }
 
+impl Host {
+    /// Waits until a host serves.
+    pub fn when_ready(mut process: Process) -> Self {
+        let line = process.wait_for_line("ready ");
+        Self {
+            http: field(&line, "http"),
+            peers: field(&line, "peers"),
+            process,
+        }
+    }
+}
+
+/// Submits a release note through the host at an address.
+pub fn submit_note(http: &str, submitter: &str, note: &str) -> Reply {
+    let headers = [("x-submitter-id", submitter)];
+    request("POST", http, "/v1/releases", &headers, note.as_bytes())
+}
+
 /// Starts one entry host that connects to a store.
 pub fn start_host(store: &str, index: usize, zone: &str, extra: &[&str]) -> Process {
+    start_host_at("127.0.0.1:0", store, index, zone, extra)
+}
+
+/// Starts one entry host that serves callers at an address.
+pub fn start_host_at(
+    listen: &str,
+    store: &str,
+    index: usize,
+    zone: &str,
+    extra: &[&str],
+) -> Process {
     let name = format!("h{index}");
     let mut arguments = vec![
         "serve",
@@ -109,7 +139,7 @@
         "--zones",
         HUBER_ZONES,
         "--listen",
-        "127.0.0.1:0",
+        listen,
         "--peer-listen",
         "127.0.0.1:0",
         "--platform-address",
