--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -12,11 +12,10 @@
 mod release_work;
 mod reports;
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time;
 
-use journal::ShardJournal;
+use journal::{Applied, Record, ShardJournal};
 use kernel::errors;
 use kernel::ids;
 use kernel::random;
@@ -39,7 +38,6 @@
     journal: OnceLock<Arc<ShardJournal>>,
     outbox: Mutex<outbox::Outbox>,
     balance: Mutex<balance::Balance>,
-    followed_release: AtomicU64,
     wake: Notify,
     stopped: CancellationToken,
 }
@@ -54,7 +52,6 @@
             journal: OnceLock::new(),
             outbox: Mutex::default(),
             balance: Mutex::default(),
-            followed_release: AtomicU64::new(0),
             wake: Notify::new(),
             stopped: CancellationToken::new(),
         });
@@ -87,6 +84,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 () = self.wake.notified() => {}
                 _ = ticks.tick() => {}
             }
@@ -151,20 +149,30 @@
         })
     }
 
+    /// Appends records, and sees to it that groups learn of them even if the answer is lost.
+    ///
+    /// # Errors
+    ///
+    /// As [`ShardJournal::append`].
+    async fn append(&self, records: Vec<Record>) -> errors::Result<Vec<Applied>> {
+        let journal = self.journal()?;
+        let result = journal
+            .append(records, crate::journals::APPEND_WAIT_MS)
+            .await;
+        if let Err(error) = &result
+            && error.kind == errors::ErrorKind::AnswerLost
+        {
+            let applied_seq = *journal.applied_seq().borrow();
+            self.outbox().note_unsettled(applied_seq);
+        }
+        result
+    }
+
     /// The journal, for work that goes on after a request has ended.
     pub(crate) fn shared_journal(&self) -> errors::Result<Arc<ShardJournal>> {
         self.journal().cloned()
     }
 
-    /// The release whose work the journal has.
-    fn followed(&self) -> ids::ReleaseVersion {
-        ids::ReleaseVersion(self.followed_release.load(Ordering::Acquire))
-    }
-
-    fn set_followed(&self, version: ids::ReleaseVersion) {
-        self.followed_release.store(version.0, Ordering::Release);
-    }
-
     fn outbox(&self) -> MutexGuard<'_, outbox::Outbox> {
         self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
