Show that promises break where a guard is missing

A clean history proves little unless the same run breaks without the guard. Seven guards can be taken away one at a time: epochs and sequences at the workers, task leases, the store's conditions, claims, the matching of answers, the difference between a lost answer and a request that did not run, and the signals of leaving workers.

--- a/crates/histories/src/cell.rs
+++ b/crates/histories/src/cell.rs
@@ -14,6 +14,7 @@
 use standin::MemoryPlatform;
 
 use crate::gate;
+use crate::weakened;
 
 /// Lease under which tasks run, short enough that several lapse within a run.
 pub const TASK_LEASE_MS: u64 = 4_000;
@@ -56,6 +57,7 @@
     hosts: IndexMap<String, CellHost>,
     started: u64,
     seed: u64,
+    weakness: Option<weakened::Weakness>,
 }
 
 impl Cell {
@@ -84,9 +86,15 @@
             hosts: IndexMap::new(),
             started: 0,
             seed,
+            weakness: None,
         }
     }
 
+    /// Takes a guard away from hosts that are started from now on.
+    pub fn weaken(&mut self, guard: Option<weakened::Guard>) {
+        self.weakness = guard.map(weakened::Weakness::new);
+    }
+
     /// The zones.
     pub fn zones(&self) -> Vec<ids::ZoneId> {
         self.topology.zones.keys().cloned().collect()
@@ -113,7 +121,11 @@
         let address = format!("{zone}/{}", self.started);
         let config = self.node_config(zone, &address);
         let gate = gate::Gate::default();
-        let platform = gate::gated_platform(&gate, &self.platform.connect(zone));
+        let mut platform = self.platform.connect(zone);
+        if let Some(weakness) = &self.weakness {
+            platform = weakened::weaken(weakness, &platform);
+        }
+        let platform = gate::gated_platform(&gate, &platform);
         let transport = Arc::new(self.network.connect(&address));
         let transport = gate::gated_transport(&gate, transport);
         let sink = Arc::new(ClockedSink {
--- a/crates/histories/src/lib.rs
+++ b/crates/histories/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod gate;
 pub mod plan;
 mod runner;
+pub mod weakened;
 mod workload;
 
 pub use plan::{FaultKind, Plan};
-pub use runner::{HistoryOutcome, run};
+pub use runner::{HistoryOutcome, run, run_without};
+pub use weakened::Guard;
--- a/crates/histories/src/plan.rs
+++ b/crates/histories/src/plan.rs
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Draws one time at which all the given faults come.
+    pub fn at_once(seed: u64, kinds: &[FaultKind]) -> Self {
+        let mut plan = Self::of(seed, kinds);
+        let Some(first) = plan.faults.first().copied() else {
+            return plan;
+        };
+        for fault in &mut plan.faults {
+            fault.at_ms = first.at_ms;
+        }
+        plan
+    }
+
     /// The kinds of all faults, for messages.
     pub fn describe(&self) -> String {
         let parts: Vec<String> = self
--- a/crates/histories/src/runner.rs
+++ b/crates/histories/src/runner.rs
@@ -12,6 +12,7 @@
 
 use crate::cell;
 use crate::plan::{FaultKind, Plan, PlannedFault};
+use crate::weakened;
 use crate::workload;
 
 const HOSTS_PER_ZONE: usize = 2;
@@ -48,12 +49,25 @@
 ///
 /// If the runtime cannot be made, or the first release note is refused.
 pub fn run(plan: &Plan) -> HistoryOutcome {
+    run_weakened(plan, None)
+}
+
+/// Runs a plan on a system from which one guard was taken away.
+///
+/// # Panics
+///
+/// As [`run`].
+pub fn run_without(guard: weakened::Guard, plan: &Plan) -> HistoryOutcome {
+    run_weakened(plan, Some(guard))
+}
+
+fn run_weakened(plan: &Plan, guard: Option<weakened::Guard>) -> HistoryOutcome {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("a runtime without I/O can be made");
-    runtime.block_on(Runner::start(plan.clone()))
+    runtime.block_on(Runner::start(plan.clone(), guard))
 }
 
 /// When a planned fault comes or ends.
@@ -76,12 +90,15 @@
 }
 
 impl Runner {
-    async fn start(plan: Plan) -> HistoryOutcome {
+    async fn start(plan: Plan, guard: Option<weakened::Guard>) -> HistoryOutcome {
         let mut config = standin::Config::preset(standin::Firm::Huber);
         config.workers = WORKERS;
         config.workers_per_rack = WORKERS_PER_RACK;
-        let cell = cell::Cell::new(&config, plan.seed);
-        let workload = workload::Workload::new(cell.sink(), cell.platform.clone());
+        config.behaviour.leaving_refuses &= guard != Some(weakened::Guard::LeavingSignal);
+        let mut cell = cell::Cell::new(&config, plan.seed);
+        cell.weaken(guard);
+        let mut workload = workload::Workload::new(cell.sink(), cell.platform.clone());
+        workload.claims &= guard != Some(weakened::Guard::Claim);
         let mut runner = Self {
             random: random::from_seed(plan.seed ^ 0xfa17),
             victims: vec![None; plan.faults.len()],
--- a/crates/histories/src/workload.rs
+++ b/crates/histories/src/workload.rs
@@ -54,6 +54,8 @@
     pub sink: Arc<history::MemorySink>,
     /// The platform, for its clock.
     pub platform: MemoryPlatform,
+    /// Whether keyed calls take the way over the owner of their claim.
+    pub claims: bool,
     next_request: Arc<AtomicU64>,
     stopping: Arc<AtomicBool>,
 }
@@ -65,6 +67,7 @@
             targets: Targets::default(),
             sink,
             platform,
+            claims: true,
             next_request: Arc::default(),
             stopping: Arc::default(),
         }
@@ -172,7 +175,11 @@
         let limit = time::Duration::from_millis(CALL_DEADLINE_MS + CALLER_PATIENCE_MS);
         let asked = async {
             target.gate.pass().await;
-            let result = target.operations.call(call).await;
+            let result = if self.claims {
+                target.operations.call(call).await
+            } else {
+                forward::route(target.operations.shared(), call).await
+            };
             target.gate.pass().await;
             result
         };
