--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,10 @@
 //! Developer tasks, run as `cargo xtask NAME`.
 
 mod codegen;
-#[cfg(feature = "histories")]
+#[cfg(feature = "cell")]
 mod histories;
+#[cfg(feature = "cell")]
+mod measure;
 
 use std::process;
 
@@ -15,15 +17,20 @@
     /// Writes the message types again from the protobuf definitions.
     Codegen,
     /// Runs whole cells under seeded faults and checks their histories.
-    #[cfg(feature = "histories")]
+    #[cfg(feature = "cell")]
     Histories(histories::Settings),
+    /// Measures what control costs, for docs/CAPACITY.md.
+    #[cfg(feature = "cell")]
+    Measure(measure::Settings),
 }
 
 fn main() -> process::ExitCode {
     let result = match Task::parse() {
         Task::Codegen => codegen::run().map(|()| process::ExitCode::SUCCESS),
-        #[cfg(feature = "histories")]
+        #[cfg(feature = "cell")]
         Task::Histories(settings) => histories::run(&settings),
+        #[cfg(feature = "cell")]
+        Task::Measure(settings) => measure::run(&settings).map(|()| process::ExitCode::SUCCESS),
     };
     match result {
         Ok(code) => code,
