--- a/crates/node/src/group/recovery.rs
+++ b/crates/node/src/group/recovery.rs
@@ -109,5 +109,6 @@
         run_time_ms: work.run_time_ms,
         slots: work.slots,
         connections: work.connections,
+        revision: work.revision,
     }
 }
