--- a/crates/measure/src/workload.rs
+++ b/crates/measure/src/workload.rs
@@ -94,5 +94,7 @@
         idempotent: true,
         slots: 0,
         connections: 0,
+        since: ids::ReleaseVersion::default(),
+        revision: ids::ReleaseVersion::default(),
     }
 }
