--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -182,6 +182,7 @@
         body,
         instance: String::new(),
         attempt_id: 0,
+        load: None,
     })
 }
 
@@ -226,6 +227,7 @@
         body: answer.body,
         instance,
         attempt_id: answer.attempt_id,
+        load: None,
     })
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -57,6 +57,8 @@
     pub instance: String,
     /// The number of the attempt.
     pub attempt_id: u64,
+    /// Load of the service in the group that answered, if the answer comes from its owner.
+    pub load: Option<GroupLoad>,
 }
 
 /// The choice of groups and the budget of retries of one entry host.
@@ -107,11 +109,7 @@
                 let live = host.liveness == Liveness::Live;
                 router.set_state(&id, host.rumor.phase == draining && !own, live);
                 for service in &rumor.services {
-                    let load = GroupLoad {
-                        instances: service.instances,
-                        free_slots: service.free_slots,
-                        queue_delay_ms: service.queue_delay_ms,
-                    };
+                    let load = group_load(service);
                     let heard_ms = now_ms.saturating_sub(host.heard_ms_ago);
                     router.observe(&id, &ids::WorkId::new(&service.service), load, heard_ms);
                 }
@@ -125,6 +123,14 @@
     }
 }
 
+fn group_load(rumor: &messages::ServiceRumor) -> GroupLoad {
+    GroupLoad {
+        instances: rumor.instances,
+        free_slots: rumor.free_slots,
+        queue_delay_ms: rumor.queue_delay_ms,
+    }
+}
+
 /// Serves a call at its entry host: the claim's owner for a non-idempotent one, else the slots'.
 ///
 /// # Errors
@@ -242,6 +248,9 @@
     match &result {
         Ok(answer) => {
             router.record_success(&route.group, now_ms);
+            if let Some(load) = answer.load {
+                router.observe(&route.group, &call.service, load, now_ms);
+            }
             if route.distance == calls::Distance::OtherRegion {
                 router.record_link_bytes(answer.body.len() as u64, now_ms);
             }
@@ -313,6 +322,7 @@
         body: reply.body,
         instance: reply.instance,
         attempt_id: reply.attempt_id,
+        load: reply.load.as_ref().map(group_load),
     })
 }
 
@@ -323,6 +333,12 @@
         body: answered.body,
         instance: answered.instance,
         attempt_id: answered.attempt_id,
+        load: answered.load.map(|load| messages::ServiceRumor {
+            service: String::new(),
+            instances: load.instances,
+            free_slots: load.free_slots,
+            queue_delay_ms: load.queue_delay_ms,
+        }),
     })
 }
 
@@ -344,6 +360,7 @@
         )
     })?;
     let call = call_of(message, deadline_ms.saturating_sub(RETURN_RESERVE_MS));
+    let service = call.service.clone();
     let result = owner
         .call(group::OwnerCall {
             service: call.service,
@@ -360,5 +377,6 @@
         body: result.answer.body,
         instance: result.instance.to_string(),
         attempt_id: result.answer.attempt_id,
+        load: owner.load(&service),
     }))
 }
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -95,6 +95,11 @@
     state
         .placement
         .submit(&held.work, &runs, Some(held.shard), now_ms);
+    if held.work.kind == work::WorkKind::GangJob {
+        state
+            .placement
+            .gang_completed(&held.work.id, held.completed);
+    }
     let mut cancelled = state.cancel_at_recovery.iter();
     if cancelled.any(|(shard, work)| *shard == held.shard && *work == held.work.id) {
         hand_back_unknown(state, held);
@@ -164,9 +169,8 @@
     }
 }
 
-type DecodedWork = (Arc<work::Work>, Vec<(u32, ids::Attempt)>);
-
-fn decode(request: &messages::AssignRequest) -> errors::Result<Vec<DecodedWork>> {
+fn decode(request: &messages::AssignRequest) -> errors::Result<Vec<state::HeldAssignment>> {
+    let shard = ids::ShardId(request.shard as u16);
     let decode_one = |assignment: &messages::Assignment| {
         let work = serde_json::from_slice(&assignment.work).map_err(|source| {
             errors::Error::with_source(
@@ -180,7 +184,12 @@
             .iter()
             .map(|run| (run.index, ids::Attempt(run.attempt)))
             .collect();
-        Ok((Arc::new(work), runs))
+        Ok(state::HeldAssignment {
+            shard,
+            work: Arc::new(work),
+            runs,
+            completed: assignment.completed,
+        })
     };
     request.assignments.iter().map(decode_one).collect()
 }
--- a/crates/node/src/group/calls.rs
+++ b/crates/node/src/group/calls.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use calls::{Admission, CallId, CallTicket, Dispatch, LeavingSource};
+use calls::{Admission, CallId, CallTicket, Dispatch, GroupLoad, LeavingSource};
 use kernel::errors;
 use kernel::ids;
 use kernel::work;
@@ -201,6 +201,17 @@
         state.deliver_refusals(refusals);
     }
 
+    /// Load of a service in the group.
+    pub(crate) fn load(&self, service: &ids::WorkId) -> Option<GroupLoad> {
+        let state = self.state();
+        let load = state.dispatchers.get(service)?.load();
+        Some(GroupLoad {
+            instances: load.instances,
+            free_slots: load.free_slots,
+            queue_delay_ms: load.queue_delay_ms,
+        })
+    }
+
     /// The instances of a service that run in the group.
     pub(crate) fn instances(&self, service: &ids::WorkId) -> Vec<upstreams::UpstreamAddress> {
         let state = self.state();
--- a/crates/node/src/group/state.rs
+++ b/crates/node/src/group/state.rs
@@ -23,6 +23,8 @@
     pub shard: ids::ShardId,
     pub work: Arc<work::Work>,
     pub runs: Vec<(u32, ids::Attempt)>,
+    /// Tasks of the work that have completed.
+    pub completed: u32,
 }
 
 /// The end of a run that the shard has not confirmed yet.
--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use journal::{Assignment, Record, Run};
+use journal::{Assignment, Record, Run, ShardState};
 use kernel::errors;
 use kernel::ids;
 use kernel::lifecycle;
@@ -124,7 +124,10 @@
                 group: u32::from(group.index),
                 group_epoch: location.epoch.0,
                 sequence: outbox.next_sequence(),
-                assignments: assignments.iter().filter_map(encode).collect(),
+                assignments: assignments
+                    .iter()
+                    .filter_map(|assignment| encode(&state, assignment))
+                    .collect(),
                 cancelled: cancelled.iter().map(ToString::to_string).collect(),
                 everything: !complete,
             };
@@ -166,7 +169,8 @@
     }
 }
 
-fn encode(assignment: &Assignment) -> Option<messages::Assignment> {
+fn encode(state: &ShardState, assignment: &Assignment) -> Option<messages::Assignment> {
+    let job = state.job(&assignment.work.id);
     let work = serde_json::to_vec(assignment.work.as_ref()).ok()?;
     let runs = assignment
         .runs
@@ -179,6 +183,7 @@
     Some(messages::Assignment {
         work: work.into(),
         runs,
+        completed: job.map_or(0, |job| job.counts().completed),
     })
 }
 
