--- a/crates/kernel/src/lifecycle.rs
+++ b/crates/kernel/src/lifecycle.rs
@@ -1,7 +1,7 @@
 //! The life cycle of an entry host as types.
 //!
-//! A host that is [`Draining`] has no method that accepts a request, so code
-//! that would serve on it does not compile.
+//! Only a host that is [`Serving`] can be drained, and only one that is [`Joining`] can begin to
+//! serve, so code that takes the steps in another order does not compile.
 
 use std::marker;
 
@@ -16,7 +16,7 @@
 /// Accepts requests and may own racks and shards.
 #[derive(Clone, Copy, Debug)]
 pub struct Serving;
-/// Finishes what is open; accepts nothing new.
+/// Hands over what it owns, shows itself as not ready, and finishes what is open or still arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Draining;
 
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -84,6 +84,10 @@
             .fallback(unknown::path)
             .method_not_allowed_fallback(unknown::method)
             .layer(DefaultBodyLimit::max(upstreams::BODY_LIMIT_BYTES))
+            .layer(axum::middleware::from_fn_with_state(
+                self.clone(),
+                health::close_when_draining,
+            ))
             .with_state(self)
     }
 }
--- a/crates/node/src/group/assign.rs
+++ b/crates/node/src/group/assign.rs
@@ -31,9 +31,8 @@
             let is_cancelled =
                 |work: &work::Work| names.iter().any(|name| name == work.id.as_str());
             let mut cancelled = Vec::new();
-            for (work, runs) in works {
-                lift_cancellation(&mut state, shard, &work.id);
-                let held = state::HeldAssignment { shard, work, runs };
+            for held in works {
+                lift_cancellation(&mut state, shard, &held.work.id);
                 if state.recovered || !request.everything {
                     submit(&mut state, &held, now_ms);
                     if is_cancelled(&held.work) {
--- a/crates/node/src/group/mod.rs
+++ b/crates/node/src/group/mod.rs
@@ -14,6 +14,7 @@
 mod calls;
 mod exchange;
 mod link;
+mod quotas;
 mod recovery;
 mod reports;
 mod roster;
@@ -42,6 +43,7 @@
     epoch: ids::Epoch,
     shared: Arc<shared::Shared>,
     state: Mutex<state::GroupState>,
+    quotas: Mutex<quotas::FollowedQuotas>,
     wake: Notify,
     stopped: CancellationToken,
 }
@@ -55,6 +57,7 @@
             epoch,
             shared: Arc::clone(shared),
             state: Mutex::new(state),
+            quotas: Mutex::default(),
             wake: Notify::new(),
             stopped: CancellationToken::new(),
         });
@@ -89,6 +92,10 @@
         views::rumor(&state, &self.id, self.epoch)
     }
 
+    fn quotas(&self) -> MutexGuard<'_, quotas::FollowedQuotas> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn state(&self) -> MutexGuard<'_, state::GroupState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/group/work_loop.rs
+++ b/crates/node/src/group/work_loop.rs
@@ -38,6 +38,7 @@
         self.tend_roster(&mut state, now_ms);
         self.drop_lost_workers(&mut state, now_ms);
         self.check_recovery(&mut state, now_ms);
+        self.follow_quotas(&mut state);
         self.decide(&mut state, now_ms);
         self.send_requests(&mut state, now_ms);
         self.send_reports(&mut state, now_ms);
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -197,13 +197,15 @@
                 .all(api::JobStatus::is_settled)
     }
 
+    /// A draining host goes on serving what still arrives, until the balancer has noticed and
+    /// the port is closed; only one that is joining refuses.
     fn check_serving(&self) -> errors::Result<()> {
-        if self.shared.phase() == lifecycle::Phase::Serving {
+        if self.shared.phase() != lifecycle::Phase::Joining {
             return Ok(());
         }
         Err(errors::Error::new(
             errors::ErrorKind::Draining,
-            "this host takes no requests now",
+            "this host takes no requests yet",
         ))
     }
 }
