--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -40,14 +40,14 @@
 /// [`Error`] if a cell or a process does not come up, or refuses its work.
 pub fn run(scale: &Scale, programs: Option<&std::path::Path>) -> Result<Report> {
     let mut report = Report::default();
+    if let Some(programs) = programs {
+        processes::measure(scale, programs, &mut report)?;
+    }
     placements::measure(scale, &mut report);
     journals::measure(scale, &mut report)?;
     rumors::measure(scale, &mut report);
     control::measure(scale, &mut report)?;
     recovery::measure(scale, &mut report)?;
-    if let Some(programs) = programs {
-        processes::measure(scale, programs, &mut report)?;
-    }
     Ok(report)
 }
 
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -21,6 +21,9 @@
     /// Only the smallest sizes, and no processes.
     #[arg(long)]
     quick: bool,
+    /// All sizes, but no processes.
+    #[arg(long)]
+    no_processes: bool,
     /// How to print the figures.
     #[arg(long, value_enum, default_value = "table")]
     output: Output,
@@ -34,6 +37,8 @@
 pub fn run(settings: &Settings) -> Result<(), Box<dyn error::Error>> {
     let report = if settings.quick {
         ::measure::run(&::measure::Scale::quick(), None)?
+    } else if settings.no_processes {
+        ::measure::run(&::measure::Scale::full(), None)?
     } else {
         build_programs()?;
         let own = env::current_exe()?;
