Let decisions and their inputs be read from JSON

A trace of placement decisions holds the inputs of a group as JSON lines and reads them again. The types had no serde derives, or only Serialize.

--- a/crates/placement/src/config.rs
+++ b/crates/placement/src/config.rs
@@ -2,6 +2,7 @@
 
 use kernel::errors;
 use kernel::ids;
+use serde::{Deserialize, Serialize};
 
 /// How long blocked tasks of a job wait before they are handed back to their shard.
 const HAND_BACK_AFTER_MS: u64 = 5_000;
@@ -11,7 +12,7 @@
 const CHECKPOINT_GRACE_MS: u64 = 300;
 
 /// Settings of a [`Group`](crate::Group).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupConfig {
     pub(crate) id: ids::GroupId,
     pub(crate) hand_back_after_ms: Option<u64>,
--- a/crates/placement/src/decision.rs
+++ b/crates/placement/src/decision.rs
@@ -4,10 +4,10 @@
 use kernel::ids;
 use kernel::work;
 use platform::workers;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Why a task is given back without having run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum HandBackReason {
@@ -24,7 +24,8 @@
 }
 
 /// What the caller has to carry out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Decision {
     /// Start a task on a worker; it counts against the worker already.
     Start {
@@ -52,7 +53,8 @@
 }
 
 /// What follows from the end of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum EndEffect {
     /// The task waits in this group again under its next attempt.
     Restart {
--- a/crates/placement/src/group/reserve.rs
+++ b/crates/placement/src/group/reserve.rs
@@ -6,6 +6,7 @@
 use kernel::work;
 use platform::workers;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use super::Group;
 use crate::decision;
@@ -16,7 +17,7 @@
 const CONFIRMED_KEPT: usize = 256;
 
 /// Room that a group keeps for some tasks of a gang.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reservation {
     /// Number of the reservation in its group.
     pub id: u64,
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -2,11 +2,12 @@
 
 use kernel::ids;
 use kernel::work;
+use serde::{Deserialize, Serialize};
 
 use crate::health;
 
 /// A worker as the group sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerSpec {
     /// The worker.
     pub id: ids::WorkerId,
