--- /dev/null
+++ b/crates/trace/src/call.rs
@@ -0,0 +1,270 @@
+//! The lines of a trace.
+
+use std::sync::Arc;
+
+use kernel::ids;
+use kernel::work;
+use placement::{Decision, EndEffect, Group, GroupConfig, Reservation, WorkerSpec};
+use platform::workers;
+use serde::{Deserialize, Serialize};
+
+/// A call that changes a group, with all that it was given.
+///
+/// Each variant but [`Call::Open`] is the method of [`Group`] of the same name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[expect(missing_docs, reason = "the fields are the parameters of the methods")]
+pub enum Call {
+    /// The group was made.
+    Open {
+        config: GroupConfig,
+        seed: u64,
+    },
+    SetQuota {
+        team: ids::TeamId,
+        limit: Option<work::Resources>,
+        weight: u32,
+    },
+    SetWorker {
+        spec: WorkerSpec,
+        now_ms: u64,
+    },
+    SetWorkerState {
+        worker: ids::WorkerId,
+        leaving: bool,
+        now_ms: u64,
+    },
+    FencePending {
+        worker: ids::WorkerId,
+        until_ms: u64,
+    },
+    WorkerConfirmed {
+        worker: ids::WorkerId,
+    },
+    RemoveWorker {
+        worker: ids::WorkerId,
+        now_ms: u64,
+    },
+    Adopt {
+        worker: ids::WorkerId,
+        order: workers::StartOrder,
+        now_ms: u64,
+    },
+    Submit {
+        work: Arc<work::Work>,
+        runs: Vec<(u32, ids::Attempt)>,
+        shard: Option<ids::ShardId>,
+        now_ms: u64,
+    },
+    GangCompleted {
+        work: ids::WorkId,
+        completed: u32,
+    },
+    Cancel {
+        work: ids::WorkId,
+        now_ms: u64,
+    },
+    LiftCancellation {
+        work: ids::WorkId,
+    },
+    Reserve {
+        gang: Arc<work::Work>,
+        runs: Vec<(u32, ids::Attempt)>,
+        shard: Option<ids::ShardId>,
+        until_ms: u64,
+        now_ms: u64,
+    },
+    Confirm {
+        reservation: u64,
+        now_ms: u64,
+    },
+    AbortGang {
+        gang: ids::WorkId,
+    },
+    Release {
+        reservation: u64,
+    },
+    Decide {
+        now_ms: u64,
+        limit: usize,
+    },
+    Started {
+        run: ids::TaskAttempt,
+    },
+    Refused {
+        run: ids::TaskAttempt,
+        reason: workers::RefusalReason,
+        now_ms: u64,
+    },
+    NotStarted {
+        run: ids::TaskAttempt,
+        now_ms: u64,
+    },
+    StartUnknown {
+        run: ids::TaskAttempt,
+        now_ms: u64,
+    },
+    Ended {
+        run: ids::TaskAttempt,
+        end: workers::RunEnd,
+        ran_ms: u64,
+        now_ms: u64,
+    },
+    Usage {
+        worker: ids::WorkerId,
+        run: ids::TaskAttempt,
+        used: work::Resources,
+        now_ms: u64,
+    },
+}
+
+/// What a call gave back.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// The method gives nothing back.
+    #[default]
+    Nothing,
+    /// What the caller has to carry out.
+    Decisions(Vec<Decision>),
+    /// Runs that the caller has to report or end.
+    Runs(Vec<ids::TaskAttempt>),
+    /// What follows from the end of a run.
+    End(EndEffect),
+    /// Room that was reserved, if there was any.
+    Reserved(Option<Reservation>),
+    /// The starts of a confirmed reservation; `None` if it had run out.
+    Confirmed(Option<Vec<Decision>>),
+}
+
+impl Effect {
+    /// The decisions that the effect holds.
+    pub fn decisions(&self) -> &[Decision] {
+        match self {
+            Self::Decisions(decisions) | Self::Confirmed(Some(decisions)) => decisions,
+            _ => &[],
+        }
+    }
+
+    fn is_nothing(&self) -> bool {
+        *self == Self::Nothing
+    }
+}
+
+impl Call {
+    /// Makes the call; [`Call::Open`] does nothing on a group that exists.
+    pub fn apply(&self, group: &mut Group) -> Effect {
+        match self {
+            Self::Decide { now_ms, limit } => Effect::Decisions(group.decide(*now_ms, *limit)),
+            Self::Cancel { work, now_ms } => Effect::Runs(group.cancel(work, *now_ms)),
+            Self::RemoveWorker { worker, now_ms } => {
+                Effect::Runs(group.remove_worker(worker, *now_ms))
+            }
+            Self::Ended {
+                run,
+                end,
+                ran_ms,
+                now_ms,
+            } => Effect::End(group.ended(run, *end, *ran_ms, *now_ms)),
+            Self::Reserve {
+                gang,
+                runs,
+                shard,
+                until_ms,
+                now_ms,
+            } => Effect::Reserved(group.reserve(gang, runs, *shard, *until_ms, *now_ms)),
+            Self::Confirm {
+                reservation,
+                now_ms,
+            } => Effect::Confirmed(group.confirm(*reservation, *now_ms)),
+            _ => {
+                self.apply_input(group);
+                Effect::Nothing
+            }
+        }
+    }
+
+    /// Makes a call that gives nothing back.
+    fn apply_input(&self, group: &mut Group) {
+        match self {
+            Self::SetQuota {
+                team,
+                limit,
+                weight,
+            } => group.set_quota(team, *limit, *weight),
+            Self::SetWorker { spec, now_ms } => group.set_worker(spec, *now_ms),
+            Self::SetWorkerState {
+                worker,
+                leaving,
+                now_ms,
+            } => group.set_worker_state(worker, *leaving, *now_ms),
+            Self::FencePending { worker, until_ms } => group.fence_pending(worker, *until_ms),
+            Self::WorkerConfirmed { worker } => group.worker_confirmed(worker),
+            Self::Adopt {
+                worker,
+                order,
+                now_ms,
+            } => group.adopt(worker, order, *now_ms),
+            Self::Submit {
+                work,
+                runs,
+                shard,
+                now_ms,
+            } => group.submit(work, runs, *shard, *now_ms),
+            Self::GangCompleted { work, completed } => group.gang_completed(work, *completed),
+            Self::LiftCancellation { work } => group.lift_cancellation(work),
+            Self::AbortGang { gang } => group.abort_gang(gang),
+            Self::Release { reservation } => group.release(*reservation),
+            Self::Started { run } => group.started(run),
+            Self::Refused {
+                run,
+                reason,
+                now_ms,
+            } => group.refused(run, *reason, *now_ms),
+            Self::NotStarted { run, now_ms } => group.not_started(run, *now_ms),
+            Self::StartUnknown { run, now_ms } => group.start_unknown(run, *now_ms),
+            Self::Usage {
+                worker,
+                run,
+                used,
+                now_ms,
+            } => group.usage(worker, run, *used, *now_ms),
+            Self::Open { .. }
+            | Self::Decide { .. }
+            | Self::Cancel { .. }
+            | Self::RemoveWorker { .. }
+            | Self::Ended { .. }
+            | Self::Reserve { .. }
+            | Self::Confirm { .. } => {}
+        }
+    }
+}
+
+/// One call of one group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The group.
+    pub group: ids::GroupId,
+    /// Number of the group's state in its file; a group that is owned again gets a new one.
+    pub instance: u64,
+    /// Number of the call in its instance, from zero without gaps unless lines were dropped.
+    pub sequence: u64,
+    /// What was called.
+    pub call: Call,
+    /// What came out.
+    #[serde(default, skip_serializing_if = "Effect::is_nothing")]
+    pub effect: Effect,
+}
+
+/// One line of a trace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Line {
+    /// A stated outcome.
+    Expect {
+        /// What has to hold.
+        expect: crate::Expectation,
+    },
+    /// A recorded call.
+    Entry(Entry),
+}
