--- a/crates/histories/src/cell.rs
+++ b/crates/histories/src/cell.rs
@@ -164,6 +164,7 @@
             max_deadline_ms: 60_000,
             drain_timeout_ms: 5_000,
             seed: self.seed.wrapping_mul(1_000).wrapping_add(self.started),
+            recorder: None,
         }
     }
 
--- a/crates/measure/src/cell.rs
+++ b/crates/measure/src/cell.rs
@@ -97,6 +97,7 @@
             max_deadline_ms: 60_000,
             drain_timeout_ms: 5_000,
             seed: number as u64,
+            recorder: None,
         };
         let counts = || self.counts.clone();
         let inner = self.platform.connect(&zone);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -38,6 +38,8 @@
     pub drain_timeout_ms: u64,
     /// Seed of all random choices.
     pub seed: u64,
+    /// Where placement decisions are recorded, if they are.
+    pub recorder: Option<trace::Recorder>,
 }
 
 impl NodeConfig {
--- a/crates/node/src/daemon/dev.rs
+++ b/crates/node/src/daemon/dev.rs
@@ -172,6 +172,7 @@
         max_deadline_ms: 600_000,
         drain_timeout_ms: 5_000,
         seed: index as u64 + 1,
+        recorder: None,
     }
 }
 
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The program `hickoryd`.
 
 mod dev;
+mod replay;
 mod serve;
 
 use std::process;
@@ -28,6 +29,8 @@
     Serve(Box<settings::ServeSettings>),
     /// Runs one entry host on an embedded stand-in platform and shows what was placed.
     Dev(dev::DevSettings),
+    /// Replays a trace of `serve --record` and says whether it decides the same.
+    Replay(replay::ReplaySettings),
 }
 
 /// Runs the program and returns its exit code.
@@ -50,6 +53,7 @@
         match arguments.command {
             Command::Serve(settings) => serve::run(&settings).await,
             Command::Dev(settings) => dev::run(&settings).await,
+            Command::Replay(settings) => replay::run(&settings),
         }
     });
     // Tasks that still wait on the platform must not hold the process up.
--- a/crates/node/src/daemon/serve.rs
+++ b/crates/node/src/daemon/serve.rs
@@ -21,6 +21,10 @@
         node: mut config,
         http: http_config,
     } = settings.check()?;
+    if !settings.record.is_empty() {
+        let limits = trace::RecorderConfig::default();
+        config.recorder = Some(trace::Recorder::create(settings.record.as_ref(), limits)?);
+    }
     let metrics = telemetry::MetricsPage::install()?;
     let tracing = match settings.otlp_endpoint.as_str() {
         "" => None,
--- a/crates/node/src/group/state.rs
+++ b/crates/node/src/group/state.rs
@@ -7,8 +7,9 @@
 use kernel::errors;
 use kernel::ids;
 use kernel::work;
-use placement::{Group, GroupConfig};
+use placement::GroupConfig;
 use tokio::sync::oneshot;
+use trace::TracedGroup;
 use wire::messages;
 
 use super::{link, roster};
@@ -52,7 +53,7 @@
 /// The state of one group.
 #[derive(Debug)]
 pub(super) struct GroupState {
-    pub placement: Group,
+    pub placement: TracedGroup,
     pub links: IndexMap<ids::WorkerId, link::WorkerLink>,
     /// The workers of the newest list.
     pub listed: IndexMap<ids::WorkerId, platform::workers::WorkerInfo>,
@@ -76,7 +77,8 @@
 impl GroupState {
     /// The state of a group that nothing is known about yet.
     pub fn new(config: &config::NodeConfig, id: &ids::GroupId, now_ms: u64) -> Self {
-        let placement = Group::new(GroupConfig::new(id.clone()), config.seed)
+        let group = GroupConfig::new(id.clone());
+        let placement = TracedGroup::new(group, config.seed, config.recorder.as_ref())
             .expect("the usual settings of a group are valid");
         Self {
             placement,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -208,6 +208,7 @@
             max_deadline_ms: MAX_DEADLINE_MS,
             drain_timeout_ms,
             seed: incarnation_ms ^ (u64::from(suffix) << 32),
+            recorder: None,
         };
         Ok(Checked { node, http })
     }
