Look for another group without counting it as a retry while no upstream was asked

A lookup was answered no_upstream while other zones had instances: refusals by owners counted as attempts, and a group once tried was not tried again while instances moved from a leaving worker.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -24,6 +24,8 @@
 
 /// Part of the deadline that is kept for the way back.
 const RETURN_RESERVE_MS: u64 = 10;
+/// Pause between looks whether the asked owner of a group has been replaced.
+const OWNER_POLL_MS: u64 = 100;
 /// Pause between looks for a group that serves a service whose instances are still starting.
 const NO_ROUTE_RETRY_MS: u64 = 100;
 
@@ -170,10 +172,21 @@
                 tried.push(route.group.clone());
                 match attempt(shared, &call, &route, left_ms - RETURN_RESERVE_MS).await {
                     Ok(answered) => return Ok(answered),
+                    // No upstream was asked, so this is no retry; another group may have one.
+                    Err(error) if error.kind == errors::ErrorKind::NoUpstream => {
+                        attempts -= 1;
+                        log::debug!("call to {}: {error}", call.service);
+                        continue;
+                    }
                     Err(error) => error,
                 }
             }
-            Err(error) if attempts == 0 && is_starting(shared, &call.service) => {
+            Err(error)
+                if error.kind == errors::ErrorKind::NoUpstream
+                    && is_starting(shared, &call.service) =>
+            {
+                // Instances may be starting, or moving from a leaving worker.
+                tried.clear();
                 let pause_ms = NO_ROUTE_RETRY_MS.min(left_ms);
                 tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
                 shared.routing.refresh(shared);
@@ -240,9 +253,7 @@
     });
     // The owner answers by the deadline itself; the reserve lets its answer arrive.
     let wait_ms = deadline_ms + RETURN_RESERVE_MS;
-    let result = peer::ask_group(shared, &route.group, body, wait_ms)
-        .await
-        .and_then(answered);
+    let result = ask_owner(shared, call, &route.group, body, wait_ms).await;
     let now_ms = shared.now_ms();
     let mut router = shared.routing.router();
     match &result {
@@ -263,6 +274,42 @@
     result
 }
 
+/// Asks the owner of a group; an idempotent call does not wait for one that has been replaced.
+async fn ask_owner(
+    shared: &Arc<shared::Shared>,
+    call: &Call,
+    group: &ids::GroupId,
+    body: messages::Body,
+    wait_ms: u64,
+) -> errors::Result<Answered> {
+    let asked = peer::ask_group(shared, group, body, wait_ms);
+    if call.key.is_some() {
+        return asked.await.and_then(answered);
+    }
+    tokio::select! {
+        biased;
+        reply = asked => reply.and_then(answered),
+        () = replaced(shared, group) => Err(errors::Error::new(
+            errors::ErrorKind::AnswerLost,
+            format!("{group} has a new owner, and the former one has not answered"),
+        )),
+    }
+}
+
+/// Ends when the group has another owner than now.
+async fn replaced(shared: &shared::Shared, group: &ids::GroupId) {
+    let epoch = || {
+        shared
+            .directory()
+            .group(group)
+            .map(|location| location.epoch)
+    };
+    let asked = epoch();
+    while epoch() <= asked {
+        tokio::time::sleep(time::Duration::from_millis(OWNER_POLL_MS)).await;
+    }
+}
+
 const fn is_fault_of_group(kind: errors::ErrorKind) -> bool {
     matches!(
         kind,
