Wait for a write under way before an append counts as unsettled

A job submitted while the store was away was answered unknown whenever its time was up during a write attempt; the attempt's outcome tells whether the record can be withdrawn, and comes within one call to the store.

--- a/crates/journal/src/driver/mod.rs
+++ b/crates/journal/src/driver/mod.rs
@@ -31,6 +31,9 @@
 pub use config::{BATCH_LIMIT_BYTES, Config};
 pub use shared::Status;
 
+/// Pause between looks whether an append can be withdrawn.
+const WITHDRAW_POLL_MS: u64 = 20;
+
 /// The journal of one shard, open for writing.
 ///
 /// Dropping it stops the writer; records that were not durable are refused, or
@@ -169,6 +172,22 @@
         &self,
         records: Vec<Record>,
         wait_ms: u64,
+    ) -> impl Future<Output = errors::Result<Vec<Applied>>> + Send + 'static + use<> {
+        self.append_with_grace(records, wait_ms, 0)
+    }
+
+    /// Appends records as [`append`](Self::append) does, but waits a little longer if a write is
+    /// under way when the time is up, since its outcome tells whether the records are durable.
+    ///
+    /// # Errors
+    ///
+    /// As [`append`](Self::append); [`errors::ErrorKind::AnswerLost`] only if the write under way
+    /// is not settled within `grace_ms` either.
+    pub fn append_with_grace(
+        &self,
+        records: Vec<Record>,
+        wait_ms: u64,
+        grace_ms: u64,
     ) -> impl Future<Output = errors::Result<Vec<Applied>>> + Send + 'static + use<> {
         let deadline = time::Instant::now() + Duration::from_millis(wait_ms);
         let queued = self.shared.queue().push(records);
@@ -179,13 +198,25 @@
             if let Ok(answer) = time::timeout_at(deadline, &mut answer).await {
                 return answer.unwrap_or_else(|_| Err(answer_lost()));
             }
-            match shared.queue().withdraw(id) {
-                Withdrawal::Withdrawn => Err(errors::Error::new(
-                    errors::ErrorKind::StoreUnavailable,
-                    format!("not durable within {wait_ms} ms"),
-                )),
+            let last = deadline + Duration::from_millis(grace_ms);
+            loop {
+                if shared.queue().withdraw(id) == Withdrawal::Withdrawn {
+                    return Err(errors::Error::new(
+                        errors::ErrorKind::StoreUnavailable,
+                        format!("not durable within {wait_ms} ms"),
+                    ));
+                }
                 // The answer may have come between the deadline and the look at the queue.
-                Withdrawal::TooLate => answer.try_recv().unwrap_or_else(|_| Err(answer_lost())),
+                if let Ok(answer) = answer.try_recv() {
+                    return answer;
+                }
+                if time::Instant::now() >= last {
+                    return Err(answer_lost());
+                }
+                let pause = Duration::from_millis(WITHDRAW_POLL_MS);
+                if let Ok(answer) = time::timeout(pause, &mut answer).await {
+                    return answer.unwrap_or_else(|_| Err(answer_lost()));
+                }
             }
         }
     }
--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -23,7 +23,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::{events, shared};
+use crate::{events, journals, shared};
 
 const TICK_MS: u64 = 50;
 const OPEN_RETRY_MIN_MS: u64 = 100;
@@ -104,7 +104,7 @@
         let mut random = random::from_seed(self.shared.config.seed ^ u64::from(self.id.0));
         let mut pause_ms = OPEN_RETRY_MIN_MS;
         loop {
-            match crate::journals::open(&self.shared, self.id, self.epoch).await {
+            match journals::open(&self.shared, self.id, self.epoch).await {
                 Ok(journal) => {
                     let _ = self.journal.set(Arc::new(journal));
                     kernel::log_event!(
@@ -157,7 +157,7 @@
     async fn append(&self, records: Vec<Record>) -> errors::Result<Vec<Applied>> {
         let journal = self.journal()?;
         let result = journal
-            .append(records, crate::journals::APPEND_WAIT_MS)
+            .append_with_grace(records, journals::APPEND_WAIT_MS, journals::APPEND_GRACE_MS)
             .await;
         if let Err(error) = &result
             && error.kind == errors::ErrorKind::AnswerLost
