Spread replicas over all zones also just after a start

Replicas now wait up to 3 s until every group has told its load, and the count in the zone goes before the count in the group. Other work does not wait.

--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -6,6 +6,7 @@
 use kernel::errors;
 use kernel::ids;
 use kernel::lifecycle;
+use kernel::work;
 use ownership::Liveness;
 use wire::messages;
 
@@ -14,6 +15,8 @@
 
 /// Runs assigned in one journal entry.
 const ASSIGN_LIMIT: usize = 4_000;
+/// How long a new owner of a shard waits to hear of every group before it spreads replicas.
+const SPREAD_WAIT_MS: u64 = 3_000;
 const ASSIGN_DEADLINE_MS: u64 = 3_000;
 const ASSIGN_RETRY_MS: u64 = 500;
 
@@ -60,8 +63,12 @@
         let mut balance = self.balance();
         balance.adjust(&mut loads, now_ms);
         let mut chosen = Vec::new();
+        let knows_all = self.knows_all_groups(&loads, now_ms);
         for assignment in waiting {
             let work = &assignment.work;
+            if work.kind == work::WorkKind::Service && !knows_all {
+                continue;
+            }
             let groups = balance.choose(work, assignment.runs.len(), &mut loads, now_ms);
             let mut rest: &[Run] = &assignment.runs;
             for (group, count) in groups {
@@ -77,6 +84,19 @@
         chosen
     }
 
+    /// Whether every group has told its load, or the shard has waited long enough for it.
+    ///
+    /// Just after a start a shard has heard of its own zone only, and would put all
+    /// replicas of a service there.
+    fn knows_all_groups(&self, loads: &[balance::GroupLoad], now_ms: u64) -> bool {
+        let told = loads
+            .iter()
+            .filter(|load| load.capacity.cpu_milli > 0)
+            .count();
+        let groups = self.shared.config.topology.groups().count();
+        told >= groups || now_ms >= self.started_at_ms + SPREAD_WAIT_MS
+    }
+
     /// Starts a message to every group that has something to get and none on its way.
     pub(super) fn send_assignments(self: &Arc<Self>) {
         let Ok(journal) = self.journal() else { return };
--- a/crates/node/src/shard/balance.rs
+++ b/crates/node/src/shard/balance.rs
@@ -111,18 +111,26 @@
         Some(id)
     }
 
+    /// How many of the work's tasks a group has, after how many its whole zone has.
+    fn crowding(&self, work: &work::Work, group: &ids::GroupId) -> u64 {
+        let of_work = || self.tasks.iter().filter(|((id, _), _)| *id == work.id);
+        let in_zone: u64 = of_work()
+            .filter(|((_, other), _)| other.zone == group.zone)
+            .map(|(_, count)| u64::from(*count))
+            .sum();
+        let in_group: u64 = of_work()
+            .filter(|((_, other), _)| other == group)
+            .map(|(_, count)| u64::from(*count))
+            .sum();
+        (in_zone << u32::BITS) + in_group
+    }
+
     /// Smaller is better; thousandths of the group's processors are used as the measure of room.
     fn preference(&self, work: &work::Work, load: &GroupLoad) -> u64 {
         let free_per_mille = load.free.cpu_milli * 1_000 / load.capacity.cpu_milli.max(1);
-        let has = |group: &ids::GroupId| {
-            self.tasks
-                .get(&(work.id.clone(), group.clone()))
-                .copied()
-                .unwrap_or(0)
-        };
         match work.policy {
-            _ if work.kind == work::WorkKind::Service => u64::from(has(&load.id)),
-            work::Policy::Spread => u64::from(has(&load.id)),
+            _ if work.kind == work::WorkKind::Service => self.crowding(work, &load.id),
+            work::Policy::Spread => self.crowding(work, &load.id),
             work::Policy::QuickStart => 1_000 - free_per_mille.min(1_000),
             work::Policy::TightPacking => free_per_mille,
         }
