Try another group when an owner has just changed, without counting it as a retry

During a rolling replacement 1 of 800 calls ended not_run: stale_epoch after three owners in a row had handed their groups over. No upstream is asked by such an attempt, so it is bounded by the caller's deadline alone.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -173,7 +173,7 @@
                 match attempt(shared, &call, &route, left_ms - RETURN_RESERVE_MS).await {
                     Ok(answered) => return Ok(answered),
                     // No upstream was asked, so this is no retry; another group may have one.
-                    Err(error) if error.kind == errors::ErrorKind::NoUpstream => {
+                    Err(error) if asked_no_upstream(error.kind) => {
                         attempts -= 1;
                         log::debug!("call to {}: {error}", call.service);
                         continue;
@@ -211,6 +211,16 @@
     }
 }
 
+/// Whether an owner refused a call, or could not be reached, before any upstream was asked.
+const fn asked_no_upstream(kind: errors::ErrorKind) -> bool {
+    matches!(
+        kind,
+        errors::ErrorKind::NoUpstream
+            | errors::ErrorKind::StaleEpoch
+            | errors::ErrorKind::OwnerUnreachable
+    )
+}
+
 /// An error that says `not_run` becomes one that says `unknown` if an earlier attempt may have run.
 pub(crate) fn truthful(error: errors::Error, may_have_run: bool) -> errors::Error {
     if may_have_run && error.kind.answer().outcome == errors::Outcome::NotRun {
