--- /dev/null
+++ b/crates/histories/tests/found.rs
@@ -0,0 +1,25 @@
+//! Seeds that the wide search has found to break a promise.
+
+use hickorychute_histories::{Plan, run};
+
+fn check(seed: u64) {
+    let plan = Plan::any(seed);
+    let outcome = run(&plan);
+    let shown: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
+    assert!(
+        outcome.is_clean(),
+        "{}: {shown:?}, {:?}",
+        plan.describe(),
+        outcome.unsettled
+    );
+}
+
+#[test]
+fn found_seed_330_settles() {
+    check(330);
+}
+
+#[test]
+fn found_seed_1360_runs_no_task_twice() {
+    check(1360);
+}
