--- a/crates/node/src/shard/jobs.rs
+++ b/crates/node/src/shard/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs: submission, cancellation, status.
 
-use journal::{Applied, JobPhase, Record, ShardState, TaskCounts, TaskState};
+use journal::{Applied, Record, ShardState, TaskCounts, TaskState};
 use kernel::errors;
 use kernel::ids;
 use kernel::work;
@@ -118,17 +118,6 @@
             .collect()
     }
 
-    /// Whether every job that ends by itself has ended.
-    pub fn is_settled(&self) -> bool {
-        let Ok(journal) = self.journal() else {
-            return false;
-        };
-        let state = journal.state();
-        state
-            .jobs()
-            .all(|job| job.work().kind == work::WorkKind::Service || job.phase() != JobPhase::Open)
-    }
-
     /// Where a task stands, as far as the journal knows.
     pub fn explain(&self, task: &ids::TaskId) -> errors::Result<ShardExplanation> {
         let journal = self.journal()?;
