--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -55,6 +55,8 @@
     pub checkpoint: String,
     /// The run that has not ended.
     pub active: Option<ActiveRun>,
+    /// The highest run number that was counted as failed.
+    pub last_failed_run: u64,
     /// Where it failed last.
     pub failed_on: Option<Rc<str>>,
 }
@@ -174,6 +176,7 @@
             task.done = record.done;
             task.failed_runs = record.failed_runs;
             task.last_run = record.last_run;
+            task.last_failed_run = record.last_failed_run;
             task.checkpoint.clone_from(&record.checkpoint);
             if record.done
                 && let Some(step) = self.step_mut(id.step)
@@ -334,6 +337,7 @@
                             done: task.done,
                             failed_runs: task.failed_runs,
                             last_run: task.last_run,
+                            last_failed_run: task.last_failed_run,
                             checkpoint: if task.done { String::new() } else { task.checkpoint.clone() },
                         });
                     }
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -6,7 +6,7 @@
 use crate::{
     ids::TaskId,
     jobs::Outcome,
-    workers::{ClockReading, EndKind, HoldReport, Phase, Run, ShownEnd, ShownRun},
+    workers::{ClockReading, EndKind, HoldReport, Phase, Room, Run, ShownEnd, ShownRun},
 };
 
 /// Failed runs in a row after which a worker is set aside.
@@ -299,19 +299,23 @@
         let Some(step) = job.step_mut(end.task.step) else {
             return;
         };
-        let Some(task) = step.tasks.get_mut(end.task.index as usize) else {
+        let Some(member) = step.tasks.get_mut(end.task.index as usize) else {
             return;
         };
-        if task.done {
+        if member.done {
             return;
         }
+        member.failed_on = Some(Rc::from(id));
+        // The first member counts for the whole gang: members that fail together fail one run.
+        let counting = if gang { 0 } else { end.task.index as usize };
+        let task = &mut step.tasks[counting];
+        if end.run <= task.last_failed_run {
+            // Another member, or the predecessor, which did not live to acknowledge it.
+            return self.requeue(id, end);
+        }
+        task.last_failed_run = end.run;
         task.failed_runs += 1;
-        task.failed_on = Some(Rc::from(id));
-        let failed_runs = if gang {
-            step.tasks.iter().map(|task| task.failed_runs).sum()
-        } else {
-            task.failed_runs
-        };
+        let failed_runs = task.failed_runs;
         self.dirty.insert(job_id);
         if failed_runs >= limit && !long_running {
             self.end_job(job_id, Outcome::Failed, unix_ms);
@@ -409,7 +413,7 @@
         let room = job
             .as_ref()
             .and_then(|job| job.step_spec(shown.task.step.step))
-            .map_or(worker.entry.capacity, room_of);
+            .map_or(Room::UNKNOWN, room_of);
         let task = job.and_then(|job| {
             job.started = true;
             job.begin_through(shown.task.step.occurrence);
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -155,6 +155,9 @@
     /// Progress that a later run can resume from; empty for none.
     #[prost(string, tag = "7")]
     pub checkpoint: String,
+    /// The highest run number that was counted as failed.
+    #[prost(uint64, tag = "8")]
+    pub last_failed_run: u64,
 }
 
 /// The durable record of an accepted job.
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -89,7 +89,7 @@
         let away = |spot: &Spot<'_>| {
             !request.affinity_rack.is_empty() && spot.rack != request.affinity_rack
         };
-        let left = |spot: &Spot<'_>| spot.capacity.cpu_millicores - spot.used.cpu_millicores;
+        let left = |spot: &Spot<'_>| spot.capacity.cpu_millicores.saturating_sub(spot.used.cpu_millicores);
         let best = spots
             .iter_mut()
             .filter(|spot| spot.takes(&request.need, 1) == 1)
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -18,6 +18,10 @@
 }
 
 impl Room {
+    /// What a run takes whose job is no longer known: more than any worker has.
+    pub const UNKNOWN: Self =
+        Self { cpu_millicores: 1 << 40, memory_mb: 1 << 40, gpus: 1 << 40 };
+
     /// Whether `need` fits into what is left of `self` after `used`.
     pub fn fits(&self, used: &Self, need: &Self) -> bool {
         used.cpu_millicores + need.cpu_millicores <= self.cpu_millicores
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -30,6 +30,7 @@
     operators::{self, Operators},
     peers::{self, Advised, Body, Peers},
     records::LeadRecord,
+    store::GuardedStore,
 };
 
 /// Command line of an entry host.
@@ -103,7 +104,8 @@
     let peers_listener = listen(settings.peers_address).await?;
     let settings = Rc::new(settings);
     let pool = Pool::default();
-    let store = Store::new(pool.clone(), settings.store_address, STORE_TIMEOUT);
+    let store =
+        GuardedStore::new(Store::new(pool.clone(), settings.store_address, STORE_TIMEOUT));
     let operators = Rc::new(Operators::default());
     let members = Rc::new(Members::default());
     let peers = Rc::new(Peers::default());
@@ -218,7 +220,13 @@
         nonce: 0,
     };
     loop {
-        let term = election::take_over(&surroundings.store, &surroundings.members, &own).await;
+        let term = election::take_over(
+            &surroundings.store,
+            &surroundings.members,
+            &surroundings.operators,
+            &own,
+        )
+        .await;
         lead::run(&surroundings, term, &slot).await;
     }
 }
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use adapter::store::{Committed, Store, StoreError, Txn};
+use adapter::store::{Committed, StoreError, Txn};
 use kernel::log_event;
 use prost::Message;
 use rand::RngExt;
@@ -15,7 +15,9 @@
 use crate::{
     clock, events,
     members::Members,
+    operators::Operators,
     records::{LEAD_KEY, LEAD_MIRROR_KEY, LeadRecord, TERM_KEY, TermRecord},
+    store::GuardedStore,
 };
 
 /// How long the key outlives a coordinator that dies.
@@ -44,9 +46,20 @@
 }
 
 /// Waits until nobody coordinates, and takes over; returns once it has.
-pub async fn take_over(store: &Store, members: &Members, own: &LeadRecord) -> Term {
+pub async fn take_over(
+    store: &GuardedStore,
+    members: &Members,
+    operators: &Operators,
+    own: &LeadRecord,
+) -> Term {
     let mut was_far = false;
     loop {
+        let configured = operators.changed.notified();
+        if operators.current().is_none() {
+            // Without a configuration there is nothing to coordinate by.
+            configured.await;
+            continue;
+        }
         let changed = members.changed.notified();
         if !members.is_vacant() {
             changed.await;
@@ -82,7 +95,7 @@
 }
 
 async fn try_once(
-    store: &Store,
+    store: &GuardedStore,
     members: &Members,
     own: &LeadRecord,
     term_revision: u64,
--- a/crates/entry/src/lead/arrivals.rs
+++ b/crates/entry/src/lead/arrivals.rs
@@ -20,7 +20,7 @@
 };
 
 /// How long one watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Least time between two watches, so that changes are fetched in groups.
 const PACE: Duration = Duration::from_millis(120);
 /// Pause after a call to the store that failed.
@@ -121,7 +121,7 @@
             }
         }
         lead.unlist_others(&seen);
-        lead.write_roster().await;
+        lead.roster.notify_one();
         let mut after = listing.as_of;
         loop {
             match lead.around.store.watch(WORKERS_PREFIX, after, WATCH_WAIT).await {
@@ -137,7 +137,7 @@
                             Event::Removed { key } => lead.unlist(key),
                         }
                     }
-                    lead.write_roster().await;
+                    lead.roster.notify_one();
                     lead.schedule.notify_one();
                     time::sleep(PACE).await;
                 }
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -90,6 +90,16 @@
     }
 }
 
+/// Keeps the roster in step with the workers that are known until the term ends.
+pub(super) async fn keep_roster(lead: Rc<Lead>) {
+    /// The longest time between two looks at it.
+    const AT_LEAST: Duration = Duration::from_millis(500);
+    loop {
+        let _tick = time::timeout(AT_LEAST, lead.roster.notified()).await;
+        lead.write_roster().await;
+    }
+}
+
 impl Lead {
     fn has_work_to_commit(&self) -> bool {
         !self.submissions.borrow().is_empty() || self.cell.borrow().has_changes()
@@ -195,7 +205,7 @@
     }
 
     /// Makes the roster durable before any of its workers is given work.
-    pub(super) async fn write_roster(&self) {
+    async fn write_roster(&self) {
         let roster = {
             let cell = self.cell.borrow();
             Roster::of(cell.workers().values().map(|worker| &worker.entry))
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 
-use adapter::{http::Pool, settings::Settings, store::Store};
+use adapter::{http::Pool, settings::Settings};
 use cell::{
     admission::Verdict,
     coordinator::{Coordinator, Tuning},
@@ -42,6 +42,7 @@
     metrics::Metrics,
     operators::Operators,
     peers::{self, Body, Peers, StateIs, Submitted},
+    store::GuardedStore,
 };
 
 /// What a coordinator works with.
@@ -50,7 +51,7 @@
     /// Settings of the host.
     pub settings: Rc<Settings>,
     /// The platform's store.
-    pub store: Store,
+    pub store: GuardedStore,
     /// Connections to workers and to the advice service.
     pub pool: Pool,
     /// Connections to other hosts.
@@ -93,6 +94,8 @@
     commit: Notify,
     /// Something became durable.
     committed: Notify,
+    /// The workers have changed.
+    roster: Notify,
     /// Hosts that are asking the advice service.
     asking: RefCell<IndexSet<String>>,
 }
@@ -110,6 +113,7 @@
     lead.spawn(arrivals::follow_workers(Rc::clone(&lead)));
     lead.spawn(confirm(Rc::clone(&lead)));
     lead.spawn(follow_config(Rc::clone(&lead)));
+    lead.spawn(commits::keep_roster(Rc::clone(&lead)));
     lead.spawn(orders::run(Rc::clone(&lead)));
     lead.spawn_known_holds();
     lead.ended.cancelled().await;
@@ -132,6 +136,7 @@
             schedule: Notify::new(),
             commit: Notify::new(),
             committed: Notify::new(),
+            roster: Notify::new(),
             asking: RefCell::default(),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`operators`]: the operators' configuration, as it changes;
 //! - [`members`]: hosts that live, and who coordinates;
 //! - [`records`]: keys and values in the store;
+//! - [`store`]: the platform's store, with a pause after calls that failed;
 //! - [`clock`]: time that counts suspensions;
 //! - [`logs`], [`metrics`], [`events`]: what an operator sees.
 
@@ -30,3 +31,4 @@
 pub mod operators;
 pub mod peers;
 pub mod records;
+pub mod store;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -6,7 +6,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use adapter::store::{Committed, Store, StoreError, Txn};
+use adapter::store::{Committed, StoreError, Txn};
 use cell::{
     ids::JobId,
     jobs::{JobRecord, JobState},
@@ -19,8 +19,13 @@
     members::Members,
     peers::{self, Body, PeerError, Peers},
     records::{self, CANCEL_PREFIX, NEW_PREFIX},
+    store::GuardedStore,
 };
 
+/// How long the coordinator may take before the host goes to the store itself. Covers the way
+/// between regions and a commit to a slow store.
+const COORDINATOR_PATIENCE: Duration = Duration::from_millis(900);
+
 /// What became of a job that was handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -63,7 +68,7 @@
     /// Connections to other hosts.
     pub peers: Rc<Peers>,
     /// The platform's store.
-    pub store: Store,
+    pub store: GuardedStore,
 }
 
 impl Link {
@@ -81,7 +86,7 @@
 
     /// Hands a job in.
     pub async fn submit(&self, record: &JobRecord, patience: Duration) -> SubmitOutcome {
-        let first = patience * 2 / 5;
+        let first = COORDINATOR_PATIENCE.min(patience / 2);
         match self.ask(Body::Submit(record.clone()), first).await {
             Ok(Body::Submitted(submitted)) if submitted.accepted => SubmitOutcome::Accepted,
             Ok(Body::Submitted(submitted)) if submitted.retry_after_ms == 0 => {
@@ -112,10 +117,13 @@
             .put(&format!("{NEW_PREFIX}{id}"), &[], 0);
         let attempts = async {
             loop {
+                if self.store.is_lost() && !in_doubt {
+                    return false;
+                }
                 match self.store.commit(&txn).await {
-                    Ok(Committed::Done { .. }) => return,
+                    Ok(Committed::Done { .. }) => return true,
                     // It was accepted before, by this call or another one.
-                    Ok(Committed::Conflict { items }) if !items.is_empty() => return,
+                    Ok(Committed::Conflict { items }) if !items.is_empty() => return true,
                     Err(StoreError::Unanswered | StoreError::Garbled) => in_doubt = true,
                     Ok(Committed::Conflict { .. }) | Err(_) => {}
                 }
@@ -123,7 +131,8 @@
             }
         };
         match time::timeout(patience, attempts).await {
-            Ok(()) => SubmitOutcome::Accepted,
+            Ok(true) => SubmitOutcome::Accepted,
+            Ok(false) => SubmitOutcome::Unavailable,
             // A call that was cut short may still be carried out.
             Err(_) if in_doubt => SubmitOutcome::InDoubt,
             Err(_) => SubmitOutcome::Unavailable,
@@ -132,7 +141,7 @@
 
     /// Tells a job's state.
     pub async fn state(&self, id: JobId, patience: Duration) -> Known<JobState> {
-        if let Ok(Body::StateIs(answer)) = self.ask(Body::State(id.0), patience / 2).await
+        if let Ok(Body::StateIs(answer)) = self.ask(Body::State(id.0), COORDINATOR_PATIENCE.min(patience / 2)).await
             && answer.known
             && let Some(state) = peers::decode_state(answer.state)
         {
@@ -150,7 +159,7 @@
 
     /// Cancels a job; the answer is given once that is durable.
     pub async fn cancel(&self, id: JobId, patience: Duration) -> Known<()> {
-        let first = patience * 2 / 5;
+        let first = COORDINATOR_PATIENCE.min(patience / 2);
         if let Ok(Body::Cancelled(true)) = self.ask(Body::Cancel(id.0), first).await {
             return Known::Is(());
         }
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use adapter::store::{Committed, Event, Item, Store, StoreError, Txn};
+use adapter::store::{Committed, Event, Item, StoreError, Txn};
 use indexmap::IndexMap;
 use kernel::log_event;
 use prost::Message;
@@ -16,10 +16,12 @@
 use crate::{
     events,
     records::{HOST_PREFIX, HostRecord, LEAD_KEY, LeadRecord, MEMBERS_PREFIX},
+    store::GuardedStore,
 };
 
-/// How long one watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long one watch waits for a change. A connection that has gone silent shows only by a watch
+/// that is overdue.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause after a call to the store that failed.
 const RETRY: Duration = Duration::from_millis(200);
 /// A host that does not renew its entry for this long counts as gone.
@@ -106,7 +108,7 @@
 }
 
 /// Follows hosts and coordinator for as long as the process runs.
-pub async fn follow(store: Store, members: Rc<Members>, own_name: String) {
+pub async fn follow(store: GuardedStore, members: Rc<Members>, own_name: String) {
     loop {
         let Ok(listing) = store.list(MEMBERS_PREFIX).await else {
             time::sleep(RETRY).await;
@@ -146,7 +148,7 @@
 }
 
 /// Keeps this host's entry in the store for as long as the process runs.
-pub async fn register(store: Store, members: Rc<Members>, own_name: String, own: Host) {
+pub async fn register(store: GuardedStore, members: Rc<Members>, own_name: String, own: Host) {
     let record = HostRecord { address: own.address.to_string(), zone: own.zone };
     let key = format!("{HOST_PREFIX}{own_name}");
     loop {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -4,16 +4,17 @@
 
 use adapter::{
     config,
-    store::{CONFIG_KEY, Event, Store, StoreError},
+    store::{CONFIG_KEY, Event, StoreError},
 };
 use cell::config::Config;
 use kernel::log_event;
 use tokio::{sync::Notify, time};
 
-use crate::events;
+use crate::{events, store::GuardedStore};
 
-/// How long one watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long one watch waits for a change. A connection that has gone silent shows only by a watch
+/// that is overdue, and a configuration must be in force within 3 s.
+const WATCH_WAIT: Duration = Duration::from_millis(1_100);
 /// Pause after a call to the store that failed.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -54,7 +55,7 @@
 }
 
 /// Keeps the configuration in force for as long as the process runs.
-pub async fn follow(store: Store, operators: Rc<Operators>) {
+pub async fn follow(store: GuardedStore, operators: Rc<Operators>) {
     loop {
         let Ok(item) = store.get(CONFIG_KEY).await else {
             time::sleep(RETRY).await;
@@ -74,7 +75,7 @@
 }
 
 /// Watches from a revision until the history is gone.
-async fn follow_from(store: &Store, operators: &Operators, mut after: u64) {
+async fn follow_from(store: &GuardedStore, operators: &Operators, mut after: u64) {
     loop {
         match store.watch(CONFIG_KEY, after, WATCH_WAIT).await {
             Ok(watched) => {
