--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -47,16 +47,15 @@
 pub struct Task {
     /// It has ended as done.
     pub done: bool,
-    /// Runs that ended as failed.
-    pub failed_runs: u32,
+    /// Numbers of the runs that ended as failed. A successor sees ends again that were not
+    /// acknowledged, in any order, and must count each once.
+    pub failed_runs: Vec<u64>,
     /// The highest run number that was used.
     pub last_run: u64,
     /// Progress that a later run can resume from; empty for none.
     pub checkpoint: String,
     /// The run that has not ended.
     pub active: Option<ActiveRun>,
-    /// The highest run number that was counted as failed.
-    pub last_failed_run: u64,
     /// Where it failed last.
     pub failed_on: Option<Rc<str>>,
 }
@@ -174,9 +173,8 @@
                 continue;
             };
             task.done = record.done;
-            task.failed_runs = record.failed_runs;
+            task.failed_runs.clone_from(&record.failed_runs);
             task.last_run = record.last_run;
-            task.last_failed_run = record.last_failed_run;
             task.checkpoint.clone_from(&record.checkpoint);
             if record.done
                 && let Some(step) = self.step_mut(id.step)
@@ -328,16 +326,15 @@
         for (&occurrence, state) in &self.occurrences {
             for (step, state) in state.steps.iter().enumerate() {
                 for (index, task) in state.tasks.iter().enumerate() {
-                    let counts = task.done || task.failed_runs > 0 || !task.checkpoint.is_empty();
+                    let counts = task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
                     if counts {
                         tasks.push(TaskRecord {
                             occurrence,
                             step: step as u32,
                             index: index as u32,
                             done: task.done,
-                            failed_runs: task.failed_runs,
+                            failed_runs: task.failed_runs.clone(),
                             last_run: task.last_run,
-                            last_failed_run: task.last_failed_run,
                             checkpoint: if task.done { String::new() } else { task.checkpoint.clone() },
                         });
                     }
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -309,13 +309,12 @@
         // The first member counts for the whole gang: members that fail together fail one run.
         let counting = if gang { 0 } else { end.task.index as usize };
         let task = &mut step.tasks[counting];
-        if end.run <= task.last_failed_run {
+        if task.failed_runs.contains(&end.run) {
             // Another member, or the predecessor, which did not live to acknowledge it.
             return self.requeue(id, end);
         }
-        task.last_failed_run = end.run;
-        task.failed_runs += 1;
-        let failed_runs = task.failed_runs;
+        task.failed_runs.push(end.run);
+        let failed_runs = task.failed_runs.len() as u32;
         self.dirty.insert(job_id);
         if failed_runs >= limit && !long_running {
             self.end_job(job_id, Outcome::Failed, unix_ms);
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -146,18 +146,15 @@
     /// It has ended as done.
     #[prost(bool, tag = "4")]
     pub done: bool,
-    /// Runs that ended as failed.
-    #[prost(uint32, tag = "5")]
-    pub failed_runs: u32,
+    /// Numbers of the runs that ended as failed.
+    #[prost(uint64, repeated, tag = "5")]
+    pub failed_runs: Vec<u64>,
     /// The highest run number that is known.
     #[prost(uint64, tag = "6")]
     pub last_run: u64,
     /// Progress that a later run can resume from; empty for none.
     #[prost(string, tag = "7")]
     pub checkpoint: String,
-    /// The highest run number that was counted as failed.
-    #[prost(uint64, tag = "8")]
-    pub last_failed_run: u64,
 }
 
 /// The durable record of an accepted job.
