--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -148,12 +148,16 @@
                 if self.store.is_lost() && !in_doubt {
                     return false;
                 }
+                // The caller's time may run out while the call is under way.
+                let before = std::mem::replace(&mut in_doubt, true);
                 match self.store.commit(&txn).await {
                     Ok(Committed::Done { .. }) => return true,
                     // It was accepted before, by this call or another one.
                     Ok(Committed::Conflict { items }) if !items.is_empty() => return true,
-                    Err(StoreError::Unanswered | StoreError::Garbled) => in_doubt = true,
-                    Ok(Committed::Conflict { .. }) | Err(_) => {}
+                    Ok(Committed::Conflict { .. }) | Err(StoreError::Unavailable) => {
+                        in_doubt = before;
+                    }
+                    Err(_) => {}
                 }
                 time::sleep(Duration::from_millis(120)).await;
             }
