--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -4,12 +4,7 @@
 //! at the door. The estimate is deliberately plain: the processor time that waits ahead of the
 //! job, over all processors of its service, against the time that the job has.
 
-use crate::{
-    config::Queue,
-    coordinator::Coordinator,
-    jobs::JobSpec,
-    workers::Room,
-};
+use crate::{config::Queue, coordinator::Coordinator, jobs::JobSpec, workers::Room};
 
 /// Whether a job is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,7 +66,9 @@
         }
         let excess_ms = wait_ms + chain_ms - within_ms;
         let (least, most) = RETRY_AFTER_RANGE_MS;
-        Verdict::Refuse { retry_after_ms: excess_ms.clamp(least, most) }
+        Verdict::Refuse {
+            retry_after_ms: excess_ms.clamp(least, most),
+        }
     }
 
     /// Processor time that is still to be spent on jobs that come before a new one of `queue`, in
@@ -80,7 +77,10 @@
         let config = self.config();
         self.open_jobs()
             .filter(|job| {
-                config.queues.get(&job.queue).is_some_and(|other| other.priority <= queue.priority)
+                config
+                    .queues
+                    .get(&job.queue)
+                    .is_some_and(|other| other.priority <= queue.priority)
             })
             .map(super::coordinator::Job::waiting_core_ms)
             .sum()
--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -52,9 +52,14 @@
 impl Coordinator {
     /// The most urgent question; `light_only` keeps to those that are answered quickly.
     pub fn next_question(&mut self, now_ms: u64, light_only: bool) -> Option<Question> {
-        let question =
-            self.agenda.iter().find_map(|&step| self.question_for(step, now_ms, light_only))?;
-        let step = self.jobs.get_mut(&question.step.job)?.step_mut(question.step)?;
+        let question = self
+            .agenda
+            .iter()
+            .find_map(|&step| self.question_for(step, now_ms, light_only))?;
+        let step = self
+            .jobs
+            .get_mut(&question.step.job)?
+            .step_mut(question.step)?;
         step.advice.in_flight = true;
         Some(question)
     }
@@ -66,7 +71,11 @@
             return None;
         }
         let spec = job.step_spec(id.step)?;
-        let step = job.occurrences.get(&id.occurrence)?.steps.get(id.step as usize)?;
+        let step = job
+            .occurrences
+            .get(&id.occurrence)?
+            .steps
+            .get(id.step as usize)?;
         if step.advice.in_flight || now_ms < step.advice.not_before_ms {
             return None;
         }
@@ -119,7 +128,11 @@
         named.truncate(MOST_NAMED);
         let workers: Vec<Rc<str>> = named.into_iter().map(|(_, name)| name).collect();
         let expected_ms = expected(workers.len());
-        Some(Question { step: id, workers, expected_ms })
+        Some(Question {
+            step: id,
+            workers,
+            expected_ms,
+        })
     }
 
     /// A question was answered, or not.
@@ -138,7 +151,10 @@
                     step.advice.asked.insert(Rc::clone(worker), ());
                 }
                 for (worker, text) in rows {
-                    let ticket = Ticket { text: Rc::clone(text), expires_ms: now_ms + valid_ms };
+                    let ticket = Ticket {
+                        text: Rc::clone(text),
+                        expires_ms: now_ms + valid_ms,
+                    };
                     step.advice.good.insert(Rc::clone(worker), ticket);
                 }
             }
--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -29,14 +29,19 @@
     /// Whether anything waits to become durable.
     pub fn has_changes(&self) -> bool {
         !self.dirty.is_empty()
-            || self.workers.values().any(|worker| worker.processed_end > worker.durable_end)
+            || self
+                .workers
+                .values()
+                .any(|worker| worker.processed_end > worker.durable_end)
     }
 
     /// Whether the end of a job waits to become durable.
     pub fn has_ended_jobs(&self) -> bool {
-        self.dirty
-            .iter()
-            .any(|id| self.jobs.get(id).is_some_and(|job| job.outcome != job.durable_outcome))
+        self.dirty.iter().any(|id| {
+            self.jobs
+                .get(id)
+                .is_some_and(|job| job.outcome != job.durable_outcome)
+        })
     }
 
     /// Takes all changes since the last call.
@@ -79,7 +84,8 @@
 
     /// The changes did not become durable, or it is not known whether they did.
     pub fn changes_undecided(&mut self, changes: &Changes) {
-        self.dirty.extend(changes.outcomes.iter().map(|(id, _)| *id));
+        self.dirty
+            .extend(changes.outcomes.iter().map(|(id, _)| *id));
     }
 
     /// Ended jobs that clients no longer ask for.
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -91,7 +91,11 @@
     /// Positions of the tasks that wait for a run.
     pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
         let waits = |task: &Task| !task.done && task.active.is_none();
-        self.tasks.iter().enumerate().filter(move |(_, t)| waits(t)).map(|(n, _)| n as u32)
+        self.tasks
+            .iter()
+            .enumerate()
+            .filter(move |(_, t)| waits(t))
+            .map(|(n, _)| n as u32)
     }
 }
 
@@ -166,7 +170,11 @@
         for record in tasks {
             self.begin_through(record.occurrence);
             let id = TaskId {
-                step: StepId { job: self.id, occurrence: record.occurrence, step: record.step },
+                step: StepId {
+                    job: self.id,
+                    occurrence: record.occurrence,
+                    step: record.step,
+                },
                 index: record.index,
             };
             let Some(task) = self.task_mut(id) else {
@@ -233,7 +241,10 @@
 
     /// A step's state.
     pub fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
-        self.occurrences.get_mut(&id.occurrence)?.steps.get_mut(id.step as usize)
+        self.occurrences
+            .get_mut(&id.occurrence)?
+            .steps
+            .get_mut(id.step as usize)
     }
 
     /// A task's state.
@@ -326,7 +337,8 @@
         for (&occurrence, state) in &self.occurrences {
             for (step, state) in state.steps.iter().enumerate() {
                 for (index, task) in state.tasks.iter().enumerate() {
-                    let counts = task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
+                    let counts =
+                        task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
                     if counts {
                         tasks.push(TaskRecord {
                             occurrence,
@@ -335,7 +347,11 @@
                             done: task.done,
                             failed_runs: task.failed_runs.clone(),
                             last_run: task.last_run,
-                            checkpoint: if task.done { String::new() } else { task.checkpoint.clone() },
+                            checkpoint: if task.done {
+                                String::new()
+                            } else {
+                                task.checkpoint.clone()
+                            },
                         });
                     }
                 }
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -34,7 +34,7 @@
     config::Config,
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
-    workers::{Worker, WorkerEntry},
+    workers::{StopReason, Worker, WorkerEntry},
 };
 
 /// Figures that the coordinator works with.
@@ -95,7 +95,7 @@
         /// The number of the run.
         run: u64,
         /// Why, for the log.
-        reason: &'static str,
+        reason: StopReason,
     },
 }
 
@@ -149,7 +149,9 @@
             let mut worker = Worker::new(entry);
             worker.listed = false;
             worker.rostered = true;
-            coordinator.workers.insert(Rc::clone(&worker.entry.id), worker);
+            coordinator
+                .workers
+                .insert(Rc::clone(&worker.entry.id), worker);
         }
         coordinator
     }
@@ -178,7 +180,8 @@
             worker.entry = entry;
             return false;
         }
-        self.workers.insert(Rc::clone(&entry.id), Worker::new(entry));
+        self.workers
+            .insert(Rc::clone(&entry.id), Worker::new(entry));
         true
     }
 
@@ -212,7 +215,9 @@
     }
 
     fn note_due(&mut self, due_unix_ms: u64) {
-        let earliest = self.next_due_unix_ms.map_or(due_unix_ms, |known| known.min(due_unix_ms));
+        let earliest = self
+            .next_due_unix_ms
+            .map_or(due_unix_ms, |known| known.min(due_unix_ms));
         self.next_due_unix_ms = Some(earliest);
     }
 
@@ -255,7 +260,7 @@
         for worker in self.workers.values_mut() {
             for (task, run) in &mut worker.runs {
                 if task.step.job == id {
-                    run.stopping = true;
+                    run.stopping.get_or_insert(StopReason::JobEnded);
                 }
             }
         }
@@ -278,7 +283,11 @@
                 && !job.started
                 && job.spec.as_ref().is_some_and(|spec| spec.occurrences == 0)
         };
-        self.open.iter().filter_map(|id| self.jobs.get(id)).filter(waits).count()
+        self.open
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(waits)
+            .count()
     }
 
     /// Open jobs.
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -6,7 +6,9 @@
 use crate::{
     ids::TaskId,
     jobs::Outcome,
-    workers::{ClockReading, EndKind, HoldReport, Phase, Room, Run, ShownEnd, ShownRun},
+    workers::{
+        ClockReading, EndKind, HoldReport, Phase, Room, Run, ShownEnd, ShownRun, StopReason,
+    },
 };
 
 /// Failed runs in a row after which a worker is set aside.
@@ -59,15 +61,27 @@
     /// The terms of the next hold of a worker. `same_connection` says that the last answer came
     /// over the connection that will carry it; over another one a new life may answer, whose
     /// ends must not be acknowledged.
-    pub fn begin_hold(&mut self, id: &str, same_connection: bool, now_ms: u64) -> Option<HoldTerms> {
+    pub fn begin_hold(
+        &mut self,
+        id: &str,
+        same_connection: bool,
+        now_ms: u64,
+    ) -> Option<HoldTerms> {
         let hold_ms = self.tuning.hold_ms;
         let worker = self.workers.get_mut(id)?;
         let until_worker_ms = worker.clock.map(|clock| clock.estimate(now_ms) + hold_ms);
         if let Some(until) = until_worker_ms {
             worker.held_until_worker_ms = worker.held_until_worker_ms.max(until);
         }
-        let acknowledged_end = if same_connection { worker.durable_end } else { 0 };
-        Some(HoldTerms { until_worker_ms, acknowledged_end })
+        let acknowledged_end = if same_connection {
+            worker.durable_end
+        } else {
+            0
+        };
+        Some(HoldTerms {
+            until_worker_ms,
+            acknowledged_end,
+        })
     }
 
     /// A worker answered a hold that was sent at `sent_ms`.
@@ -97,7 +111,10 @@
         worker.born_unix_ms = report.born_unix_ms;
         worker.fenced = true;
         worker.silent = false;
-        worker.clock = Some(ClockReading { worker_ms: report.clock_ms, received_ms: now_ms });
+        worker.clock = Some(ClockReading {
+            worker_ms: report.clock_ms,
+            received_ms: now_ms,
+        });
         self.unheard.swap_remove(id);
         for end in &report.ended {
             self.apply_end(id, end, now_ms, unix_ms);
@@ -132,7 +149,9 @@
         for (&task, run) in &mut worker.runs {
             match run.phase {
                 // An order on its way may still reach a new life under the same name.
-                Phase::Ordered { .. } if worker.listed => run.stopping = true,
+                Phase::Ordered { .. } if worker.listed => {
+                    run.stopping = Some(StopReason::WorkerRestarted);
+                }
                 _ => lost.push(task),
             }
         }
@@ -198,7 +217,10 @@
 
     /// A worker confirmed a stop.
     pub fn stop_confirmed(&mut self, id: &str, task: TaskId, run: u64, now_ms: u64) {
-        let known = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
+        let known = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(&task));
         if let Some(known) = known.filter(|known| known.run == run) {
             // From here on it is there and ending, or will never start.
             known.phase = Phase::Present { since_ms: now_ms };
@@ -213,7 +235,11 @@
             return;
         }
         worker.processed_end = end.number;
-        if worker.runs.get(&end.task).is_some_and(|run| run.run <= end.run) {
+        if worker
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.run <= end.run)
+        {
             worker.remove_run(end.task);
         }
         match end.kind {
@@ -272,7 +298,13 @@
                 active.run != end.run || (index as u32 == end.task.index && &*active.worker != id)
             });
             if let Some(active) = elsewhere {
-                superseded.push((active, TaskId { step: end.task.step, index: index as u32 }));
+                superseded.push((
+                    active,
+                    TaskId {
+                        step: end.task.step,
+                        index: index as u32,
+                    },
+                ));
             }
         }
         job.started = true;
@@ -282,7 +314,7 @@
         }
         self.dirty.insert(job_id);
         for (active, task) in superseded {
-            self.mark_stopping(&active.worker, task, active.run);
+            self.mark_stopping(&active.worker, task, active.run, StopReason::DoneElsewhere);
         }
     }
 
@@ -291,7 +323,11 @@
         let Some(job) = self.jobs.get_mut(&job_id) else {
             return;
         };
-        let limit = self.config.queues.get(&job.queue).map_or(u32::MAX, |q| q.max_attempts.max(1));
+        let limit = self
+            .config
+            .queues
+            .get(&job.queue)
+            .map_or(u32::MAX, |q| q.max_attempts.max(1));
         let Some(spec) = job.step_spec(end.task.step.step) else {
             return;
         };
@@ -329,7 +365,9 @@
         let Some(job) = self.jobs.get_mut(&job_id) else {
             return;
         };
-        let gang = job.step_spec(end.task.step.step).is_some_and(|spec| spec.gang);
+        let gang = job
+            .step_spec(end.task.step.step)
+            .is_some_and(|spec| spec.gang);
         let Some(step) = job.step_mut(end.task.step) else {
             return;
         };
@@ -370,14 +408,27 @@
             .filter(|(_, active)| active.run == run)
             .collect();
         for (index, active) in members {
-            self.mark_stopping(&active.worker, TaskId { step: task.step, index }, run);
+            let member = TaskId {
+                step: task.step,
+                index,
+            };
+            self.mark_stopping(&active.worker, member, run, StopReason::GangBroken);
         }
     }
 
-    pub(super) fn mark_stopping(&mut self, worker: &str, task: TaskId, run: u64) {
-        let known = self.workers.get_mut(worker).and_then(|worker| worker.runs.get_mut(&task));
+    pub(super) fn mark_stopping(
+        &mut self,
+        worker: &str,
+        task: TaskId,
+        run: u64,
+        reason: StopReason,
+    ) {
+        let known = self
+            .workers
+            .get_mut(worker)
+            .and_then(|worker| worker.runs.get_mut(&task));
         if let Some(known) = known.filter(|known| known.run == run) {
-            known.stopping = true;
+            known.stopping.get_or_insert(reason);
         }
     }
 
@@ -396,7 +447,7 @@
                 run.moved_ms = now_ms;
             }
             let Some(job) = job else {
-                run.stopping = true;
+                run.stopping = Some(StopReason::NotWanted);
                 return;
             };
             job.started = true;
@@ -426,8 +477,10 @@
             if !shown.checkpoint.is_empty() {
                 task.checkpoint.clone_from(&shown.checkpoint);
             }
-            task.active =
-                Some(super::job::ActiveRun { worker: Rc::from(id), run: shown.run });
+            task.active = Some(super::job::ActiveRun {
+                worker: Rc::from(id),
+                run: shown.run,
+            });
             true
         });
         worker.add_run(
@@ -436,7 +489,7 @@
                 run: shown.run,
                 room,
                 phase: Phase::Present { since_ms: now_ms },
-                stopping: !wanted,
+                stopping: (!wanted).then_some(StopReason::NotWanted),
                 stop_sent_ms: None,
                 percent: shown.percent,
                 moved_ms: now_ms,
@@ -458,9 +511,10 @@
             })
             .filter(|(_, run)| match run.phase {
                 Phase::Present { since_ms } => sent_ms >= since_ms,
-                Phase::Ordered { until_worker_ms, in_flight } => {
-                    !in_flight && report.clock_ms >= until_worker_ms
-                }
+                Phase::Ordered {
+                    until_worker_ms,
+                    in_flight,
+                } => !in_flight && report.clock_ms >= until_worker_ms,
             })
             .map(|(&task, _)| task)
             .collect();
@@ -471,14 +525,21 @@
 
     /// A run is certainly not there: frees its room and lets its task wait again.
     pub(super) fn release(&mut self, id: &str, task: TaskId, _now_ms: u64) {
-        let Some(run) = self.workers.get_mut(id).and_then(|worker| worker.remove_run(task)) else {
+        let Some(run) = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.remove_run(task))
+        else {
             return;
         };
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
         if let Some(state) = job.task_mut(task)
-            && state.active.as_ref().is_some_and(|a| &*a.worker == id && a.run == run.run)
+            && state
+                .active
+                .as_ref()
+                .is_some_and(|a| &*a.worker == id && a.run == run.run)
         {
             state.active = None;
         }
@@ -494,11 +555,19 @@
                 continue;
             }
             for (&task, run) in &mut worker.runs {
-                let due = run.stop_sent_ms.is_none_or(|sent| now_ms >= sent + STOP_AGAIN_MS);
-                if run.stopping && due {
+                let due = run
+                    .stop_sent_ms
+                    .is_none_or(|sent| now_ms >= sent + STOP_AGAIN_MS);
+                if let Some(reason) = run.stopping
+                    && due
+                {
                     run.stop_sent_ms = Some(now_ms);
-                    let reason = "no longer wanted here";
-                    orders.push(Order::Stop { worker: Rc::clone(id), task, run: run.run, reason });
+                    orders.push(Order::Stop {
+                        worker: Rc::clone(id),
+                        task,
+                        run: run.run,
+                        reason,
+                    });
                 }
             }
         }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -10,7 +10,7 @@
     ids::{JobId, StepId, TaskId},
     jobs::{Outcome, StepSpec},
     placement::{self, Request, Spot},
-    workers::{Phase, Run, Worker},
+    workers::{Phase, Run, StopReason, Worker},
 };
 
 /// Time that a ticket must still be good for when a start is sent, in milliseconds: the order's
@@ -20,6 +20,8 @@
 const RESERVING_GANGS: usize = 2;
 /// Part of all workers that gangs may keep free, as a divisor.
 const RESERVED_PART: usize = 3;
+/// From here on a task counts as having done its part, in percent: workers round.
+const DONE_PERCENT: u64 = 99;
 /// An objective overrun by more than this factor earns nothing any more.
 const WORTHLESS_AFTER: u64 = 3;
 
@@ -53,7 +55,10 @@
         self.next_due_unix_ms = None;
         let open: Vec<JobId> = self.open.iter().copied().collect();
         for id in open {
-            let due = self.jobs.get_mut(&id).and_then(|job| job.begin_due(unix_ms));
+            let due = self
+                .jobs
+                .get_mut(&id)
+                .and_then(|job| job.begin_due(unix_ms));
             if let Some(due) = due {
                 self.note_due(due);
             }
@@ -63,11 +68,18 @@
     /// Frees what ran on workers that were silent until everything there had lapsed.
     fn drop_lapsed_workers(&mut self, now_ms: u64) {
         let lapsed = |worker: &&Worker| worker.silent && worker.certainly_lapsed(now_ms);
-        let ids: Vec<Rc<str>> =
-            self.workers.values().filter(lapsed).map(|w| Rc::clone(&w.entry.id)).collect();
+        let ids: Vec<Rc<str>> = self
+            .workers
+            .values()
+            .filter(lapsed)
+            .map(|w| Rc::clone(&w.entry.id))
+            .collect();
         for id in ids {
-            let tasks: Vec<TaskId> =
-                self.workers.get(&id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
+            let tasks: Vec<TaskId> = self
+                .workers
+                .get(&id)
+                .map(|w| w.runs.keys().copied().collect())
+                .unwrap_or_default();
             for task in tasks {
                 self.release(&id, task, now_ms);
             }
@@ -79,7 +91,8 @@
         if now_ms >= self.inherited_lapse_ms {
             self.unheard.clear();
             // Predecessor's workers that were never heard nor listed hold nothing any more.
-            self.workers.retain(|_, worker| worker.listed || worker.fenced);
+            self.workers
+                .retain(|_, worker| worker.listed || worker.fenced);
         }
     }
 
@@ -89,24 +102,32 @@
         for worker in self.workers.values_mut() {
             let mut hung = false;
             for (&task, run) in &mut worker.runs {
-                if run.stopping {
+                if run.stopping.is_some() {
                     continue;
                 }
                 let Some(job) = self.jobs.get(&task.step.job) else {
-                    run.stopping = true;
+                    run.stopping = Some(StopReason::NotWanted);
                     continue;
                 };
                 let Some(spec) = job.step_spec(task.step.step) else {
-                    run.stopping = true;
+                    // The members of a gang whose end completed the job are ending by themselves.
+                    if job.outcome != Outcome::Completed {
+                        run.stopping = Some(StopReason::JobEnded);
+                    }
                     continue;
                 };
                 match run.phase {
-                    Phase::Ordered { in_flight: false, .. } if spec.gang => stuck.push((task, run.run)),
-                    Phase::Present { .. } if !spec.long_running && !spec.fills => {
+                    Phase::Ordered {
+                        in_flight: false, ..
+                    } if spec.gang => stuck.push((task, run.run)),
+                    // A member of a gang that has done its part waits for the others.
+                    Phase::Present { .. }
+                        if !spec.long_running && !spec.fills && run.percent < DONE_PERCENT =>
+                    {
                         let still_ms = now_ms.saturating_sub(run.moved_ms);
                         if still_ms > self.tuning.hung_after_ms && !worker.silent {
                             hung = true;
-                            run.stopping = true;
+                            run.stopping = Some(StopReason::Hung);
                             stuck.push((task, run.run));
                         }
                     }
@@ -139,19 +160,32 @@
                         continue;
                     }
                     state.gang_ordered_ms = None;
-                    let step = StepId { job: *id, occurrence, step: step as u32 };
+                    let step = StepId {
+                        job: *id,
+                        occurrence,
+                        step: step as u32,
+                    };
                     let present = |(index, task): (usize, &super::job::Task)| {
                         let Some(active) = &task.active else {
                             return task.done;
                         };
-                        let task = TaskId { step, index: index as u32 };
-                        let run = self.workers.get(&active.worker).and_then(|w| w.runs.get(&task));
+                        let task = TaskId {
+                            step,
+                            index: index as u32,
+                        };
+                        let run = self
+                            .workers
+                            .get(&active.worker)
+                            .and_then(|w| w.runs.get(&task));
                         run.is_some_and(|run| matches!(run.phase, Phase::Present { .. }))
                     };
                     if state.tasks.iter().enumerate().all(present) {
                         continue;
                     }
-                    let run = state.tasks.iter().find_map(|t| Some(t.active.as_ref()?.run));
+                    let run = state
+                        .tasks
+                        .iter()
+                        .find_map(|t| Some(t.active.as_ref()?.run));
                     if let Some(run) = run {
                         incomplete.push((TaskId { step, index: 0 }, run));
                     }
@@ -188,7 +222,11 @@
             if job.inherited && !settled {
                 continue;
             }
-            let priority = self.config.queues.get(&job.queue).map_or(u32::MAX, |q| q.priority);
+            let priority = self
+                .config
+                .queues
+                .get(&job.queue)
+                .map_or(u32::MAX, |q| q.priority);
             for (&occurrence, state) in &job.occurrences {
                 for (step, step_state) in state.steps.iter().enumerate() {
                     let step = step as u32;
@@ -204,7 +242,11 @@
                         priority,
                         not_started: !job.started,
                         accepted_unix_ms: since,
-                        step: StepId { job: job.id, occurrence, step },
+                        step: StepId {
+                            job: job.id,
+                            occurrence,
+                            step,
+                        },
                     });
                 }
             }
@@ -231,7 +273,11 @@
             return false;
         };
         let service = service_of(&self.config, job);
-        let needs_ticket = self.config.queues.get(&job.queue).is_some_and(|q| q.advice.is_some());
+        let needs_ticket = self
+            .config
+            .queues
+            .get(&job.queue)
+            .is_some_and(|q| q.advice.is_some());
         let Some(step) = job.step_mut(id) else {
             return false;
         };
@@ -239,8 +285,10 @@
         if spec.gang && waiting.len() < step.tasks.len() - step.done_count as usize {
             return false;
         }
-        let failed_on: Vec<&Rc<str>> =
-            waiting.iter().filter_map(|&n| step.tasks[n as usize].failed_on.as_ref()).collect();
+        let failed_on: Vec<&Rc<str>> = waiting
+            .iter()
+            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
+            .collect();
         let mut spots: Vec<Spot<'_>> = Vec::new();
         for (position, worker) in self.workers.values().enumerate() {
             let name = &worker.entry.id;
@@ -278,7 +326,11 @@
         if placed.is_empty() {
             return false;
         }
-        let gang_run = waiting.iter().map(|&n| step.tasks[n as usize].last_run).max().unwrap_or(0);
+        let gang_run = waiting
+            .iter()
+            .map(|&n| step.tasks[n as usize].last_run)
+            .max()
+            .unwrap_or(0);
         for (&index, position) in waiting.iter().zip(placed) {
             let Some((name, worker)) = self.workers.get_index_mut(position) else {
                 continue;
@@ -293,13 +345,19 @@
             let until_worker_ms = clock.estimate(now_ms) + self.tuning.start_window_ms;
             worker.held_until_worker_ms = worker.held_until_worker_ms.max(until_worker_ms);
             task.last_run = run;
-            task.active = Some(ActiveRun { worker: Rc::clone(name), run });
-            let phase = Phase::Ordered { until_worker_ms, in_flight: true };
+            task.active = Some(ActiveRun {
+                worker: Rc::clone(name),
+                run,
+            });
+            let phase = Phase::Ordered {
+                until_worker_ms,
+                in_flight: true,
+            };
             let ordered = Run {
                 run,
                 room: need,
                 phase,
-                stopping: false,
+                stopping: None,
                 stop_sent_ms: None,
                 percent: 0,
                 moved_ms: now_ms,
@@ -312,7 +370,11 @@
                 payload: Rc::clone(&job_spec),
                 until_worker_ms,
                 checkpoint: task.checkpoint.clone(),
-                ticket: step.advice.good.get(name).map(|ticket| Rc::clone(&ticket.text)),
+                ticket: step
+                    .advice
+                    .good
+                    .get(name)
+                    .map(|ticket| Rc::clone(&ticket.text)),
             });
         }
         if spec.gang {
@@ -326,7 +388,10 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
-        let Some(spec) = job.step_spec(id.step).filter(|spec| spec.gang && spec.count > 1) else {
+        let Some(spec) = job
+            .step_spec(id.step)
+            .filter(|spec| spec.gang && spec.count > 1)
+        else {
             return false;
         };
         let Some(step) = job
@@ -338,7 +403,11 @@
         };
         let service = service_of(&self.config, job);
         let need = room_of(spec);
-        let advised = self.config.queues.get(&job.queue).is_some_and(|q| q.advice.is_some());
+        let advised = self
+            .config
+            .queues
+            .get(&job.queue)
+            .is_some_and(|q| q.advice.is_some());
         let mut fitting: Vec<(u64, u32, &Rc<str>)> = self
             .workers
             .values()
@@ -354,7 +423,11 @@
                     rack: "",
                     task_limit: task_limit(worker, spec, id),
                 };
-                (worker.used.cpu_millicores, empty.takes(&need, spec.count), &worker.entry.id)
+                (
+                    worker.used.cpu_millicores,
+                    empty.takes(&need, spec.count),
+                    &worker.entry.id,
+                )
             })
             .filter(|(_, takes, _)| *takes > 0)
             .collect();
@@ -378,13 +451,21 @@
 
 /// The service whose workers run a job: the queue's now, or what it was if the queue is gone.
 pub(super) fn service_of(config: &crate::config::Config, job: &Job) -> Rc<str> {
-    config.queues.get(&job.queue).map_or(&job.service, |queue| &queue.service).clone()
+    config
+        .queues
+        .get(&job.queue)
+        .map_or(&job.service, |queue| &queue.service)
+        .clone()
 }
 
 /// Whether a worker has the label that a step asks for.
 pub(super) fn has_label(worker: &Worker, spec: &StepSpec) -> bool {
     spec.required_label.is_empty()
-        || worker.entry.labels.iter().any(|label| **label == *spec.required_label)
+        || worker
+            .entry
+            .labels
+            .iter()
+            .any(|label| **label == *spec.required_label)
 }
 
 /// How many more tasks of a step a worker may run.
@@ -414,4 +495,3 @@
     };
     (lateness, since)
 }
-
--- a/crates/cell/src/ids.rs
+++ b/crates/cell/src/ids.rs
@@ -24,7 +24,9 @@
         if !canonical {
             return Err(InvalidJobId);
         }
-        u64::from_str_radix(text, 16).map(Self).map_err(|_| InvalidJobId)
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| InvalidJobId)
     }
 }
 
@@ -66,11 +68,23 @@
     fn from_str(text: &str) -> Result<Self, InvalidJobId> {
         let mut parts = text.split('.');
         let job = parts.next().ok_or(InvalidJobId)?.parse()?;
-        let mut number = || parts.next().and_then(|part| part.parse().ok()).ok_or(InvalidJobId);
+        let mut number = || {
+            parts
+                .next()
+                .and_then(|part| part.parse().ok())
+                .ok_or(InvalidJobId)
+        };
         let (occurrence, step, index) = (number()?, number()?, number()?);
         if parts.next().is_some() {
             return Err(InvalidJobId);
         }
-        Ok(Self { step: StepId { job, occurrence, step }, index })
+        Ok(Self {
+            step: StepId {
+                job,
+                occurrence,
+                step,
+            },
+            index,
+        })
     }
 }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -102,7 +102,11 @@
     pub fn longest_chain_ms(&self) -> u64 {
         let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
-            let before = step.after.iter().filter_map(|&n| ends_ms.get(n as usize)).max();
+            let before = step
+                .after
+                .iter()
+                .filter_map(|&n| ends_ms.get(n as usize))
+                .max();
             ends_ms.push(before.copied().unwrap_or(0) + step.estimate_ms);
         }
         ends_ms.into_iter().max().unwrap_or(0)
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -25,7 +25,10 @@
     /// How many tasks of the size `need` it can take now, up to `most`.
     pub fn takes(&self, need: &Room, most: u32) -> u32 {
         let per = |free: u64, need: u64| free.checked_div(need).map_or(u64::from(most), |n| n);
-        let free_cpu = self.capacity.cpu_millicores.saturating_sub(self.used.cpu_millicores);
+        let free_cpu = self
+            .capacity
+            .cpu_millicores
+            .saturating_sub(self.used.cpu_millicores);
         let free_memory = self.capacity.memory_mb.saturating_sub(self.used.memory_mb);
         let free_gpus = self.capacity.gpus.saturating_sub(self.used.gpus);
         let fits = per(free_cpu, need.cpu_millicores)
@@ -52,15 +55,21 @@
 
 /// Places up to `count` tasks; returns the position of a worker for each that found room.
 pub fn place(request: &Request<'_>, spots: &mut [Spot<'_>]) -> Vec<usize> {
-    let total: u32 = spots.iter().map(|spot| spot.takes(&request.need, request.count)).sum();
+    let total: u32 = spots
+        .iter()
+        .map(|spot| spot.takes(&request.need, request.count))
+        .sum();
     if total == 0 || (request.all_or_nothing && total < request.count) {
         return Vec::new();
     }
     if request.same_rack
         && let Some(rack) = whole_rack(request, spots)
     {
-        let mut inside: Vec<Spot<'_>> =
-            spots.iter().filter(|spot| spot.rack == rack).cloned().collect();
+        let mut inside: Vec<Spot<'_>> = spots
+            .iter()
+            .filter(|spot| spot.rack == rack)
+            .cloned()
+            .collect();
         return pack(request, &mut inside);
     }
     pack(request, spots)
@@ -89,7 +98,11 @@
         let away = |spot: &Spot<'_>| {
             !request.affinity_rack.is_empty() && spot.rack != request.affinity_rack
         };
-        let left = |spot: &Spot<'_>| spot.capacity.cpu_millicores.saturating_sub(spot.used.cpu_millicores);
+        let left = |spot: &Spot<'_>| {
+            spot.capacity
+                .cpu_millicores
+                .saturating_sub(spot.used.cpu_millicores)
+        };
         let best = spots
             .iter_mut()
             .filter(|spot| spot.takes(&request.need, 1) == 1)
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use derive_more::Display;
 use indexmap::IndexMap;
 
 use crate::ids::TaskId;
@@ -19,8 +20,11 @@
 
 impl Room {
     /// What a run takes whose job is no longer known: more than any worker has.
-    pub const UNKNOWN: Self =
-        Self { cpu_millicores: 1 << 40, memory_mb: 1 << 40, gpus: 1 << 40 };
+    pub const UNKNOWN: Self = Self {
+        cpu_millicores: 1 << 40,
+        memory_mb: 1 << 40,
+        gpus: 1 << 40,
+    };
 
     /// Whether `need` fits into what is left of `self` after `used`.
     pub fn fits(&self, used: &Self, need: &Self) -> bool {
@@ -155,6 +159,29 @@
     }
 }
 
+/// Why a run is to end before its work is done.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StopReason {
+    /// Its job has ended.
+    #[display("job_ended")]
+    JobEnded,
+    /// Its task needs no run there, or its job is not known.
+    #[display("not_wanted")]
+    NotWanted,
+    /// The task ended as done elsewhere.
+    #[display("done_elsewhere")]
+    DoneElsewhere,
+    /// Another member of its gang is missing or has ended.
+    #[display("gang_broken")]
+    GangBroken,
+    /// It makes no progress.
+    #[display("hung")]
+    Hung,
+    /// The worker started anew while the order was on its way.
+    #[display("worker_restarted")]
+    WorkerRestarted,
+}
+
 /// How far an order to start is known to have got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -182,8 +209,8 @@
     pub room: Room,
     /// How far its start has got.
     pub phase: Phase,
-    /// It is to end; nothing else may take its room before it has.
-    pub stopping: bool,
+    /// It is to end, and why; nothing else may take its room before it has.
+    pub stopping: Option<StopReason>,
     /// When the last stop was sent, in milliseconds of our clock.
     pub stop_sent_ms: Option<u64>,
     /// How much of its work is done, in percent.
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -13,5 +13,7 @@
 
 /// The time of day, in Unix milliseconds.
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |passed| passed.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |passed| passed.as_millis() as u64)
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -93,7 +93,9 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
 }
 
 async fn serve(settings: Settings, arguments: Arguments) -> Result<(), DaemonError> {
@@ -102,8 +104,7 @@
     let peers_listener = listen(settings.peers_address).await?;
     let settings = Rc::new(settings);
     let pool = Pool::default();
-    let store =
-        GuardedStore::new(Store::new(pool.clone(), settings.store_address));
+    let store = GuardedStore::new(Store::new(pool.clone(), settings.store_address));
     let operators = Rc::new(Operators::default());
     let members = Rc::new(Members::default());
     let peers = Rc::new(Peers::default());
@@ -130,7 +131,10 @@
         Rc::clone(&members),
         settings.host_name.clone(),
     ));
-    let own = Host { address: settings.peers_address, zone: settings.zone.clone() };
+    let own = Host {
+        address: settings.peers_address,
+        zone: settings.zone.clone(),
+    };
     task::spawn_local(members::register(
         store.clone(),
         Rc::clone(&members),
@@ -144,7 +148,10 @@
         let (lead, members) = (Rc::clone(&answer_lead), Rc::clone(&answer_members));
         answer_peer(body, lead, members, answer_pool.clone(), advice_address)
     }));
-    task::spawn_local(front::serve_readiness(readiness_listener, Rc::clone(&front)));
+    task::spawn_local(front::serve_readiness(
+        readiness_listener,
+        Rc::clone(&front),
+    ));
     task::spawn_local(front::serve(clients_listener, Rc::clone(&front), stopped));
     if arguments.metrics_port > 0 {
         let address = SocketAddr::new(settings.peers_address.ip(), arguments.metrics_port);
@@ -172,7 +179,11 @@
         settings.peers_address
     );
     wait_for_stop(&settings).await?;
-    log_event!(events::DRAINING, "connections={}", front.open_connections.get());
+    log_event!(
+        events::DRAINING,
+        "connections={}",
+        front.open_connections.get()
+    );
     front.draining.set(true);
     let began_ms = clock::now_ms();
     let own = lead.borrow_mut().take();
@@ -183,12 +194,15 @@
     time::sleep(LINGER).await;
     stop.send_replace(true);
     let grace = Duration::from_millis(settings.shutdown_grace_ms).saturating_sub(END_RESERVE);
-    while front.open_connections.get() > 0
-        && clock::now_ms() - began_ms < grace.as_millis() as u64
+    while front.open_connections.get() > 0 && clock::now_ms() - began_ms < grace.as_millis() as u64
     {
         time::sleep(Duration::from_millis(20)).await;
     }
-    log_event!(events::STOPPED, "connections={}", front.open_connections.get());
+    log_event!(
+        events::STOPPED,
+        "connections={}",
+        front.open_connections.get()
+    );
     // Leaves the writer of the log time for the last line.
     time::sleep(Duration::from_millis(20)).await;
     Ok(())
@@ -259,12 +273,20 @@
 
 /// Asks the advice service from this host.
 pub async fn ask_advice(pool: &Pool, address: SocketAddr, call: &peers::AdviseCall) -> Advised {
-    let step = StepId { job: JobId(call.job), occurrence: call.occurrence, step: call.step };
+    let step = StepId {
+        job: JobId(call.job),
+        occurrence: call.occurrence,
+        step: call.step,
+    };
     let timeout = Duration::from_millis(call.timeout_ms);
     let Some(answer) = advice::ask(pool, address, step, &call.workers, timeout).await else {
         return Advised::default();
     };
-    let mut advised = Advised { answered: true, valid_ms: answer.valid_ms, ..Advised::default() };
+    let mut advised = Advised {
+        answered: true,
+        valid_ms: answer.valid_ms,
+        ..Advised::default()
+    };
     for (worker, ticket) in answer.rows {
         if let Some(position) = call.workers.iter().position(|named| *named == worker) {
             advised.workers.push(position as u32);
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -103,7 +103,10 @@
     term_revision: u64,
     number: u64,
 ) -> Option<Term> {
-    let own = LeadRecord { nonce: rand::rng().random(), ..own.clone() };
+    let own = LeadRecord {
+        nonce: rand::rng().random(),
+        ..own.clone()
+    };
     let lease = store.grant_lease(LEAD_LEASE).await.ok()?;
     let value = own.encode_to_vec();
     let txn = Txn::default()
@@ -132,6 +135,14 @@
         }
         Err(_) => return None,
     };
-    log_event!(events::LEAD_TAKEN, "fence={fence} term={number} lease={lease}");
-    Some(Term { fence, lease, number, taken_ms })
+    log_event!(
+        events::LEAD_TAKEN,
+        "fence={fence} term={number} lease={lease}"
+    );
+    Some(Term {
+        fence,
+        lease,
+        number,
+        taken_ms,
+    })
 }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -105,13 +105,18 @@
                 Known::Missing | Known::Unavailable => refuse(503, UNAVAILABLE_RETRY_MS),
             },
         };
-        self.metrics.observe(asked, reply.status().as_u16(), started.elapsed());
+        self.metrics
+            .observe(asked, reply.status().as_u16(), started.elapsed());
         reply
     }
 
     async fn submit(&self, id: JobId, queue: &Queue, body: &[u8], patience: Duration) -> Reply {
         let Some(spec) = clients::job(body) else {
-            log_event!(events::JOB_ANSWERED, "job={id} outcome=malformed bytes={}", body.len());
+            log_event!(
+                events::JOB_ANSWERED,
+                "job={id} outcome=malformed bytes={}",
+                body.len()
+            );
             return plain(400, "");
         };
         let record = JobRecord {
@@ -166,8 +171,11 @@
 
 fn patience(request: &hyper::Request<Incoming>) -> Duration {
     let header = request.headers().get(DEADLINE_HEADER);
-    let ms = header.and_then(|value| value.to_str().ok()).and_then(|value| value.parse().ok());
-    ms.map_or(DEFAULT_PATIENCE, Duration::from_millis).min(Duration::from_secs(30))
+    let ms = header
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    ms.map_or(DEFAULT_PATIENCE, Duration::from_millis)
+        .min(Duration::from_secs(30))
 }
 
 fn plain(status: u16, body: &str) -> Reply {
@@ -187,7 +195,9 @@
     if let Some(seconds) = retry_after_s {
         builder = builder.header(header::RETRY_AFTER, seconds);
     }
-    builder.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).expect("the parts are valid")
+    builder
+        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+        .expect("the parts are valid")
 }
 
 /// Serves clients until `stop` turns true; connections then end after the request they carry.
@@ -219,7 +229,10 @@
         async move { Ok::<_, Infallible>(front.answer(request).await) }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(BUFFER_BYTES).timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+    builder
+        .max_buf_size(BUFFER_BYTES)
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT);
     let connection = builder.serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     tokio::select! {
@@ -251,8 +264,10 @@
                 async move { Ok::<_, Infallible>(reply) }
             });
             let mut builder = http1::Builder::new();
-            let _ended =
-                builder.max_buf_size(BUFFER_BYTES).serve_connection(TokioIo::new(stream), handler).await;
+            let _ended = builder
+                .max_buf_size(BUFFER_BYTES)
+                .serve_connection(TokioIo::new(stream), handler)
+                .await;
         });
     }
 }
--- a/crates/entry/src/lead/arrivals.rs
+++ b/crates/entry/src/lead/arrivals.rs
@@ -43,7 +43,12 @@
         }
         let mut after = listing.as_of;
         loop {
-            match lead.around.store.watch(ARRIVALS_PREFIX, after, WATCH_WAIT).await {
+            match lead
+                .around
+                .store
+                .watch(ARRIVALS_PREFIX, after, WATCH_WAIT)
+                .await
+            {
                 Ok(watched) => {
                     after = watched.as_of;
                     for event in &watched.events {
@@ -76,7 +81,10 @@
     async fn take_arrival(&self, key: &str) {
         if let Some(id) = key.strip_prefix(NEW_PREFIX).and_then(|id| id.parse().ok()) {
             self.fetch(id).await;
-        } else if let Some(id) = key.strip_prefix(CANCEL_PREFIX).and_then(|id| id.parse().ok()) {
+        } else if let Some(id) = key
+            .strip_prefix(CANCEL_PREFIX)
+            .and_then(|id| id.parse().ok())
+        {
             self.fetch(id).await;
             self.cell.borrow_mut().cancel(id, clock::unix_ms());
             self.schedule.notify_one();
@@ -124,7 +132,12 @@
         lead.roster.notify_one();
         let mut after = listing.as_of;
         loop {
-            match lead.around.store.watch(WORKERS_PREFIX, after, WATCH_WAIT).await {
+            match lead
+                .around
+                .store
+                .watch(WORKERS_PREFIX, after, WATCH_WAIT)
+                .await
+            {
                 Ok(watched) => {
                     after = watched.as_of;
                     for event in &watched.events {
@@ -158,7 +171,12 @@
             return false;
         };
         let id = Rc::clone(&entry.id);
-        let known = self.cell.borrow().workers().get(&id).map(|w| (w.listed, w.entry.draining));
+        let known = self
+            .cell
+            .borrow()
+            .workers()
+            .get(&id)
+            .map(|w| (w.listed, w.entry.draining));
         if known != Some((true, entry.draining)) {
             log_event!(
                 events::WORKER_CHANGED,
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -60,7 +60,12 @@
         writes.extend(changes.records.iter().map(|record| {
             let id = JobId(record.id);
             let expected = lead.revisions.borrow().get(&id).copied().unwrap_or(0);
-            Write { id, record: record.clone(), expected, accepted: None }
+            Write {
+                id,
+                record: record.clone(),
+                expected,
+                accepted: None,
+            }
         }));
         let most = (MAX_TXN_ENTRIES - 1) / 2;
         while !writes.is_empty() {
@@ -123,9 +128,14 @@
     fn tell_cancelled(&self) {
         let cell = self.cell.borrow();
         let mut waiting = self.cancellations.borrow_mut();
-        let durable = |id: JobId| !cell.state(id).is_some_and(|state| {
-            matches!(state, cell::jobs::JobState::Queued | cell::jobs::JobState::Running)
-        });
+        let durable = |id: JobId| {
+            !cell.state(id).is_some_and(|state| {
+                matches!(
+                    state,
+                    cell::jobs::JobState::Queued | cell::jobs::JobState::Running
+                )
+            })
+        };
         let (done, rest): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|(id, _)| durable(*id));
         *waiting = rest;
         for (_, sender) in done {
@@ -141,7 +151,9 @@
             let mut txn = Txn::default().expect(LEAD_KEY, self.term.fence);
             for write in &writes {
                 let key = records::job_key(write.id);
-                txn = txn.expect(&key, write.expected).put(&key, &write.record.encode_to_vec(), 0);
+                txn = txn
+                    .expect(&key, write.expected)
+                    .put(&key, &write.record.encode_to_vec(), 0);
             }
             let sent_ms = clock::now_ms();
             match self.around.store.commit(&txn).await {
@@ -153,7 +165,10 @@
                     return true;
                 }
                 Ok(Committed::Conflict { items }) => {
-                    if !items.iter().any(|i| i.key == LEAD_KEY && i.revision == self.term.fence) {
+                    if !items
+                        .iter()
+                        .any(|i| i.key == LEAD_KEY && i.revision == self.term.fence)
+                    {
                         self.lose("key_taken");
                         return false;
                     }
@@ -192,7 +207,9 @@
 
     /// A job's record is durable and new to us.
     pub(super) fn take_in(&self, record: &JobRecord) {
-        self.cell.borrow_mut().accept(record, false, clock::unix_ms());
+        self.cell
+            .borrow_mut()
+            .accept(record, false, clock::unix_ms());
         self.schedule.notify_one();
     }
 
@@ -234,16 +251,23 @@
             let cell = self.cell.borrow();
             Roster::of(cell.workers().values().map(|worker| &worker.entry))
         };
-        let names: Vec<Rc<str>> =
-            roster.workers.iter().map(|worker| worker.id.as_str().into()).collect();
+        let names: Vec<Rc<str>> = roster
+            .workers
+            .iter()
+            .map(|worker| worker.id.as_str().into())
+            .collect();
         if self.rostered.borrow().len() == names.len()
-            && names.iter().all(|name| self.rostered.borrow().contains(name))
+            && names
+                .iter()
+                .all(|name| self.rostered.borrow().contains(name))
         {
             return;
         }
         let value = roster.encode_to_vec();
         loop {
-            let txn = Txn::default().expect(LEAD_KEY, self.term.fence).put(ROSTER_KEY, &value, 0);
+            let txn = Txn::default()
+                .expect(LEAD_KEY, self.term.fence)
+                .put(ROSTER_KEY, &value, 0);
             match self.around.store.commit(&txn).await {
                 Ok(Committed::Done { .. }) => break,
                 Ok(Committed::Conflict { .. }) => return self.lose("key_taken"),
--- a/crates/entry/src/lead/holds.rs
+++ b/crates/entry/src/lead/holds.rs
@@ -75,10 +75,20 @@
         let call = workers::hold_call(&headers, terms, lead.term.fence, wait, wait + SLACK);
         let sent_ms = clock::now_ms();
         lead.around.metrics.count("holds");
-        match open.call(&call).await.map(|answer| workers::hold_answer(&answer)) {
+        match open
+            .call(&call)
+            .await
+            .map(|answer| workers::hold_answer(&answer))
+        {
             Ok(HoldAnswer::Report(report)) => {
                 for end in &report.ended {
-                    if end.number > lead.cell.borrow().workers().get(&id).map_or(0, |w| w.processed_end)
+                    if end.number
+                        > lead
+                            .cell
+                            .borrow()
+                            .workers()
+                            .get(&id)
+                            .map_or(0, |w| w.processed_end)
                     {
                         log_event!(
                             events::RUN_ENDED,
@@ -91,7 +101,9 @@
                 }
                 let received_ms = clock::now_ms();
                 let unix_ms = clock::unix_ms();
-                lead.cell.borrow_mut().hold_answered(&id, sent_ms, received_ms, unix_ms, &report);
+                lead.cell
+                    .borrow_mut()
+                    .hold_answered(&id, sent_ms, received_ms, unix_ms, &report);
                 if was_silent {
                     log_event!(
                         events::WORKER_HEARD,
@@ -144,7 +156,9 @@
                 let committed = self.committed.notified();
                 let pending = {
                     let cell = self.cell.borrow();
-                    cell.workers().get(id).is_some_and(|w| w.processed_end > w.durable_end)
+                    cell.workers()
+                        .get(id)
+                        .is_some_and(|w| w.processed_end > w.durable_end)
                 };
                 if !pending {
                     return;
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -103,7 +103,11 @@
 /// Coordinates until the term ends.
 pub async fn run(around: &Surroundings, term: Term, slot: &LeadSlot) {
     let Some(lead) = takeover::begin(around, term).await else {
-        log_event!(events::LEAD_LOST, "fence={} reason=takeover_failed", term.fence);
+        log_event!(
+            events::LEAD_LOST,
+            "fence={} reason=takeover_failed",
+            term.fence
+        );
         let _lapses = around.store.end_lease(term.lease).await;
         return;
     };
@@ -144,7 +148,9 @@
     fn tuning(settings: &Settings) -> Tuning {
         let base = Tuning::default();
         Tuning {
-            hold_ms: base.hold_ms.min(settings.longest_hold_ms.saturating_sub(500)),
+            hold_ms: base
+                .hold_ms
+                .min(settings.longest_hold_ms.saturating_sub(500)),
             gang_patience_ms: base.gang_patience_ms.min(settings.gang_timeout_ms / 2),
             retention_ms: settings.retention_ms + 10_000,
             ..base
@@ -169,7 +175,11 @@
 
     fn lose(&self, reason: &str) {
         if !self.ended.is_cancelled() {
-            log_event!(events::LEAD_LOST, "fence={} reason={reason}", self.term.fence);
+            log_event!(
+                events::LEAD_LOST,
+                "fence={} reason={reason}",
+                self.term.fence
+            );
             self.ended.cancel();
         }
     }
@@ -203,7 +213,10 @@
 
     async fn submit(&self, record: JobRecord) -> Body {
         let id = JobId(record.id);
-        let accepted = Body::Submitted(Submitted { accepted: true, retry_after_ms: 0 });
+        let accepted = Body::Submitted(Submitted {
+            accepted: true,
+            retry_after_ms: 0,
+        });
         if self.cell.borrow().knows(id) {
             return accepted;
         }
@@ -214,13 +227,19 @@
             Verdict::NeverFits => Some(0),
         };
         if let Some(retry_after_ms) = retry_after_ms {
-            return Body::Submitted(Submitted { accepted: false, retry_after_ms });
+            return Body::Submitted(Submitted {
+                accepted: false,
+                retry_after_ms,
+            });
         }
         if self.around.store.is_lost() {
             return Body::NotHere(true);
         }
         let (sender, durable) = oneshot::channel();
-        self.submissions.borrow_mut().push(Submission { record, accepted: sender });
+        self.submissions.borrow_mut().push(Submission {
+            record,
+            accepted: sender,
+        });
         self.commit.notify_one();
         match durable.await {
             Ok(true) => accepted,
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -47,7 +47,11 @@
             if !settled && lead.cell.borrow().inheritance_settled(now_ms) {
                 settled = true;
                 let after_ms = now_ms - lead.term.taken_ms;
-                log_event!(events::LEAD_SETTLED, "fence={} after_ms={after_ms}", lead.term.fence);
+                log_event!(
+                    events::LEAD_SETTLED,
+                    "fence={} after_ms={after_ms}",
+                    lead.term.fence
+                );
             }
         }
         time::sleep(PASS_PACE).await;
@@ -56,13 +60,28 @@
 
 impl Lead {
     fn address_of(&self, worker: &str) -> Option<SocketAddr> {
-        self.cell.borrow().workers().get(worker)?.entry.address.parse().ok()
+        self.cell
+            .borrow()
+            .workers()
+            .get(worker)?
+            .entry
+            .address
+            .parse()
+            .ok()
     }
 
     fn carry_out(self: &Rc<Self>, order: Order) {
         let lead = Rc::clone(self);
         match order {
-            Order::Start { worker, task, run, payload, until_worker_ms, checkpoint, ticket } => {
+            Order::Start {
+                worker,
+                task,
+                run,
+                payload,
+                until_worker_ms,
+                checkpoint,
+                ticket,
+            } => {
                 log_event!(
                     events::RUN_ORDERED,
                     "task={task} run={run} worker={worker} until={until_worker_ms} resume={}",
@@ -82,8 +101,16 @@
                     lead.started(&worker, task, run, answer);
                 });
             }
-            Order::Stop { worker, task, run, reason } => {
-                log_event!(events::RUN_STOPPED, "task={task} run={run} worker={worker} why={reason:?}");
+            Order::Stop {
+                worker,
+                task,
+                run,
+                reason,
+            } => {
+                log_event!(
+                    events::RUN_STOPPED,
+                    "task={task} run={run} worker={worker} why={reason}"
+                );
                 self.spawn(async move { lead.stop(&worker, task, run).await });
             }
         }
@@ -108,13 +135,18 @@
 
     fn started(&self, worker: &str, task: TaskId, run: u64, answer: StartAnswer) {
         if answer != StartAnswer::Started {
-            log_event!(events::RUN_REFUSED, "task={task} run={run} worker={worker} why={answer:?}");
+            log_event!(
+                events::RUN_REFUSED,
+                "task={task} run={run} worker={worker} why={answer:?}"
+            );
             self.around.metrics.count("starts_refused");
         }
         if answer == StartAnswer::Fenced {
             self.lose("fenced_by_worker");
         }
-        self.cell.borrow_mut().start_answered(worker, task, run, answer, clock::now_ms());
+        self.cell
+            .borrow_mut()
+            .start_answered(worker, task, run, answer, clock::now_ms());
         self.schedule.notify_one();
     }
 
@@ -126,10 +158,14 @@
         let call = workers::stop_call(&headers, task, run, self.term.fence, STOP_TIMEOUT);
         match self.around.pool.call(address, &call).await {
             Ok(answer) if answer.status == 200 => {
-                self.cell.borrow_mut().stop_confirmed(worker, task, run, clock::now_ms());
+                self.cell
+                    .borrow_mut()
+                    .stop_confirmed(worker, task, run, clock::now_ms());
             }
             Ok(answer) if answer.status == 421 => {
-                self.cell.borrow_mut().stop_confirmed(worker, task, run, clock::now_ms());
+                self.cell
+                    .borrow_mut()
+                    .stop_confirmed(worker, task, run, clock::now_ms());
             }
             // Sent again while the run is still there.
             Ok(_) | Err(_) => {}
@@ -206,7 +242,9 @@
         } else {
             AdviceOutcome::Failed
         };
-        self.cell.borrow_mut().advice_answered(question, &outcome, clock::now_ms());
+        self.cell
+            .borrow_mut()
+            .advice_answered(question, &outcome, clock::now_ms());
         self.schedule.notify_one();
     }
 }
--- a/crates/entry/src/lead/takeover.rs
+++ b/crates/entry/src/lead/takeover.rs
@@ -67,7 +67,10 @@
     );
     let lead = Lead::new(around, term, cell);
     lead.revisions.borrow_mut().extend(lead_revisions);
-    let rostered = roster.workers.iter().map(|worker| worker.id.as_str().into());
+    let rostered = roster
+        .workers
+        .iter()
+        .map(|worker| worker.id.as_str().into());
     lead.rostered.borrow_mut().extend(rostered);
     Some(Rc::new(lead))
 }
@@ -79,8 +82,7 @@
 async fn keep_lease(around: &Surroundings, term: Term) {
     loop {
         time::sleep(LEAD_RENEWAL).await;
-        if around.store.renew_lease(term.lease).await
-            == Err(adapter::store::StoreError::LeaseEnded)
+        if around.store.renew_lease(term.lease).await == Err(adapter::store::StoreError::LeaseEnded)
         {
             return;
         }
@@ -97,7 +99,10 @@
     loop {
         match around.store.get(ROSTER_KEY).await {
             Ok(Some(item)) => {
-                break (jobs, Roster::decode(item.value.as_slice()).unwrap_or_default());
+                break (
+                    jobs,
+                    Roster::decode(item.value.as_slice()).unwrap_or_default(),
+                );
             }
             Ok(None) => break (jobs, Roster::default()),
             Err(_) => time::sleep(RETRY).await,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -99,11 +99,16 @@
     /// Asks other hosts who coordinates, when the store does not tell this one.
     async fn find_lead(&self, known: Option<SocketAddr>) -> Option<SocketAddr> {
         for host in self.members.hosts().into_values() {
-            let call = self.peers.call(host.address, Body::WhoLeads(true), LEAD_QUESTION_TIMEOUT);
+            let call = self
+                .peers
+                .call(host.address, Body::WhoLeads(true), LEAD_QUESTION_TIMEOUT);
             let Ok(Body::LeadIs(address)) = call.await else {
                 continue;
             };
-            let found = address.parse().ok().filter(|address| Some(*address) != known);
+            let found = address
+                .parse()
+                .ok()
+                .filter(|address| Some(*address) != known);
             if let Some(address) = found {
                 self.members.note_lead(address);
                 return Some(address);
@@ -120,9 +125,9 @@
             Ok(Body::Submitted(submitted)) if submitted.retry_after_ms == 0 => {
                 SubmitOutcome::NeverFits
             }
-            Ok(Body::Submitted(submitted)) => {
-                SubmitOutcome::Refused { retry_after_ms: submitted.retry_after_ms }
-            }
+            Ok(Body::Submitted(submitted)) => SubmitOutcome::Refused {
+                retry_after_ms: submitted.retry_after_ms,
+            },
             Ok(Body::NotHere(true)) | Err(PeerError::NotSent) => {
                 self.submit_to_store(record, patience, false).await
             }
@@ -173,7 +178,9 @@
 
     /// Tells a job's state.
     pub async fn state(&self, id: JobId, patience: Duration) -> Known<JobState> {
-        if let Ok(Body::StateIs(answer)) = self.ask(Body::State(id.0), COORDINATOR_PATIENCE.min(patience / 2)).await
+        if let Ok(Body::StateIs(answer)) = self
+            .ask(Body::State(id.0), COORDINATOR_PATIENCE.min(patience / 2))
+            .await
             && answer.known
             && let Some(state) = peers::decode_state(answer.state)
         {
@@ -209,7 +216,9 @@
             }
             Known::Is(())
         };
-        time::timeout(patience - first, cancel_in_store).await.unwrap_or(Known::Unavailable)
+        time::timeout(patience - first, cancel_in_store)
+            .await
+            .unwrap_or(Known::Unavailable)
     }
 
     /// Tells how many jobs wait in a queue.
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -76,7 +76,11 @@
         }
     };
     // Without the thread the queue fills up and lines are counted as left out.
-    if thread::Builder::new().stack_size(64 << 10).spawn(writer).is_err() {
+    if thread::Builder::new()
+        .stack_size(64 << 10)
+        .spawn(writer)
+        .is_err()
+    {
         DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
     }
     Ok(())
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -69,7 +69,10 @@
 
     /// Another host told who coordinates, while the store does not.
     pub fn note_lead(&self, address: SocketAddr) {
-        let lead = LeadRecord { address: address.to_string(), ..LeadRecord::default() };
+        let lead = LeadRecord {
+            address: address.to_string(),
+            ..LeadRecord::default()
+        };
         *self.lead.borrow_mut() = Some(lead);
         self.vacant.set(false);
     }
@@ -84,7 +87,12 @@
             let Ok(lead) = LeadRecord::decode(item.value.as_slice()) else {
                 return;
             };
-            log_event!(events::LEAD_SEEN, "lead={} revision={}", lead.host, item.revision);
+            log_event!(
+                events::LEAD_SEEN,
+                "lead={} revision={}",
+                lead.host,
+                item.revision
+            );
             *self.lead.borrow_mut() = Some(lead);
             self.vacant.set(false);
         } else if let Some(name) = item.key.strip_prefix(HOST_PREFIX) {
@@ -92,7 +100,10 @@
                 return;
             };
             if let Ok(address) = record.address.parse() {
-                let host = Host { address, zone: record.zone };
+                let host = Host {
+                    address,
+                    zone: record.zone,
+                };
                 self.hosts.borrow_mut().insert(name.to_owned(), host);
             }
             if name == own_name {
@@ -156,7 +167,10 @@
 
 /// Keeps this host's entry in the store for as long as the process runs.
 pub async fn register(store: GuardedStore, members: Rc<Members>, own_name: String, own: Host) {
-    let record = HostRecord { address: own.address.to_string(), zone: own.zone };
+    let record = HostRecord {
+        address: own.address.to_string(),
+        zone: own.zone,
+    };
     let key = format!("{HOST_PREFIX}{own_name}");
     loop {
         let Ok(lease) = store.grant_lease(HOST_LEASE).await else {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,7 +36,11 @@
             Request::Cancel(_) => "cancel",
             Request::Pending => "pending",
         };
-        *self.requests.borrow_mut().entry((kind, status)).or_default() += 1;
+        *self
+            .requests
+            .borrow_mut()
+            .entry((kind, status))
+            .or_default() += 1;
         let mut latency = self.latency.borrow_mut();
         let histogram = latency.entry(kind).or_default();
         let took_ms = took.as_millis() as u64;
@@ -59,7 +63,9 @@
             let mut below = 0;
             for (position, count) in histogram.buckets.iter().enumerate() {
                 below += count;
-                let bound = BOUNDS_MS.get(position).map_or("+Inf".to_owned(), u64::to_string);
+                let bound = BOUNDS_MS
+                    .get(position)
+                    .map_or("+Inf".to_owned(), u64::to_string);
                 let labels = format!("kind=\"{kind}\",le=\"{bound}\"");
                 let _written = writeln!(text, "hickory_request_ms_bucket{{{labels}}} {below}");
             }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -211,7 +211,13 @@
         self.next_call.set(call);
         let (sender, answer) = oneshot::channel();
         line.waiting.borrow_mut().insert(call, sender);
-        let frame = Bytes::from(Envelope { call, body: Some(body) }.encode_to_vec());
+        let frame = Bytes::from(
+            Envelope {
+                call,
+                body: Some(body),
+            }
+            .encode_to_vec(),
+        );
         if line.frames.try_send(frame).is_err() {
             line.waiting.borrow_mut().swap_remove(&call);
             self.forget(address, &line);
@@ -230,7 +236,10 @@
 
     fn forget(&self, address: SocketAddr, line: &Line) {
         let mut lines = self.lines.borrow_mut();
-        if lines.get(&address).is_some_and(|known| known.frames.same_channel(&line.frames)) {
+        if lines
+            .get(&address)
+            .is_some_and(|known| known.frames.same_channel(&line.frames))
+        {
             lines.swap_remove(&address);
         }
     }
@@ -251,7 +260,10 @@
         let (read, write) = stream.into_split();
         let (frames, queue) = mpsc::channel(QUEUED_FRAMES);
         let waiting = Waiting::default();
-        let line = Line { frames, waiting: Rc::clone(&waiting) };
+        let line = Line {
+            frames,
+            waiting: Rc::clone(&waiting),
+        };
         tokio::task::spawn_local(write_frames(write, queue));
         tokio::task::spawn_local(read_answers(read, waiting, line.frames.downgrade()));
         self.lines.borrow_mut().insert(address, line.clone());
@@ -260,7 +272,9 @@
 }
 
 fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
 }
 
 async fn write_frames(write: tcp::OwnedWriteHalf, mut queue: mpsc::Receiver<Bytes>) {
@@ -280,14 +294,14 @@
     }
 }
 
-async fn read_answers(
-    read: tcp::OwnedReadHalf,
-    waiting: Waiting,
-    frames: mpsc::WeakSender<Bytes>,
-) {
+async fn read_answers(read: tcp::OwnedReadHalf, waiting: Waiting, frames: mpsc::WeakSender<Bytes>) {
     let mut framed = FramedRead::with_capacity(read, codec(), BUFFER_BYTES);
     while let Some(Ok(frame)) = framed.next().await {
-        let Some(Envelope { call, body: Some(body) }) = decode(frame) else {
+        let Some(Envelope {
+            call,
+            body: Some(body),
+        }) = decode(frame)
+        else {
             break;
         };
         if let Some(sender) = waiting.borrow_mut().swap_remove(&call) {
@@ -331,7 +345,11 @@
     tokio::task::spawn_local(write_frames(write, queue));
     let mut framed = FramedRead::with_capacity(read, codec(), BUFFER_BYTES);
     while let Some(Ok(frame)) = framed.next().await {
-        let Some(Envelope { call, body: Some(body) }) = decode(frame) else {
+        let Some(Envelope {
+            call,
+            body: Some(body),
+        }) = decode(frame)
+        else {
             return;
         };
         let (answer, frames) = (answer.clone(), frames.clone());
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -109,7 +109,9 @@
             address: entry.address.to_string(),
             service: entry.service.to_string(),
         });
-        Self { workers: workers.collect() }
+        Self {
+            workers: workers.collect(),
+        }
     }
 
     /// Entries that are enough to ask the workers for their lists, and for nothing else.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -49,7 +49,10 @@
 impl GuardedStore {
     /// Guards a store.
     pub fn new(store: Store) -> Self {
-        Self { store, outage: Rc::default() }
+        Self {
+            store,
+            outage: Rc::default(),
+        }
     }
 
     /// Whether the store counts as lost.
@@ -75,7 +78,9 @@
         if result.is_ok() {
             let took_ms = clock::now_ms() - began_ms;
             let usual_ms = self.outage.usual_ms.get();
-            self.outage.usual_ms.set((usual_ms * 3 + took_ms).div_ceil(4));
+            self.outage
+                .usual_ms
+                .set((usual_ms * 3 + took_ms).div_ceil(4));
         }
         self.note(result)
     }
@@ -132,7 +137,8 @@
     /// [`StoreError`] without an answer.
     pub async fn grant_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
         self.check()?;
-        self.timed(self.store.grant_lease(ttl, self.timeout())).await
+        self.timed(self.store.grant_lease(ttl, self.timeout()))
+            .await
     }
 
     /// Renews a lease.
@@ -142,7 +148,8 @@
     /// [`StoreError::LeaseEnded`] if it has ended; others without an answer.
     pub async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
         self.check()?;
-        self.timed(self.store.renew_lease(lease, self.timeout())).await
+        self.timed(self.store.renew_lease(lease, self.timeout()))
+            .await
     }
 
     /// Ends a lease; its keys go with it.
@@ -152,7 +159,8 @@
     /// [`StoreError`] without an answer.
     pub async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
         self.check()?;
-        self.timed(self.store.end_lease(lease, self.timeout())).await
+        self.timed(self.store.end_lease(lease, self.timeout()))
+            .await
     }
 
     fn check(&self) -> Result<(), StoreError> {
@@ -179,7 +187,10 @@
         } else {
             if self.is_lost() {
                 let away_ms = now_ms - outage.since_ms.get();
-                log_event!(events::DEPENDENCY_REGAINED, "dependency=store away_ms={away_ms}");
+                log_event!(
+                    events::DEPENDENCY_REGAINED,
+                    "dependency=store away_ms={away_ms}"
+                );
             }
             outage.failures_in_a_row.set(0);
             outage.paused_until_ms.set(0);
