--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -134,6 +134,7 @@
     let own = Host {
         address: settings.peers_address,
         zone: settings.zone.clone(),
+        cpu_millicores: settings.cpu_millicores,
     };
     task::spawn_local(members::register(
         store.clone(),
@@ -239,6 +240,7 @@
             &surroundings.members,
             &surroundings.operators,
             &own,
+            surroundings.settings.cpu_millicores,
         )
         .await;
         lead::run(&surroundings, term, &slot).await;
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -31,6 +31,8 @@
 const JITTER_MS: u64 = 120;
 /// Hosts to which the store answers more slowly than this leave others the first try.
 const FAR_STORE: Duration = Duration::from_millis(25);
+/// Head start of the hosts with the most processor: coordinating is the heaviest role.
+const STRONG_FIRST: Duration = Duration::from_millis(200);
 /// Head start of hosts near the store.
 const NEAR_FIRST: Duration = Duration::from_millis(500);
 
@@ -53,6 +55,7 @@
     members: &Members,
     operators: &Operators,
     own: &LeadRecord,
+    cpu_millicores: u64,
 ) -> Term {
     let mut was_far = false;
     loop {
@@ -72,6 +75,9 @@
         if was_far {
             time::sleep(NEAR_FIRST).await;
         }
+        if members.has_stronger(cpu_millicores) {
+            time::sleep(STRONG_FIRST).await;
+        }
         if !members.is_vacant() {
             continue;
         }
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -11,6 +11,7 @@
     ids::JobId,
     jobs::{JobRecord, Outcome},
 };
+use futures::{StreamExt, stream};
 use kernel::log_event;
 use prost::Message;
 use tokio::{sync::oneshot, time};
@@ -25,6 +26,11 @@
 const GATHER: Duration = Duration::from_millis(12);
 /// Least time between the starts of two commits.
 const PACE: Duration = Duration::from_millis(40);
+/// Records in one transaction: each takes a condition and a put, beside the condition on the key
+/// of the lead.
+const WRITES_PER_TXN: usize = (MAX_TXN_ENTRIES - 1) / 2;
+/// Transactions with what became of tasks that are under way at a time.
+const PARALLEL_COMMITS: usize = 12;
 /// Pause after a commit that failed.
 const RETRY: Duration = Duration::from_millis(90);
 
@@ -37,27 +43,45 @@
     accepted: Option<oneshot::Sender<bool>>,
 }
 
-/// Commits until the term ends.
+/// Makes accepted jobs durable until the term ends. Transactions follow one another without
+/// waiting for the last: they touch different records, and a slow store must not queue them up.
+pub(super) async fn accept(lead: Rc<Lead>) {
+    loop {
+        if lead.submissions.borrow().is_empty() {
+            lead.submitted.notified().await;
+        }
+        time::sleep(GATHER).await;
+        let submissions = std::mem::take(&mut *lead.submissions.borrow_mut());
+        let mut writes = submissions.into_iter().map(|submission| Write {
+            id: JobId(submission.record.id),
+            record: submission.record,
+            expected: 0,
+            accepted: Some(submission.accepted),
+        });
+        loop {
+            let batch: Vec<Write> = writes.by_ref().take(WRITES_PER_TXN).collect();
+            if batch.is_empty() {
+                break;
+            }
+            let committing = Rc::clone(&lead);
+            lead.spawn(async move {
+                committing.commit_batch(batch).await;
+            });
+        }
+    }
+}
+
+/// Makes what became of tasks durable until the term ends.
 pub(super) async fn run(lead: Rc<Lead>) {
     loop {
-        if !lead.has_work_to_commit() {
+        if !lead.cell.borrow().has_changes() {
             lead.commit.notified().await;
         }
         time::sleep(GATHER).await;
         let began = time::Instant::now();
-        let submissions = std::mem::take(&mut *lead.submissions.borrow_mut());
         let arrivals = std::mem::take(&mut *lead.taken_arrivals.borrow_mut());
         let changes = lead.cell.borrow_mut().take_changes();
-        let mut writes: Vec<Write> = submissions
-            .into_iter()
-            .map(|submission| Write {
-                id: JobId(submission.record.id),
-                record: submission.record,
-                expected: 0,
-                accepted: Some(submission.accepted),
-            })
-            .collect();
-        writes.extend(changes.records.iter().map(|record| {
+        let mut writes = changes.records.iter().map(|record| {
             let id = JobId(record.id);
             let expected = lead.revisions.borrow().get(&id).copied().unwrap_or(0);
             Write {
@@ -66,15 +90,19 @@
                 expected,
                 accepted: None,
             }
-        }));
-        let most = (MAX_TXN_ENTRIES - 1) / 2;
-        while !writes.is_empty() {
-            let rest = writes.split_off(writes.len().min(most));
-            if !lead.commit_batch(writes).await {
+        });
+        let batches = std::iter::from_fn(|| {
+            let batch: Vec<Write> = writes.by_ref().take(WRITES_PER_TXN).collect();
+            (!batch.is_empty()).then_some(batch)
+        });
+        let commits = batches.map(|batch| lead.commit_batch(batch));
+        let mut commits = stream::iter(commits).buffer_unordered(PARALLEL_COMMITS);
+        while let Some(committed) = commits.next().await {
+            if !committed {
                 return;
             }
-            writes = rest;
         }
+        drop(commits);
         lead.cell.borrow_mut().changes_durable(&changes);
         for record in &changes.records {
             if record.outcome() != Outcome::Open {
@@ -84,13 +112,7 @@
         }
         lead.tell_cancelled();
         lead.committed.notify_waiters();
-        for keys in arrivals.chunks(MAX_TXN_ENTRIES - 1) {
-            let txn = keys.iter().fold(Txn::default(), |txn, key| txn.delete(key));
-            if lead.around.store.commit(&txn).await.is_err() {
-                // They are taken in again at the next takeover, which changes nothing.
-                lead.taken_arrivals.borrow_mut().extend_from_slice(keys);
-            }
-        }
+        lead.drop_arrivals(&arrivals).await;
         time::sleep_until(began + PACE).await;
     }
 }
@@ -121,8 +143,15 @@
 }
 
 impl Lead {
-    fn has_work_to_commit(&self) -> bool {
-        !self.submissions.borrow().is_empty() || self.cell.borrow().has_changes()
+    /// Removes the keys of arrivals whose effect is durable.
+    async fn drop_arrivals(&self, arrivals: &[String]) {
+        for keys in arrivals.chunks(MAX_TXN_ENTRIES) {
+            let txn = keys.iter().fold(Txn::default(), |txn, key| txn.delete(key));
+            if self.around.store.commit(&txn).await.is_err() {
+                // They are taken in again at the next takeover, which changes nothing.
+                self.taken_arrivals.borrow_mut().extend_from_slice(keys);
+            }
+        }
     }
 
     fn tell_cancelled(&self) {
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -90,7 +90,9 @@
     rostered: RefCell<IndexSet<Rc<str>>>,
     /// Something may be startable.
     schedule: Notify,
-    /// Something waits to be durable.
+    /// A job waits to be durable.
+    submitted: Notify,
+    /// Something else waits to be durable.
     commit: Notify,
     /// Something became durable.
     committed: Notify,
@@ -112,6 +114,7 @@
         return;
     };
     *slot.borrow_mut() = Some(Rc::clone(&lead));
+    lead.spawn(commits::accept(Rc::clone(&lead)));
     lead.spawn(commits::run(Rc::clone(&lead)));
     lead.spawn(arrivals::follow_jobs(Rc::clone(&lead)));
     lead.spawn(arrivals::follow_workers(Rc::clone(&lead)));
@@ -138,6 +141,7 @@
             taken_arrivals: RefCell::default(),
             rostered: RefCell::default(),
             schedule: Notify::new(),
+            submitted: Notify::new(),
             commit: Notify::new(),
             committed: Notify::new(),
             roster: Notify::new(),
@@ -240,7 +244,7 @@
             record,
             accepted: sender,
         });
-        self.commit.notify_one();
+        self.submitted.notify_one();
         match durable.await {
             Ok(true) => accepted,
             Ok(false) => Body::NotHere(true),
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// Its processor, in thousandths of a core.
+    pub cpu_millicores: u64,
 }
 
 /// What the store says of hosts and of the coordinator.
@@ -57,6 +59,14 @@
         self.hosts.borrow().clone()
     }
 
+    /// Whether a host that lives has more processor than this.
+    pub fn has_stronger(&self, cpu_millicores: u64) -> bool {
+        self.hosts
+            .borrow()
+            .values()
+            .any(|host| host.cpu_millicores > cpu_millicores)
+    }
+
     /// Where the coordinator takes messages.
     pub fn lead_address(&self) -> Option<SocketAddr> {
         self.lead.borrow().as_ref()?.address.parse().ok()
@@ -103,6 +113,7 @@
                 let host = Host {
                     address,
                     zone: record.zone,
+                    cpu_millicores: record.cpu_millicores,
                 };
                 self.hosts.borrow_mut().insert(name.to_owned(), host);
             }
@@ -170,6 +181,7 @@
     let record = HostRecord {
         address: own.address.to_string(),
         zone: own.zone,
+        cpu_millicores: own.cpu_millicores,
     };
     let key = format!("{HOST_PREFIX}{own_name}");
     loop {
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -69,6 +69,9 @@
     /// Its availability zone.
     #[prost(string, tag = "2")]
     pub zone: String,
+    /// Its processor, in thousandths of a core.
+    #[prost(uint64, tag = "3")]
+    pub cpu_millicores: u64,
 }
 
 /// How many coordinators there have been.
