--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -4,7 +4,7 @@
 //! is as we last wrote it, so that a transaction that is carried out late, after its repetition,
 //! changes nothing.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use adapter::store::{Committed, Item, MAX_TXN_ENTRIES, StoreError, Txn};
 use cell::{
@@ -14,7 +14,10 @@
 use futures::{StreamExt, stream};
 use kernel::log_event;
 use prost::Message;
-use tokio::{sync::oneshot, time};
+use tokio::{
+    sync::{Semaphore, oneshot},
+    time,
+};
 
 use super::Lead;
 use crate::{
@@ -29,6 +32,8 @@
 /// Records in one transaction: each takes a condition and a put, beside the condition on the key
 /// of the lead.
 const WRITES_PER_TXN: usize = (MAX_TXN_ENTRIES - 1) / 2;
+/// Transactions with accepted jobs that are under way at a time.
+const PARALLEL_ACCEPTS: usize = 8;
 /// Transactions with what became of tasks that are under way at a time.
 const PARALLEL_COMMITS: usize = 12;
 /// Pause after a commit that failed.
@@ -45,12 +50,18 @@
 
 /// Makes accepted jobs durable until the term ends. Transactions follow one another without
 /// waiting for the last: they touch different records, and a slow store must not queue them up.
+/// Their number is bounded; while all are under way, jobs gather for the next one.
 pub(super) async fn accept(lead: Rc<Lead>) {
+    let slots = Arc::new(Semaphore::new(PARALLEL_ACCEPTS));
     loop {
         if lead.submissions.borrow().is_empty() {
             lead.submitted.notified().await;
         }
         time::sleep(GATHER).await;
+        let Ok(first_slot) = Arc::clone(&slots).acquire_owned().await else {
+            return;
+        };
+        drop(first_slot);
         let submissions = std::mem::take(&mut *lead.submissions.borrow_mut());
         let mut writes = submissions.into_iter().map(|submission| Write {
             id: JobId(submission.record.id),
@@ -63,9 +74,13 @@
             if batch.is_empty() {
                 break;
             }
+            let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+                return;
+            };
             let committing = Rc::clone(&lead);
             lead.spawn(async move {
                 committing.commit_batch(batch).await;
+                drop(slot);
             });
         }
     }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -18,14 +18,14 @@
 /// Failed calls in a row after which the store counts as lost.
 const LOST_AFTER: u32 = 3;
 /// Time without an answer after which the store counts as lost, in milliseconds.
-const LOST_AFTER_MS: u64 = 300;
+const LOST_AFTER_MS: u64 = 500;
 /// A call is given up after this many times the usual time of an answer.
 const TIMEOUT_FACTOR: u64 = 8;
 /// The shortest time after which a call is given up, in milliseconds: covers the way between
 /// regions there and back, and a busy host.
-const LEAST_TIMEOUT_MS: u64 = 200;
+const LEAST_TIMEOUT_MS: u64 = 250;
 /// The longest time after which a call is given up, in milliseconds.
-const MOST_TIMEOUT_MS: u64 = 900;
+const MOST_TIMEOUT_MS: u64 = 1_200;
 /// How long a page of a listing may take.
 const LIST_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long the answer to a watch may be late.
@@ -179,8 +179,11 @@
                 outage.since_ms.set(now_ms);
             }
             outage.failures_in_a_row.set(failures + 1);
-            let pause_ms = (FIRST_PAUSE_MS << failures.min(8)).min(LONGEST_PAUSE_MS);
-            outage.paused_until_ms.set(now_ms + pause_ms);
+            // A call without an answer has cost its timeout already, and may only have been slow.
+            if *error == StoreError::Unavailable {
+                let pause_ms = (FIRST_PAUSE_MS << failures.min(8)).min(LONGEST_PAUSE_MS);
+                outage.paused_until_ms.set(now_ms + pause_ms);
+            }
             if failures + 1 == LOST_AFTER {
                 log_event!(events::DEPENDENCY_LOST, "dependency=store error={error}");
             }
