Test the coordinator against a model of workers, with seeded histories

Found and mended: a task that failed on its only allowed worker never ran again; an order in doubt could be carried out by a later life of its worker on room that others had taken.

--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -7,7 +7,8 @@
     ids::TaskId,
     jobs::Outcome,
     workers::{
-        ClockReading, EndKind, HoldReport, Phase, Room, Run, ShownEnd, ShownRun, StopReason,
+        ClockReading, DoubtfulOrder, EndKind, HoldReport, Phase, Room, Run, ShownEnd, ShownRun,
+        StopReason,
     },
 };
 
@@ -20,6 +21,8 @@
 /// Rest of a worker that refused a start, in milliseconds.
 const REFUSAL_REST_MS: u64 = 400;
 
+/// A call without an answer may be carried out this much later, in milliseconds.
+const LATEST_ORDER_MS: u64 = 13_000;
 /// Workers shorten longer holds to this, in milliseconds.
 const LONGEST_HOLD_MS: u64 = 6_000;
 
@@ -159,6 +162,37 @@
         for task in lost {
             self.release(id, task, now_ms);
         }
+        self.expect_doubtful_orders(id, now_ms);
+    }
+
+    /// Orders to a former life may be carried out by a later one, which knows nothing of a stop.
+    /// Each keeps its room until a stop of it is confirmed there.
+    fn expect_doubtful_orders(&mut self, id: &str, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.listed) else {
+            return;
+        };
+        for order in std::mem::take(&mut worker.doubtful) {
+            if order.expires_ms <= now_ms || worker.runs.contains_key(&order.task) {
+                continue;
+            }
+            worker.doubtful.push(order);
+            let phase = Phase::Ordered {
+                until_worker_ms: u64::MAX,
+                in_flight: false,
+            };
+            worker.add_run(
+                order.task,
+                Run {
+                    run: order.run,
+                    room: order.room,
+                    phase,
+                    stopping: Some(StopReason::WorkerRestarted),
+                    stop_sent_ms: None,
+                    percent: 0,
+                    moved_ms: now_ms,
+                },
+            );
+        }
     }
 
     /// A worker answered an order to start, or did not.
@@ -191,6 +225,14 @@
                 if let Phase::Ordered { in_flight, .. } = &mut known.phase {
                     *in_flight = false;
                 }
+                let room = known.room;
+                worker.doubtful.retain(|order| order.expires_ms > now_ms);
+                worker.doubtful.push(DoubtfulOrder {
+                    task,
+                    run,
+                    room,
+                    expires_ms: now_ms + LATEST_ORDER_MS,
+                });
                 worker.health.avoid_until_ms = now_ms + REFUSAL_REST_MS;
                 self.stop_gang_of(task, run);
                 return;
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -290,13 +290,13 @@
             .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
             .collect();
         let mut spots: Vec<Spot<'_>> = Vec::new();
+        let mut failed_spots: Vec<Spot<'_>> = Vec::new();
         for (position, worker) in self.workers.values().enumerate() {
             let name = &worker.entry.id;
             let usable = worker.takes_work(now_ms)
                 && worker.entry.service == service
                 && has_label(worker, spec)
-                && !reserved.contains(name)
-                && !failed_on.contains(&name);
+                && !reserved.contains(name);
             if !usable {
                 continue;
             }
@@ -306,7 +306,12 @@
                     continue;
                 }
             }
-            spots.push(Spot {
+            let choice = if failed_on.contains(&name) {
+                &mut failed_spots
+            } else {
+                &mut spots
+            };
+            choice.push(Spot {
                 worker: position,
                 capacity: worker.entry.capacity,
                 used: worker.used,
@@ -322,7 +327,12 @@
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
         };
-        let placed = placement::place(&request, &mut spots);
+        // Where a task failed it runs again only if nothing else will ever do.
+        let mut placed = placement::place(&request, &mut spots);
+        if placed.is_empty() && (spec.gang || spots.is_empty()) && !failed_spots.is_empty() {
+            spots.append(&mut failed_spots);
+            placed = placement::place(&request, &mut spots);
+        }
         if placed.is_empty() {
             return false;
         }
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -230,6 +230,19 @@
     pub strikes: u32,
 }
 
+/// An order to start that got no answer.
+#[derive(Clone, Copy, Debug)]
+pub struct DoubtfulOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the run.
+    pub run: u64,
+    /// What it would take.
+    pub room: Room,
+    /// It can no longer be carried out after this time, in milliseconds of our clock.
+    pub expires_ms: u64,
+}
+
 /// A worker, as the coordinator knows it.
 #[derive(Debug)]
 pub struct Worker {
@@ -257,6 +270,8 @@
     pub runs: IndexMap<TaskId, Run>,
     /// What the runs take together.
     pub used: Room,
+    /// Orders that may still reach this worker, or a later life of it.
+    pub doubtful: Vec<DoubtfulOrder>,
     /// How it treats its runs.
     pub health: Health,
 }
@@ -277,6 +292,7 @@
             durable_end: 0,
             runs: IndexMap::new(),
             used: Room::default(),
+            doubtful: Vec::new(),
             health: Health::default(),
         }
     }
--- /dev/null
+++ b/crates/cell/tests/cell/gangs.rs
@@ -0,0 +1,99 @@
+//! Gangs: all members or none.
+
+use hickorychute_cell::jobs::JobState;
+
+use crate::support::{self, Fate, Model};
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    struct Case {
+        name: &'static str,
+        members: u32,
+        cpu_millicores: u64,
+        starts: u64,
+    }
+    let cases = [
+        Case {
+            name: "fills the cell",
+            members: 6,
+            cpu_millicores: 8_000,
+            starts: 6,
+        },
+        Case {
+            name: "one too many",
+            members: 7,
+            cpu_millicores: 8_000,
+            starts: 0,
+        },
+        Case {
+            name: "a member larger than a worker",
+            members: 1,
+            cpu_millicores: 17_000,
+            starts: 0,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::config(), 3);
+        let gang = support::gang(case.members, case.cpu_millicores, 5_000);
+        model.submit(support::job(1, "gang", vec![gang]));
+        model.run_ms(1_000);
+        assert_eq!(model.starts, case.starts, "{}", case.name);
+    }
+}
+
+/// Found on a day of wide gangs: members that are through wait for the slowest one at 100 percent,
+/// and were taken for hung.
+#[test]
+fn members_that_have_done_their_part_are_not_hung() {
+    let mut model = Model::new(support::config(), 3);
+    model.submit(support::job(
+        1,
+        "gang",
+        vec![support::gang(6, 7_000, 9_000)],
+    ));
+    model.run_ms(9_500);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+    assert_eq!(model.starts, 6);
+}
+
+#[test]
+fn a_gang_that_loses_a_member_runs_again_as_a_whole() {
+    let mut model = Model::new(support::config(), 4);
+    model.submit(support::job(
+        1,
+        "gang",
+        vec![support::gang(6, 8_000, 2_000)],
+    ));
+    model.run_ms(500);
+    model.set_fate(0, Fate::Down);
+    model.run_ms(16_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
+/// Pattern: a wide gang against a stream of small tasks that would fill every gap.
+#[test]
+fn a_wide_gang_is_not_starved_by_small_tasks() {
+    let mut model = Model::new(support::config(), 12);
+    for number in 0..60 {
+        model.submit(support::job(
+            1_000 + number,
+            "batch",
+            vec![support::step(10, 1_000, 1_500)],
+        ));
+    }
+    model.run_ms(300);
+    model.submit(support::job(
+        1,
+        "gang",
+        vec![support::gang(8, 8_000, 1_000)],
+    ));
+    for number in 0..40 {
+        model.submit(support::job(
+            2_000 + number,
+            "batch",
+            vec![support::step(10, 1_000, 1_500)],
+        ));
+        model.run_ms(100);
+    }
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
--- /dev/null
+++ b/crates/cell/tests/cell/load.rs
@@ -0,0 +1,134 @@
+//! Patterns of load: who waits, and for how long.
+
+use hickorychute_cell::{
+    ids::{StepId, TaskId},
+    jobs::JobState,
+};
+
+use crate::support::{self, Fate, Model};
+
+fn first_start_ms(model: &Model, job: u64) -> Option<u64> {
+    let step = StepId {
+        job: support::id(job),
+        occurrence: 0,
+        step: 0,
+    };
+    model
+        .first_starts_ms
+        .get(&TaskId { step, index: 0 })
+        .copied()
+}
+
+/// Pattern: urgent jobs into a cell that is full of batch work.
+#[test]
+fn urgent_jobs_take_the_first_room_that_comes_free() {
+    let mut model = Model::new(support::config(), 4);
+    for number in 0..40 {
+        model.submit(support::job(
+            1_000 + number,
+            "batch",
+            vec![support::step(8, 1_000, 800)],
+        ));
+    }
+    model.run_ms(400);
+    let handed_in_ms = model.now_ms;
+    model.submit(support::job(
+        1,
+        "urgent",
+        vec![support::step(2, 1_400, 500)],
+    ));
+    model.run_ms(2_000);
+    let waited_ms = first_start_ms(&model, 1).map(|started_ms| started_ms - handed_in_ms);
+    assert!(
+        waited_ms.is_some_and(|ms| ms <= 1_000),
+        "waited {waited_ms:?} ms"
+    );
+}
+
+/// Pattern: a burst of jobs that can never be done must not keep sound work from running.
+#[test]
+fn poison_fails_after_its_attempts_and_blames_no_worker_for_long() {
+    let mut model = Model::new(support::config(), 3);
+    for number in 0..3 {
+        model.set_fate(number, Fate::Fails);
+    }
+    for number in 0..6 {
+        model.submit(support::job(
+            number,
+            "urgent",
+            vec![support::step(1, 1_000, 300)],
+        ));
+    }
+    model.run_ms(12_000);
+    for number in 0..6 {
+        assert_eq!(model.state(number), Some(JobState::Failed), "job {number}");
+    }
+    for number in 0..3 {
+        model.set_fate(number, Fate::Sound);
+    }
+    model.submit(support::job(
+        100,
+        "urgent",
+        vec![support::step(4, 1_000, 300)],
+    ));
+    model.run_ms(10_000);
+    assert_eq!(model.state(100), Some(JobState::Completed));
+}
+
+/// Pattern: many jobs are cancelled at once; their room serves others at once.
+#[test]
+fn a_wave_of_cancels_frees_its_room() {
+    let mut model = Model::new(support::config(), 2);
+    for number in 0..8 {
+        model.submit(support::job(
+            number,
+            "batch",
+            vec![support::step(4, 1_000, 20_000)],
+        ));
+    }
+    model.run_ms(300);
+    for number in 0..8 {
+        let unix_ms = support::START_UNIX_MS;
+        assert!(
+            model
+                .coordinator
+                .request_cancel(support::id(number), unix_ms)
+        );
+    }
+    model.submit(support::job(
+        100,
+        "batch",
+        vec![support::step(32, 1_000, 400)],
+    ));
+    model.run_ms(1_500);
+    assert_eq!(model.state(100), Some(JobState::Completed));
+    for number in 0..8 {
+        assert_eq!(
+            model.state(number),
+            Some(JobState::Cancelled),
+            "job {number}"
+        );
+    }
+}
+
+/// Pattern: the cell is over-full for seconds; nothing that was accepted is lost.
+#[test]
+fn an_overfull_cell_completes_all_that_it_accepted() {
+    let mut model = Model::new(support::advised_config(), 6);
+    model.good_percent = 60;
+    for number in 0..60 {
+        let steps = match number % 3 {
+            0 => vec![support::step(2, 1_400, 500)],
+            1 => vec![support::gang(4, 4_500, 900)],
+            _ => vec![support::step(6, 1_000, 700), support::step(3, 1_000, 500)],
+        };
+        let queue = ["urgent", "gang", "batch"][number as usize % 3];
+        model.submit(support::job(number, queue, steps));
+        model.run_ms(40);
+    }
+    model.run_ms(40_000);
+    let open: Vec<u64> = (0..60)
+        .filter(|&number| model.state(number) != Some(JobState::Completed))
+        .collect();
+    assert!(open.is_empty(), "still open: {open:?}");
+}
--- /dev/null
+++ b/crates/cell/tests/cell/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the coordinator's decisions against a small model of workers.
+
+mod admission;
+mod advice;
+mod gangs;
+mod histories;
+mod load;
+mod order;
+mod placement;
+mod support;
+mod takeover;
+mod workers;
--- /dev/null
+++ b/crates/cell/tests/cell/placement.rs
@@ -0,0 +1,126 @@
+//! Which workers a step's tasks go to.
+
+use hickorychute_cell::{
+    placement::{self, Request, Spot},
+    workers::Room,
+};
+
+fn room(cpu_millicores: u64) -> Room {
+    Room {
+        cpu_millicores,
+        memory_mb: 10,
+        gpus: 0,
+    }
+}
+
+fn spot(worker: usize, used_millicores: u64, rack: &str) -> Spot<'_> {
+    Spot {
+        worker,
+        capacity: Room {
+            cpu_millicores: 16_000,
+            memory_mb: 32_000,
+            gpus: 0,
+        },
+        used: room(used_millicores),
+        rack,
+        task_limit: u32::MAX,
+    }
+}
+
+#[test]
+fn tasks_are_packed_near_their_data_and_on_one_rack_where_that_matters() {
+    struct Case {
+        name: &'static str,
+        request: Request<'static>,
+        spots: Vec<Spot<'static>>,
+        placed: Vec<usize>,
+    }
+    let request = Request {
+        need: room(4_000),
+        count: 2,
+        all_or_nothing: false,
+        same_rack: false,
+        affinity_rack: "",
+    };
+    let cases = [
+        Case {
+            name: "the fullest worker that fits comes first",
+            request,
+            spots: vec![
+                spot(0, 0, "r1"),
+                spot(1, 9_000, "r1"),
+                spot(2, 13_000, "r1"),
+            ],
+            placed: vec![1, 0],
+        },
+        Case {
+            name: "the rack with the data comes before packing",
+            request: Request {
+                affinity_rack: "r2",
+                ..request
+            },
+            spots: vec![spot(0, 12_000, "r1"), spot(1, 0, "r2")],
+            placed: vec![1, 1],
+        },
+        Case {
+            name: "one rack holds all, and the tightest such rack is taken",
+            request: Request {
+                same_rack: true,
+                ..request
+            },
+            spots: vec![
+                spot(0, 12_000, "r1"),
+                spot(1, 4_000, "r2"),
+                spot(2, 0, "r3"),
+            ],
+            placed: vec![1, 1],
+        },
+        Case {
+            name: "a gang that does not fit whole is not placed",
+            request: Request {
+                all_or_nothing: true,
+                count: 3,
+                ..request
+            },
+            spots: vec![spot(0, 8_000, "r1")],
+            placed: vec![],
+        },
+        Case {
+            name: "others are placed as far as they fit",
+            request: Request {
+                count: 3,
+                ..request
+            },
+            spots: vec![spot(0, 8_000, "r1")],
+            placed: vec![0, 0],
+        },
+        Case {
+            name: "a limit for each worker is kept",
+            request: Request {
+                count: 3,
+                ..request
+            },
+            spots: vec![
+                Spot {
+                    task_limit: 1,
+                    ..spot(0, 0, "r1")
+                },
+                spot(1, 0, "r1"),
+            ],
+            placed: vec![0, 1, 1],
+        },
+        Case {
+            name: "a worker with a run of unknown size takes nothing",
+            request,
+            spots: vec![Spot {
+                used: Room::UNKNOWN,
+                ..spot(0, 0, "r1")
+            }],
+            placed: vec![],
+        },
+    ];
+    for mut case in cases {
+        let placed = placement::place(&case.request, &mut case.spots);
+        assert_eq!(placed, case.placed, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -0,0 +1,133 @@
+//! A cell in memory: workers as the platform's pages describe them, on a simulated clock.
+//!
+//! The model checks as it goes what must hold at all times: no worker over its room, no task
+//! twice at once, no start after a counted end, no start before its predecessors.
+
+mod model;
+
+use std::rc::Rc;
+
+use hickorychute_cell::{
+    config::{AdviceTerms, Config, Queue, Service},
+    coordinator::{Coordinator, Inheritance, Tuning},
+    ids::JobId,
+    jobs::{JobRecord, JobSpec, StepSpec},
+    workers::{Room, WorkerEntry},
+};
+use indexmap::IndexMap;
+
+pub use model::{Fate, Model, ModelWorker};
+
+/// Unix time at the start of every simulation, in milliseconds.
+pub const START_UNIX_MS: u64 = 1_800_000_000_000;
+
+/// A service with three queues: urgent, gangs, and batch.
+pub fn config() -> Rc<Config> {
+    queues(None)
+}
+
+/// The same, with workers that only the advice service knows.
+pub fn advised_config() -> Rc<Config> {
+    queues(Some(AdviceTerms {
+        call_ms: 100.0,
+        per_worker_ms: 1.0,
+        valid_ms: 2_500,
+    }))
+}
+
+fn queues(advice: Option<AdviceTerms>) -> Rc<Config> {
+    let queue = |name: &str, priority, max_attempts, stretch, target_ms| {
+        let queue = Queue {
+            name: name.into(),
+            host: "jobs.example".to_owned(),
+            path_prefix: format!("/{name}/"),
+            service: "pool".into(),
+            priority,
+            max_attempts,
+            stretch,
+            target_ms,
+            advice,
+        };
+        (Rc::from(name), Rc::new(queue))
+    };
+    let service = Service {
+        name: "pool".into(),
+        workers_guard_room: false,
+    };
+    Rc::new(Config {
+        version: 1,
+        queues: IndexMap::from([
+            queue("urgent", 0, 2, 1.5, 600),
+            queue("gang", 1, 2, 2.2, 1_200),
+            queue("batch", 2, 4, 4.0, 3_000),
+        ]),
+        services: IndexMap::from([(Rc::from("pool"), service)]),
+        max_body_bytes: 0,
+    })
+}
+
+/// A worker of 16 cores and 32 GB; eight of them make a rack.
+pub fn entry(number: usize) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w{number}").into(),
+        service: "pool".into(),
+        address: format!("10.0.0.{number}:1").into(),
+        zone: "a".into(),
+        labels: vec!["kind-a".into(), format!("rack-{}", number / 8).into()],
+        capacity: Room {
+            cpu_millicores: 16_000,
+            memory_mb: 32_768,
+            gpus: 0,
+        },
+        draining: false,
+        born_unix_ms: START_UNIX_MS,
+    }
+}
+
+/// A step of `count` tasks.
+pub fn step(count: u32, cpu_millicores: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        cpu_millicores,
+        memory_mb: 100,
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// A gang of `count` tasks.
+pub fn gang(count: u32, cpu_millicores: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, cpu_millicores, estimate_ms)
+    }
+}
+
+/// A job of steps that follow one another.
+pub fn job(id: u64, queue: &str, mut steps: Vec<StepSpec>) -> JobRecord {
+    for (number, step) in steps.iter_mut().enumerate().skip(1) {
+        step.after = vec![number as u32 - 1];
+    }
+    JobRecord {
+        id,
+        queue: queue.to_owned(),
+        service: "pool".to_owned(),
+        accepted_unix_ms: START_UNIX_MS,
+        spec: Some(JobSpec {
+            payload: "text".to_owned(),
+            steps,
+            ..JobSpec::default()
+        }),
+        ..JobRecord::default()
+    }
+}
+
+/// The name of a job.
+pub fn id(number: u64) -> JobId {
+    JobId(number)
+}
+
+/// A first coordinator, without workers.
+pub fn coordinator(config: Rc<Config>) -> Coordinator {
+    Coordinator::new(Tuning::default(), config, Inheritance::default())
+}
--- /dev/null
+++ b/crates/cell/tests/cell/takeover.rs
@@ -0,0 +1,144 @@
+//! A coordinator dies, and another one takes over.
+
+use hickorychute_cell::{
+    ids::{StepId, TaskId},
+    jobs::JobState,
+};
+
+use crate::support::{self, Fate, Model};
+
+fn task(job: u64, index: u32) -> TaskId {
+    TaskId {
+        step: StepId {
+            job: support::id(job),
+            occurrence: 0,
+            step: 0,
+        },
+        index,
+    }
+}
+
+/// Ends of failed runs that nobody acknowledged are shown to the successor as well. Found on a
+/// day with the store away: they were counted twice, and later, seen in another order, not at all.
+#[test]
+fn failed_runs_are_counted_once_over_a_takeover() {
+    struct Case {
+        name: &'static str,
+        store_up: bool,
+        takeovers: u32,
+    }
+    let cases = [
+        Case {
+            name: "acknowledged",
+            store_up: true,
+            takeovers: 0,
+        },
+        Case {
+            name: "durable, one takeover",
+            store_up: true,
+            takeovers: 1,
+        },
+        Case {
+            name: "not durable, one takeover",
+            store_up: false,
+            takeovers: 1,
+        },
+        Case {
+            name: "not durable, three takeovers",
+            store_up: false,
+            takeovers: 3,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::config(), 6);
+        for number in 0..6 {
+            model.set_fate(number, Fate::Fails);
+        }
+        model.submit(support::job(1, "batch", vec![support::step(1, 1_000, 400)]));
+        model.store_up = case.store_up;
+        model.run_ms(450);
+        for _ in 0..case.takeovers {
+            model.take_over();
+            model.run_ms(300);
+        }
+        model.store_up = true;
+        model.run_ms(20_000);
+        // The model itself asserts that there is no fifth run.
+        assert_eq!(model.failures(task(1, 0)), 4, "{}", case.name);
+        assert_eq!(model.state(1), Some(JobState::Failed), "{}", case.name);
+    }
+}
+
+/// Found on a day with many cancelled jobs: runs of an ended job are still being stopped when the
+/// coordinator changes, and the successor took their room for free.
+#[test]
+fn runs_of_ended_jobs_keep_their_room_at_the_successor() {
+    let mut model = Model::new(support::config(), 1);
+    model.submit(support::job(
+        1,
+        "batch",
+        vec![support::step(16, 1_000, 3_000)],
+    ));
+    model.run_ms(300);
+    // The worker is cut off, so that the stops do not reach it before the takeover.
+    model.set_fate(0, Fate::CutOff);
+    model
+        .coordinator
+        .request_cancel(support::id(1), support::START_UNIX_MS);
+    model.run_ms(200);
+    model.take_over();
+    model.set_fate(0, Fate::Sound);
+    model.submit(support::job(
+        2,
+        "urgent",
+        vec![support::step(16, 1_000, 500)],
+    ));
+    // The model asserts at every start that it fits beside what still runs.
+    model.run_ms(5_000);
+    assert_eq!(model.state(2), Some(JobState::Completed));
+}
+
+#[test]
+fn inherited_tasks_wait_for_workers_that_were_not_heard() {
+    let mut model = Model::new(support::config(), 3);
+    model.submit(support::job(
+        1,
+        "batch",
+        vec![support::step(10, 4_000, 4_000)],
+    ));
+    model.run_ms(300);
+    model.set_fate(1, Fate::CutOff);
+    model.take_over();
+    // What runs on the silent worker must not start elsewhere while it may still run there; the
+    // model asserts that. New work need not wait.
+    model.submit(support::job(2, "urgent", vec![support::step(1, 500, 300)]));
+    model.run_ms(3_000);
+    assert_eq!(model.state(2), Some(JobState::Completed));
+    assert_eq!(model.state(1), Some(JobState::Running));
+    model.run_ms(25_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn work_goes_on_over_many_takeovers() {
+    let mut model = Model::new(support::config(), 4);
+    for number in 0..20 {
+        model.submit(support::job(
+            number,
+            "batch",
+            vec![support::step(3, 2_000, 700), support::gang(4, 3_000, 500)],
+        ));
+    }
+    for _ in 0..8 {
+        model.run_ms(900);
+        model.take_over();
+    }
+    model.run_ms(30_000);
+    for number in 0..20 {
+        assert_eq!(
+            model.state(number),
+            Some(JobState::Completed),
+            "job {number}"
+        );
+    }
+}
