--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -172,10 +172,13 @@
             return;
         };
         for order in std::mem::take(&mut worker.doubtful) {
-            if order.expires_ms <= now_ms || worker.runs.contains_key(&order.task) {
+            if order.expires_ms <= now_ms {
                 continue;
             }
             worker.doubtful.push(order);
+            if worker.runs.contains_key(&order.task) {
+                continue;
+            }
             let phase = Phase::Ordered {
                 until_worker_ms: u64::MAX,
                 in_flight: false,
@@ -226,7 +229,10 @@
                     *in_flight = false;
                 }
                 let room = known.room;
-                worker.doubtful.retain(|order| order.expires_ms > now_ms);
+                // A stop of the highest run of a task keeps the lower ones from starting as well.
+                worker
+                    .doubtful
+                    .retain(|order| order.expires_ms > now_ms && order.task != task);
                 worker.doubtful.push(DoubtfulOrder {
                     task,
                     run,
--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::support::{self, Fate, Model};
+use crate::support::{self, Fate, HeldUp, Model};
 
 /// Seeds that CI plays; `HICKORY_SEEDS` plays more by hand.
 const SEEDS: u64 = 40;
@@ -62,7 +62,7 @@
         2 => model.set_fate(worker, Fate::Stalls),
         3 => model.set_fate(worker, Fate::Fails),
         4 | 5 => model.set_fate(worker, Fate::Sound),
-        6 => model.restart_worker(worker),
+        6 => model.restart_worker(worker, HeldUp::InProcess),
         7 => model.take_over(),
         8 => model.store_up = !model.store_up,
         9 => {
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -38,6 +38,15 @@
     Down,
 }
 
+/// Where orders are that are carried out late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldUp {
+    /// In the worker's process.
+    InProcess,
+    /// On their way to it.
+    OnTheWay,
+}
+
 #[derive(Clone, Debug)]
 struct Present {
     run: u64,
@@ -261,8 +270,9 @@
         self.list_workers();
     }
 
-    /// A worker starts anew under its name and knows nothing of before.
-    pub fn restart_worker(&mut self, number: usize) {
+    /// A worker starts anew under its name and knows nothing of before. Orders that it had not
+    /// carried out yet go with the process, unless they were held up on their way.
+    pub fn restart_worker(&mut self, number: usize, held_up: HeldUp) {
         let now_ms = self.now_ms;
         let born_unix_ms = self.unix_ms();
         let (_, worker) = self
@@ -273,7 +283,10 @@
             born_unix_ms,
             ..worker.entry.clone()
         };
-        let late = std::mem::take(&mut worker.late);
+        let mut late = std::mem::take(&mut worker.late);
+        if held_up == HeldUp::InProcess {
+            late.clear();
+        }
         let name = Rc::clone(&entry.id);
         self.void_unacknowledged(&name);
         self.workers[&name] = ModelWorker {
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -2,7 +2,7 @@
 
 use hickorychute_cell::jobs::JobState;
 
-use crate::support::{self, Fate, Model};
+use crate::support::{self, Fate, HeldUp, Model};
 
 #[test]
 fn work_is_done_in_spite_of_a_bad_worker() {
@@ -78,7 +78,7 @@
     ));
     for _ in 0..3 {
         model.run_ms(700);
-        model.restart_worker(0);
+        model.restart_worker(0, HeldUp::InProcess);
     }
     model.run_ms(8_000);
     assert_eq!(model.state(1), Some(JobState::Completed));
@@ -94,7 +94,7 @@
         vec![support::step(8, 3_000, 2_500)],
     ));
     model.run_ms(200);
-    model.restart_worker(0);
+    model.restart_worker(0, HeldUp::OnTheWay);
     model.run_ms(400);
     model.set_fate(0, Fate::Sound);
     // The model asserts that no task runs twice.
