--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -484,6 +484,10 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if worker.runs.get(&shown.task).is_some_and(|known| known.run < shown.run) {
+            // What is known is an older order, which can no longer start beside this run.
+            worker.remove_run(shown.task);
+        }
         let job = self.jobs.get_mut(&shown.task.step.job);
         if let Some(run) = worker.runs.get_mut(&shown.task) {
             if matches!(run.phase, Phase::Ordered { .. }) {
