--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -484,7 +484,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.runs.get(&shown.task).is_some_and(|known| known.run < shown.run) {
+        if worker
+            .runs
+            .get(&shown.task)
+            .is_some_and(|known| known.run < shown.run)
+        {
             // What is known is an older order, which can no longer start beside this run.
             worker.remove_run(shown.task);
         }
--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -75,7 +75,9 @@
 
 #[test]
 fn no_history_breaks_a_promise() {
-    let seeds = std::env::var("HICKORY_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    let seeds = std::env::var("HICKORY_SEEDS")
+        .ok()
+        .and_then(|seeds| seeds.parse().ok());
     for seed in 0..seeds.unwrap_or(SEEDS) {
         play(seed);
     }
--- /dev/null
+++ b/crates/entry/tests/entry/path.rs
@@ -0,0 +1,191 @@
+//! The whole path on a calm day.
+
+use serde_json::json;
+
+use crate::support::{self, World};
+
+#[tokio::test]
+async fn a_job_is_accepted_run_and_shown_as_completed_through_any_host() {
+    let world = World::start(3, 4, false).await;
+    let path = support::path("batch", 1);
+    assert_eq!(world.submit(0, &path, 5, "run=200").await.status, 200);
+    world.wait_for_state(1, &path, "completed").await;
+    world.wait_for_state(2, &path, "completed").await;
+    assert_eq!(world.platform.cell.done_of("0000000000000001"), 5);
+    world.assert_sound();
+}
+
+#[tokio::test]
+async fn steps_gangs_and_advice_are_kept_to() {
+    let world = World::start(3, 6, true).await;
+    let path = support::path("urgent", 2);
+    let body = json!({"spec": "run=300 gang=0", "steps": [
+        {"count": 2, "cpu": 1000, "mem_mb": 10, "estimate_ms": 300},
+        {"count": 4, "cpu": 1000, "mem_mb": 10, "estimate_ms": 300, "after": [0]},
+    ]});
+    assert_eq!(world.call(0, "POST", &path, Some(body)).await.status, 200);
+    world.wait_for_state(1, &path, "completed").await;
+    let gang = support::path("urgent", 3);
+    let body = json!({"spec": "run=300 gang=6", "steps": [
+        {"count": 6, "cpu": 1000, "mem_mb": 10, "estimate_ms": 300, "gang": true},
+    ]});
+    assert_eq!(world.call(1, "POST", &gang, Some(body)).await.status, 200);
+    world.wait_for_state(2, &gang, "completed").await;
+    world.assert_sound();
+}
+
+#[tokio::test]
+async fn requests_are_answered_as_the_protocol_says() {
+    struct Case {
+        name: &'static str,
+        method: &'static str,
+        path: String,
+        body: Option<serde_json::Value>,
+        status: u16,
+    }
+    let world = World::start(3, 2, false).await;
+    let step = json!({"count": 1, "cpu": 100, "mem_mb": 1, "estimate_ms": 10});
+    let job = json!({"spec": "run=10", "steps": [step]});
+    let huge = json!({"spec": "", "steps": [{"count": 1, "cpu": 99_000, "mem_mb": 1}]});
+    let backwards =
+        json!({"spec": "", "steps": [{"count": 1, "cpu": 1, "mem_mb": 1, "after": [0]}]});
+    let batch = |number| support::path("batch", number);
+    let cases = [
+        Case {
+            name: "no such queue",
+            method: "POST",
+            path: support::path("none", 1),
+            body: Some(job.clone()),
+            status: 404,
+        },
+        Case {
+            name: "no such job",
+            method: "GET",
+            path: batch(77),
+            body: None,
+            status: 410,
+        },
+        Case {
+            name: "cancel of no job",
+            method: "DELETE",
+            path: batch(77),
+            body: None,
+            status: 410,
+        },
+        Case {
+            name: "not a job's name",
+            method: "GET",
+            path: "/batch/zz".to_owned(),
+            body: None,
+            status: 400,
+        },
+        Case {
+            name: "not a job",
+            method: "POST",
+            path: batch(1),
+            body: Some(json!([1])),
+            status: 400,
+        },
+        Case {
+            name: "a step after itself",
+            method: "POST",
+            path: batch(1),
+            body: Some(backwards),
+            status: 400,
+        },
+        Case {
+            name: "larger than any worker",
+            method: "POST",
+            path: batch(1),
+            body: Some(huge),
+            status: 429,
+        },
+        Case {
+            name: "a job",
+            method: "POST",
+            path: batch(2),
+            body: Some(job.clone()),
+            status: 200,
+        },
+        Case {
+            name: "the job again",
+            method: "POST",
+            path: batch(2),
+            body: Some(job),
+            status: 200,
+        },
+        Case {
+            name: "waiting jobs",
+            method: "GET",
+            path: "/batch/".to_owned(),
+            body: None,
+            status: 200,
+        },
+    ];
+    for case in cases {
+        for host in 0..3 {
+            let reply = world
+                .call(host, case.method, &case.path, case.body.clone())
+                .await;
+            assert_eq!(
+                reply.status, case.status,
+                "{} at host {host}: {reply:?}",
+                case.name
+            );
+        }
+    }
+    world.wait_for_state(0, &batch(2), "completed").await;
+    assert_eq!(world.platform.cell.starts_of("0000000000000002"), 1);
+}
+
+#[tokio::test]
+async fn a_cancelled_job_stops_and_stays_cancelled() {
+    let world = World::start(3, 2, false).await;
+    let path = support::path("batch", 5);
+    assert_eq!(world.submit(0, &path, 3, "run=30000").await.status, 200);
+    world.wait_for_state(1, &path, "running").await;
+    assert_eq!(world.call(1, "DELETE", &path, None).await.status, 200);
+    world.wait_for_state(2, &path, "cancelled").await;
+    assert_eq!(world.platform.cell.done_of("0000000000000005"), 0);
+}
+
+#[tokio::test]
+async fn a_job_fails_after_its_attempts() {
+    let world = World::start(3, 4, false).await;
+    let path = support::path("batch", 6);
+    assert_eq!(
+        world.submit(0, &path, 1, "run=100 fail=1").await.status,
+        200
+    );
+    world.wait_for_state(1, &path, "failed").await;
+    assert_eq!(world.platform.cell.starts_of("0000000000000006"), 2);
+}
+
+#[tokio::test]
+async fn entries_of_other_writers_hurt_nothing() {
+    let world = World::start(3, 2, false).await;
+    let broken = [
+        ("servers/a", "not json"),
+        (
+            "servers/b",
+            r#"{"service":5,"address":"127.0.0.1:1","zone":"a","state":"ready"}"#,
+        ),
+        (
+            "servers/c",
+            r#"{"service":"pool","address":"nowhere","zone":"a","state":"ready"}"#,
+        ),
+        (
+            "servers/d",
+            r#"{"service":"pool","address":"127.0.0.1:1","zone":"a","state":"odd"}"#,
+        ),
+        ("servers/", "{}"),
+    ];
+    for (key, value) in broken {
+        world.platform.store.put(key, value);
+    }
+    world.platform.store.put("op/config", "[]");
+    let path = support::path("batch", 7);
+    assert_eq!(world.submit(0, &path, 4, "run=100").await.status, 200);
+    world.wait_for_state(1, &path, "completed").await;
+    world.assert_sound();
+}
--- /dev/null
+++ b/crates/entry/tests/entry/support.rs
@@ -0,0 +1,288 @@
+//! Entry hosts as processes, and clients of them.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use platform_standin::Platform;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tokio::time;
+
+/// A host of the cell.
+#[derive(Debug)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness: SocketAddr,
+    process: Child,
+    log: PathBuf,
+}
+
+impl Host {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.process.id() as i32).expect("a process has a number");
+        kill_process(pid, signal).expect("the process is there");
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) {
+        self.process.wait().expect("the process is ours");
+    }
+
+    /// What the process has written.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+/// A cell: the stand-in platform and its hosts.
+#[derive(Debug)]
+pub struct World {
+    /// The platform.
+    pub platform: Platform,
+    /// The hosts.
+    pub hosts: Vec<Host>,
+    folder: tempfile::TempDir,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            // One that has ended already needs no end.
+            let _ended = host.process.kill();
+            let _reaped = host.process.wait();
+        }
+    }
+}
+
+/// What a client was answered.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status; 0 where the connection broke or no answer came.
+    pub status: u16,
+    /// The body.
+    pub body: Value,
+    /// When to come back, in seconds.
+    pub retry_after_s: Option<u64>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener.local_addr().expect("the listener has an address")
+}
+
+impl World {
+    /// Starts `hosts` hosts and `workers` workers, and waits until the cell coordinates.
+    pub async fn start(hosts: usize, workers: usize, advised: bool) -> Self {
+        let platform = Platform::start(workers).await;
+        platform.configure(1, &["urgent", "batch"], advised);
+        let folder = tempfile::tempdir().expect("a folder for settings and logs");
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(1))
+            .build_http();
+        let mut world = Self {
+            platform,
+            hosts: Vec::new(),
+            folder,
+            client,
+        };
+        for number in 0..hosts {
+            world.add_host(number);
+        }
+        world
+            .wait_until("a coordinator with workers", |world| {
+                world
+                    .hosts
+                    .iter()
+                    .any(|host| host.log().contains("lead-settled"))
+                    && world
+                        .hosts
+                        .iter()
+                        .map(|host| host.log().matches("worker-heard").count())
+                        .sum::<usize>()
+                        >= workers
+            })
+            .await;
+        world
+    }
+
+    fn add_host(&mut self, number: usize) {
+        let name = format!("edge-{number}");
+        let (clients, readiness, peers) = (free_address(), free_address(), free_address());
+        let settings = self.folder.path().join(format!("{name}.conf"));
+        let text = format!(
+            "node={name}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.front={clients}\n\
+             listen.ready={readiness}\nport_range={},{}\nplatform.address={}\nadvice={}\n\
+             bounds.grace_s=6\nlater.field=1\n",
+            peers.port(),
+            peers.port() + 1,
+            self.platform.store_address,
+            self.platform.advice_address,
+        );
+        fs::write(&settings, text).expect("the settings can be written");
+        let log = self
+            .folder
+            .path()
+            .join(format!("{name}.{}.log", self.hosts.len()));
+        let out = fs::File::create(&log).expect("the log can be written");
+        let process = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
+            .env("HICKORYCHUTE_BOOT", &settings)
+            .stdout(Stdio::from(out))
+            .spawn()
+            .expect("the program starts");
+        self.hosts.push(Host {
+            name,
+            clients,
+            readiness,
+            process,
+            log,
+        });
+    }
+
+    /// The position of the host that coordinates.
+    pub fn lead(&self) -> usize {
+        let taken = |host: &Host| {
+            let log = host.log();
+            let fences = log.lines().filter(|line| line.contains("lead-taken"));
+            let fence = |line: &str| {
+                let rest = line.split("fence=").nth(1)?;
+                rest.split(' ').next()?.parse::<u64>().ok()
+            };
+            fences.filter_map(fence).max().unwrap_or(0)
+        };
+        let highest = self
+            .hosts
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, host)| taken(host));
+        highest.expect("there are hosts").0
+    }
+
+    /// A host that does not coordinate.
+    pub fn follower(&self) -> usize {
+        (self.lead() + 1) % self.hosts.len()
+    }
+
+    /// Sends a request to a host as a client does.
+    pub async fn call(&self, host: usize, method: &str, path: &str, body: Option<Value>) -> Reply {
+        self.call_address(self.hosts[host].clients, method, path, body)
+            .await
+    }
+
+    /// Sends a request to an address.
+    pub async fn call_address(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Option<Value>,
+    ) -> Reply {
+        let body = body.map(|body| body.to_string()).unwrap_or_default();
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("host", "jobs.example")
+            .header("x-deadline-ms", "3000")
+            .body(Full::new(Bytes::from(body)))
+            .expect("the request is well formed");
+        let exchange = async {
+            let response = self.client.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let header = response.headers().get("retry-after");
+            let retry_after_s = header.and_then(|value| value.to_str().ok()?.parse().ok());
+            let bytes = response.into_body().collect().await.ok()?.to_bytes();
+            let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+            Some(Reply {
+                status,
+                body,
+                retry_after_s,
+            })
+        };
+        let broken = Reply {
+            status: 0,
+            body: Value::Null,
+            retry_after_s: None,
+        };
+        time::timeout(Duration::from_secs(4), exchange)
+            .await
+            .ok()
+            .flatten()
+            .unwrap_or(broken)
+    }
+
+    /// Hands in a job of `count` tasks with the plan `text`.
+    pub async fn submit(&self, host: usize, path: &str, count: u32, text: &str) -> Reply {
+        let body = json!({
+            "spec": text,
+            "steps": [{"count": count, "cpu": 1000, "mem_mb": 10, "estimate_ms": 200, "later": 1}],
+        });
+        self.call(host, "POST", path, Some(body)).await
+    }
+
+    /// Waits until a job's state is `wanted`.
+    pub async fn wait_for_state(&self, host: usize, path: &str, wanted: &str) {
+        let until = Instant::now() + Duration::from_secs(25);
+        let mut last = Value::Null;
+        while Instant::now() < until {
+            last = self.call(host, "GET", path, None).await.body;
+            if last["state"] == wanted {
+                return;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!(
+            "{path} is {last}, not {wanted}; the hosts wrote: {}",
+            self.tails()
+        );
+    }
+
+    /// Waits until a condition holds.
+    pub async fn wait_until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let until = Instant::now() + Duration::from_secs(20);
+        while !holds(self) {
+            assert!(
+                Instant::now() < until,
+                "no {what}; the hosts wrote: {}",
+                self.tails()
+            );
+            time::sleep(Duration::from_millis(30)).await;
+        }
+    }
+
+    fn tails(&self) -> String {
+        let tail = |host: &Host| {
+            let log = host.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let from = lines.len().saturating_sub(15);
+            format!("\n{}:\n{}", host.name, lines[from..].join("\n"))
+        };
+        self.hosts.iter().map(tail).collect()
+    }
+
+    /// Asserts that no worker saw a promise broken.
+    pub fn assert_sound(&self) {
+        assert_eq!(self.platform.cell.faults(), Vec::<String>::new());
+    }
+}
+
+/// Path of a job in a queue.
+pub fn path(queue: &str, number: u64) -> String {
+    format!("/{queue}/{number:016x}")
+}
