--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -72,7 +72,9 @@
     ) -> Option<HoldTerms> {
         let hold_ms = self.tuning.hold_ms;
         let worker = self.workers.get_mut(id)?;
-        let until_worker_ms = worker.clock.map(|clock| clock.estimate(now_ms) + hold_ms);
+        // A silent worker may still hear us: its runs must be able to lapse.
+        let clock = worker.clock.filter(|_| !worker.silent);
+        let until_worker_ms = clock.map(|clock| clock.estimate(now_ms) + hold_ms);
         if let Some(until) = until_worker_ms {
             worker.held_until_worker_ms = worker.held_until_worker_ms.max(until);
         }
@@ -145,6 +147,8 @@
             return;
         };
         worker.clock = None;
+        // The hold that brought the news may have granted time by the former life's clock.
+        worker.fenced = false;
         worker.processed_end = 0;
         worker.durable_end = 0;
         worker.held_until_worker_ms = 0;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -9,13 +9,13 @@
 };
 
 use bytes::Bytes;
-use platform_standin::Platform;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use platform_standin::Platform;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tokio::time;
@@ -239,16 +239,17 @@
     /// Waits until a job's state is `wanted`.
     pub async fn wait_for_state(&self, host: usize, path: &str, wanted: &str) {
         let until = Instant::now() + Duration::from_secs(25);
-        let mut last = Value::Null;
+        let mut last = None;
         while Instant::now() < until {
-            last = self.call(host, "GET", path, None).await.body;
-            if last["state"] == wanted {
+            let reply = self.call(host, "GET", path, None).await;
+            if reply.body["state"] == wanted {
                 return;
             }
+            last = Some(reply);
             time::sleep(Duration::from_millis(50)).await;
         }
         panic!(
-            "{path} is {last}, not {wanted}; the hosts wrote: {}",
+            "{path}: {last:?}, not {wanted}; the hosts wrote: {}",
             self.tails()
         );
     }
--- a/crates/platform-standin/src/workers.rs
+++ b/crates/platform-standin/src/workers.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Ends that nobody acknowledged before the worker's hold lapsed do not count.
+    fn void(&self, tasks: impl Iterator<Item = String>) {
+        let mut done = locked(&self.done);
+        for task in tasks {
+            done.remove(&task);
+        }
+    }
+
     fn present_members(&self, step: &str) -> usize {
         let member = |task: &str| task.rsplit_once('.').is_some_and(|(of, _)| of == step);
         locked(&self.running)
@@ -214,6 +222,11 @@
         let now = Instant::now();
         let mut data = locked(&worker.data);
         let lapsed = worker.clock_ms() >= data.held_until_ms;
+        if lapsed {
+            worker
+                .cell
+                .void(data.ends.iter().map(|(_, task, ..)| task.clone()));
+        }
         let mut ends: Vec<(String, &'static str)> = Vec::new();
         for (task, present) in &mut data.present {
             let step = task.rsplit_once('.').map_or("", |(step, _)| step);
