--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -10,7 +10,7 @@
 use super::{
     Coordinator,
     job::{Ticket, room_of},
-    schedule::{TICKET_MARGIN_MS, has_label, service_of},
+    schedule::{has_label, service_of},
 };
 use crate::{
     ids::StepId,
@@ -101,7 +101,7 @@
         for worker in self.workers.values().filter(eligible) {
             let name = &worker.entry.id;
             match step.advice.good.get(name) {
-                Some(ticket) if ticket.expires_ms > now_ms + TICKET_MARGIN_MS => {
+                Some(_) if step.advice.has_ticket(name, now_ms) => {
                     fresh_room += takes(worker);
                     good_room += takes(worker);
                 }
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -33,6 +33,18 @@
     pub not_before_ms: u64,
 }
 
+/// Time that a ticket must still be good for when a start is sent, in milliseconds: the order's
+/// way to the worker and the age of the answer that brought the ticket.
+const TICKET_MARGIN_MS: u64 = 200;
+
+impl Advice {
+    /// Whether there is a ticket for a worker that can still be used.
+    pub fn has_ticket(&self, worker: &str, now_ms: u64) -> bool {
+        let ticket = self.good.get(worker);
+        ticket.is_some_and(|ticket| ticket.expires_ms > now_ms + TICKET_MARGIN_MS)
+    }
+}
+
 /// A run of a task that has not been seen to end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ActiveRun {
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -2,20 +2,19 @@
 
 use std::rc::Rc;
 
+use indexmap::IndexMap;
+
 use super::{
     Coordinator, Order,
-    job::{ActiveRun, Job, room_of},
+    job::{ActiveRun, Job, Step, room_of},
 };
 use crate::{
     ids::{JobId, StepId, TaskId},
     jobs::{Outcome, StepSpec},
     placement::{self, Request, Spot},
-    workers::{Phase, Run, StopReason, Worker},
+    workers::{Phase, StopReason, Worker},
 };
 
-/// Time that a ticket must still be good for when a start is sent, in milliseconds: the order's
-/// way to the worker and the age of the answer that brought the ticket.
-pub(super) const TICKET_MARGIN_MS: u64 = 200;
 /// Gangs that may keep workers free for themselves at a time.
 const RESERVING_GANGS: usize = 2;
 /// Part of all workers that gangs may keep free, as a divisor.
@@ -285,43 +284,16 @@
         if spec.gang && waiting.len() < step.tasks.len() - step.done_count as usize {
             return false;
         }
-        let failed_on: Vec<&Rc<str>> = waiting
-            .iter()
-            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
-            .collect();
-        let mut spots: Vec<Spot<'_>> = Vec::new();
-        let mut failed_spots: Vec<Spot<'_>> = Vec::new();
-        for (position, worker) in self.workers.values().enumerate() {
-            let name = &worker.entry.id;
-            let usable = worker.takes_work(now_ms)
-                && worker.entry.service == service
-                && has_label(worker, spec)
-                && !reserved.contains(name);
-            if !usable {
-                continue;
-            }
-            if needs_ticket {
-                let ticket = step.advice.good.get(name);
-                if ticket.is_none_or(|ticket| ticket.expires_ms < now_ms + TICKET_MARGIN_MS) {
-                    continue;
-                }
-            }
-            let choice = if failed_on.contains(&name) {
-                &mut failed_spots
-            } else {
-                &mut spots
-            };
-            choice.push(Spot {
-                worker: position,
-                capacity: worker.entry.capacity,
-                used: worker.used,
-                rack: worker.entry.rack(),
-                task_limit: task_limit(worker, spec, id),
-            });
-        }
-        let need = room_of(spec);
+        let wanted = Wanted {
+            id,
+            spec,
+            service: &service,
+            needs_ticket,
+            waiting: &waiting,
+        };
+        let (mut spots, mut failed_spots) = wanted.spots(&self.workers, step, reserved, now_ms);
         let request = Request {
-            need,
+            need: room_of(spec),
             count: waiting.len() as u32,
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
@@ -348,31 +320,18 @@
             let Some(clock) = worker.clock else {
                 continue;
             };
+            let until_worker_ms = clock.estimate(now_ms) + self.tuning.start_window_ms;
             let task_id = TaskId { step: id, index };
             let task = &mut step.tasks[index as usize];
             let last = if spec.gang { gang_run } else { task.last_run };
             let run = last.max(self.run_floor) + 1;
-            let until_worker_ms = clock.estimate(now_ms) + self.tuning.start_window_ms;
-            worker.held_until_worker_ms = worker.held_until_worker_ms.max(until_worker_ms);
             task.last_run = run;
             task.active = Some(ActiveRun {
                 worker: Rc::clone(name),
                 run,
             });
-            let phase = Phase::Ordered {
-                until_worker_ms,
-                in_flight: true,
-            };
-            let ordered = Run {
-                run,
-                room: need,
-                phase,
-                stopping: None,
-                stop_sent_ms: None,
-                percent: 0,
-                moved_ms: now_ms,
-            };
-            worker.add_run(task_id, ordered);
+            worker.order_run(task_id, run, request.need, until_worker_ms, now_ms);
+            let ticket = step.advice.good.get(name);
             orders.push(Order::Start {
                 worker: Rc::clone(name),
                 task: task_id,
@@ -380,11 +339,7 @@
                 payload: Rc::clone(&job_spec),
                 until_worker_ms,
                 checkpoint: task.checkpoint.clone(),
-                ticket: step
-                    .advice
-                    .good
-                    .get(name)
-                    .map(|ticket| Rc::clone(&ticket.text)),
+                ticket: ticket.map(|ticket| Rc::clone(&ticket.text)),
             });
         }
         if spec.gang {
@@ -459,6 +414,58 @@
     }
 }
 
+/// A step whose waiting tasks look for workers.
+struct Wanted<'a> {
+    id: StepId,
+    spec: &'a StepSpec,
+    service: &'a str,
+    needs_ticket: bool,
+    waiting: &'a [u32],
+}
+
+impl Wanted<'_> {
+    /// Workers that may run the step now: those without a failure of its tasks, and the others.
+    fn spots<'w>(
+        &self,
+        workers: &'w IndexMap<Rc<str>, Worker>,
+        step: &Step,
+        reserved: &[Rc<str>],
+        now_ms: u64,
+    ) -> (Vec<Spot<'w>>, Vec<Spot<'w>>) {
+        let failed_on: Vec<&Rc<str>> = self
+            .waiting
+            .iter()
+            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
+            .collect();
+        let mut spots = Vec::new();
+        let mut failed_spots = Vec::new();
+        for (position, worker) in workers.values().enumerate() {
+            let name = &worker.entry.id;
+            let usable = worker.takes_work(now_ms)
+                && *worker.entry.service == *self.service
+                && has_label(worker, self.spec)
+                && !reserved.contains(name)
+                && (!self.needs_ticket || step.advice.has_ticket(name, now_ms));
+            if !usable {
+                continue;
+            }
+            let choice = if failed_on.contains(&name) {
+                &mut failed_spots
+            } else {
+                &mut spots
+            };
+            choice.push(Spot {
+                worker: position,
+                capacity: worker.entry.capacity,
+                used: worker.used,
+                rack: worker.entry.rack(),
+                task_limit: task_limit(worker, self.spec, self.id),
+            });
+        }
+        (spots, failed_spots)
+    }
+}
+
 /// The service whose workers run a job: the queue's now, or what it was if the queue is gone.
 pub(super) fn service_of(config: &crate::config::Config, job: &Job) -> Rc<str> {
     config
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -7,6 +7,10 @@
 use indexmap::IndexMap;
 
 /// One step of a job, as a client asked for it.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "clients set each of them independently"
+)]
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StepSpec {
     /// How many tasks the step has.
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -245,6 +245,10 @@
 
 /// A worker, as the coordinator knows it.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each says something of its own, and they change independently"
+)]
 pub struct Worker {
     /// What it says of itself.
     pub entry: WorkerEntry,
@@ -315,6 +319,32 @@
         clock.at_least(now_ms) >= self.held_until_worker_ms
     }
 
+    /// Records an order to start that is about to be sent.
+    pub fn order_run(
+        &mut self,
+        task: TaskId,
+        run: u64,
+        room: Room,
+        until_worker_ms: u64,
+        now_ms: u64,
+    ) {
+        self.held_until_worker_ms = self.held_until_worker_ms.max(until_worker_ms);
+        let phase = Phase::Ordered {
+            until_worker_ms,
+            in_flight: true,
+        };
+        let ordered = Run {
+            run,
+            room,
+            phase,
+            stopping: None,
+            stop_sent_ms: None,
+            percent: 0,
+            moved_ms: now_ms,
+        };
+        self.add_run(task, ordered);
+    }
+
     /// Records a run that takes room.
     pub fn add_run(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.room);
--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -15,7 +15,7 @@
 
 fn play(seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let config = if seed % 2 == 0 {
+    let config = if seed.is_multiple_of(2) {
         support::config()
     } else {
         support::advised_config()
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -16,7 +16,7 @@
 };
 use indexmap::IndexMap;
 
-pub use model::{Fate, HeldUp, Model, ModelWorker};
+pub use model::{Fate, HeldUp, Model};
 
 /// Unix time at the start of every simulation, in milliseconds.
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -51,7 +51,7 @@
 struct Present {
     run: u64,
     spec: StepSpec,
-    present_ms: u64,
+    since_ms: u64,
     begun: bool,
     done_ms: u64,
 }
@@ -231,7 +231,7 @@
                 self.carry_out(order);
             }
             self.answer_questions();
-            if self.now_ms % HOLD_EVERY_MS == 0 {
+            if self.now_ms.is_multiple_of(HOLD_EVERY_MS) {
                 self.hold_all();
                 self.commit();
             }
@@ -411,10 +411,10 @@
                 if present.spec.gang {
                     let gang = gangs.entry((task.step, present.run));
                     let (_, count, begun, since_ms) =
-                        gang.or_insert((task, 0, false, present.present_ms));
+                        gang.or_insert((task, 0, false, present.since_ms));
                     *count += 1;
                     *begun |= present.begun;
-                    *since_ms = present.present_ms.min(*since_ms);
+                    *since_ms = present.since_ms.min(*since_ms);
                 }
             }
         }
@@ -551,7 +551,7 @@
         let present = Present {
             run,
             spec,
-            present_ms: now_ms,
+            since_ms: now_ms,
             begun,
             done_ms,
         };
@@ -691,9 +691,4 @@
                 .advice_answered(&question, &outcome, self.now_ms);
         }
     }
-
-    /// The spec of a step that was handed in.
-    pub fn spec_of(&self, task: TaskId) -> Option<StepSpec> {
-        self.step_spec(task)
-    }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -26,9 +26,8 @@
     lead,
     link::{LeadSlot, Link},
     members::{self, Host, Members},
-    metrics::Metrics,
-    operators::{self, Operators},
-    peers::{self, Advised, Body, Peers},
+    operators,
+    peers::{self, Advised, Body},
     records::LeadRecord,
     store::GuardedStore,
 };
@@ -99,78 +98,26 @@
 }
 
 async fn serve(settings: Settings, arguments: Arguments) -> Result<(), DaemonError> {
-    let clients_listener = listen(settings.clients_address).await?;
-    let readiness_listener = listen(settings.readiness_address).await?;
-    let peers_listener = listen(settings.peers_address).await?;
+    let listeners = Listeners::open(&settings, arguments.metrics_port).await?;
     let settings = Rc::new(settings);
-    let pool = Pool::default();
-    let store = GuardedStore::new(Store::new(pool.clone(), settings.store_address));
-    let operators = Rc::new(Operators::default());
-    let members = Rc::new(Members::default());
-    let peers = Rc::new(Peers::default());
-    let metrics = Rc::new(Metrics::default());
-    let lead: LeadSlot = LeadSlot::default();
-    let link = Link {
-        lead: Rc::clone(&lead),
-        members: Rc::clone(&members),
-        peers: Rc::clone(&peers),
-        store: store.clone(),
-    };
+    let around = surroundings(&settings);
+    let lead = LeadSlot::default();
     let front = Rc::new(Front {
-        operators: Rc::clone(&operators),
-        link,
-        metrics: Rc::clone(&metrics),
+        operators: Rc::clone(&around.operators),
+        link: Link {
+            lead: Rc::clone(&lead),
+            members: Rc::clone(&around.members),
+            peers: Rc::clone(&around.peers),
+            store: around.store.clone(),
+        },
+        metrics: Rc::clone(&around.metrics),
         draining: false.into(),
         open_connections: 0.into(),
     });
     let (stop, stopped) = watch::channel(false);
-
-    task::spawn_local(operators::follow(store.clone(), Rc::clone(&operators)));
-    task::spawn_local(members::follow(
-        store.clone(),
-        Rc::clone(&members),
-        settings.host_name.clone(),
-    ));
-    let own = Host {
-        address: settings.peers_address,
-        zone: settings.zone.clone(),
-        cpu_millicores: settings.cpu_millicores,
-    };
-    task::spawn_local(members::register(
-        store.clone(),
-        Rc::clone(&members),
-        settings.host_name.clone(),
-        own,
-    ));
-    let (answer_lead, answer_pool) = (Rc::clone(&lead), pool.clone());
-    let answer_members = Rc::clone(&members);
-    let advice_address = settings.advice_address;
-    task::spawn_local(peers::serve(peers_listener, move |body| {
-        let (lead, members) = (Rc::clone(&answer_lead), Rc::clone(&answer_members));
-        answer_peer(body, lead, members, answer_pool.clone(), advice_address)
-    }));
-    task::spawn_local(front::serve_readiness(
-        readiness_listener,
-        Rc::clone(&front),
-    ));
-    task::spawn_local(front::serve(clients_listener, Rc::clone(&front), stopped));
-    if arguments.metrics_port > 0 {
-        let address = SocketAddr::new(settings.peers_address.ip(), arguments.metrics_port);
-        let metrics_listener = listen(address).await?;
-        task::spawn_local(front::serve_metrics(metrics_listener, Rc::clone(&metrics)));
-    }
-    let coordination = task::spawn_local(coordinate(
-        lead::Surroundings {
-            settings: Rc::clone(&settings),
-            store,
-            pool,
-            peers,
-            members,
-            operators,
-            metrics,
-        },
-        Rc::clone(&lead),
-    ));
+    follow_platform(&around);
+    listeners.serve(&around, &lead, &front, stopped);
+    let coordination = task::spawn_local(coordinate(around, Rc::clone(&lead)));
     log_event!(
         events::STARTED,
         "host={} zone={} clients={} peers={}",
@@ -180,13 +127,13 @@
         settings.peers_address
     );
     wait_for_stop(&settings).await?;
+    let began_ms = clock::now_ms();
     log_event!(
         events::DRAINING,
         "connections={}",
         front.open_connections.get()
     );
     front.draining.set(true);
-    let began_ms = clock::now_ms();
     let own = lead.borrow_mut().take();
     if let Some(own) = own {
         own.resign().await;
@@ -209,6 +156,79 @@
     Ok(())
 }
 
+fn surroundings(settings: &Rc<Settings>) -> lead::Surroundings {
+    let pool = Pool::default();
+    lead::Surroundings {
+        settings: Rc::clone(settings),
+        store: GuardedStore::new(Store::new(pool.clone(), settings.store_address)),
+        pool,
+        peers: Rc::default(),
+        members: Rc::default(),
+        operators: Rc::default(),
+        metrics: Rc::default(),
+    }
+}
+
+/// Follows configuration and members, and keeps this host among them.
+fn follow_platform(around: &lead::Surroundings) {
+    let settings = &around.settings;
+    let name = || settings.host_name.clone();
+    let own = Host {
+        address: settings.peers_address,
+        zone: settings.zone.clone(),
+        cpu_millicores: settings.cpu_millicores,
+    };
+    let store = || around.store.clone();
+    let members = || Rc::clone(&around.members);
+    task::spawn_local(operators::follow(store(), Rc::clone(&around.operators)));
+    task::spawn_local(members::follow(store(), members(), name()));
+    task::spawn_local(members::register(store(), members(), name(), own));
+}
+
+/// Sockets that the host takes connections on.
+#[derive(Debug)]
+struct Listeners {
+    clients: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    async fn open(settings: &Settings, metrics_port: u16) -> Result<Self, DaemonError> {
+        let metrics = match metrics_port {
+            0 => None,
+            port => Some(listen(SocketAddr::new(settings.peers_address.ip(), port)).await?),
+        };
+        Ok(Self {
+            clients: listen(settings.clients_address).await?,
+            readiness: listen(settings.readiness_address).await?,
+            peers: listen(settings.peers_address).await?,
+            metrics,
+        })
+    }
+
+    fn serve(
+        self,
+        around: &lead::Surroundings,
+        lead: &LeadSlot,
+        front: &Rc<Front>,
+        stopped: watch::Receiver<bool>,
+    ) {
+        let (lead, members) = (Rc::clone(lead), Rc::clone(&around.members));
+        let (pool, advice_address) = (around.pool.clone(), around.settings.advice_address);
+        task::spawn_local(peers::serve(self.peers, move |body| {
+            let (lead, members) = (Rc::clone(&lead), Rc::clone(&members));
+            answer_peer(body, lead, members, pool.clone(), advice_address)
+        }));
+        task::spawn_local(front::serve_readiness(self.readiness, Rc::clone(front)));
+        task::spawn_local(front::serve(self.clients, Rc::clone(front), stopped));
+        if let Some(listener) = self.metrics {
+            task::spawn_local(front::serve_metrics(listener, Rc::clone(&around.metrics)));
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT; SIGHUP reads the settings again.
 async fn wait_for_stop(settings: &Settings) -> Result<(), DaemonError> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -21,7 +21,7 @@
 };
 
 /// How long the key outlives a coordinator that dies.
-pub const LEAD_LEASE: Duration = Duration::from_millis(1_000);
+pub const LEAD_LEASE: Duration = Duration::from_secs(1);
 /// Time between renewals of that lease.
 pub const LEAD_RENEWAL: Duration = Duration::from_millis(250);
 /// A coordinator gives orders until this long after its hold on the key was last confirmed, in
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -30,7 +30,7 @@
 /// Largest body where the operators set no limit, in bytes.
 const DEFAULT_BODY_BYTES: usize = 256 << 10;
 /// How long a client waits where it does not say.
-const DEFAULT_PATIENCE: Duration = Duration::from_millis(3_000);
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
 /// Part of a client's time that is kept for the way back.
 const WAY_BACK: Duration = Duration::from_millis(150);
 /// Read buffer of a client's connection, in bytes; the smallest that the library takes.
--- a/crates/entry/src/lead/holds.rs
+++ b/crates/entry/src/lead/holds.rs
@@ -1,11 +1,12 @@
 //! One long poll a worker, which extends its runs and brings its lists.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use adapter::{
     http::Line,
     workers::{self, HoldAnswer},
 };
+use cell::workers::HoldReport;
 use kernel::log_event;
 use tokio::time;
 
@@ -13,7 +14,7 @@
 use crate::{clock, events};
 
 /// How long a worker waits for an end before it answers.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 /// How long an answer may be late.
 const SLACK: Duration = Duration::from_millis(600);
 /// Pause after a hold that failed.
@@ -31,122 +32,158 @@
     }
 }
 
+/// The long poll of one worker.
+#[derive(Debug)]
+struct Poll {
+    lead: Rc<Lead>,
+    id: Rc<str>,
+    line: Option<Line>,
+    /// The last answer came over the connection that is open.
+    proven: bool,
+    was_silent: bool,
+}
+
+/// How a poll goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// At once.
+    Again,
+    /// After a pause.
+    After(Duration),
+    /// Not at all.
+    End,
+}
+
 /// Holds a worker for as long as it is known.
 pub(super) async fn run(lead: Rc<Lead>, id: Rc<str>) {
-    let mut line: Option<Line> = None;
-    let mut proven = false;
-    let mut was_silent = true;
+    let mut poll = Poll {
+        lead,
+        id,
+        line: None,
+        proven: false,
+        was_silent: true,
+    };
     loop {
-        let now_ms = clock::now_ms();
-        let address = {
-            let cell = lead.cell.borrow();
-            let Some(worker) = cell.workers().get(&id) else {
-                return;
-            };
-            worker.entry.address.parse::<SocketAddr>()
-        };
-        let Ok(address) = address else {
-            return;
+        match poll.once().await {
+            Next::Again => {}
+            Next::After(pause) => time::sleep(pause).await,
+            Next::End => return,
+        }
+    }
+}
+
+impl Poll {
+    async fn once(&mut self) -> Next {
+        let Some(address) = self.lead.address_of(&self.id) else {
+            return Next::End;
         };
-        if !lead.has_authority() {
-            time::sleep(RETRY).await;
-            continue;
+        if !self.lead.has_authority() {
+            return Next::After(RETRY);
         }
-        let usable = line.take().filter(Line::is_usable);
-        let mut open = match usable {
+        let mut open = match self.line.take().filter(Line::is_usable) {
             Some(open) => open,
             None => match Line::open(address).await {
                 Ok(open) => {
-                    proven = false;
+                    self.proven = false;
                     open
                 }
-                Err(_) => {
-                    lead.hold_failed(&id, &mut was_silent, "not_connected");
-                    time::sleep(RETRY).await;
-                    continue;
-                }
+                Err(error) => return self.failed(&error.to_string()),
             },
         };
-        let Some(terms) = lead.cell.borrow_mut().begin_hold(&id, proven, now_ms) else {
-            return;
-        };
-        let wait = if proven { WAIT } else { Duration::ZERO };
-        let headers = workers::life_header(&id);
-        let call = workers::hold_call(&headers, terms, lead.term.fence, wait, wait + SLACK);
         let sent_ms = clock::now_ms();
-        lead.around.metrics.count("holds");
-        match open
-            .call(&call)
-            .await
-            .map(|answer| workers::hold_answer(&answer))
-        {
+        let terms = self
+            .lead
+            .cell
+            .borrow_mut()
+            .begin_hold(&self.id, self.proven, sent_ms);
+        let Some(terms) = terms else {
+            return Next::End;
+        };
+        let wait = if self.proven { WAIT } else { Duration::ZERO };
+        let headers = workers::life_header(&self.id);
+        let call = workers::hold_call(&headers, terms, self.lead.term.fence, wait, wait + SLACK);
+        self.lead.around.metrics.count("holds");
+        let answer = open.call(&call).await;
+        match answer.map(|answer| workers::hold_answer(&answer)) {
             Ok(HoldAnswer::Report(report)) => {
-                for end in &report.ended {
-                    if end.number
-                        > lead
-                            .cell
-                            .borrow()
-                            .workers()
-                            .get(&id)
-                            .map_or(0, |w| w.processed_end)
-                    {
-                        log_event!(
-                            events::RUN_ENDED,
-                            "task={} run={} worker={id} how={:?}",
-                            end.task,
-                            end.run,
-                            end.kind
-                        );
-                    }
-                }
-                let received_ms = clock::now_ms();
-                let unix_ms = clock::unix_ms();
-                lead.cell
-                    .borrow_mut()
-                    .hold_answered(&id, sent_ms, received_ms, unix_ms, &report);
-                if was_silent {
-                    log_event!(
-                        events::WORKER_HEARD,
-                        "worker={id} running={} ended={}",
-                        report.running.len(),
-                        report.ended.len()
-                    );
-                    was_silent = false;
-                }
-                proven = true;
-                line = Some(open);
-                lead.schedule.notify_one();
-                if !report.ended.is_empty() {
-                    lead.commit.notify_one();
-                    lead.wait_for_acknowledgement(&id).await;
-                }
-            }
-            Ok(HoldAnswer::Fenced) => return lead.lose("fenced_by_worker"),
-            Ok(HoldAnswer::OtherLife) => {
-                lead.cell.borrow_mut().worker_ended(&id, clock::now_ms());
-                lead.hold_failed(&id, &mut was_silent, "other_life");
-                time::sleep(RETRY * 3).await;
+                self.proven = true;
+                self.line = Some(open);
+                self.reported(sent_ms, &report).await;
+                Next::Again
             }
-            Ok(HoldAnswer::Unusable) => {
-                lead.hold_failed(&id, &mut was_silent, "unhealthy");
-                time::sleep(RETRY).await;
+            Ok(HoldAnswer::Fenced) => {
+                self.lead.lose("fenced_by_worker");
+                Next::End
             }
-            Err(error) => {
-                lead.hold_failed(&id, &mut was_silent, &error.to_string());
-                time::sleep(RETRY).await;
+            Ok(HoldAnswer::OtherLife) => {
+                let now_ms = clock::now_ms();
+                self.lead.cell.borrow_mut().worker_ended(&self.id, now_ms);
+                self.failed("other_life")
             }
+            Ok(HoldAnswer::Unusable) => self.failed("unhealthy"),
+            Err(error) => self.failed(&error.to_string()),
         }
     }
+
+    async fn reported(&mut self, sent_ms: u64, report: &HoldReport) {
+        let (lead, id) = (&self.lead, &self.id);
+        lead.log_ends(id, report);
+        lead.cell.borrow_mut().hold_answered(
+            id,
+            sent_ms,
+            clock::now_ms(),
+            clock::unix_ms(),
+            report,
+        );
+        if self.was_silent {
+            log_event!(
+                events::WORKER_HEARD,
+                "worker={id} running={} ended={}",
+                report.running.len(),
+                report.ended.len()
+            );
+            self.was_silent = false;
+        }
+        lead.schedule.notify_one();
+        if !report.ended.is_empty() {
+            lead.commit.notify_one();
+            lead.wait_for_acknowledgement(id).await;
+        }
+    }
+
+    fn failed(&mut self, reason: &str) -> Next {
+        if !self.was_silent {
+            log_event!(
+                events::WORKER_SILENT,
+                "worker={} reason={reason:?}",
+                self.id
+            );
+            self.was_silent = true;
+        }
+        let now_ms = clock::now_ms();
+        self.lead.cell.borrow_mut().hold_failed(&self.id, now_ms);
+        self.lead.schedule.notify_one();
+        Next::After(RETRY)
+    }
 }
 
 impl Lead {
-    fn hold_failed(&self, id: &str, was_silent: &mut bool, reason: &str) {
-        if !*was_silent {
-            log_event!(events::WORKER_SILENT, "worker={id} reason={reason:?}");
-            *was_silent = true;
+    /// Logs ends that were not listed before.
+    fn log_ends(&self, id: &str, report: &HoldReport) {
+        let cell = self.cell.borrow();
+        let processed_end = cell
+            .workers()
+            .get(id)
+            .map_or(0, |worker| worker.processed_end);
+        for end in report.ended.iter().filter(|end| end.number > processed_end) {
+            log_event!(
+                events::RUN_ENDED,
+                "task={} run={} worker={id} how={:?}",
+                end.task,
+                end.run,
+                end.kind
+            );
         }
-        self.cell.borrow_mut().hold_failed(id, clock::now_ms());
-        self.schedule.notify_one();
     }
 
     /// A hold before that would list the same ends again, at once.
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -59,7 +59,7 @@
 }
 
 impl Lead {
-    fn address_of(&self, worker: &str) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, worker: &str) -> Option<SocketAddr> {
         self.cell
             .borrow()
             .workers()
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -131,7 +131,10 @@
             Ok(Body::NotHere(true)) | Err(PeerError::NotSent) => {
                 self.submit_to_store(record, patience, false).await
             }
-            _ => self.submit_to_store(record, patience - first, true).await,
+            _ => {
+                self.submit_to_store(record, patience.saturating_sub(first), true)
+                    .await
+            }
         }
     }
 
@@ -169,10 +172,9 @@
         };
         match time::timeout(patience, attempts).await {
             Ok(true) => SubmitOutcome::Accepted,
-            Ok(false) => SubmitOutcome::Unavailable,
             // A call that was cut short may still be carried out.
             Err(_) if in_doubt => SubmitOutcome::InDoubt,
-            Err(_) => SubmitOutcome::Unavailable,
+            Ok(false) | Err(_) => SubmitOutcome::Unavailable,
         }
     }
 
@@ -216,7 +218,7 @@
             }
             Known::Is(())
         };
-        time::timeout(patience - first, cancel_in_store)
+        time::timeout(patience.saturating_sub(first), cancel_in_store)
             .await
             .unwrap_or(Known::Unavailable)
     }
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -36,7 +36,7 @@
 impl Host {
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.process.id() as i32).expect("a process has a number");
+        let pid = Pid::from_child(&self.process);
         kill_process(pid, signal).expect("the process is there");
     }
 
