--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -127,7 +127,7 @@
         for shown in &report.running {
             self.apply_shown(id, shown, now_ms);
         }
-        self.drop_absent(id, sent_ms, report, now_ms);
+        self.drop_absent(id, sent_ms, report);
     }
 
     /// A hold got no answer.
@@ -164,7 +164,7 @@
         }
         self.unheard.swap_remove(id);
         for task in lost {
-            self.release(id, task, now_ms);
+            self.release(id, task);
         }
         self.expect_doubtful_orders(id, now_ms);
     }
@@ -263,7 +263,7 @@
         {
             ticket.expires_ms = 0;
         }
-        self.release(id, task, now_ms);
+        self.release(id, task);
         self.stop_gang_of(task, run);
     }
 
@@ -494,8 +494,11 @@
             .is_some_and(|known| known.run < shown.run)
         {
             // What is known is an older order, which can no longer start beside this run.
-            worker.remove_run(shown.task);
+            self.release(id, shown.task);
         }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         let job = self.jobs.get_mut(&shown.task.step.job);
         if let Some(run) = worker.runs.get_mut(&shown.task) {
             if matches!(run.phase, Phase::Ordered { .. }) {
@@ -558,7 +561,7 @@
     }
 
     /// Gives up runs that the worker should show and does not.
-    fn drop_absent(&mut self, id: &str, sent_ms: u64, report: &HoldReport, now_ms: u64) {
+    fn drop_absent(&mut self, id: &str, sent_ms: u64, report: &HoldReport) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -579,12 +582,12 @@
             .map(|(&task, _)| task)
             .collect();
         for task in absent {
-            self.release(id, task, now_ms);
+            self.release(id, task);
         }
     }
 
     /// A run is certainly not there: frees its room and lets its task wait again.
-    pub(super) fn release(&mut self, id: &str, task: TaskId, _now_ms: u64) {
+    pub(super) fn release(&mut self, id: &str, task: TaskId) {
         let Some(run) = self
             .workers
             .get_mut(id)
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -80,7 +80,7 @@
                 .map(|w| w.runs.keys().copied().collect())
                 .unwrap_or_default();
             for task in tasks {
-                self.release(&id, task, now_ms);
+                self.release(&id, task);
             }
             if self.workers.get(&id).is_some_and(|worker| !worker.listed) {
                 self.unheard.swap_remove(&id);
@@ -91,7 +91,7 @@
             self.unheard.clear();
             // Predecessor's workers that were never heard nor listed hold nothing any more.
             self.workers
-                .retain(|_, worker| worker.listed || worker.fenced);
+                .retain(|_, worker| worker.listed || worker.fenced || !worker.runs.is_empty());
         }
     }
 
@@ -424,6 +424,12 @@
 }
 
 impl Wanted<'_> {
+    /// Whether an older run of a waiting task still takes room on a worker.
+    fn has_run_of_waiting(&self, worker: &Worker) -> bool {
+        let waits = |task: &TaskId| task.step == self.id && self.waiting.contains(&task.index);
+        worker.runs.keys().any(waits)
+    }
+
     /// Workers that may run the step now: those without a failure of its tasks, and the others.
     fn spots<'w>(
         &self,
@@ -445,6 +451,7 @@
                 && *worker.entry.service == *self.service
                 && has_label(worker, self.spec)
                 && !reserved.contains(name)
+                && !self.has_run_of_waiting(worker)
                 && (!self.needs_ticket || step.advice.has_ticket(name, now_ms));
             if !usable {
                 continue;
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -33,6 +33,8 @@
     CANCEL_ANSWERED = (8101, "cancel-answered", Info, "A client that cancelled a job was answered.");
     /// A job's state was answered from something else than the coordinator's memory.
     STATE_ANSWERED = (8102, "state-answered", Info, "A client that asked for a job was told that it does not exist, or could not be answered.");
+    /// The coordinator refused a job.
+    JOB_REFUSED = (8103, "job-refused", Info, "The coordinator refused a job before it was accepted. The line names the verdict and the state of the cell that decided it.");
     /// A run was ordered.
     RUN_ORDERED = (8110, "run-ordered", Info, "A task was ordered to start on a worker.");
     /// A worker did not confirm a start.
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -131,9 +131,12 @@
         let outcome = self.link.submit(&record, patience).await;
         let took_ms = started.elapsed().as_millis();
         let queue_name = &queue.name;
+        let config = self.operators.version();
+        let lead = self.link.lead_name();
         log_event!(
             events::JOB_ANSWERED,
-            "job={id} queue={queue_name} outcome={outcome:?} took_ms={took_ms}"
+            "job={id} queue={queue_name} outcome={outcome:?} took_ms={took_ms} config={config} \
+             lead={lead}"
         );
         match outcome {
             SubmitOutcome::Accepted => plain(200, ""),
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -231,6 +231,15 @@
             Verdict::NeverFits => Some(0),
         };
         if let Some(retry_after_ms) = retry_after_ms {
+            let cell = self.cell.borrow();
+            log_event!(
+                events::JOB_REFUSED,
+                "job={id} queue={} verdict={verdict:?} config={} open_jobs={} workers={}",
+                record.queue,
+                cell.config().version,
+                cell.open_jobs().count(),
+                cell.workers().len()
+            );
             return Body::Submitted(Submitted {
                 accepted: false,
                 retry_after_ms,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -75,6 +75,15 @@
 }
 
 impl Link {
+    /// Where the coordinator is, for the log.
+    pub fn lead_name(&self) -> String {
+        if self.lead.borrow().is_some() {
+            return "here".to_owned();
+        }
+        let address = self.members.lead_address();
+        address.map_or("none".to_owned(), |address| address.to_string())
+    }
+
     async fn ask(&self, body: Body, timeout: Duration) -> Result<Body, PeerError> {
         let own = self.lead.borrow().clone();
         if let Some(lead) = own {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -32,6 +32,14 @@
         self.current.borrow().clone()
     }
 
+    /// The version in force; 0 before the first one is known.
+    pub fn version(&self) -> u64 {
+        self.current
+            .borrow()
+            .as_ref()
+            .map_or(0, |config| config.version)
+    }
+
     /// Puts a configuration in force unless it is older than the one that is.
     fn apply(&self, value: &[u8]) {
         let Some(config) = config::decode(value) else {
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -6,6 +6,7 @@
 use node::telemetry;
 // Linked for their events.
 use ctl as _;
+use entry as _;
 use standin as _;
 
 const EVENTS: &str = include_str!("../docs/events.md");
