--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -195,6 +195,7 @@
                     phase,
                     stopping: Some(StopReason::WorkerRestarted),
                     stop_sent_ms: None,
+                    stop_confirmed: false,
                     percent: 0,
                     moved_ms: now_ms,
                 },
@@ -269,11 +270,10 @@
 
     /// A worker confirmed a stop.
     pub fn stop_confirmed(&mut self, id: &str, task: TaskId, run: u64, now_ms: u64) {
-        let known = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.runs.get_mut(&task));
-        if let Some(known) = known.filter(|known| known.run == run) {
+        let known = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(&task));
+        // A further confirmation says nothing new, and must not make the run look fresher.
+        if let Some(known) = known.filter(|known| known.run == run && !known.stop_confirmed) {
+            known.stop_confirmed = true;
             // From here on it is there and ending, or will never start.
             known.phase = Phase::Present { since_ms: now_ms };
         }
@@ -554,6 +554,7 @@
                 phase: Phase::Present { since_ms: now_ms },
                 stopping: (!wanted).then_some(StopReason::NotWanted),
                 stop_sent_ms: None,
+                stop_confirmed: false,
                 percent: shown.percent,
                 moved_ms: now_ms,
             },
@@ -611,16 +612,23 @@
 
     /// Stops that are to be sent now.
     pub(super) fn due_stops(&mut self, now_ms: u64, orders: &mut Vec<Order>) {
-        /// A stop without effect is sent again after this time, in milliseconds.
+        /// A stop without an answer is sent again after this time, in milliseconds.
         const STOP_AGAIN_MS: u64 = 400;
+        /// A stop that was confirmed is sent again if the run is still there after this time.
+        const STOP_CONFIRMED_AGAIN_MS: u64 = 2_500;
         for (id, worker) in &mut self.workers {
             if !worker.fenced {
                 continue;
             }
             for (&task, run) in &mut worker.runs {
+                let again_ms = if run.stop_confirmed {
+                    STOP_CONFIRMED_AGAIN_MS
+                } else {
+                    STOP_AGAIN_MS
+                };
                 let due = run
                     .stop_sent_ms
-                    .is_none_or(|sent| now_ms >= sent + STOP_AGAIN_MS);
+                    .is_none_or(|sent| now_ms >= sent + again_ms);
                 if let Some(reason) = run.stopping
                     && due
                 {
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -213,6 +213,8 @@
     pub stopping: Option<StopReason>,
     /// When the last stop was sent, in milliseconds of our clock.
     pub stop_sent_ms: Option<u64>,
+    /// A stop was confirmed: the run is ending or will never start.
+    pub stop_confirmed: bool,
     /// How much of its work is done, in percent.
     pub percent: u64,
     /// When `percent` last changed, in milliseconds of our clock.
@@ -339,6 +341,7 @@
             phase,
             stopping: None,
             stop_sent_ms: None,
+            stop_confirmed: false,
             percent: 0,
             moved_ms: now_ms,
         };
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -1,6 +1,12 @@
 //! Workers that are cut off, restart, answer late, fail or stall everything.
 
-use hickorychute_cell::jobs::JobState;
+use std::rc::Rc;
+
+use hickorychute_cell::{
+    coordinator::{Order, StartAnswer},
+    jobs::JobState,
+    workers::HoldReport,
+};
 
 use crate::support::{self, Fate, HeldUp, Model};
 
@@ -123,3 +129,43 @@
         );
     }
 }
+
+/// Found by a hunt, on a day on which workers carried orders out late: a stop was confirmed again
+/// and again while a long poll was waiting, and each time the run counted as seen anew, so that
+/// its absence from the worker's list never freed it.
+#[test]
+fn a_stop_that_is_confirmed_twice_does_not_keep_its_run() {
+    let mut coordinator = support::coordinator(support::config());
+    let worker = support::entry(0);
+    let id: Rc<str> = Rc::clone(&worker.id);
+    coordinator.list_worker(worker);
+    coordinator.roster_durable(&[Rc::clone(&id)]);
+    let report = |clock_ms| HoldReport {
+        clock_ms,
+        born_unix_ms: support::START_UNIX_MS,
+        ..HoldReport::default()
+    };
+    let unix_ms = support::START_UNIX_MS;
+    coordinator.hold_answered(&id, 0, 10, unix_ms, &report(1_000));
+    coordinator.accept(
+        &support::job(1, "gang", vec![support::gang(1, 1_000, 500)]),
+        false,
+        unix_ms,
+    );
+    let orders = coordinator.schedule(20, unix_ms);
+    let [Order::Start { task, run, .. }] = orders.as_slice() else {
+        panic!("one start is ordered, not {orders:?}");
+    };
+    coordinator.start_answered(&id, *task, *run, StartAnswer::Unknown, 820);
+    let _stop = coordinator.schedule(830, unix_ms);
+    coordinator.stop_confirmed(&id, *task, *run, 900);
+    // The long poll is sent now and answered after the stop was sent and confirmed again.
+    let _stop = coordinator.schedule(1_300, unix_ms);
+    coordinator.stop_confirmed(&id, *task, *run, 1_400);
+    coordinator.hold_answered(&id, 950, 1_950, unix_ms, &report(1_500));
+    let again = coordinator.schedule(2_000, unix_ms);
+    assert!(
+        matches!(again.as_slice(), [Order::Start { run: second, .. }] if second > run),
+        "the task starts again, not {again:?}"
+    );
+}
