--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -36,6 +36,8 @@
 const PARALLEL_ACCEPTS: usize = 8;
 /// Transactions with what became of tasks that are under way at a time.
 const PARALLEL_COMMITS: usize = 12;
+/// Failed commits are logged together over this time, in milliseconds.
+const FAILURES_LOGGED_EVERY_MS: u64 = 500;
 /// Pause after a commit that failed.
 const RETRY: Duration = Duration::from_millis(90);
 
@@ -227,12 +229,7 @@
                     if !in_doubt && self.around.store.is_lost() {
                         writes = turn_away(writes);
                     }
-                    log_event!(
-                        events::COMMIT_FAILED,
-                        "records={} unconfirmed_ms={} error={error}",
-                        writes.len(),
-                        clock::now_ms() - self.confirmed_ms.get()
-                    );
+                    self.note_failed_commit(writes.len(), error);
                     time::sleep(RETRY).await;
                 }
             }
@@ -240,6 +237,23 @@
         true
     }
 
+    /// Logs failed commits, one line for all within [`FAILURES_LOGGED_EVERY_MS`].
+    fn note_failed_commit(&self, records: usize, error: StoreError) {
+        let now_ms = clock::now_ms();
+        let failures = self.failed_commits.get() + 1;
+        self.failed_commits.set(failures);
+        if now_ms < self.failure_logged_ms.get() + FAILURES_LOGGED_EVERY_MS {
+            return;
+        }
+        self.failed_commits.set(0);
+        self.failure_logged_ms.set(now_ms);
+        let unconfirmed_ms = now_ms - self.confirmed_ms.get();
+        log_event!(
+            events::COMMIT_FAILED,
+            "records={records} failures={failures} unconfirmed_ms={unconfirmed_ms} error={error}"
+        );
+    }
+
     fn written(&self, write: Write, revision: u64) {
         self.revisions.borrow_mut().insert(write.id, revision);
         if let Some(accepted) = write.accepted {
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -79,6 +79,10 @@
     cell: RefCell<Coordinator>,
     /// When our hold on the key was last confirmed, in milliseconds of our clock.
     confirmed_ms: Cell<u64>,
+    /// Commits that failed since the last line of the log about them.
+    failed_commits: Cell<u32>,
+    /// When that line was written, in milliseconds of our clock.
+    failure_logged_ms: Cell<u64>,
     ended: CancellationToken,
     submissions: RefCell<Vec<Submission>>,
     cancellations: RefCell<Vec<(JobId, oneshot::Sender<()>)>>,
@@ -134,6 +138,8 @@
             term,
             cell: RefCell::new(cell),
             confirmed_ms: Cell::new(term.taken_ms),
+            failed_commits: Cell::default(),
+            failure_logged_ms: Cell::default(),
             ended: CancellationToken::new(),
             submissions: RefCell::default(),
             cancellations: RefCell::default(),
