--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -29,11 +29,9 @@
 pub const AUTHORITY_MS: u64 = 5_000;
 /// Hosts wait up to this long before they try to take over, so that few collide.
 const JITTER_MS: u64 = 120;
-/// Hosts to which the store answers more slowly than this leave others the first try.
-const FAR_STORE: Duration = Duration::from_millis(25);
 /// Head start of the hosts with the most processor: coordinating is the heaviest role.
 const STRONG_FIRST: Duration = Duration::from_millis(200);
-/// Head start of hosts near the store.
+/// Head start of hosts near the store: the way to it is part of every commit.
 const NEAR_FIRST: Duration = Duration::from_millis(500);
 
 /// A term of coordination.
@@ -57,7 +55,6 @@
     own: &LeadRecord,
     cpu_millicores: u64,
 ) -> Term {
-    let mut was_far = false;
     loop {
         let configured = operators.changed.notified();
         if operators.current().is_none() {
@@ -72,7 +69,7 @@
         }
         let jitter_ms = rand::rng().random_range(0..JITTER_MS);
         time::sleep(Duration::from_millis(jitter_ms)).await;
-        if was_far {
+        if store.is_far() {
             time::sleep(NEAR_FIRST).await;
         }
         if members.has_stronger(cpu_millicores) {
@@ -81,21 +78,17 @@
         if !members.is_vacant() {
             continue;
         }
-        let asked = clock::now_ms();
-        let Ok(term_item) = store.get(TERM_KEY).await else {
+        // Both at once: while the store is slow, each call in a row prolongs the vacancy.
+        let (term_item, lease) = tokio::join!(store.get(TERM_KEY), store.grant_lease(LEAD_LEASE));
+        let (Ok(term_item), Ok(lease)) = (term_item, lease) else {
             time::sleep(Duration::from_millis(JITTER_MS)).await;
             continue;
         };
-        let far_store = clock::now_ms() - asked > FAR_STORE.as_millis() as u64;
-        if far_store && !was_far {
-            was_far = true;
-            continue;
-        }
         let (revision, number) = term_item.map_or((0, 0), |item| {
             let record = TermRecord::decode(item.value.as_slice()).unwrap_or_default();
             (item.revision, record.number + 1)
         });
-        if let Some(term) = try_once(store, members, own, revision, number).await {
+        if let Some(term) = try_once(store, members, own, lease, (revision, number)).await {
             return term;
         }
         time::sleep(Duration::from_millis(JITTER_MS)).await;
@@ -106,14 +99,13 @@
     store: &GuardedStore,
     members: &Members,
     own: &LeadRecord,
-    term_revision: u64,
-    number: u64,
+    lease: u64,
+    (term_revision, number): (u64, u64),
 ) -> Option<Term> {
     let own = LeadRecord {
         nonce: rand::rng().random(),
         ..own.clone()
     };
-    let lease = store.grant_lease(LEAD_LEASE).await.ok()?;
     let value = own.encode_to_vec();
     let txn = Txn::default()
         .expect(LEAD_KEY, 0)
--- a/crates/entry/src/lead/takeover.rs
+++ b/crates/entry/src/lead/takeover.rs
@@ -89,22 +89,25 @@
     }
 }
 
+/// Reads both at once: while the store is slow, each call in a row delays the takeover.
 async fn read_all(around: &Surroundings) -> (Listing, Roster) {
-    let jobs = loop {
+    tokio::join!(read_jobs(around), read_roster(around))
+}
+
+async fn read_jobs(around: &Surroundings) -> Listing {
+    loop {
         match around.store.list(JOB_PREFIX).await {
-            Ok(listing) => break listing,
+            Ok(listing) => return listing,
             Err(_) => time::sleep(RETRY).await,
         }
-    };
+    }
+}
+
+async fn read_roster(around: &Surroundings) -> Roster {
     loop {
         match around.store.get(ROSTER_KEY).await {
-            Ok(Some(item)) => {
-                break (
-                    jobs,
-                    Roster::decode(item.value.as_slice()).unwrap_or_default(),
-                );
-            }
-            Ok(None) => break (jobs, Roster::default()),
+            Ok(Some(item)) => return Roster::decode(item.value.as_slice()).unwrap_or_default(),
+            Ok(None) => return Roster::default(),
             Err(_) => time::sleep(RETRY).await,
         }
     }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -23,9 +23,12 @@
 const TIMEOUT_FACTOR: u64 = 8;
 /// The shortest time after which a call is given up, in milliseconds: covers the way between
 /// regions there and back, and a busy host.
-const LEAST_TIMEOUT_MS: u64 = 250;
+const LEAST_TIMEOUT_MS: u64 = 400;
 /// The longest time after which a call is given up, in milliseconds.
 const MOST_TIMEOUT_MS: u64 = 1_200;
+/// A store is far if no answer ever took less than this, in milliseconds: between the time within
+/// a region and that between regions.
+const FAR_STORE_MS: u64 = 25;
 /// How long a page of a listing may take.
 const LIST_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long the answer to a watch may be late.
@@ -37,6 +40,7 @@
     paused_until_ms: Cell<u64>,
     since_ms: Cell<u64>,
     usual_ms: Cell<u64>,
+    fastest_ms: Cell<Option<u64>>,
 }
 
 /// The store, as this host reaches it.
@@ -61,6 +65,15 @@
             && clock::now_ms() >= self.outage.since_ms.get() + LOST_AFTER_MS
     }
 
+    /// Whether the way to the store is long: even its fastest answer took more than
+    /// [`FAR_STORE_MS`]. A store that is slow for a while is not far.
+    pub fn is_far(&self) -> bool {
+        self.outage
+            .fastest_ms
+            .get()
+            .is_some_and(|ms| ms > FAR_STORE_MS)
+    }
+
     /// How long a call may take: long enough for the store as it answers now, and longer after
     /// each call that was given up, since the store may have turned slow.
     fn timeout(&self) -> Duration {
@@ -81,6 +94,8 @@
             self.outage
                 .usual_ms
                 .set((usual_ms * 3 + took_ms).div_ceil(4));
+            let fastest_ms = self.outage.fastest_ms.get().unwrap_or(took_ms);
+            self.outage.fastest_ms.set(Some(fastest_ms.min(took_ms)));
         }
         self.note(result)
     }
