--- /dev/null
+++ b/crates/cell/src/coordinator/ends.rs
@@ -0,0 +1,224 @@
+//! What the end of a run changes.
+
+use std::rc::Rc;
+
+use super::Coordinator;
+use crate::{
+    ids::TaskId,
+    jobs::Outcome,
+    workers::{EndKind, ShownEnd, StopReason, Worker},
+};
+
+/// Failed runs in a row after which a worker is set aside.
+const FAILURES_BEFORE_REST: u32 = 3;
+/// First rest of a worker that fails or stalls its runs, in milliseconds; doubled each time.
+const FIRST_REST_MS: u64 = 2_000;
+/// Longest rest, in milliseconds.
+const LONGEST_REST_MS: u64 = 8_000;
+
+impl Coordinator {
+    pub(super) fn apply_end(&mut self, id: &str, end: &ShownEnd, now_ms: u64, unix_ms: u64) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if end.number <= worker.processed_end {
+            return;
+        }
+        worker.processed_end = end.number;
+        if worker
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.run <= end.run)
+        {
+            worker.remove_run(end.task);
+        }
+        match end.kind {
+            EndKind::Done => {
+                worker.health.failures_in_a_row = 0;
+                worker.health.strikes = 0;
+                self.count_done(id, end, unix_ms);
+            }
+            EndKind::Failed => {
+                worker.health.failures_in_a_row += 1;
+                if worker.health.failures_in_a_row >= FAILURES_BEFORE_REST {
+                    Self::rest(worker, now_ms);
+                }
+                self.count_failed(id, end, unix_ms);
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                self.requeue(id, end);
+            }
+        }
+    }
+
+    /// Sets a worker aside for a while; longer each time in a row.
+    pub(super) fn rest(worker: &mut Worker, now_ms: u64) {
+        let rest_ms = (FIRST_REST_MS << worker.health.strikes.min(4)).min(LONGEST_REST_MS);
+        worker.health.strikes += 1;
+        worker.health.failures_in_a_row = 0;
+        worker.health.avoid_until_ms = now_ms + rest_ms;
+    }
+
+    fn count_done(&mut self, id: &str, end: &ShownEnd, unix_ms: u64) {
+        let job_id = end.task.step.job;
+        let Some(job) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        let Some(spec) = job.step_spec(end.task.step.step) else {
+            return;
+        };
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        if long_running {
+            return self.requeue(id, end);
+        }
+        let Some(step) = job.step_mut(end.task.step) else {
+            return;
+        };
+        let mut superseded = Vec::new();
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            let represented = index as u32 == end.task.index || gang;
+            if !represented || task.done {
+                continue;
+            }
+            task.done = true;
+            task.last_run = task.last_run.max(end.run);
+            task.checkpoint = String::new();
+            step.done_count += 1;
+            let elsewhere = task.active.take().filter(|active| {
+                active.run != end.run || (index as u32 == end.task.index && &*active.worker != id)
+            });
+            if let Some(active) = elsewhere {
+                superseded.push((
+                    active,
+                    TaskId {
+                        step: end.task.step,
+                        index: index as u32,
+                    },
+                ));
+            }
+        }
+        job.started = true;
+        job.settle(unix_ms);
+        if job.outcome != Outcome::Open {
+            self.open.swap_remove(&job_id);
+        }
+        self.dirty.insert(job_id);
+        for (active, task) in superseded {
+            self.mark_stopping(&active.worker, task, active.run, StopReason::DoneElsewhere);
+        }
+    }
+
+    fn count_failed(&mut self, id: &str, end: &ShownEnd, unix_ms: u64) {
+        let job_id = end.task.step.job;
+        let Some(job) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        let limit = self
+            .config
+            .queues
+            .get(&job.queue)
+            .map_or(u32::MAX, |q| q.max_attempts.max(1));
+        let Some(spec) = job.step_spec(end.task.step.step) else {
+            return;
+        };
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        let Some(step) = job.step_mut(end.task.step) else {
+            return;
+        };
+        let Some(member) = step.tasks.get_mut(end.task.index as usize) else {
+            return;
+        };
+        if member.done {
+            return;
+        }
+        member.failed_on = Some(Rc::from(id));
+        // The first member counts for the whole gang: members that fail together fail one run.
+        let counting = if gang { 0 } else { end.task.index as usize };
+        let task = &mut step.tasks[counting];
+        if task.failed_runs.contains(&end.run) {
+            // Another member, or the predecessor, which did not live to acknowledge it.
+            return self.requeue(id, end);
+        }
+        task.failed_runs.push(end.run);
+        let failed_runs = task.failed_runs.len() as u32;
+        self.dirty.insert(job_id);
+        if failed_runs >= limit && !long_running {
+            self.end_job(job_id, Outcome::Failed, unix_ms);
+        } else {
+            self.requeue(id, end);
+        }
+    }
+
+    /// The run is over without counting: the task waits for its next one.
+    fn requeue(&mut self, id: &str, end: &ShownEnd) {
+        let job_id = end.task.step.job;
+        let Some(job) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        let gang = job
+            .step_spec(end.task.step.step)
+            .is_some_and(|spec| spec.gang);
+        let Some(step) = job.step_mut(end.task.step) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(end.task.index as usize) else {
+            return;
+        };
+        task.last_run = task.last_run.max(end.run);
+        let ended = |active: &super::job::ActiveRun| &*active.worker == id && active.run <= end.run;
+        if task.active.as_ref().is_some_and(ended) {
+            task.active = None;
+        }
+        if !end.checkpoint.is_empty() {
+            job.keep_checkpoint(end.task, &end.checkpoint);
+            self.dirty.insert(job_id);
+        }
+        if gang {
+            self.stop_gang_of(end.task, end.run);
+        }
+    }
+
+    /// Stops the other members of a gang's run.
+    pub(super) fn stop_gang_of(&mut self, task: TaskId, run: u64) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        if !job.step_spec(task.step.step).is_some_and(|spec| spec.gang) {
+            return;
+        }
+        let Some(step) = job.step_mut(task.step) else {
+            return;
+        };
+        step.gang_ordered_ms = None;
+        let members: Vec<_> = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter_map(|(index, member)| Some((index as u32, member.active.clone()?)))
+            .filter(|(_, active)| active.run == run)
+            .collect();
+        for (index, active) in members {
+            let member = TaskId {
+                step: task.step,
+                index,
+            };
+            self.mark_stopping(&active.worker, member, run, StopReason::GangBroken);
+        }
+    }
+
+    pub(super) fn mark_stopping(
+        &mut self,
+        worker: &str,
+        task: TaskId,
+        run: u64,
+        reason: StopReason,
+    ) {
+        let known = self
+            .workers
+            .get_mut(worker)
+            .and_then(|worker| worker.runs.get_mut(&task));
+        if let Some(known) = known.filter(|known| known.run == run) {
+            known.stopping.get_or_insert(reason);
+        }
+    }
+}
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -17,6 +17,7 @@
 
 mod advice;
 mod changes;
+mod ends;
 mod job;
 mod reports;
 mod schedule;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -4,6 +4,7 @@
 //! twice at once, no start after a counted end, no start before its predecessors.
 
 mod model;
+mod worker;
 
 use std::rc::Rc;
 
@@ -16,7 +17,8 @@
 };
 use indexmap::IndexMap;
 
-pub use model::{Fate, HeldUp, Model};
+pub use model::Model;
+pub use worker::{Fate, HeldUp};
 
 /// Unix time at the start of every simulation, in milliseconds.
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -1,4 +1,4 @@
-//! Workers as the platform's pages describe them.
+//! The cell of the model: a coordinator, its workers, and the checks on them.
 
 use std::rc::Rc;
 
@@ -7,11 +7,14 @@
     coordinator::{AdviceOutcome, Coordinator, Inheritance, Order, StartAnswer, Tuning},
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, StepSpec},
-    workers::{EndKind, HoldReport, Room, ShownEnd, ShownRun, WorkerEntry},
+    workers::{EndKind, HoldReport, Room, ShownRun, WorkerEntry},
 };
 use indexmap::{IndexMap, IndexSet};
 
-use super::START_UNIX_MS;
+use super::{
+    START_UNIX_MS,
+    worker::{Fate, HeldUp, LateStart, ModelWorker, Present},
+};
 
 /// Time between holds of a worker, in milliseconds.
 const HOLD_EVERY_MS: u64 = 50;
@@ -20,118 +23,6 @@
 /// How long an order of a coordinator that died may still hold a worker, in milliseconds.
 const PREDECESSOR_LAPSE_MS: u64 = 11_200;
 
-/// What becomes of a worker's runs or of the calls to it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Fate {
-    /// All goes well.
-    #[default]
-    Sound,
-    /// Every run fails half way.
-    Fails,
-    /// Runs make no progress.
-    Stalls,
-    /// Calls get no answer; what was held runs on until it lapses.
-    CutOff,
-    /// Orders to start get no answer and are carried out this much later, in milliseconds.
-    Late(u64),
-    /// The process is down.
-    Down,
-}
-
-/// Where orders are that are carried out late.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeldUp {
-    /// In the worker's process.
-    InProcess,
-    /// On their way to it.
-    OnTheWay,
-}
-
-#[derive(Clone, Debug)]
-struct Present {
-    run: u64,
-    spec: StepSpec,
-    since_ms: u64,
-    begun: bool,
-    done_ms: u64,
-}
-
-/// An order to start that is carried out after its caller gave up.
-#[derive(Clone, Debug)]
-struct LateStart {
-    due_ms: u64,
-    term: u64,
-    task: TaskId,
-    run: u64,
-    spec: StepSpec,
-    until_worker_ms: u64,
-}
-
-/// A worker of the model.
-#[derive(Debug)]
-pub struct ModelWorker {
-    /// What it says of itself.
-    pub entry: WorkerEntry,
-    /// What becomes of its runs.
-    pub fate: Fate,
-    present: IndexMap<TaskId, Present>,
-    ends: Vec<ShownEnd>,
-    next_end: u64,
-    stopped: IndexMap<TaskId, u64>,
-    held_until_ms: u64,
-    born_ms: u64,
-    fence: u64,
-    late: Vec<LateStart>,
-}
-
-impl ModelWorker {
-    fn new(entry: WorkerEntry, now_ms: u64) -> Self {
-        Self {
-            entry,
-            fate: Fate::Sound,
-            present: IndexMap::new(),
-            ends: Vec::new(),
-            next_end: 1,
-            stopped: IndexMap::new(),
-            held_until_ms: 0,
-            born_ms: now_ms,
-            fence: 0,
-            late: Vec::new(),
-        }
-    }
-
-    fn clock_ms(&self, now_ms: u64) -> u64 {
-        now_ms - self.born_ms + 1_000
-    }
-
-    fn used(&self) -> Room {
-        let mut used = Room::default();
-        for present in self.present.values() {
-            used.add(&Room {
-                cpu_millicores: present.spec.counted_millicores(),
-                memory_mb: present.spec.memory_mb,
-                gpus: present.spec.gpus,
-            });
-        }
-        used
-    }
-
-    fn end(&mut self, task: TaskId, kind: EndKind) {
-        if let Some(present) = self.present.swap_remove(&task) {
-            let number = self.next_end;
-            self.next_end += 1;
-            let checkpoint = String::new();
-            self.ends.push(ShownEnd {
-                number,
-                task,
-                run: present.run,
-                kind,
-                checkpoint,
-            });
-        }
-    }
-}
-
 /// The cell: a coordinator, its workers, and what has been seen.
 #[derive(Debug)]
 pub struct Model {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -260,7 +260,7 @@
             &surroundings.members,
             &surroundings.operators,
             &own,
-            surroundings.settings.cpu_millicores,
+            &surroundings.settings,
         )
         .await;
         lead::run(&surroundings, term, &slot).await;
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
-use adapter::store::{Committed, StoreError, Txn};
+use adapter::{
+    settings::Settings,
+    store::{Committed, StoreError, Txn},
+};
 use kernel::log_event;
 use prost::Message;
 use rand::RngExt;
@@ -20,7 +23,7 @@
     store::GuardedStore,
 };
 
-/// How long the key outlives a coordinator that dies.
+/// How long the key outlives a coordinator that dies, unless the store grants only longer leases.
 pub const LEAD_LEASE: Duration = Duration::from_secs(1);
 /// Time between renewals of that lease.
 pub const LEAD_RENEWAL: Duration = Duration::from_millis(250);
@@ -53,8 +56,9 @@
     members: &Members,
     operators: &Operators,
     own: &LeadRecord,
-    cpu_millicores: u64,
+    settings: &Settings,
 ) -> Term {
+    let ttl = LEAD_LEASE.max(Duration::from_millis(settings.shortest_lease_ms));
     loop {
         let configured = operators.changed.notified();
         if operators.current().is_none() {
@@ -72,14 +76,14 @@
         if store.is_far() {
             time::sleep(NEAR_FIRST).await;
         }
-        if members.has_stronger(cpu_millicores) {
+        if members.has_stronger(settings.cpu_millicores) {
             time::sleep(STRONG_FIRST).await;
         }
         if !members.is_vacant() {
             continue;
         }
         // Both at once: while the store is slow, each call in a row prolongs the vacancy.
-        let (term_item, lease) = tokio::join!(store.get(TERM_KEY), store.grant_lease(LEAD_LEASE));
+        let (term_item, lease) = tokio::join!(store.get(TERM_KEY), store.grant_lease(ttl));
         let (Ok(term_item), Ok(lease)) = (term_item, lease) else {
             time::sleep(Duration::from_millis(JITTER_MS)).await;
             continue;
