Remove records that have served their time, and follow the settings file while running

Cause: records of ended jobs stayed in the store and in memory for good, so each takeover read all jobs that there ever were; and SIGHUP read the settings but put nothing in force, while a change of the file without a signal went unnoticed.

Change: the coordinator removes a record once clients may no longer ask (status time plus 5 s for clocks that differ), on condition of its key and of the record's revision. Settings are read again on SIGHUP and every second; bounds, the advice service and the store's address take force at once, names and listening addresses at the next start. Unused functions of the coordinator go.

Tests against the stand-in: records go while an open job's stays; changed settings with and without a signal; the store at another address.

--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -35,15 +35,6 @@
                 .any(|worker| worker.processed_end > worker.durable_end)
     }
 
-    /// Whether the end of a job waits to become durable.
-    pub fn has_ended_jobs(&self) -> bool {
-        self.dirty.iter().any(|id| {
-            self.jobs
-                .get(id)
-                .is_some_and(|job| job.outcome != job.durable_outcome)
-        })
-    }
-
     /// Takes all changes since the last call.
     pub fn take_changes(&mut self) -> Changes {
         let dirty = std::mem::take(&mut self.dirty);
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -157,6 +157,11 @@
         coordinator
     }
 
+    /// Works with other figures from now on.
+    pub fn tune(&mut self, tuning: Tuning) {
+        self.tuning = tuning;
+    }
+
     /// Puts a newer configuration in force; older ones are ignored.
     pub fn apply_config(&mut self, config: Rc<Config>) {
         if config.version > self.config.version {
@@ -300,9 +305,4 @@
     pub fn inheritance_settled(&self, now_ms: u64) -> bool {
         self.unheard.is_empty() || now_ms >= self.inherited_lapse_ms
     }
-
-    /// Predecessor's workers that have not shown their lists.
-    pub fn unheard_workers(&self) -> usize {
-        self.unheard.len()
-    }
 }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -4,8 +4,6 @@
 //! ends of its tasks count. Runs that are under way are not recorded; a coordinator learns them
 //! from the workers.
 
-use indexmap::IndexMap;
-
 /// One step of a job, as a client asked for it.
 #[expect(
     clippy::struct_excessive_bools,
@@ -224,6 +222,3 @@
         }
     }
 }
-
-/// Jobs by name, in the order in which they became known.
-pub type ById<T> = IndexMap<crate::ids::JobId, T>;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -25,6 +25,7 @@
     front::{self, Front},
     lead,
     link::{LeadSlot, Link},
+    live::{self, LiveSettings},
     members::{self, Host, Members},
     operators,
     peers::{self, Advised, Body},
@@ -99,8 +100,9 @@
 
 async fn serve(settings: Settings, arguments: Arguments) -> Result<(), DaemonError> {
     let listeners = Listeners::open(&settings, arguments.metrics_port).await?;
-    let settings = Rc::new(settings);
-    let around = surroundings(&settings);
+    let live = Rc::new(LiveSettings::new(settings));
+    let settings = live.current();
+    let around = surroundings(&live);
     let lead = LeadSlot::default();
     let front = Rc::new(Front {
         operators: Rc::clone(&around.operators),
@@ -126,7 +128,7 @@
         settings.clients_address,
         settings.peers_address
     );
-    wait_for_stop(&settings).await?;
+    wait_for_stop(&live).await?;
     let began_ms = clock::now_ms();
     log_event!(
         events::DRAINING,
@@ -141,7 +143,7 @@
     coordination.abort();
     time::sleep(LINGER).await;
     stop.send_replace(true);
-    let grace = Duration::from_millis(settings.shutdown_grace_ms).saturating_sub(END_RESERVE);
+    let grace = Duration::from_millis(live.current().shutdown_grace_ms).saturating_sub(END_RESERVE);
     while front.open_connections.get() > 0 && clock::now_ms() - began_ms < grace.as_millis() as u64
     {
         time::sleep(Duration::from_millis(20)).await;
@@ -156,11 +158,12 @@
     Ok(())
 }
 
-fn surroundings(settings: &Rc<Settings>) -> lead::Surroundings {
+fn surroundings(live: &Rc<LiveSettings>) -> lead::Surroundings {
     let pool = Pool::default();
+    let store_address = live.current().store_address;
     lead::Surroundings {
-        settings: Rc::clone(settings),
-        store: GuardedStore::new(Store::new(pool.clone(), settings.store_address)),
+        settings: Rc::clone(live),
+        store: GuardedStore::new(Store::new(pool.clone(), store_address)),
         pool,
         peers: Rc::default(),
         members: Rc::default(),
@@ -171,7 +174,7 @@
 
 /// Follows configuration and members, and keeps this host among them.
 fn follow_platform(around: &lead::Surroundings) {
-    let settings = &around.settings;
+    let settings = around.settings.current();
     let name = || settings.host_name.clone();
     let own = Host {
         address: settings.peers_address,
@@ -180,11 +183,22 @@
     };
     let store = || around.store.clone();
     let members = || Rc::clone(&around.members);
+    task::spawn_local(live::follow(Rc::clone(&around.settings)));
+    task::spawn_local(follow_store_address(store(), Rc::clone(&around.settings)));
     task::spawn_local(operators::follow(store(), Rc::clone(&around.operators)));
     task::spawn_local(members::follow(store(), members(), name()));
     task::spawn_local(members::register(store(), members(), name(), own));
 }
 
+/// Sends calls to the store where the settings say that it is.
+async fn follow_store_address(store: GuardedStore, live: Rc<LiveSettings>) {
+    loop {
+        let changed = live.changed.notified();
+        store.redirect(live.current().store_address);
+        changed.await;
+    }
+}
+
 /// Sockets that the host takes connections on.
 #[derive(Debug)]
 struct Listeners {
@@ -216,9 +230,10 @@
         stopped: watch::Receiver<bool>,
     ) {
         let (lead, members) = (Rc::clone(lead), Rc::clone(&around.members));
-        let (pool, advice_address) = (around.pool.clone(), around.settings.advice_address);
+        let (pool, settings) = (around.pool.clone(), Rc::clone(&around.settings));
         task::spawn_local(peers::serve(self.peers, move |body| {
             let (lead, members) = (Rc::clone(&lead), Rc::clone(&members));
+            let advice_address = settings.current().advice_address;
             answer_peer(body, lead, members, pool.clone(), advice_address)
         }));
         task::spawn_local(front::serve_readiness(self.readiness, Rc::clone(front)));
@@ -230,7 +245,7 @@
 }
 
 /// Waits for SIGTERM or SIGINT; SIGHUP reads the settings again.
-async fn wait_for_stop(settings: &Settings) -> Result<(), DaemonError> {
+async fn wait_for_stop(live: &LiveSettings) -> Result<(), DaemonError> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
@@ -238,20 +253,17 @@
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => match settings::load() {
-                Ok(read) if read == *settings => log_event!(events::RELOADED, "changed=false"),
-                Ok(_) => log_event!(events::RELOADED, "changed=true in_force=after_restart"),
-                Err(error) => log_event!(events::RELOAD_FAILED, "error={error}"),
-            },
+            _ = hangup.recv() => live.look(),
         }
     }
 }
 
 /// Takes over whenever nobody coordinates.
 async fn coordinate(surroundings: lead::Surroundings, slot: LeadSlot) {
+    let settings = surroundings.settings.current();
     let own = LeadRecord {
-        host: surroundings.settings.host_name.clone(),
-        address: surroundings.settings.peers_address.to_string(),
+        host: settings.host_name.clone(),
+        address: settings.peers_address.to_string(),
         nonce: 0,
     };
     loop {
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -6,10 +6,7 @@
 
 use std::time::Duration;
 
-use adapter::{
-    settings::Settings,
-    store::{Committed, StoreError, Txn},
-};
+use adapter::store::{Committed, StoreError, Txn};
 use kernel::log_event;
 use prost::Message;
 use rand::RngExt;
@@ -17,6 +14,7 @@
 
 use crate::{
     clock, events,
+    live::LiveSettings,
     members::Members,
     operators::Operators,
     records::{LEAD_KEY, LEAD_MIRROR_KEY, LeadRecord, TERM_KEY, TermRecord},
@@ -56,10 +54,11 @@
     members: &Members,
     operators: &Operators,
     own: &LeadRecord,
-    settings: &Settings,
+    settings: &LiveSettings,
 ) -> Term {
-    let ttl = LEAD_LEASE.max(Duration::from_millis(settings.shortest_lease_ms));
     loop {
+        let settings = settings.current();
+        let ttl = LEAD_LEASE.max(Duration::from_millis(settings.shortest_lease_ms));
         let configured = operators.changed.notified();
         if operators.current().is_none() {
             // Without a configuration there is nothing to coordinate by.
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -45,6 +45,8 @@
     RUN_ENDED = (8113, "run-ended", Info, "A worker listed the end of a run.");
     /// A job ended.
     JOB_ENDED = (8114, "job-ended", Info, "A job's end is durable.");
+    /// Records of ended jobs were removed.
+    JOBS_REMOVED = (8115, "jobs-removed", Info, "Records of jobs that ended longer ago than clients may ask for them were removed. Nothing to do.");
     /// Advice was answered.
     ADVICE_ANSWERED = (8120, "advice-answered", Debug, "The advice service answered a question, or did not.");
     /// A worker is used from now on, or no longer.
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -4,12 +4,14 @@
 //! - [`commits`]: group commit of accepted jobs and of what became of tasks;
 //! - [`arrivals`]: what reaches the coordinator through the store;
 //! - [`holds`]: one long poll a worker, which extends its runs and brings its lists;
-//! - [`orders`]: starts, stops and questions to the advice service.
+//! - [`orders`]: starts, stops and questions to the advice service;
+//! - [`retention`]: removal of ended jobs that clients no longer ask for.
 
 mod arrivals;
 mod commits;
 mod holds;
 mod orders;
+mod retention;
 mod takeover;
 
 use std::{
@@ -37,6 +39,7 @@
     election::{AUTHORITY_MS, LEAD_RENEWAL, Term},
     events,
     link::LeadSlot,
+    live::LiveSettings,
     members::Members,
     metrics::Metrics,
     operators::Operators,
@@ -44,11 +47,15 @@
     store::GuardedStore,
 };
 
+/// Ended jobs are kept this much longer than clients may ask for them, in milliseconds: hosts'
+/// times of day differ, and may be set back by some seconds.
+const RETENTION_MARGIN_MS: u64 = 5_000;
+
 /// What a coordinator works with.
 #[derive(Clone, Debug)]
 pub struct Surroundings {
-    /// Settings of the host.
-    pub settings: Rc<Settings>,
+    /// Settings in force on the host.
+    pub settings: Rc<LiveSettings>,
     /// The platform's store.
     pub store: GuardedStore,
     /// Connections to workers and to the advice service.
@@ -124,8 +131,10 @@
     lead.spawn(arrivals::follow_workers(Rc::clone(&lead)));
     lead.spawn(confirm(Rc::clone(&lead)));
     lead.spawn(follow_config(Rc::clone(&lead)));
+    lead.spawn(follow_settings(Rc::clone(&lead)));
     lead.spawn(commits::keep_roster(Rc::clone(&lead)));
     lead.spawn(orders::run(Rc::clone(&lead)));
+    lead.spawn(retention::run(Rc::clone(&lead)));
     lead.spawn_known_holds();
     lead.ended.cancelled().await;
     slot.borrow_mut().take();
@@ -162,7 +171,7 @@
                 .hold_ms
                 .min(settings.longest_hold_ms.saturating_sub(500)),
             gang_patience_ms: base.gang_patience_ms.min(settings.gang_timeout_ms / 2),
-            retention_ms: settings.retention_ms + 10_000,
+            retention_ms: settings.retention_ms + RETENTION_MARGIN_MS,
             ..base
         }
     }
@@ -331,3 +340,12 @@
         changed.await;
     }
 }
+
+async fn follow_settings(lead: Rc<Lead>) {
+    loop {
+        let changed = lead.around.settings.changed.notified();
+        let tuning = Lead::tuning(&lead.around.settings.current());
+        lead.cell.borrow_mut().tune(tuning);
+        changed.await;
+    }
+}
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -174,10 +174,11 @@
 
     /// Hands the most urgent questions to hosts that are free to ask.
     fn ask_questions(self: &Rc<Self>, now_ms: u64) {
-        let Some(own_address) = self.around.settings.advice_address else {
+        let settings = self.around.settings.current();
+        let Some(own_address) = settings.advice_address else {
             return;
         };
-        let own_name = &self.around.settings.host_name;
+        let own_name = &settings.host_name;
         let mut hosts = self.around.members.hosts();
         if let Some(own) = hosts.shift_remove(own_name) {
             hosts.shift_insert(0, own_name.clone(), own);
--- a/crates/entry/src/lead/takeover.rs
+++ b/crates/entry/src/lead/takeover.rs
@@ -43,7 +43,7 @@
         lapsed_ms: term.taken_ms + AUTHORITY_MS + LONGEST_HOLD_MS,
         run_floor: term.number * RUNS_PER_TERM,
     };
-    let tuning = Lead::tuning(&around.settings);
+    let tuning = Lead::tuning(&around.settings.current());
     let mut cell = Coordinator::new(tuning, config, inheritance);
     let unix_ms = clock::unix_ms();
     let mut open = 0;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`daemon`]: start, signals, shutdown;
 //! - [`front`]: clients' requests, and the readiness that the platform asks for;
 //! - [`link`]: the way from any host to the coordinator, and past it to the store;
+//! - [`live`]: the settings in force, and how they follow their file;
 //! - [`peers`]: messages between hosts;
 //! - [`election`]: who coordinates;
 //! - [`lead`]: what the coordinator does;
@@ -25,6 +26,7 @@
 pub mod front;
 pub mod lead;
 pub mod link;
+pub mod live;
 pub mod logs;
 pub mod members;
 pub mod metrics;
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -4,7 +4,7 @@
 //! ones fail at once for a while that grows with each failure in a row; the first call after that
 //! shows whether the store is back. The loss and the return are logged once each.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use adapter::store::{Committed, Item, Listing, Store, StoreError, Txn, Watched};
 use kernel::log_event;
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Sends further calls to this address.
+    pub fn redirect(&self, address: SocketAddr) {
+        self.store.redirect(address);
+    }
+
     /// Whether the store counts as lost.
     pub fn is_lost(&self) -> bool {
         self.outage.failures_in_a_row.get() >= LOST_AFTER
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Real entry hosts against the stand-in platform.
 
 mod failures;
+mod lasting;
 mod path;
 mod support;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -30,6 +30,7 @@
     /// Where readiness is asked for.
     pub readiness: SocketAddr,
     process: Child,
+    settings: PathBuf,
     log: PathBuf,
 }
 
@@ -45,6 +46,12 @@
         self.process.wait().expect("the process is ours");
     }
 
+    /// Appends a line to the settings file; of two lines with one name the last holds.
+    pub fn add_setting(&self, line: &str) {
+        let text = fs::read_to_string(&self.settings).expect("the settings are there");
+        fs::write(&self.settings, format!("{text}{line}\n")).expect("they can be written");
+    }
+
     /// What the process has written.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -91,6 +98,11 @@
 impl World {
     /// Starts `hosts` hosts and `workers` workers, and waits until the cell coordinates.
     pub async fn start(hosts: usize, workers: usize, advised: bool) -> Self {
+        Self::start_with(hosts, workers, advised, "").await
+    }
+
+    /// The same, with further lines in the hosts' settings files.
+    pub async fn start_with(hosts: usize, workers: usize, advised: bool, lines: &str) -> Self {
         let platform = Platform::start(workers).await;
         platform.configure(1, &["urgent", "batch"], advised);
         let folder = tempfile::tempdir().expect("a folder for settings and logs");
@@ -104,7 +116,7 @@
             client,
         };
         for number in 0..hosts {
-            world.add_host(number);
+            world.add_host(number, lines);
         }
         world
             .wait_until("a coordinator with workers", |world| {
@@ -123,14 +135,14 @@
         world
     }
 
-    fn add_host(&mut self, number: usize) {
+    fn add_host(&mut self, number: usize, lines: &str) {
         let name = format!("edge-{number}");
         let (clients, readiness, peers) = (free_address(), free_address(), free_address());
         let settings = self.folder.path().join(format!("{name}.conf"));
         let text = format!(
             "node={name}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.front={clients}\n\
              listen.ready={readiness}\nport_range={},{}\nplatform.address={}\nadvice={}\n\
-             bounds.grace_s=6\nlater.field=1\n",
+             bounds.grace_s=6\nlater.field=1\n{lines}",
             peers.port(),
             peers.port() + 1,
             self.platform.store_address,
@@ -152,6 +164,7 @@
             clients,
             readiness,
             process,
+            settings,
             log,
         });
     }
