--- a/crates/entry/src/live.rs
+++ b/crates/entry/src/live.rs
@@ -13,7 +13,7 @@
 use crate::events;
 
 /// Time between two looks at the file. Well below the 3 s in which changes must be in force.
-const PACE: Duration = Duration::from_millis(1_000);
+const PACE: Duration = Duration::from_secs(1);
 
 /// The settings in force.
 #[derive(Debug)]
