Pace filling tasks beside serving ones, and tell slow and hung workers by comparison

A run counted as hung after 2.5 s whatever it was, which made long tasks hung for ever; slow workers were not told from sound ones; and two runs of one hopeless job counted against their worker.

Change: a filling task's share falls at once when a serving neighbour nears its target and rises in steps; it goes to the worker with most unused processor. A hung run shows by three lists without progress and 1.3 s (a longer time for tasks whose percents take long, doubled each time). A worker is slow if its runs take three times as long as the same step's runs on other workers; it rests, and runs that gain by it move. Failures in a row count once a job. Lasting tasks leave a draining worker at once, and run again however often they fail.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -168,6 +168,7 @@
         worker: 0,
         capacity: worker.entry.capacity,
         used: worker.used,
+        filling_millicores: 0,
         rack: "",
         task_limit: most,
     };
--- a/crates/cell/src/coordinator/ends.rs
+++ b/crates/cell/src/coordinator/ends.rs
@@ -9,8 +9,8 @@
     workers::{EndKind, ShownEnd, StopReason, Worker},
 };
 
-/// Failed runs in a row after which a worker is set aside.
-const FAILURES_BEFORE_REST: u32 = 3;
+/// Jobs of which runs failed in a row, after which a worker is set aside.
+const FAILURES_BEFORE_REST: u32 = 2;
 /// First rest of a worker that fails or stalls its runs, in milliseconds; doubled each time.
 const FIRST_REST_MS: u64 = 2_000;
 /// Longest rest, in milliseconds.
@@ -39,7 +39,12 @@
                 self.count_done(id, end, unix_ms);
             }
             EndKind::Failed => {
-                worker.health.failures_in_a_row += 1;
+                // A job that can never be done says nothing about the worker.
+                let job = Some(end.task.step.job);
+                if worker.health.last_failed_job != job {
+                    worker.health.failures_in_a_row += 1;
+                    worker.health.last_failed_job = job;
+                }
                 if worker.health.failures_in_a_row >= FAILURES_BEFORE_REST {
                     Self::rest(worker, now_ms);
                 }
@@ -132,6 +137,10 @@
             return;
         }
         member.failed_on = Some(Rc::from(id));
+        if long_running {
+            // Such tasks run again however often they fail.
+            return self.requeue(id, end);
+        }
         // The first member counts for the whole gang: members that fail together fail one run.
         let counting = if gang { 0 } else { end.task.index as usize };
         let task = &mut step.tasks[counting];
@@ -142,7 +151,7 @@
         task.failed_runs.push(end.run);
         let failed_runs = task.failed_runs.len() as u32;
         self.dirty.insert(job_id);
-        if failed_runs >= limit && !long_running {
+        if failed_runs >= limit {
             self.end_job(job_id, Outcome::Failed, unix_ms);
         } else {
             self.requeue(id, end);
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -8,7 +8,8 @@
     config::Queue,
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobSpec, JobState, Outcome, StepSpec, TaskRecord},
-    workers::Room,
+    progress::StepPace,
+    workers::{Need, Room},
 };
 
 /// Permission to run a step's tasks on a worker.
@@ -68,6 +69,8 @@
     pub checkpoint: String,
     /// The run that has not ended.
     pub active: Option<ActiveRun>,
+    /// How often a run of it was taken for hung.
+    pub hung_stops: u32,
     /// Where it failed last.
     pub failed_on: Option<Rc<str>>,
 }
@@ -83,6 +86,8 @@
     pub advice: Advice,
     /// When the runs of its gang were ordered, in milliseconds of our clock.
     pub gang_ordered_ms: Option<u64>,
+    /// How fast its tasks are done.
+    pub pace: StepPace,
 }
 
 impl Step {
@@ -92,6 +97,7 @@
             done_count: 0,
             advice: Advice::default(),
             gang_ordered_ms: None,
+            pace: StepPace::default(),
         }
     }
 
@@ -264,6 +270,19 @@
         self.step_mut(id.step)?.tasks.get_mut(id.index as usize)
     }
 
+    /// A step's state, to read.
+    pub fn step(&self, id: StepId) -> Option<&Step> {
+        self.occurrences
+            .get(&id.occurrence)?
+            .steps
+            .get(id.step as usize)
+    }
+
+    /// A task, unless it is not known or its occurrence has not begun.
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        self.step(id.step)?.tasks.get(id.index as usize)
+    }
+
     /// Keeps progress of a task; what one member of a gang saved serves all of them.
     pub fn keep_checkpoint(&mut self, id: TaskId, checkpoint: &str) {
         let gang = self.step_spec(id.step.step).is_some_and(|spec| spec.gang);
@@ -383,7 +402,7 @@
     }
 }
 
-/// What one task of a step takes of a worker.
+/// What one task of a step takes of a worker's room.
 pub fn room_of(spec: &StepSpec) -> Room {
     Room {
         cpu_millicores: spec.counted_millicores(),
@@ -391,3 +410,11 @@
         gpus: spec.gpus,
     }
 }
+
+/// What one task of a step asks of a worker.
+pub fn need_of(spec: &StepSpec) -> Need {
+    Need {
+        room: room_of(spec),
+        filling_millicores: spec.cpu_millicores - spec.counted_millicores(),
+    }
+}
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -19,6 +19,8 @@
 mod changes;
 mod ends;
 mod job;
+mod movement;
+mod pace;
 mod reports;
 mod schedule;
 
@@ -35,6 +37,7 @@
     config::Config,
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
+    progress::UsualPace,
     workers::{StopReason, Worker, WorkerEntry},
 };
 
@@ -49,8 +52,6 @@
     /// A gang that is not complete by then is stopped, in milliseconds; well below the time after
     /// which workers give up on it.
     pub gang_patience_ms: u64,
-    /// A present task without progress for this long is taken for hung, in milliseconds.
-    pub hung_after_ms: u64,
     /// How long clients may ask for an ended job, in milliseconds.
     pub retention_ms: u64,
 }
@@ -61,7 +62,6 @@
             start_window_ms: 1_000,
             hold_ms: 5_000,
             gang_patience_ms: 1_600,
-            hung_after_ms: 2_500,
             retention_ms: 120_000,
         }
     }
@@ -98,6 +98,17 @@
         /// Why, for the log.
         reason: StopReason,
     },
+    /// Let a filling run work at a share.
+    Pace {
+        /// The worker.
+        worker: Rc<str>,
+        /// The task.
+        task: TaskId,
+        /// The number of the run.
+        run: u64,
+        /// The share, in percent.
+        percent: u32,
+    },
 }
 
 /// Where the coordinator takes over from.
@@ -127,6 +138,8 @@
     next_due_unix_ms: Option<u64>,
     /// Steps that can start, most urgent first, as the last scheduling pass saw them.
     agenda: Vec<StepId>,
+    /// How long tasks take against what was declared.
+    usual_pace: UsualPace,
 }
 
 impl Coordinator {
@@ -144,6 +157,7 @@
             run_floor: inheritance.run_floor,
             next_due_unix_ms: None,
             agenda: Vec::new(),
+            usual_pace: UsualPace::default(),
         };
         for entry in inheritance.roster {
             coordinator.unheard.insert(Rc::clone(&entry.id));
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, Order, job::room_of};
+use super::{Coordinator, Order, job::need_of};
 use crate::{
     ids::TaskId,
-    workers::{ClockReading, DoubtfulOrder, HoldReport, Phase, Room, Run, ShownRun, StopReason},
+    progress::Progress,
+    workers::{
+        ClockReading, DoubtfulOrder, HoldReport, Need, Phase, Room, Run, ShownRun, StopReason,
+    },
 };
 
 /// Rest of a worker that refused a start, in milliseconds.
@@ -23,6 +26,8 @@
     pub until_worker_ms: Option<u64>,
     /// Ends up to this number are durable.
     pub acknowledged_end: u64,
+    /// The answer should come soon: some run there makes no progress.
+    pub watch_closely: bool,
 }
 
 /// A worker's answer to an order to start.
@@ -61,6 +66,7 @@
         now_ms: u64,
     ) -> Option<HoldTerms> {
         let hold_ms = self.tuning.hold_ms;
+        let watch_closely = self.is_suspect(id, now_ms);
         let worker = self.workers.get_mut(id)?;
         // A silent worker may still hear us: its runs must be able to lapse.
         let clock = worker.clock.filter(|_| !worker.silent);
@@ -76,6 +82,7 @@
         Some(HoldTerms {
             until_worker_ms,
             acknowledged_end,
+            watch_closely,
         })
     }
 
@@ -118,6 +125,7 @@
             self.apply_shown(id, shown, now_ms);
         }
         self.drop_absent(id, sent_ms, report);
+        self.review_runs(id, now_ms, unix_ms);
     }
 
     /// A hold got no answer.
@@ -180,14 +188,8 @@
             worker.add_run(
                 order.task,
                 Run {
-                    run: order.run,
-                    room: order.room,
-                    phase,
                     stopping: Some(StopReason::WorkerRestarted),
-                    stop_sent_ms: None,
-                    stop_confirmed: false,
-                    percent: 0,
-                    moved_ms: now_ms,
+                    ..Run::new(order.run, order.room, phase, now_ms)
                 },
             );
         }
@@ -212,7 +214,7 @@
             StartAnswer::Started => {
                 if matches!(known.phase, Phase::Ordered { .. }) {
                     known.phase = Phase::Present { since_ms: now_ms };
-                    known.moved_ms = now_ms;
+                    known.progress = Progress::unseen(now_ms);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.started = true;
@@ -288,12 +290,10 @@
         if let Some(run) = worker.runs.get_mut(&shown.task) {
             if matches!(run.phase, Phase::Ordered { .. }) {
                 run.phase = Phase::Present { since_ms: now_ms };
-                run.moved_ms = now_ms;
-            }
-            if run.percent != shown.percent {
-                run.percent = shown.percent;
-                run.moved_ms = now_ms;
+                run.progress = Progress::begin(shown.percent, now_ms);
             }
+            run.progress.show(shown.percent, now_ms);
+            run.figure = shown.figure;
             let Some(job) = job else {
                 run.stopping = Some(StopReason::NotWanted);
                 return;
@@ -308,10 +308,14 @@
             return;
         }
         // A run that this coordinator did not order: the predecessor did.
-        let room = job
+        let unknown = Need {
+            room: Room::UNKNOWN,
+            filling_millicores: 0,
+        };
+        let need = job
             .as_ref()
             .and_then(|job| job.step_spec(shown.task.step.step))
-            .map_or(Room::UNKNOWN, room_of);
+            .map_or(unknown, need_of);
         let task = job.and_then(|job| {
             job.started = true;
             job.begin_through(shown.task.step.occurrence);
@@ -334,14 +338,16 @@
         worker.add_run(
             shown.task,
             Run {
-                run: shown.run,
-                room,
-                phase: Phase::Present { since_ms: now_ms },
                 stopping: (!wanted).then_some(StopReason::NotWanted),
-                stop_sent_ms: None,
-                stop_confirmed: false,
-                percent: shown.percent,
-                moved_ms: now_ms,
+                progress: Progress::begin(shown.percent, now_ms),
+                figure: shown.figure,
+                filling_millicores: need.filling_millicores,
+                ..Run::new(
+                    shown.run,
+                    need.room,
+                    Phase::Present { since_ms: now_ms },
+                    now_ms,
+                )
             },
         );
     }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Coordinator, Order,
-    job::{ActiveRun, Job, Step, room_of},
+    job::{ActiveRun, Job, Step, need_of, room_of},
 };
 use crate::{
     ids::{JobId, StepId, TaskId},
@@ -19,8 +19,6 @@
 const RESERVING_GANGS: usize = 2;
 /// Part of all workers that gangs may keep free, as a divisor.
 const RESERVED_PART: usize = 3;
-/// From here on a task counts as having done its part, in percent: workers round.
-const DONE_PERCENT: u64 = 99;
 /// An objective overrun by more than this factor earns nothing any more.
 const WORTHLESS_AFTER: u64 = 3;
 
@@ -40,10 +38,12 @@
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
         self.begin_due_occurrences(unix_ms);
         self.drop_lapsed_workers(now_ms);
-        self.stop_stuck_runs(now_ms);
+        self.stop_unwanted_runs();
+        self.stop_incomplete_gangs(now_ms);
         let mut orders = Vec::new();
         self.start_what_fits(now_ms, unix_ms, &mut orders);
         self.due_stops(now_ms, &mut orders);
+        self.due_paces(now_ms, &mut orders);
         orders
     }
 
@@ -95,11 +95,10 @@
         }
     }
 
-    /// Stops gangs that are not complete in time and tasks that make no progress.
-    fn stop_stuck_runs(&mut self, now_ms: u64) {
+    /// Stops runs whose jobs need them no longer, and gangs of which a start is in doubt.
+    fn stop_unwanted_runs(&mut self) {
         let mut stuck = Vec::new();
         for worker in self.workers.values_mut() {
-            let mut hung = false;
             for (&task, run) in &mut worker.runs {
                 if run.stopping.is_some() {
                     continue;
@@ -115,32 +114,21 @@
                     }
                     continue;
                 };
-                match run.phase {
+                let in_doubt = matches!(
+                    run.phase,
                     Phase::Ordered {
-                        in_flight: false, ..
-                    } if spec.gang => stuck.push((task, run.run)),
-                    // A member of a gang that has done its part waits for the others.
-                    Phase::Present { .. }
-                        if !spec.long_running && !spec.fills && run.percent < DONE_PERCENT =>
-                    {
-                        let still_ms = now_ms.saturating_sub(run.moved_ms);
-                        if still_ms > self.tuning.hung_after_ms && !worker.silent {
-                            hung = true;
-                            run.stopping = Some(StopReason::Hung);
-                            stuck.push((task, run.run));
-                        }
+                        in_flight: false,
+                        ..
                     }
-                    _ => {}
+                );
+                if in_doubt && spec.gang {
+                    stuck.push((task, run.run));
                 }
             }
-            if hung {
-                Self::rest(worker, now_ms);
-            }
         }
         for (task, run) in stuck {
             self.stop_gang_of(task, run);
         }
-        self.stop_incomplete_gangs(now_ms);
     }
 
     fn stop_incomplete_gangs(&mut self, now_ms: u64) {
@@ -235,12 +223,13 @@
                     {
                         continue;
                     }
-                    let (lateness, since) = lateness(job, occurrence, step, unix_ms);
+                    let remaining_ms = job.step_spec(step).map_or(0, |spec| spec.estimate_ms) / 2;
+                    let lateness = lateness(job, occurrence, unix_ms + remaining_ms);
                     ready.push(Urgency {
                         lateness,
                         priority,
                         not_started: !job.started,
-                        accepted_unix_ms: since,
+                        accepted_unix_ms: job.due_unix_ms(occurrence),
                         step: StepId {
                             job: job.id,
                             occurrence,
@@ -292,8 +281,9 @@
             waiting: &waiting,
         };
         let (mut spots, mut failed_spots) = wanted.spots(&self.workers, step, reserved, now_ms);
+        let need = need_of(spec);
         let request = Request {
-            need: room_of(spec),
+            need,
             count: waiting.len() as u32,
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
@@ -330,7 +320,7 @@
                 worker: Rc::clone(name),
                 run,
             });
-            worker.order_run(task_id, run, request.need, until_worker_ms, now_ms);
+            worker.order_run(task_id, run, need, until_worker_ms, now_ms);
             let ticket = step.advice.good.get(name);
             orders.push(Order::Start {
                 worker: Rc::clone(name),
@@ -385,6 +375,7 @@
                     worker: 0,
                     capacity: worker.entry.capacity,
                     used: crate::workers::Room::default(),
+                    filling_millicores: 0,
                     rack: "",
                     task_limit: task_limit(worker, spec, id),
                 };
@@ -465,6 +456,7 @@
                 worker: position,
                 capacity: worker.entry.capacity,
                 used: worker.used,
+                filling_millicores: worker.filling_millicores,
                 rack: worker.entry.rack(),
                 task_limit: task_limit(worker, self.spec, self.id),
             });
@@ -501,21 +493,16 @@
     spec.max_per_worker.saturating_sub(there)
 }
 
-/// How late a job's occurrence is going to be, and since when it waits, in Unix milliseconds.
-fn lateness(job: &Job, occurrence: u32, step: u32, unix_ms: u64) -> (u8, u64) {
-    if job.outcome != Outcome::Open {
-        return (2, 0);
-    }
+/// How late a job's occurrence is if it ends at a time: 0 if it meets its objective, 1 if a late
+/// end still counts, 2 after that.
+pub(super) fn lateness(job: &Job, occurrence: u32, ends_unix_ms: u64) -> u8 {
     let since = job.due_unix_ms(occurrence);
     let allowed_ms = job.objective_unix_ms.saturating_sub(job.accepted_unix_ms);
-    let remaining_ms = job.step_spec(step).map_or(0, |spec| spec.estimate_ms) / 2;
-    let ends_ms = unix_ms + remaining_ms;
-    let lateness = if ends_ms <= since + allowed_ms {
+    if ends_unix_ms <= since + allowed_ms {
         0
-    } else if ends_ms <= since + allowed_ms * WORTHLESS_AFTER {
+    } else if ends_unix_ms <= since + allowed_ms * WORTHLESS_AFTER {
         1
     } else {
         2
-    };
-    (lateness, since)
+    }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,8 +9,10 @@
 //! - [`ids`]: names of jobs, tasks and runs;
 //! - [`config`]: queues and services as the operators configure them;
 //! - [`jobs`]: what clients ask for, and the durable record of a job;
+//! - [`progress`]: how the work of a run goes on, and which workers are slow;
 //! - [`workers`]: what is known of a worker, its clock and its room;
 //! - [`coordinator`]: the state machine that turns all of it into orders;
+//! - [`pacing`]: how fast tasks that fill may work beside tasks that serve;
 //! - [`placement`]: which workers a step's tasks go to;
 //! - [`admission`]: which jobs are refused before they are accepted, and when to come back.
 
@@ -19,5 +21,7 @@
 pub mod coordinator;
 pub mod ids;
 pub mod jobs;
+pub mod pacing;
 pub mod placement;
+pub mod progress;
 pub mod workers;
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -2,9 +2,12 @@
 //!
 //! Tasks are packed: each goes to the worker that is left with the least free processor, so that
 //! room for wide tasks stays together on other workers. Racks come before packing where a step
-//! is slower away from its data or when it is spread.
+//! is slower away from its data or when it is spread. Tasks that fill are spread: each goes to the
+//! worker with the most processor that nobody uses.
 
-use crate::workers::Room;
+use std::cmp::Reverse;
+
+use crate::workers::{Need, Room};
 
 /// A worker that may run a step's tasks.
 #[derive(Clone, Debug)]
@@ -15,6 +18,8 @@
     pub capacity: Room,
     /// What is taken.
     pub used: Room,
+    /// Processor that filling tasks use where others leave it, in thousandths of a core.
+    pub filling_millicores: u64,
     /// Its rack.
     pub rack: &'a str,
     /// How many more tasks of the step it may run.
@@ -36,13 +41,19 @@
             .min(per(free_gpus, need.gpus));
         (fits.min(u64::from(most)) as u32).min(self.task_limit)
     }
+
+    /// Processor that no task counts or fills, in thousandths of a core.
+    fn unused_millicores(&self) -> u64 {
+        let taken = self.used.cpu_millicores + self.filling_millicores;
+        self.capacity.cpu_millicores.saturating_sub(taken)
+    }
 }
 
 /// What decides where a step's tasks go.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
     /// What each task takes.
-    pub need: Room,
+    pub need: Need,
     /// How many tasks wait.
     pub count: u32,
     /// All or none.
@@ -57,7 +68,7 @@
 pub fn place(request: &Request<'_>, spots: &mut [Spot<'_>]) -> Vec<usize> {
     let total: u32 = spots
         .iter()
-        .map(|spot| spot.takes(&request.need, request.count))
+        .map(|spot| spot.takes(&request.need.room, request.count))
         .sum();
     if total == 0 || (request.all_or_nothing && total < request.count) {
         return Vec::new();
@@ -79,7 +90,7 @@
 fn whole_rack<'a>(request: &Request<'_>, spots: &[Spot<'a>]) -> Option<&'a str> {
     let mut racks: Vec<(&str, u32)> = Vec::new();
     for spot in spots {
-        let takes = spot.takes(&request.need, request.count);
+        let takes = spot.takes(&request.need.room, request.count);
         match racks.iter_mut().find(|(rack, _)| *rack == spot.rack) {
             Some((_, sum)) => *sum += takes,
             None => racks.push((spot.rack, takes)),
@@ -93,6 +104,7 @@
 }
 
 fn pack(request: &Request<'_>, spots: &mut [Spot<'_>]) -> Vec<usize> {
+    let fills = request.need.filling_millicores > 0;
     let mut placed = Vec::with_capacity(request.count as usize);
     for _ in 0..request.count {
         let away = |spot: &Spot<'_>| {
@@ -105,12 +117,17 @@
         };
         let best = spots
             .iter_mut()
-            .filter(|spot| spot.takes(&request.need, 1) == 1)
-            .min_by_key(|spot| (away(spot), left(spot)));
+            .filter(|spot| spot.takes(&request.need.room, 1) == 1)
+            .filter(|spot| !fills || spot.unused_millicores() > 0)
+            .min_by_key(|spot| {
+                let spread = Reverse(if fills { spot.unused_millicores() } else { 0 });
+                (away(spot), spread, left(spot))
+            });
         let Some(spot) = best else {
             break;
         };
-        spot.used.add(&request.need);
+        spot.used.add(&request.need.room);
+        spot.filling_millicores += request.need.filling_millicores;
         spot.task_limit -= 1;
         placed.push(spot.worker);
     }
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -5,7 +5,11 @@
 use derive_more::Display;
 use indexmap::IndexMap;
 
-use crate::ids::TaskId;
+use crate::{
+    ids::{JobId, TaskId},
+    pacing::FillShare,
+    progress::Progress,
+};
 
 /// Room of a worker, or what a task takes of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,6 +52,16 @@
     }
 }
 
+/// What a task asks of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// What counts against the worker's room.
+    pub room: Room,
+    /// Processor that is used where others leave it, in thousandths of a core; 0 for tasks whose
+    /// processor counts.
+    pub filling_millicores: u64,
+}
+
 /// What a worker says of itself in the list of workers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerEntry {
@@ -104,6 +118,9 @@
     pub checkpoint: String,
     /// How much of the task's work is done, in percent.
     pub percent: u64,
+    /// A rough figure of the last half second: for a task that serves the tail of its response
+    /// times in milliseconds, for any other the processor in use in thousandths of a core.
+    pub figure: u64,
 }
 
 /// An end that a worker lists until it is acknowledged.
@@ -177,6 +194,12 @@
     /// It makes no progress.
     #[display("hung")]
     Hung,
+    /// Its worker has turned slow, and it is done sooner elsewhere.
+    #[display("worker_slow")]
+    WorkerSlow,
+    /// Its worker leaves.
+    #[display("worker_leaves")]
+    WorkerLeaves,
     /// The worker started anew while the order was on its way.
     #[display("worker_restarted")]
     WorkerRestarted,
@@ -215,21 +238,52 @@
     pub stop_sent_ms: Option<u64>,
     /// A stop was confirmed: the run is ending or will never start.
     pub stop_confirmed: bool,
-    /// How much of its work is done, in percent.
-    pub percent: u64,
-    /// When `percent` last changed, in milliseconds of our clock.
-    pub moved_ms: u64,
+    /// How far its work has got.
+    pub progress: Progress,
+    /// The figure that the worker last showed for it, as in [`ShownRun::figure`].
+    pub figure: u64,
+    /// Processor that the task uses where others leave it, in thousandths of a core; 0 for tasks
+    /// whose processor counts.
+    pub filling_millicores: u64,
+    /// The share at which a filling task works, in percent; absent while that is not known.
+    pub pace_percent: Option<u32>,
+    /// When an order about that share was sent that is not answered, in milliseconds of our clock.
+    pub pace_sent_ms: Option<u64>,
+}
+
+impl Run {
+    /// A run in this phase that nothing has happened to yet.
+    pub fn new(run: u64, room: Room, phase: Phase, now_ms: u64) -> Self {
+        Self {
+            run,
+            room,
+            phase,
+            stopping: None,
+            stop_sent_ms: None,
+            stop_confirmed: false,
+            progress: Progress::unseen(now_ms),
+            figure: 0,
+            filling_millicores: 0,
+            pace_percent: None,
+            pace_sent_ms: None,
+        }
+    }
 }
 
 /// Record of what a worker did with the runs that it was given.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
-    /// Failed runs in a row.
+    /// Jobs of which runs failed in a row; further runs of the last one are not counted.
     pub failures_in_a_row: u32,
+    /// The job of the last run that failed.
+    pub last_failed_job: Option<JobId>,
     /// Nothing is placed here before this time, in milliseconds of our clock.
     pub avoid_until_ms: u64,
     /// Times that it was set aside in a row.
     pub strikes: u32,
+    /// It counts as slow, and nothing is placed here, before this time, in milliseconds of our
+    /// clock.
+    pub slow_until_ms: u64,
 }
 
 /// An order to start that got no answer.
@@ -276,6 +330,10 @@
     pub runs: IndexMap<TaskId, Run>,
     /// What the runs take together.
     pub used: Room,
+    /// Processor that filling runs use where others leave it, in thousandths of a core.
+    pub filling_millicores: u64,
+    /// The share at which filling runs work.
+    pub fill_share: FillShare,
     /// Orders that may still reach this worker, or a later life of it.
     pub doubtful: Vec<DoubtfulOrder>,
     /// How it treats its runs.
@@ -298,6 +356,8 @@
             durable_end: 0,
             runs: IndexMap::new(),
             used: Room::default(),
+            filling_millicores: 0,
+            fill_share: FillShare::default(),
             doubtful: Vec::new(),
             health: Health::default(),
         }
@@ -310,7 +370,7 @@
             && self.fenced
             && !self.silent
             && !self.entry.draining
-            && now_ms >= self.health.avoid_until_ms
+            && now_ms >= self.health.avoid_until_ms.max(self.health.slow_until_ms)
     }
 
     /// Whether all that could run here has certainly lapsed.
@@ -326,7 +386,7 @@
         &mut self,
         task: TaskId,
         run: u64,
-        room: Room,
+        need: Need,
         until_worker_ms: u64,
         now_ms: u64,
     ) {
@@ -336,14 +396,9 @@
             in_flight: true,
         };
         let ordered = Run {
-            run,
-            room,
-            phase,
-            stopping: None,
-            stop_sent_ms: None,
-            stop_confirmed: false,
-            percent: 0,
-            moved_ms: now_ms,
+            filling_millicores: need.filling_millicores,
+            pace_percent: Some(100), // Workers start every run at its full share.
+            ..Run::new(run, need.room, phase, now_ms)
         };
         self.add_run(task, ordered);
     }
@@ -351,6 +406,7 @@
     /// Records a run that takes room.
     pub fn add_run(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.room);
+        self.filling_millicores += run.filling_millicores;
         self.runs.insert(task, run);
     }
 
@@ -358,6 +414,7 @@
     pub fn remove_run(&mut self, task: TaskId) -> Option<Run> {
         let run = self.runs.swap_remove(&task)?;
         self.used.remove(&run.room);
+        self.filling_millicores -= run.filling_millicores;
         Some(run)
     }
 }
--- /dev/null
+++ b/crates/cell/tests/cell/movement.rs
@@ -0,0 +1,292 @@
+//! Pattern: workers turn slow, stall or leave while work runs on them.
+
+use std::rc::Rc;
+
+use hickorychute_cell::{
+    jobs::{JobRecord, JobState, StepSpec},
+    progress::{self, Progress, StepPace},
+};
+
+use crate::support::{self, Fate, Model};
+
+/// Holds of the model are 50 ms apart, and a measurement takes up to 1.5 s.
+const NOTICED_WITHIN_MS: u64 = 2_000;
+
+fn batch(id: u64, count: u32, estimate_ms: u64, checkpointing: bool) -> JobRecord {
+    let step = StepSpec {
+        checkpointing,
+        ..support::step(count, 1_000, estimate_ms)
+    };
+    support::job(id, "batch", vec![step])
+}
+
+#[test]
+fn the_pace_of_a_run_is_measured_from_its_lists() {
+    struct Case {
+        name: &'static str,
+        /// Time and percent of each list.
+        lists: &'static [(u64, u64)],
+        total_ms: u64,
+        unchanged_lists: u32,
+    }
+    let cases = [
+        Case {
+            name: "too short a span",
+            lists: &[(100, 10), (300, 30)],
+            total_ms: 0,
+            unchanged_lists: 0,
+        },
+        Case {
+            name: "one second for the whole",
+            lists: &[(250, 25), (500, 50)],
+            total_ms: 1_000,
+            unchanged_lists: 0,
+        },
+        Case {
+            name: "the last span counts",
+            lists: &[(500, 50), (1_000, 55)],
+            total_ms: 10_000,
+            unchanged_lists: 0,
+        },
+        Case {
+            name: "too few percents to tell",
+            lists: &[(500, 50), (1_000, 52)],
+            total_ms: 1_000,
+            unchanged_lists: 0,
+        },
+        Case {
+            name: "a run that resumes starts with what was saved",
+            lists: &[(50, 60), (500, 75)],
+            total_ms: 3_000,
+            unchanged_lists: 0,
+        },
+        Case {
+            name: "a run that resumes stands still at first",
+            lists: &[(300, 0), (700, 0), (1_000, 30)],
+            total_ms: 3_333,
+            unchanged_lists: 0,
+        },
+        Case {
+            name: "no percent at all",
+            lists: &[(500, 0), (1_000, 0), (1_500, 0)],
+            total_ms: 150_000,
+            unchanged_lists: 3,
+        },
+    ];
+    for case in cases {
+        let mut progress = Progress::unseen(0);
+        if case.lists[0].1 < 60 {
+            progress.show(0, 0);
+        }
+        for &(now_ms, percent) in case.lists {
+            progress.show(percent, now_ms);
+        }
+        assert_eq!(progress.total_ms, case.total_ms, "{}", case.name);
+        assert_eq!(
+            progress.unchanged_lists, case.unchanged_lists,
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_worker_is_slow_only_beside_the_others() {
+    struct Case {
+        name: &'static str,
+        factors: &'static [f64],
+        slow: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing measured",
+            factors: &[],
+            slow: false,
+        },
+        Case {
+            name: "tasks of a step differ by half",
+            factors: &[1.5, 1.4, 0.6],
+            slow: false,
+        },
+        Case {
+            name: "one long task among others",
+            factors: &[6.0, 1.0, 1.0],
+            slow: false,
+        },
+        Case {
+            name: "all take long",
+            factors: &[4.0, 6.0],
+            slow: true,
+        },
+        Case {
+            name: "a single run must be clearly slow",
+            factors: &[4.0],
+            slow: false,
+        },
+        Case {
+            name: "a single run is clearly slow",
+            factors: &[5.0],
+            slow: true,
+        },
+    ];
+    for case in cases {
+        let mut factors = case.factors.to_vec();
+        assert_eq!(progress::is_slow(&mut factors), case.slow, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_step_is_compared_with_its_runs_on_other_workers() {
+    let workers: Vec<Rc<str>> = ["a", "b", "c", "d", "e"].map(Rc::from).to_vec();
+    let mut pace = StepPace::default();
+    assert_eq!(pace.elsewhere_ms("a"), None);
+    pace.learn(&workers[0], 900);
+    assert_eq!(pace.elsewhere_ms("a"), None, "its own run says nothing");
+    assert_eq!(pace.elsewhere_ms("b"), Some(900));
+    for (worker, total_ms) in workers.iter().zip([800, 700, 600, 500, 4_000]) {
+        pace.learn(worker, total_ms);
+    }
+    assert_eq!(pace.elsewhere_ms("d"), Some(600));
+    assert_eq!(pace.elsewhere_ms("e"), Some(500));
+}
+
+/// Declared durations are off for all tasks of a step alike: found on a day on which workers with
+/// wrongly declared tasks were taken for slow and emptied.
+#[test]
+fn tasks_that_take_longer_than_declared_make_no_worker_slow() {
+    let mut model = Model::new(support::config(), 3);
+    model.set_fate(0, Fate::Slow(5));
+    model.set_fate(1, Fate::Slow(5));
+    model.set_fate(2, Fate::Slow(5));
+    model.submit(batch(1, 24, 800, true));
+    model.run_ms(15_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+    assert_eq!(model.starts, 24);
+}
+
+/// Pattern: a stream of tasks while a quarter of the workers is six times slower.
+#[test]
+fn a_slow_worker_gets_no_new_work_and_hands_on_what_is_saved() {
+    let mut model = Model::new(support::config(), 4);
+    model.submit(batch(1, 40, 4_000, true));
+    model.run_ms(1_000);
+    assert!(!model.tasks_on(0).is_empty());
+    model.set_fate(0, Fate::Slow(6));
+    model.run_ms(NOTICED_WITHIN_MS);
+    for number in 2..6 {
+        model.submit(batch(number, 4, 500, false));
+    }
+    model.run_ms(300);
+    let fresh = model
+        .tasks_on(0)
+        .iter()
+        .filter(|task| task.step.job != support::id(1))
+        .count();
+    assert_eq!(fresh, 0, "new work went to the slow worker");
+    // Left alone, its tasks would need 19 s from the start.
+    model.run_ms(6_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn work_that_is_not_saved_stays_where_its_job_gains_nothing_by_a_move() {
+    let mut model = Model::new(support::config(), 2);
+    // The objective of 4 * 1.5 s + 3 s holds even on the slow worker.
+    model.submit(batch(1, 20, 1_500, false));
+    model.run_ms(700);
+    model.set_fate(0, Fate::Slow(4));
+    let before = model.starts;
+    model.run_ms(5_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+    assert_eq!(model.starts, before, "work was thrown away");
+}
+
+/// Pattern: workers are emptied and taken away. They linger, and saved progress is at most a
+/// second old, so only lasting tasks move before their worker goes.
+#[test]
+fn a_leaving_worker_hands_on_lasting_tasks_alone() {
+    struct Case {
+        name: &'static str,
+        long_running: bool,
+        moved: bool,
+    }
+    let cases = [
+        Case {
+            name: "lasting",
+            long_running: true,
+            moved: true,
+        },
+        Case {
+            name: "with an end",
+            long_running: false,
+            moved: false,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::config(), 2);
+        let step = StepSpec {
+            checkpointing: true,
+            long_running: case.long_running,
+            ..support::step(4, 1_000, 5_000)
+        };
+        model.submit(support::job(1, "batch", vec![step]));
+        model.run_ms(1_000);
+        let packed = usize::from(model.tasks_on(0).is_empty());
+        model.drain_worker(packed);
+        model.run_ms(500);
+        assert_eq!(
+            model.tasks_on(packed).is_empty(),
+            case.moved,
+            "{}",
+            case.name
+        );
+        let present: usize = (0..2).map(|number| model.tasks_on(number).len()).sum();
+        assert_eq!(present, 4, "{}", case.name);
+    }
+}
+
+/// Pattern: tasks on some workers stand still.
+#[test]
+fn hung_runs_are_noticed_soon_and_slow_ones_are_not_taken_for_hung() {
+    struct Case {
+        name: &'static str,
+        fate: Fate,
+        estimate_ms: u64,
+        again: bool,
+    }
+    let cases = [
+        Case {
+            name: "stands still",
+            fate: Fate::Stalls,
+            estimate_ms: 1_000,
+            again: true,
+        },
+        Case {
+            name: "three seconds for a percent",
+            fate: Fate::Sound,
+            estimate_ms: 300_000,
+            again: true,
+        },
+        Case {
+            name: "a second for a percent",
+            fate: Fate::Sound,
+            estimate_ms: 100_000,
+            again: false,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::config(), 2);
+        model.set_fate(0, case.fate);
+        model.set_fate(1, case.fate);
+        model.submit(batch(1, 1, case.estimate_ms, false));
+        model.run_ms(2_500);
+        assert_eq!(model.starts > 1, case.again, "{}", case.name);
+        // A task that is only long is left alone before long.
+        model.run_ms(60_000);
+        let before = model.starts;
+        model.set_fate(0, Fate::Sound);
+        model.set_fate(1, Fate::Sound);
+        model.run_ms(20_000);
+        assert!(model.starts <= before + 1, "{}", case.name);
+    }
+}
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -43,6 +43,8 @@
     RUN_STOPPED = (8112, "run-ending", Info, "A run was told to stop because it is no longer wanted there.");
     /// A run has ended.
     RUN_ENDED = (8113, "run-ended", Info, "A worker listed the end of a run.");
+    /// A filling run works at another share.
+    RUN_PACED = (8116, "run-paced", Info, "A run that fills was told to work at a share, since a task that serves beside it came near its target or is calm again.");
     /// A job ended.
     JOB_ENDED = (8114, "job-ended", Info, "A job's end is durable.");
     /// Records of ended jobs were removed.
--- a/crates/entry/src/lead/holds.rs
+++ b/crates/entry/src/lead/holds.rs
@@ -15,6 +15,8 @@
 
 /// How long a worker waits for an end before it answers.
 const WAIT: Duration = Duration::from_secs(1);
+/// The same for a worker with a run that makes no progress.
+const CLOSE_WAIT: Duration = Duration::from_millis(300);
 /// How long an answer may be late.
 const SLACK: Duration = Duration::from_millis(600);
 /// Pause after a hold that failed.
@@ -99,7 +101,11 @@
         let Some(terms) = terms else {
             return Next::End;
         };
-        let wait = if self.proven { WAIT } else { Duration::ZERO };
+        let wait = match (self.proven, terms.watch_closely) {
+            (false, _) => Duration::ZERO,
+            (true, true) => CLOSE_WAIT,
+            (true, false) => WAIT,
+        };
         let headers = workers::life_header(&self.id);
         let call = workers::hold_call(&headers, terms, self.lead.term.fence, wait, wait + SLACK);
         self.lead.around.metrics.count("holds");
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -20,6 +20,8 @@
 const START_TIMEOUT: Duration = Duration::from_millis(800);
 /// A stop is given up after this time, and sent again.
 const STOP_TIMEOUT: Duration = Duration::from_millis(800);
+/// An order about the share of a filling run is given up after this time, and sent again.
+const PACE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Scheduling passes that follow one another are at least this far apart.
 const PASS_PACE: Duration = Duration::from_millis(8);
 /// The longest time between two passes.
@@ -113,6 +115,18 @@
                 );
                 self.spawn(async move { lead.stop(&worker, task, run).await });
             }
+            Order::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => {
+                log_event!(
+                    events::RUN_PACED,
+                    "task={task} run={run} worker={worker} percent={percent}"
+                );
+                self.spawn(async move { lead.pace(&worker, (task, run), percent).await });
+            }
         }
     }
 
@@ -172,6 +186,21 @@
         }
     }
 
+    async fn pace(&self, worker: &str, (task, run): (TaskId, u64), percent: u32) {
+        let Some(address) = self.address_of(worker) else {
+            return;
+        };
+        let headers = workers::life_header(worker);
+        let fence = self.term.fence;
+        let call = workers::pace_call(&headers, (task, run), percent, fence, PACE_TIMEOUT);
+        // Without a confirmation the order is sent again while the run is there.
+        if let Ok(answer) = self.around.pool.call(address, &call).await
+            && answer.status == 200
+        {
+            self.cell.borrow_mut().paced(worker, task, run, percent);
+        }
+    }
+
     /// Hands the most urgent questions to hosts that are free to ask.
     fn ask_questions(self: &Rc<Self>, now_ms: u64) {
         let settings = self.around.settings.current();
--- a/crates/entry/tests/entry/path.rs
+++ b/crates/entry/tests/entry/path.rs
@@ -189,3 +189,38 @@
     world.wait_for_state(1, &path, "completed").await;
     world.assert_sound();
 }
+
+/// Pattern: tasks that fill beside tasks that serve.
+#[tokio::test]
+async fn filling_tasks_yield_to_a_serving_one() {
+    let world = World::start(2, 1, false).await;
+    let serving = json!({"spec": "run=60000 tail=40", "steps": [
+        {"count": 1, "cpu": 2000, "mem_mb": 10, "long_running": true, "target_ms": 100},
+    ]});
+    let path = support::path("urgent", 1);
+    assert_eq!(
+        world.call(0, "POST", &path, Some(serving)).await.status,
+        200
+    );
+    world.wait_for_state(0, &path, "running").await;
+    let filling = json!({"spec": "run=60000 fills=1", "steps": [
+        {"count": 5, "cpu": 2000, "mem_mb": 10, "estimate_ms": 60000, "fills": true},
+    ]});
+    let path = support::path("batch", 2);
+    assert_eq!(
+        world.call(1, "POST", &path, Some(filling)).await.status,
+        200
+    );
+    let worker = &world.platform.workers[0];
+    world
+        .wait_until("all that fill", |_| worker.filling_tasks() == 5)
+        .await;
+    // Five of them at their full share would bring the tail to 190 ms.
+    world
+        .wait_until("a tail below the target", |_| {
+            worker.highest_tail_ms() <= 100
+        })
+        .await;
+    assert_eq!(worker.filling_tasks(), 5, "they stay");
+    world.assert_sound();
+}
