Refuse a job only if even a late end is out of reach

An accepted job that ends late still counts, and late work waits for work in time, so taking it costs the others little.

Ruled out: room (workers were free), advice (half of all jobs start within 0.13 s).

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -1,7 +1,8 @@
 //! Which jobs are refused before they are accepted, and when to come back.
 //!
 //! An accepted job is kept, so work that cannot be done while it still counts must be turned away
-//! at the door. The estimate is deliberately plain: the processor time that waits ahead of the
+//! at the door. A late end still counts, and late work waits for work in time, so a job is refused
+//! only if even a late end is out of reach. The estimate is deliberately plain: the processor time that waits ahead of the
 //! job, over all processors of its service, against the time that the job has.
 
 use crate::{config::Queue, coordinator::Coordinator, jobs::JobSpec, workers::Room};
@@ -22,8 +23,9 @@
 
 /// Parts of a hundred of the processors that are expected to do useful work.
 const USABLE_PERCENT: u64 = 85;
-/// A job is taken if it is expected to end within this part of its objective, in percent.
-const OBJECTIVE_PERCENT: u64 = 100;
+/// A job is taken if it is expected to end within this many times its objective: a later end counts
+/// for nothing.
+pub(crate) const WORTHLESS_AFTER: u64 = 3;
 /// Bounds on the time after which a caller is asked to come back, in milliseconds.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (300, 3_000);
 
@@ -60,7 +62,7 @@
         let wait_ms = ahead_core_ms * 1000 / usable_millicores;
         let chain_ms = spec.longest_chain_ms();
         let allowed_ms = (chain_ms as f64 * queue.stretch) as u64 + queue.target_ms;
-        let within_ms = allowed_ms * OBJECTIVE_PERCENT / 100;
+        let within_ms = allowed_ms * WORTHLESS_AFTER;
         if wait_ms + chain_ms <= within_ms {
             return Verdict::Accept;
         }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -9,6 +9,7 @@
     job::{ActiveRun, Job, Step, need_of, room_of},
 };
 use crate::{
+    admission::WORTHLESS_AFTER,
     ids::{JobId, StepId, TaskId},
     jobs::{Outcome, StepSpec},
     placement::{self, Request, Spot},
@@ -19,8 +20,6 @@
 const RESERVING_GANGS: usize = 2;
 /// Part of all workers that gangs may keep free, as a divisor.
 const RESERVED_PART: usize = 3;
-/// An objective overrun by more than this factor earns nothing any more.
-const WORTHLESS_AFTER: u64 = 3;
 
 /// How urgent a step is; smaller comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/cell/tests/cell/admission.rs
+++ b/crates/cell/tests/cell/admission.rs
@@ -35,6 +35,13 @@
             cpu_millicores: 1_000,
             accepted: true,
         },
+        Case {
+            name: "too late for the objective, but not to count",
+            ahead: 8,
+            queue: "batch",
+            cpu_millicores: 1_000,
+            accepted: true,
+        },
         Case {
             name: "over-full",
             ahead: 60,
