Follow prefixes of the store by one loop, and read messages of hosts in one place

The coordinator's arrivals and workers, the members and the configuration each had a list-then-watch loop of their own; one follower now serves all four. Behaviour stays as it was.

--- a/crates/entry/src/lead/arrivals.rs
+++ b/crates/entry/src/lead/arrivals.rs
@@ -1,11 +1,11 @@
 //! What reaches the coordinator through the store: workers, and jobs accepted or cancelled past
 //! it.
 
-use std::{rc::Rc, time::Duration};
+use std::{ops::ControlFlow, rc::Rc, time::Duration};
 
 use adapter::{
     entries,
-    store::{Event, WORKERS_PREFIX},
+    store::{Event, Listing, WORKERS_PREFIX},
 };
 use cell::{ids::JobId, jobs::JobRecord};
 use indexmap::IndexSet;
@@ -16,59 +16,66 @@
 use super::{Lead, holds};
 use crate::{
     clock, events,
+    follow::{self, Follower, Rhythm},
     records::{self, ARRIVALS_PREFIX, CANCEL_PREFIX, LEAD_MIRROR_KEY, NEW_PREFIX},
 };
 
-/// How long one watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
-/// Least time between two watches, so that changes are fetched in groups.
-const PACE: Duration = Duration::from_millis(120);
 /// Pause after a call to the store that failed.
 const RETRY: Duration = Duration::from_millis(150);
+/// How arrivals and workers are followed.
+const RHYTHM: Rhythm = Rhythm {
+    wait: Duration::from_millis(1_500),
+    pace: Duration::from_millis(120),
+    retry: RETRY,
+};
 
-/// Takes in jobs accepted or cancelled past the coordinator, and notices a successor.
-pub(super) async fn follow_jobs(lead: Rc<Lead>) {
-    loop {
-        let Ok(listing) = lead.around.store.list(ARRIVALS_PREFIX).await else {
-            time::sleep(RETRY).await;
-            continue;
-        };
+/// Takes in jobs accepted or cancelled past the coordinator.
+#[derive(Debug)]
+struct JobsFollower(Rc<Lead>);
+
+impl Follower for JobsFollower {
+    async fn listed(&mut self, listing: &Listing) -> ControlFlow<()> {
+        let Self(lead) = self;
         let mut own_lead = false;
         for item in &listing.items {
             own_lead |= item.key == LEAD_MIRROR_KEY && item.revision == lead.term.fence;
             lead.take_arrival(&item.key).await;
         }
-        if !own_lead {
-            return lead.lose("key_taken");
+        if own_lead {
+            return ControlFlow::Continue(());
         }
-        let mut after = listing.as_of;
-        while let Ok(watched) = lead
-            .around
-            .store
-            .watch(ARRIVALS_PREFIX, after, WATCH_WAIT)
-            .await
-        {
-            after = watched.as_of;
-            for event in &watched.events {
-                match event {
-                    Event::Put(item) if item.key == LEAD_MIRROR_KEY => {
-                        if item.revision != lead.term.fence {
-                            return lead.lose("key_taken");
-                        }
-                    }
-                    Event::Put(item) => lead.take_arrival(&item.key).await,
-                    Event::Removed { key } if key == LEAD_MIRROR_KEY => {
-                        return lead.lose("key_removed");
+        lead.lose("key_taken");
+        ControlFlow::Break(())
+    }
+
+    async fn changed(&mut self, events: &[Event]) -> ControlFlow<()> {
+        let Self(lead) = self;
+        for event in events {
+            match event {
+                Event::Put(item) if item.key == LEAD_MIRROR_KEY => {
+                    if item.revision != lead.term.fence {
+                        lead.lose("key_taken");
+                        return ControlFlow::Break(());
                     }
-                    Event::Removed { .. } => {}
                 }
+                Event::Put(item) => lead.take_arrival(&item.key).await,
+                Event::Removed { key } if key == LEAD_MIRROR_KEY => {
+                    lead.lose("key_removed");
+                    return ControlFlow::Break(());
+                }
+                Event::Removed { .. } => {}
             }
-            time::sleep(PACE).await;
         }
-        time::sleep(RETRY).await;
+        ControlFlow::Continue(())
     }
 }
 
+/// Takes in jobs accepted or cancelled past the coordinator, and notices a successor.
+pub(super) async fn follow_jobs(lead: Rc<Lead>) {
+    let store = lead.around.store.clone();
+    follow::follow(&store, ARRIVALS_PREFIX, RHYTHM, &mut JobsFollower(lead)).await;
+}
+
 impl Lead {
     async fn take_arrival(&self, key: &str) {
         if let Some(id) = key.strip_prefix(NEW_PREFIX).and_then(|id| id.parse().ok()) {
@@ -105,13 +112,13 @@
     }
 }
 
-/// Follows the list of workers.
-pub(super) async fn follow_workers(lead: Rc<Lead>) {
-    loop {
-        let Ok(listing) = lead.around.store.list(WORKERS_PREFIX).await else {
-            time::sleep(RETRY).await;
-            continue;
-        };
+/// Takes over what workers say of themselves.
+#[derive(Debug)]
+struct WorkersFollower(Rc<Lead>);
+
+impl Follower for WorkersFollower {
+    async fn listed(&mut self, listing: &Listing) -> ControlFlow<()> {
+        let Self(lead) = self;
         let mut seen: IndexSet<String> = IndexSet::new();
         for item in &listing.items {
             if lead.take_entry(&item.key, &item.value)
@@ -122,32 +129,33 @@
         }
         lead.unlist_others(&seen);
         lead.roster.notify_one();
-        let mut after = listing.as_of;
-        while let Ok(watched) = lead
-            .around
-            .store
-            .watch(WORKERS_PREFIX, after, WATCH_WAIT)
-            .await
-        {
-            after = watched.as_of;
-            for event in &watched.events {
-                match event {
-                    Event::Put(item) => {
-                        if !lead.take_entry(&item.key, &item.value) {
-                            lead.unlist(&item.key);
-                        }
+        ControlFlow::Continue(())
+    }
+
+    async fn changed(&mut self, events: &[Event]) -> ControlFlow<()> {
+        let Self(lead) = self;
+        for event in events {
+            match event {
+                Event::Put(item) => {
+                    if !lead.take_entry(&item.key, &item.value) {
+                        lead.unlist(&item.key);
                     }
-                    Event::Removed { key } => lead.unlist(key),
                 }
+                Event::Removed { key } => lead.unlist(key),
             }
-            lead.roster.notify_one();
-            lead.schedule.notify_one();
-            time::sleep(PACE).await;
         }
-        time::sleep(RETRY).await;
+        lead.roster.notify_one();
+        lead.schedule.notify_one();
+        ControlFlow::Continue(())
     }
 }
 
+/// Follows the list of workers.
+pub(super) async fn follow_workers(lead: Rc<Lead>) {
+    let store = lead.around.store.clone();
+    follow::follow(&store, WORKERS_PREFIX, RHYTHM, &mut WorkersFollower(lead)).await;
+}
+
 impl Lead {
     /// Takes over a worker's entry; false if it names no worker.
     fn take_entry(self: &Rc<Self>, key: &str, value: &[u8]) -> bool {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! nothing that must last: jobs are records in the store, runs are known to the workers.
 //!
 //! - [`daemon`]: start, signals, shutdown;
+//! - `follow`: following everything under a prefix of the store;
 //! - [`front`]: clients' requests, and the readiness that the platform asks for;
 //! - [`link`]: the way from any host to the coordinator, and past it to the store;
 //! - [`live`]: the settings in force, and how they follow their file;
@@ -23,6 +24,7 @@
 pub mod daemon;
 pub mod election;
 pub mod events;
+mod follow;
 pub mod front;
 pub mod lead;
 pub mod link;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -3,11 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    ops::ControlFlow,
     rc::Rc,
     time::Duration,
 };
 
-use adapter::store::{Committed, Event, Item, StoreError, Txn};
+use adapter::store::{Committed, Event, Item, Listing, StoreError, Txn};
 use indexmap::IndexMap;
 use kernel::log_event;
 use prost::Message;
@@ -15,13 +16,17 @@
 
 use crate::{
     events,
+    follow::{self, Follower, Rhythm},
     records::{HOST_PREFIX, HostRecord, LEAD_KEY, LeadRecord, MEMBERS_PREFIX},
     store::GuardedStore,
 };
 
-/// How long one watch waits for a change. A connection that has gone silent shows only by a watch
-/// that is overdue.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// How hosts and coordinator are followed.
+const RHYTHM: Rhythm = Rhythm {
+    wait: Duration::from_millis(1_500),
+    pace: Duration::ZERO,
+    retry: RETRY,
+};
 /// Pause after a call to the store that failed.
 const RETRY: Duration = Duration::from_millis(200);
 /// A host that does not renew its entry for this long counts as gone.
@@ -136,37 +141,46 @@
     }
 }
 
-/// Follows hosts and coordinator for as long as the process runs.
-pub async fn follow(store: GuardedStore, members: Rc<Members>, own_name: String) {
-    loop {
-        let Ok(listing) = store.list(MEMBERS_PREFIX).await else {
-            time::sleep(RETRY).await;
-            continue;
-        };
+/// Takes over what the store says of hosts and coordinator.
+#[derive(Debug)]
+struct MembersFollower {
+    members: Rc<Members>,
+    own_name: String,
+}
+
+impl Follower for MembersFollower {
+    async fn listed(&mut self, listing: &Listing) -> ControlFlow<()> {
+        let members = &self.members;
         members.hosts.borrow_mut().clear();
         members.entry_lost.set(true);
         if !listing.items.iter().any(|item| item.key == LEAD_KEY) {
-            members.remove(LEAD_KEY, &own_name);
+            members.remove(LEAD_KEY, &self.own_name);
         }
         for item in &listing.items {
-            members.put(item, &own_name);
+            members.put(item, &self.own_name);
         }
         members.changed.notify_waiters();
-        let mut after = listing.as_of;
-        while let Ok(watched) = store.watch(MEMBERS_PREFIX, after, WATCH_WAIT).await {
-            after = watched.as_of;
-            for event in &watched.events {
-                match event {
-                    Event::Put(item) => members.put(item, &own_name),
-                    Event::Removed { key } => members.remove(key, &own_name),
-                }
+        ControlFlow::Continue(())
+    }
+
+    async fn changed(&mut self, events: &[Event]) -> ControlFlow<()> {
+        for event in events {
+            match event {
+                Event::Put(item) => self.members.put(item, &self.own_name),
+                Event::Removed { key } => self.members.remove(key, &self.own_name),
             }
-            members.changed.notify_waiters();
         }
-        time::sleep(RETRY).await;
+        self.members.changed.notify_waiters();
+        ControlFlow::Continue(())
     }
 }
 
+/// Follows hosts and coordinator for as long as the process runs.
+pub async fn follow(store: GuardedStore, members: Rc<Members>, own_name: String) {
+    let mut follower = MembersFollower { members, own_name };
+    follow::follow(&store, MEMBERS_PREFIX, RHYTHM, &mut follower).await;
+}
+
 /// Keeps this host's entry in the store for as long as the process runs.
 pub async fn register(store: GuardedStore, members: Rc<Members>, own_name: String, own: Host) {
     let record = HostRecord {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -1,22 +1,27 @@
 //! The operators' configuration, as it changes.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, ops::ControlFlow, rc::Rc, time::Duration};
 
 use adapter::{
     config,
-    store::{CONFIG_KEY, Event},
+    store::{CONFIG_KEY, Event, Listing},
 };
 use cell::config::Config;
 use kernel::log_event;
-use tokio::{sync::Notify, time};
+use tokio::sync::Notify;
 
-use crate::{events, store::GuardedStore};
+use crate::{
+    events,
+    follow::{self, Follower, Rhythm},
+    store::GuardedStore,
+};
 
-/// How long one watch waits for a change. A connection that has gone silent shows only by a watch
-/// that is overdue, and a configuration must be in force within 3 s.
-const WATCH_WAIT: Duration = Duration::from_millis(1_100);
-/// Pause after a call to the store that failed.
-const RETRY: Duration = Duration::from_millis(250);
+/// Watches are short, since a configuration must be in force within 3 s.
+const RHYTHM: Rhythm = Rhythm {
+    wait: Duration::from_millis(1_100),
+    pace: Duration::ZERO,
+    retry: Duration::from_millis(250),
+};
 
 /// The configuration in force on this host.
 #[derive(Debug, Default)]
@@ -62,32 +67,27 @@
     }
 }
 
-/// Keeps the configuration in force for as long as the process runs.
-pub async fn follow(store: GuardedStore, operators: Rc<Operators>) {
-    loop {
-        // The listing tells the store's own revision. That of the item may be older than the
-        // history that the store keeps, and no watch could start there.
-        if let Ok(listing) = store.list(CONFIG_KEY).await {
-            for item in listing.items.iter().filter(|item| item.key == CONFIG_KEY) {
-                operators.apply(&item.value);
-            }
-            follow_from(&store, &operators, listing.as_of).await;
+impl Follower for &Operators {
+    async fn listed(&mut self, listing: &Listing) -> ControlFlow<()> {
+        for item in listing.items.iter().filter(|item| item.key == CONFIG_KEY) {
+            self.apply(&item.value);
         }
-        time::sleep(RETRY).await;
+        ControlFlow::Continue(())
     }
-}
 
-/// Watches from a revision until a watch fails.
-async fn follow_from(store: &GuardedStore, operators: &Operators, mut after: u64) {
-    // After an error a plain read shows at once what an outage or a gap has hidden.
-    while let Ok(watched) = store.watch(CONFIG_KEY, after, WATCH_WAIT).await {
-        after = watched.as_of;
-        for event in watched.events {
+    async fn changed(&mut self, events: &[Event]) -> ControlFlow<()> {
+        for event in events {
             if let Event::Put(item) = event
                 && item.key == CONFIG_KEY
             {
-                operators.apply(&item.value);
+                self.apply(&item.value);
             }
         }
+        ControlFlow::Continue(())
     }
 }
+
+/// Keeps the configuration in force for as long as the process runs.
+pub async fn follow(store: GuardedStore, operators: Rc<Operators>) {
+    follow::follow(&store, CONFIG_KEY, RHYTHM, &mut &*operators).await;
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cell::jobs::JobRecord;
 use futures::{SinkExt, StreamExt};
 use indexmap::IndexMap;
@@ -296,14 +296,7 @@
 
 async fn read_answers(read: tcp::OwnedReadHalf, waiting: Waiting, frames: mpsc::WeakSender<Bytes>) {
     let mut framed = FramedRead::with_capacity(read, codec(), BUFFER_BYTES);
-    while let Some(Ok(frame)) = framed.next().await {
-        let Some(Envelope {
-            call,
-            body: Some(body),
-        }) = decode(frame)
-        else {
-            break;
-        };
+    while let Some((call, body)) = next_message(&mut framed).await {
         if let Some(sender) = waiting.borrow_mut().swap_remove(&call) {
             // A caller that gave up meanwhile no longer listens.
             drop(sender.send(body));
@@ -314,8 +307,14 @@
     drop(frames);
 }
 
-fn decode(frame: BytesMut) -> Option<Envelope> {
-    Envelope::decode(frame).ok()
+/// The number and the body of the next message; `None` after the end of the connection, or a frame
+/// that cannot be read.
+async fn next_message(
+    framed: &mut FramedRead<tcp::OwnedReadHalf, LengthDelimitedCodec>,
+) -> Option<(u64, Body)> {
+    let frame = framed.next().await?.ok()?;
+    let envelope = Envelope::decode(frame).ok()?;
+    Some((envelope.call, envelope.body?))
 }
 
 /// Serves calls of other hosts; `answer` is run for each, many at a time.
@@ -344,14 +343,7 @@
     let (frames, queue) = mpsc::channel(QUEUED_FRAMES);
     tokio::task::spawn_local(write_frames(write, queue));
     let mut framed = FramedRead::with_capacity(read, codec(), BUFFER_BYTES);
-    while let Some(Ok(frame)) = framed.next().await {
-        let Some(Envelope {
-            call,
-            body: Some(body),
-        }) = decode(frame)
-        else {
-            return;
-        };
+    while let Some((call, body)) = next_message(&mut framed).await {
         let (answer, frames) = (answer.clone(), frames.clone());
         tokio::task::spawn_local(async move {
             let body = Some(answer(body).await);
