Let gangs keep workers free only once they have waited for a quarter of their objective

Cause: workers kept free for a gang do nothing until all of its room is there, and in a cell over-full for seconds every gang kept some from its first pass on.

--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -270,6 +270,11 @@
         self.step_mut(id.step)?.tasks.get_mut(id.index as usize)
     }
 
+    /// How long the job, or each occurrence of it, may take to count in full, in milliseconds.
+    pub fn allowed_ms(&self) -> u64 {
+        self.objective_unix_ms.saturating_sub(self.accepted_unix_ms)
+    }
+
     /// A step's state, to read.
     pub fn step(&self, id: StepId) -> Option<&Step> {
         self.occurrences
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -18,6 +18,9 @@
 
 /// Gangs that may keep workers free for themselves at a time.
 const RESERVING_GANGS: usize = 2;
+/// A gang keeps workers free once it has waited for this part of its objective, as a divisor: free
+/// workers do nothing until all of its room is there.
+const RESERVE_AFTER_PART: u64 = 4;
 /// Part of all workers that gangs may keep free, as a divisor.
 const RESERVED_PART: usize = 3;
 
@@ -192,6 +195,7 @@
             if !started
                 && urgency.lateness == 0
                 && reserving < RESERVING_GANGS
+                && self.has_waited_long(urgency.step, unix_ms)
                 && self.reserve_for(urgency.step, &mut reserved)
             {
                 reserving += 1;
@@ -337,6 +341,14 @@
         true
     }
 
+    /// Whether a step's job has waited for a good part of its objective.
+    fn has_waited_long(&self, id: StepId, unix_ms: u64) -> bool {
+        self.jobs.get(&id.job).is_some_and(|job| {
+            let waited_ms = unix_ms.saturating_sub(job.due_unix_ms(id.occurrence));
+            waited_ms >= job.allowed_ms() / RESERVE_AFTER_PART
+        })
+    }
+
     /// Keeps workers free for a gang that finds no room among smaller steps. Returns whether any.
     fn reserve_for(&self, id: StepId, reserved: &mut Vec<Rc<str>>) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
@@ -496,7 +508,7 @@
 /// end still counts, 2 after that.
 pub(super) fn lateness(job: &Job, occurrence: u32, ends_unix_ms: u64) -> u8 {
     let since = job.due_unix_ms(occurrence);
-    let allowed_ms = job.objective_unix_ms.saturating_sub(job.accepted_unix_ms);
+    let allowed_ms = job.allowed_ms();
     if ends_unix_ms <= since + allowed_ms {
         0
     } else if ends_unix_ms <= since + allowed_ms * WORTHLESS_AFTER {
