Never refuse a repeat of a job that is in doubt

Cause: while a write had no answer and the store counted as lost, a repeat of its job was refused with 503, which says that the job never runs, though the write could still take effect.

Change: the coordinator and each host remember jobs in doubt; a repeat of one is in doubt as well (504) until it is known. Test against a mute store: before, the second attempt got 503.

Open: a host that did not see the first attempt, and reaches neither coordinator nor store, still refuses.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Start, signals, shutdown.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use adapter::{
     advice,
@@ -111,6 +111,7 @@
             members: Rc::clone(&around.members),
             peers: Rc::clone(&around.peers),
             store: around.store.clone(),
+            in_doubt: RefCell::default(),
         },
         metrics: Rc::clone(&around.metrics),
         draining: false.into(),
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -47,6 +47,9 @@
     id: JobId,
     record: JobRecord,
     expected: u64,
+    /// The record is that of a job that is not accepted yet.
+    accepts: bool,
+    /// Who waits for that.
     accepted: Option<oneshot::Sender<bool>>,
 }
 
@@ -69,6 +72,7 @@
             id: JobId(submission.record.id),
             record: submission.record,
             expected: 0,
+            accepts: true,
             accepted: Some(submission.accepted),
         });
         loop {
@@ -105,6 +109,7 @@
                 id,
                 record: record.clone(),
                 expected,
+                accepts: false,
                 accepted: None,
             }
         });
@@ -146,15 +151,10 @@
 
 /// Gives up on jobs that never left for the store, so that their callers can come back.
 fn turn_away(writes: Vec<Write>) -> Vec<Write> {
-    let mut kept = Vec::with_capacity(writes.len());
-    for mut write in writes {
-        match write.accepted.take() {
-            // A host that gave up waiting asks the store itself.
-            Some(accepted) => {
-                let _left = accepted.send(false);
-            }
-            None => kept.push(write),
-        }
+    let (new, kept): (Vec<Write>, Vec<Write>) = writes.into_iter().partition(|w| w.accepts);
+    for accepted in new.into_iter().filter_map(|write| write.accepted) {
+        // A host that gave up waiting asks the store itself.
+        let _left = accepted.send(false);
     }
     kept
 }
@@ -226,7 +226,9 @@
                 }
                 Err(error) => {
                     in_doubt |= error != StoreError::Unavailable;
-                    if !in_doubt && self.around.store.is_lost() {
+                    if in_doubt {
+                        self.note_in_doubt(&writes);
+                    } else if self.around.store.is_lost() {
                         writes = turn_away(writes);
                     }
                     self.note_failed_commit(writes.len(), error);
@@ -237,6 +239,15 @@
         true
     }
 
+    /// Remembers jobs that may be durable already, or may become so: a repeat of one must not be told
+    /// that it never runs.
+    fn note_in_doubt(&self, writes: &[Write]) {
+        let accepting = writes.iter().filter(|write| write.accepts);
+        self.in_doubt
+            .borrow_mut()
+            .extend(accepting.map(|write| write.id));
+    }
+
     /// Logs failed commits, one line for all within [`FAILURES_LOGGED_EVERY_MS`].
     fn note_failed_commit(&self, records: usize, error: StoreError) {
         let now_ms = clock::now_ms();
@@ -256,8 +267,12 @@
 
     fn written(&self, write: Write, revision: u64) {
         self.revisions.borrow_mut().insert(write.id, revision);
+        if !write.accepts {
+            return;
+        }
+        self.take_in(&write.record);
+        self.in_doubt.borrow_mut().swap_remove(&write.id);
         if let Some(accepted) = write.accepted {
-            self.take_in(&write.record);
             // A host that gave up waiting asks the store itself.
             let _left = accepted.send(true);
         }
@@ -278,7 +293,7 @@
             let key = records::job_key(write.id);
             let there = items.iter().find(|item| item.key == key);
             match there {
-                Some(item) if write.accepted.is_some() => {
+                Some(item) if write.accepts => {
                     // The job was accepted before: by a repeat, or by this very transaction.
                     if let Ok(record) = JobRecord::decode(item.value.as_slice()) {
                         write.record = record;
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -93,6 +93,8 @@
     ended: CancellationToken,
     submissions: RefCell<Vec<Submission>>,
     cancellations: RefCell<Vec<(JobId, oneshot::Sender<()>)>>,
+    /// Jobs of which it is not known whether they became durable.
+    in_doubt: RefCell<IndexSet<JobId>>,
     /// Store's revision of each job's record.
     revisions: RefCell<IndexMap<JobId, u64>>,
     /// Keys of arrivals that were taken in and can go once that is durable.
@@ -152,6 +154,7 @@
             ended: CancellationToken::new(),
             submissions: RefCell::default(),
             cancellations: RefCell::default(),
+            in_doubt: RefCell::default(),
             revisions: RefCell::default(),
             taken_arrivals: RefCell::default(),
             rostered: RefCell::default(),
@@ -239,6 +242,9 @@
         if self.cell.borrow().knows(id) {
             return accepted;
         }
+        if self.in_doubt.borrow().contains(&id) {
+            return Body::NotHere(false);
+        }
         let verdict = self.admit(&record);
         let retry_after_ms = match verdict {
             Verdict::Accept => None,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -11,6 +11,7 @@
     ids::JobId,
     jobs::{JobRecord, JobState},
 };
+use indexmap::IndexSet;
 use prost::Message;
 use tokio::time;
 
@@ -26,6 +27,10 @@
 /// between regions and a commit to a slow store.
 const COORDINATOR_PATIENCE: Duration = Duration::from_millis(900);
 
+/// Jobs in doubt that a host remembers. Callers repeat within seconds, and this is more than arrive
+/// in an outage of 10 s at the two-year size.
+const MOST_IN_DOUBT: usize = 4_096;
+
 /// How long another host may take to tell who coordinates.
 const LEAD_QUESTION_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -72,6 +77,9 @@
     pub peers: Rc<Peers>,
     /// The platform's store.
     pub store: GuardedStore,
+    /// Jobs that this host left in doubt, the oldest first: a repeat of one must not be told that it
+    /// never runs.
+    pub in_doubt: RefCell<IndexSet<JobId>>,
 }
 
 impl Link {
@@ -128,6 +136,31 @@
 
     /// Hands a job in.
     pub async fn submit(&self, record: &JobRecord, patience: Duration) -> SubmitOutcome {
+        let id = JobId(record.id);
+        let outcome = self.try_submit(record, patience).await;
+        let mut in_doubt = self.in_doubt.borrow_mut();
+        match outcome {
+            SubmitOutcome::InDoubt => {
+                in_doubt.insert(id);
+                if in_doubt.len() > MOST_IN_DOUBT {
+                    in_doubt.shift_remove_index(0);
+                }
+            }
+            SubmitOutcome::Accepted => {
+                in_doubt.shift_remove(&id);
+            }
+            SubmitOutcome::Refused { .. }
+            | SubmitOutcome::NeverFits
+            | SubmitOutcome::Unavailable => {
+                if in_doubt.contains(&id) {
+                    return SubmitOutcome::InDoubt;
+                }
+            }
+        }
+        outcome
+    }
+
+    async fn try_submit(&self, record: &JobRecord, patience: Duration) -> SubmitOutcome {
         let first = COORDINATOR_PATIENCE.min(patience / 2);
         match self.ask(Body::Submit(record.clone()), first).await {
             Ok(Body::Submitted(submitted)) if submitted.accepted => SubmitOutcome::Accepted,
--- a/crates/entry/tests/entry/failures.rs
+++ b/crates/entry/tests/entry/failures.rs
@@ -150,6 +150,27 @@
     world.assert_sound();
 }
 
+/// Found in a reading: while a write had no answer, a repeat of its job was told that the job would
+/// never run, though the write could still take effect.
+#[tokio::test]
+async fn a_repeat_of_a_job_in_doubt_is_not_refused() {
+    let world = World::start(3, 4, false).await;
+    let lead = world.lead();
+    world.platform.store.set_mood(Mood::Mute);
+    let path = support::path("batch", 1);
+    for attempt in 0..2 {
+        let reply = world.submit(lead, &path, 2, "run=100").await;
+        assert_eq!(reply.status, 504, "attempt {attempt}: {reply:?}");
+    }
+    world.platform.store.set_mood(Mood::Serving);
+    world
+        .wait_for_state(world.follower(), &path, "completed")
+        .await;
+    assert_eq!(world.submit(0, &path, 2, "run=100").await.status, 200);
+    assert_eq!(world.platform.cell.done_of("0000000000000001"), 2);
+    world.assert_sound();
+}
+
 #[tokio::test]
 async fn a_silent_worker_is_replaced_only_after_its_runs_have_lapsed() {
     let world = World::start(3, 3, false).await;
