--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -28,11 +28,14 @@
             let count = random.random_range(1..7);
             let cpu_millicores = random.random_range(500..6_000);
             let estimate_ms = random.random_range(200..1_500);
-            steps.push(if random.random_bool(0.3) {
+            let mut step = if random.random_bool(0.3) {
                 support::gang(count, cpu_millicores, estimate_ms)
             } else {
                 support::step(count, cpu_millicores, estimate_ms)
-            });
+            };
+            step.checkpointing = random.random_bool(0.5);
+            step.fills = !step.gang && random.random_bool(0.15);
+            steps.push(step);
         }
         let queue = ["urgent", "gang", "batch"][random.random_range(0..3)];
         model.submit(support::job(number, queue, steps));
@@ -62,6 +65,7 @@
         2 => model.set_fate(worker, Fate::Stalls),
         3 => model.set_fate(worker, Fate::Fails),
         4 | 5 => model.set_fate(worker, Fate::Sound),
+        10 => model.set_fate(worker, Fate::Slow(random.random_range(2..8))),
         6 => model.restart_worker(worker, HeldUp::InProcess),
         7 => model.take_over(),
         8 => model.store_up = !model.store_up,
