Give test hosts ports that no other listener is handed, and wait for each to start

Change: hosts get ports below those that the system hands out, no two of a process the same, and a test begins only once every host has said that it started, so a host that cannot bind is named.

--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -4,7 +4,8 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -90,9 +91,27 @@
     pub retry_after_s: Option<u64>,
 }
 
+/// First port of hosts. The system hands out higher ones to listeners that ask for any, and a port
+/// between two of our own uses must not go to one of those.
+const FIRST_PORT: u16 = 12_000;
+/// Ports of hosts; those that the system hands out begin at 32,768.
+const PORTS: u16 = 20_000;
+
+/// The number of the next port to try.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// An address that no other host of this process gets and nobody listens on.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    listener.local_addr().expect("the listener has an address")
+    // Test processes that run side by side begin at different ports.
+    let offset = (process::id() % u32::from(PORTS)) as u16;
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (offset + number % PORTS) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl World {
@@ -118,6 +137,12 @@
         for number in 0..hosts {
             world.add_host(number, lines);
         }
+        world
+            .wait_until("start of every host", |world| {
+                let started = |host: &Host| host.log().contains("entry-started");
+                world.hosts.iter().all(started)
+            })
+            .await;
         world
             .wait_until("a coordinator with workers", |world| {
                 world
