Start tasks that last before everything else

Cause: a job that lasts was ranked by a finishing time that it does not have.

Ruled out: want of room, and workers at rest: other tasks of the same size started all the while.

Change: steps that last come first, in time, and may keep workers free at once where only small room comes free. The test has a cell that is handed twice what it can do, with a task as small as the others and one as wide as a worker; it failed before.

--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -27,6 +27,8 @@
 /// How urgent a step is; smaller comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Urgency {
+    /// False for tasks that last: they are owed from the first moment on, and are never finished.
+    ends: bool,
     /// 0 while the objective can be met, 1 while a late end still counts, 2 after that.
     lateness: u8,
     priority: u32,
@@ -195,7 +197,7 @@
             if !started
                 && urgency.lateness == 0
                 && reserving < RESERVING_GANGS
-                && self.has_waited_long(urgency.step, unix_ms)
+                && (!urgency.ends || self.has_waited_long(urgency.step, unix_ms))
                 && self.reserve_for(urgency.step, &mut reserved)
             {
                 reserving += 1;
@@ -226,9 +228,16 @@
                     {
                         continue;
                     }
-                    let remaining_ms = job.step_spec(step).map_or(0, |spec| spec.estimate_ms) / 2;
-                    let lateness = lateness(job, occurrence, unix_ms + remaining_ms);
+                    let spec = job.step_spec(step);
+                    let ends = !spec.is_some_and(|spec| spec.long_running);
+                    let remaining_ms = spec.map_or(0, |spec| spec.estimate_ms) / 2;
+                    let lateness = if ends {
+                        lateness(job, occurrence, unix_ms + remaining_ms)
+                    } else {
+                        0
+                    };
                     ready.push(Urgency {
+                        ends,
                         lateness,
                         priority,
                         not_started: !job.started,
@@ -349,14 +358,15 @@
         })
     }
 
-    /// Keeps workers free for a gang that finds no room among smaller steps. Returns whether any.
+    /// Keeps workers free for a gang, or for tasks that last, that find no room among smaller steps.
+    /// Returns whether any.
     fn reserve_for(&self, id: StepId, reserved: &mut Vec<Rc<str>>) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
         let Some(spec) = job
             .step_spec(id.step)
-            .filter(|spec| spec.gang && spec.count > 1)
+            .filter(|spec| spec.long_running || (spec.gang && spec.count > 1))
         else {
             return false;
         };
@@ -399,7 +409,7 @@
             .filter(|(_, takes, _)| *takes > 0)
             .collect();
         fitting.sort_unstable();
-        let mut missing = spec.count;
+        let mut missing = step.waiting().count() as u32;
         let mut chosen = Vec::new();
         for (_, takes, name) in fitting {
             if missing == 0 {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod gangs;
 mod histories;
+mod lasting;
 mod load;
 mod movement;
 mod order;
