Reach workers through hosts near them, and keep texts of jobs apart from their records

Cause: one link carried everything. On a small twin of the large site (2 Mbit/s a host) the coordinator sent 128 starts a second with some 2.5 KB of text each, held every worker over a connection of its own, and wrote a job's text again with each end that counted; a burst then never drained, at 2.5% of a core.

Weighed: (1) hosts that hold workers on their own authority and report changes: least traffic, but lapses then depend on what was lent to a host that may be gone; (2) hosts that carry each call and decide nothing: the coordinator keeps every decision, fence, roster and run number as they are. (2) is built; (1) can follow on the same messages.

Change: the host is chosen by weighted rendezvous hashing among those of the worker's zone, then its region, then any (crates/cell/src/routing.rs, pure). Lists come back in short form. The text stays with the host that took the job, goes once to each zone, and is in the store under a key of its own until the job ends. Hosts are probed every 0.4 s; one that is away is gone round, and one that stops leaves the list at once. Unused connections to workers are closed. Concurrent calls to a host share one connection attempt.

--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -78,8 +78,8 @@
         task: TaskId,
         /// The number of the run.
         run: u64,
-        /// The job's text.
-        payload: Rc<crate::jobs::JobSpec>,
+        /// The job that the task is of.
+        spec: Rc<crate::jobs::JobSpec>,
         /// The order's deadline on the worker's clock, in milliseconds.
         until_worker_ms: u64,
         /// Progress to resume from; empty for none.
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -338,7 +338,7 @@
                 worker: Rc::clone(name),
                 task: task_id,
                 run,
-                payload: Rc::clone(&job_spec),
+                spec: Rc::clone(&job_spec),
                 until_worker_ms,
                 checkpoint: task.checkpoint.clone(),
                 ticket: ticket.map(|ticket| Rc::clone(&ticket.text)),
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`coordinator`]: the state machine that turns all of it into orders;
 //! - [`pacing`]: how fast tasks that fill may work beside tasks that serve;
 //! - [`placement`]: which workers a step's tasks go to;
+//! - [`routing`]: which host carries calls to a worker;
 //! - [`admission`]: which jobs are refused before they are accepted, and when to come back.
 
 pub mod admission;
@@ -24,4 +25,5 @@
 pub mod pacing;
 pub mod placement;
 pub mod progress;
+pub mod routing;
 pub mod workers;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -363,12 +363,12 @@
                 worker,
                 task,
                 run,
-                payload,
+                spec: job,
                 until_worker_ms,
                 checkpoint,
                 ..
             } => {
-                let spec = payload.steps[task.step.step as usize].clone();
+                let spec = job.steps[task.step.step as usize].clone();
                 let fate = self.workers[&worker].fate;
                 let answer = match fate {
                     Fate::CutOff | Fate::Down => StartAnswer::Unknown,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    carrier::Carrier,
     clock, election, events,
     front::{self, Front},
     lead,
@@ -28,7 +29,8 @@
     live::{self, LiveSettings},
     members::{self, Host, Members},
     operators,
-    peers::{self, Advised, Body},
+    payloads::Payloads,
+    peers::{self, Advised, Body, Peers},
     records::LeadRecord,
     store::GuardedStore,
 };
@@ -112,6 +114,8 @@
             peers: Rc::clone(&around.peers),
             store: around.store.clone(),
             in_doubt: RefCell::default(),
+            payloads: Rc::clone(&around.payloads),
+            own_address: settings.peers_address.to_string(),
         },
         metrics: Rc::clone(&around.metrics),
         draining: false.into(),
@@ -119,6 +123,7 @@
     });
     let (stop, stopped) = watch::channel(false);
     follow_platform(&around);
+    let members = Rc::clone(&around.members);
     listeners.serve(&around, &lead, &front, stopped);
     let coordination = task::spawn_local(coordinate(around, Rc::clone(&lead)));
     log_event!(
@@ -137,6 +142,7 @@
         front.open_connections.get()
     );
     front.draining.set(true);
+    members.leave();
     let own = lead.borrow_mut().take();
     if let Some(own) = own {
         own.resign().await;
@@ -161,13 +167,25 @@
 
 fn surroundings(live: &Rc<LiveSettings>) -> lead::Surroundings {
     let pool = Pool::default();
-    let store_address = live.current().store_address;
+    let settings = live.current();
+    let store = GuardedStore::new(Store::new(pool.clone(), settings.store_address));
+    let members = Rc::new(Members::new(settings.region_of_zone.clone()));
+    let peers = Rc::<Peers>::default();
+    let payloads = Rc::new(Payloads::new(
+        &settings.host_name,
+        &settings.zone,
+        Rc::clone(&members),
+        Rc::clone(&peers),
+        store.clone(),
+    ));
     lead::Surroundings {
         settings: Rc::clone(live),
-        store: GuardedStore::new(Store::new(pool.clone(), store_address)),
+        carrier: Rc::new(Carrier::new(pool.clone(), Rc::clone(&payloads))),
+        payloads,
+        store,
         pool,
-        peers: Rc::default(),
-        members: Rc::default(),
+        peers,
+        members,
         operators: Rc::default(),
         metrics: Rc::default(),
     }
@@ -185,6 +203,7 @@
     let store = || around.store.clone();
     let members = || Rc::clone(&around.members);
     task::spawn_local(live::follow(Rc::clone(&around.settings)));
+    task::spawn_local(Rc::clone(&around.carrier).sweep());
     task::spawn_local(follow_store_address(store(), Rc::clone(&around.settings)));
     task::spawn_local(operators::follow(store(), Rc::clone(&around.operators)));
     task::spawn_local(members::follow(store(), members(), name()));
@@ -232,10 +251,12 @@
     ) {
         let (lead, members) = (Rc::clone(lead), Rc::clone(&around.members));
         let (pool, settings) = (around.pool.clone(), Rc::clone(&around.settings));
+        let carrier = Rc::clone(&around.carrier);
         task::spawn_local(peers::serve(self.peers, move |body| {
             let (lead, members) = (Rc::clone(&lead), Rc::clone(&members));
+            let (pool, carrier) = (pool.clone(), Rc::clone(&carrier));
             let advice_address = settings.current().advice_address;
-            answer_peer(body, lead, members, pool.clone(), advice_address)
+            answer_peer(body, lead, members, carrier, pool, advice_address)
         }));
         task::spawn_local(front::serve_readiness(self.readiness, Rc::clone(front)));
         task::spawn_local(front::serve(self.clients, Rc::clone(front), stopped));
@@ -285,6 +306,7 @@
     body: Body,
     lead: LeadSlot,
     members: Rc<Members>,
+    carrier: Rc<Carrier>,
     pool: Pool,
     advice_address: Option<SocketAddr>,
 ) -> Body {
@@ -299,6 +321,12 @@
         let address = members.lead_address().map(|address| address.to_string());
         return Body::LeadIs(address.unwrap_or_default());
     }
+    if matches!(
+        body,
+        Body::Hold(_) | Body::Start(_) | Body::Stop(_) | Body::Pace(_) | Body::Payload(_)
+    ) {
+        return carrier.carry(body).await.unwrap_or(Body::NotHere(true));
+    }
     let own = lead.borrow().clone();
     match own {
         Some(lead) => lead.answer(body).await,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -57,6 +57,10 @@
     WORKER_SILENT = (8131, "worker-silent", Warn, "A worker does not answer its coordinator. Its tasks run elsewhere once they have certainly lapsed.");
     /// A worker answers again.
     WORKER_HEARD = (8132, "worker-heard", Info, "A worker has shown its lists, for the first time or again.");
+    /// A host does not carry calls to workers.
+    CARRIER_AWAY = (8133, "carrier-away", Warn, "A host does not answer the coordinator, which reaches the workers behind it through others. See whether the host runs.");
+    /// A host carries calls again.
+    CARRIER_BACK = (8134, "carrier-back", Info, "A host that did not answer the coordinator answers again. Nothing to do.");
     /// A write to the store failed.
     COMMIT_FAILED = (8140, "commit-failed", Warn, "Records could not be made durable; they are tried again. Look for an outage of the store.");
     /// Log lines were left out.
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -29,9 +29,9 @@
 const GATHER: Duration = Duration::from_millis(12);
 /// Least time between the starts of two commits.
 const PACE: Duration = Duration::from_millis(40);
-/// Records in one transaction: each takes a condition and a put, beside the condition on the key
-/// of the lead.
-const WRITES_PER_TXN: usize = (MAX_TXN_ENTRIES - 1) / 2;
+/// Records in one transaction: each takes a condition and a put, and a put or a deletion of its
+/// text, beside the condition on the key of the lead.
+const WRITES_PER_TXN: usize = (MAX_TXN_ENTRIES - 1) / 3;
 /// Transactions with accepted jobs that are under way at a time.
 const PARALLEL_ACCEPTS: usize = 8;
 /// Transactions with what became of tasks that are under way at a time.
@@ -47,6 +47,8 @@
     id: JobId,
     record: JobRecord,
     expected: u64,
+    /// The text of a job that is not accepted yet.
+    payload: String,
     /// The record is that of a job that is not accepted yet.
     accepts: bool,
     /// Who waits for that.
@@ -72,6 +74,7 @@
             id: JobId(submission.record.id),
             record: submission.record,
             expected: 0,
+            payload: submission.payload,
             accepts: true,
             accepted: Some(submission.accepted),
         });
@@ -109,6 +112,7 @@
                 id,
                 record: record.clone(),
                 expected,
+                payload: String::new(),
                 accepts: false,
                 accepted: None,
             }
@@ -200,6 +204,12 @@
                 txn = txn
                     .expect(&key, write.expected)
                     .put(&key, &write.record.encode_to_vec(), 0);
+                if write.accepts {
+                    let payload_key = records::payload_key(write.id);
+                    txn = txn.put(&payload_key, write.payload.as_bytes(), 0);
+                } else if write.record.outcome() != Outcome::Open {
+                    txn = txn.delete(&records::payload_key(write.id));
+                }
             }
             let sent_ms = clock::now_ms();
             match self.around.store.commit(&txn).await {
--- a/crates/entry/src/lead/holds.rs
+++ b/crates/entry/src/lead/holds.rs
@@ -2,23 +2,22 @@
 
 use std::{rc::Rc, time::Duration};
 
-use adapter::{
-    http::Line,
-    workers::{self, HoldAnswer},
-};
 use cell::workers::HoldReport;
 use kernel::log_event;
 use tokio::time;
 
 use super::Lead;
-use crate::{clock, events};
+use crate::{
+    carrier, clock, events,
+    peers::{Body, HoldCall, HoldOutcome},
+};
 
 /// How long a worker waits for an end before it answers.
 const WAIT: Duration = Duration::from_secs(1);
 /// The same for a worker with a run that makes no progress.
 const CLOSE_WAIT: Duration = Duration::from_millis(300);
-/// How long an answer may be late.
-const SLACK: Duration = Duration::from_millis(600);
+/// Hosts that are tried for one hold before the worker itself counts as silent.
+const MOST_DETOURS: usize = 2;
 /// Pause after a hold that failed.
 const RETRY: Duration = Duration::from_millis(150);
 /// How long a hold waits for the ends of the last one to become durable.
@@ -39,9 +38,12 @@
 struct Poll {
     lead: Rc<Lead>,
     id: Rc<str>,
-    line: Option<Line>,
-    /// The last answer came over the connection that is open.
-    proven: bool,
+    /// The connection over which the last answer came; 0 after a failure.
+    connection: u64,
+    /// Hosts that were tried in vain, one after the other, to reach the worker.
+    detour: usize,
+    /// How many of them since the last time that the worker was called silent.
+    tried: usize,
     was_silent: bool,
 }
 
@@ -61,8 +63,9 @@
     let mut poll = Poll {
         lead,
         id,
-        line: None,
-        proven: false,
+        connection: 0,
+        detour: 0,
+        tried: 0,
         was_silent: true,
     };
     loop {
@@ -76,59 +79,74 @@
 
 impl Poll {
     async fn once(&mut self) -> Next {
-        let Some(address) = self.lead.address_of(&self.id) else {
+        let Some(worker) = self.lead.worker_ref(&self.id) else {
             return Next::End;
         };
         if !self.lead.has_authority() {
             return Next::After(RETRY);
         }
-        let mut open = match self.line.take().filter(Line::is_usable) {
-            Some(open) => open,
-            None => match Line::open(address).await {
-                Ok(open) => {
-                    self.proven = false;
-                    open
-                }
-                Err(error) => return self.failed(&error.to_string()),
-            },
-        };
         let sent_ms = clock::now_ms();
+        let proven = self.connection != 0;
         let terms = self
             .lead
             .cell
             .borrow_mut()
-            .begin_hold(&self.id, self.proven, sent_ms);
+            .begin_hold(&self.id, proven, sent_ms);
         let Some(terms) = terms else {
             return Next::End;
         };
-        let wait = match (self.proven, terms.watch_closely) {
+        let wait = match (proven, terms.watch_closely) {
             (false, _) => Duration::ZERO,
             (true, true) => CLOSE_WAIT,
             (true, false) => WAIT,
         };
-        let headers = workers::life_header(&self.id);
-        let call = workers::hold_call(&headers, terms, self.lead.term.fence, wait, wait + SLACK);
+        let call = Body::Hold(HoldCall {
+            worker,
+            until_worker_ms: terms.until_worker_ms,
+            acknowledged_end: terms.acknowledged_end,
+            wait_ms: wait.as_millis() as u64,
+            connection: self.connection,
+        });
         self.lead.around.metrics.count("holds");
-        let answer = open.call(&call).await;
-        match answer.map(|answer| workers::hold_answer(&answer)) {
-            Ok(HoldAnswer::Report(report)) => {
-                self.proven = true;
-                self.line = Some(open);
-                self.reported(sent_ms, &report).await;
+        let at_worker = wait + carrier::HOLD_OVERHEAD;
+        let answer = self.lead.carry(&self.id, self.detour, call, at_worker);
+        let Ok(Body::Held(held)) = answer.await else {
+            return self.not_carried();
+        };
+        match held.outcome() {
+            HoldOutcome::Listed => {
+                self.connection = held.connection;
+                self.tried = 0;
+                self.reported(sent_ms, &held.report()).await;
                 Next::Again
             }
-            Ok(HoldAnswer::Fenced) => {
+            HoldOutcome::Fenced => {
                 self.lead.lose("fenced_by_worker");
                 Next::End
             }
-            Ok(HoldAnswer::OtherLife) => {
+            HoldOutcome::OtherLife => {
                 let now_ms = clock::now_ms();
                 self.lead.cell.borrow_mut().worker_ended(&self.id, now_ms);
                 self.failed("other_life")
             }
-            Ok(HoldAnswer::Unusable) => self.failed("unhealthy"),
-            Err(error) => self.failed(&error.to_string()),
+            HoldOutcome::Unusable => self.failed("unhealthy"),
+            HoldOutcome::Silent => {
+                // The host may be the one that is cut off.
+                self.detour += 1;
+                self.failed("no_answer")
+            }
+        }
+    }
+
+    /// No host carried the call: says nothing of the worker until others were tried.
+    fn not_carried(&mut self) -> Next {
+        self.connection = 0;
+        self.detour += 1;
+        self.tried += 1;
+        if self.tried <= MOST_DETOURS {
+            return Next::Again;
         }
+        self.failed("no_host")
     }
 
     async fn reported(&mut self, sent_ms: u64, report: &HoldReport) {
@@ -158,6 +176,8 @@
     }
 
     fn failed(&mut self, reason: &str) -> Next {
+        self.connection = 0;
+        self.tried = 0;
         if !self.was_silent {
             log_event!(
                 events::WORKER_SILENT,
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -3,11 +3,13 @@
 //! - [`takeover`]: what a new coordinator learns before it decides;
 //! - [`commits`]: group commit of accepted jobs and of what became of tasks;
 //! - [`arrivals`]: what reaches the coordinator through the store;
+//! - [`carriers`]: the way to a worker, through a host near it;
 //! - [`holds`]: one long poll a worker, which extends its runs and brings its lists;
 //! - [`orders`]: starts, stops and questions to the advice service;
 //! - [`retention`]: removal of ended jobs that clients no longer ask for.
 
 mod arrivals;
+mod carriers;
 mod commits;
 mod holds;
 mod orders;
@@ -35,6 +37,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    carrier::Carrier,
     clock,
     election::{AUTHORITY_MS, LEAD_RENEWAL, Term},
     events,
@@ -43,7 +46,9 @@
     members::Members,
     metrics::Metrics,
     operators::Operators,
+    payloads::Payloads,
     peers::{self, Body, Peers, StateIs, Submitted},
+    records,
     store::GuardedStore,
 };
 
@@ -58,8 +63,12 @@
     pub settings: Rc<LiveSettings>,
     /// The platform's store.
     pub store: GuardedStore,
-    /// Connections to workers and to the advice service.
+    /// Connections to the advice service.
     pub pool: Pool,
+    /// Calls to workers that this host carries.
+    pub carrier: Rc<Carrier>,
+    /// Texts of jobs.
+    pub payloads: Rc<Payloads>,
     /// Connections to other hosts.
     pub peers: Rc<Peers>,
     /// Hosts that live.
@@ -74,6 +83,8 @@
 #[derive(Debug)]
 struct Submission {
     record: JobRecord,
+    /// The text that the job's tasks are handed; the record does not have it.
+    payload: String,
     /// True once it is durable; false if nothing was done.
     accepted: oneshot::Sender<bool>,
 }
@@ -97,6 +108,10 @@
     in_doubt: RefCell<IndexSet<JobId>>,
     /// Store's revision of each job's record.
     revisions: RefCell<IndexMap<JobId, u64>>,
+    /// Which host took each open job from its client, as `ip:port`, as far as that is known.
+    homes: RefCell<IndexMap<JobId, Rc<str>>>,
+    /// What is known of the hosts on the way to workers.
+    carriers: carriers::Carriers,
     /// Keys of arrivals that were taken in and can go once that is durable.
     taken_arrivals: RefCell<Vec<String>>,
     /// Workers that stand in the durable roster.
@@ -135,6 +150,7 @@
     lead.spawn(follow_config(Rc::clone(&lead)));
     lead.spawn(follow_settings(Rc::clone(&lead)));
     lead.spawn(commits::keep_roster(Rc::clone(&lead)));
+    lead.spawn(carriers::watch(Rc::clone(&lead)));
     lead.spawn(orders::run(Rc::clone(&lead)));
     lead.spawn(retention::run(Rc::clone(&lead)));
     lead.spawn_known_holds();
@@ -156,6 +172,8 @@
             cancellations: RefCell::default(),
             in_doubt: RefCell::default(),
             revisions: RefCell::default(),
+            homes: RefCell::default(),
+            carriers: carriers::Carriers::default(),
             taken_arrivals: RefCell::default(),
             rostered: RefCell::default(),
             schedule: Notify::new(),
@@ -219,7 +237,10 @@
             return Body::NotHere(true);
         }
         match body {
-            Body::Submit(record) => self.submit(record).await,
+            Body::Submit(handed) => match handed.record {
+                Some(record) => self.submit(record, &handed.home).await,
+                None => Body::NotHere(true),
+            },
             Body::State(id) => {
                 let state = self.cell.borrow().state(JobId(id));
                 Body::StateIs(StateIs {
@@ -233,7 +254,7 @@
         }
     }
 
-    async fn submit(&self, record: JobRecord) -> Body {
+    async fn submit(&self, mut record: JobRecord, home: &str) -> Body {
         let id = JobId(record.id);
         let accepted = Body::Submitted(Submitted {
             accepted: true,
@@ -270,8 +291,11 @@
             return Body::NotHere(true);
         }
         let (sender, durable) = oneshot::channel();
+        let payload = records::split_payload(&mut record);
+        self.homes.borrow_mut().insert(id, home.into());
         self.submissions.borrow_mut().push(Submission {
             record,
+            payload,
             accepted: sender,
         });
         self.submitted.notify_one();
@@ -321,7 +345,7 @@
             }
         });
         if sent_ms > lead.confirmed_ms.get() + UNCONFIRMED_MS {
-            match lead.around.store.get(crate::records::LEAD_KEY).await {
+            match lead.around.store.get(records::LEAD_KEY).await {
                 Ok(Some(item)) if item.revision == lead.term.fence => {
                     lead.confirmed_ms.set(lead.confirmed_ms.get().max(sent_ms));
                 }
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -1,8 +1,7 @@
 //! Starts, stops and questions to the advice service.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use adapter::workers::{self, StartOrder};
 use cell::{
     coordinator::{AdviceOutcome, Order, Question, StartAnswer},
     ids::TaskId,
@@ -12,16 +11,10 @@
 
 use super::Lead;
 use crate::{
-    clock, daemon, events,
-    peers::{AdviseCall, Advised, Body},
+    carrier, clock, daemon, events,
+    peers::{self, AdviseCall, Advised, Body, PeerError, RunCall, StartCall, WorkerRef},
 };
 
-/// An order to start is given up after this time; what became of it is then in doubt.
-const START_TIMEOUT: Duration = Duration::from_millis(800);
-/// A stop is given up after this time, and sent again.
-const STOP_TIMEOUT: Duration = Duration::from_millis(800);
-/// An order about the share of a filling run is given up after this time, and sent again.
-const PACE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Scheduling passes that follow one another are at least this far apart.
 const PASS_PACE: Duration = Duration::from_millis(8);
 /// The longest time between two passes.
@@ -61,15 +54,15 @@
 }
 
 impl Lead {
-    pub(super) fn address_of(&self, worker: &str) -> Option<SocketAddr> {
-        self.cell
-            .borrow()
-            .workers()
-            .get(worker)?
-            .entry
-            .address
-            .parse()
-            .ok()
+    /// A worker, as the host that carries calls to it must know it.
+    pub(super) fn worker_ref(&self, worker: &str) -> Option<WorkerRef> {
+        let cell = self.cell.borrow();
+        let entry = &cell.workers().get(worker)?.entry;
+        Some(WorkerRef {
+            id: entry.id.to_string(),
+            address: entry.address.to_string(),
+            fence: self.term.fence,
+        })
     }
 
     fn carry_out(self: &Rc<Self>, order: Order) {
@@ -79,27 +72,31 @@
                 worker,
                 task,
                 run,
-                payload,
                 until_worker_ms,
                 checkpoint,
                 ticket,
+                ..
             } => {
                 log_event!(
                     events::RUN_ORDERED,
                     "task={task} run={run} worker={worker} until={until_worker_ms} resume={}",
                     !checkpoint.is_empty()
                 );
+                let home = self.homes.borrow().get(&task.step.job).cloned();
                 self.spawn(async move {
-                    let body = workers::start_body(&StartOrder {
-                        task,
+                    let Some(at) = lead.worker_ref(&worker) else {
+                        return lead.started(&worker, task, run, StartAnswer::Unhealthy);
+                    };
+                    let call = StartCall {
+                        worker: at,
+                        task: task.into(),
                         run,
-                        payload: &payload.payload,
                         until_worker_ms,
-                        fence: lead.term.fence,
-                        checkpoint: &checkpoint,
-                        ticket: ticket.as_deref(),
-                    });
-                    let answer = lead.start(&worker, body).await;
+                        checkpoint,
+                        ticket: ticket.map(|ticket| ticket.to_string()),
+                        home: home.unwrap_or_default().to_string(),
+                    };
+                    let answer = lead.start(&worker, call).await;
                     lead.started(&worker, task, run, answer);
                 });
             }
@@ -130,20 +127,16 @@
         }
     }
 
-    async fn start(&self, worker: &str, body: Vec<u8>) -> StartAnswer {
-        let Some(address) = self.address_of(worker) else {
-            return StartAnswer::Unhealthy;
-        };
+    async fn start(&self, worker: &str, call: StartCall) -> StartAnswer {
         if !self.has_authority() {
             return StartAnswer::Unhealthy; // Not sent: nothing was done.
         }
         self.around.metrics.count("starts");
-        let headers = workers::life_header(worker);
-        let call = workers::start_call(&headers, body, START_TIMEOUT);
-        match self.around.pool.call(address, &call).await {
-            Ok(answer) => workers::start_answer(&answer),
-            Err(adapter::http::CallError::NotSent) => StartAnswer::Unhealthy,
-            Err(adapter::http::CallError::Unanswered) => StartAnswer::Unknown,
+        let body = Body::Start(call);
+        match self.carry(worker, 0, body, carrier::ORDER_OVERHEAD).await {
+            Ok(Body::StartIs(number)) => peers::decode_start_answer(number),
+            Err(PeerError::NotSent) => StartAnswer::Unhealthy,
+            Ok(_) | Err(PeerError::Unanswered) => StartAnswer::Unknown,
         }
     }
 
@@ -164,39 +157,38 @@
         self.schedule.notify_one();
     }
 
+    fn run_call(&self, worker: &str, task: TaskId, run: u64, percent: u32) -> Option<RunCall> {
+        Some(RunCall {
+            worker: self.worker_ref(worker)?,
+            task: task.into(),
+            run,
+            percent,
+        })
+    }
+
     async fn stop(&self, worker: &str, task: TaskId, run: u64) {
-        let Some(address) = self.address_of(worker) else {
+        let Some(call) = self.run_call(worker, task, run, 0) else {
             return;
         };
-        let headers = workers::life_header(worker);
-        let call = workers::stop_call(&headers, task, run, self.term.fence, STOP_TIMEOUT);
-        match self.around.pool.call(address, &call).await {
-            Ok(answer) if answer.status == 200 => {
-                self.cell
-                    .borrow_mut()
-                    .stop_confirmed(worker, task, run, clock::now_ms());
-            }
-            Ok(answer) if answer.status == 421 => {
-                self.cell
-                    .borrow_mut()
-                    .stop_confirmed(worker, task, run, clock::now_ms());
-            }
-            // Sent again while the run is still there.
-            Ok(_) | Err(_) => {}
+        // Without a confirmation it is sent again while the run is still there.
+        let body = Body::Stop(call);
+        let answer = self.carry(worker, 0, body, carrier::ORDER_OVERHEAD).await;
+        if answer == Ok(Body::Confirmed(true)) {
+            let now_ms = clock::now_ms();
+            self.cell
+                .borrow_mut()
+                .stop_confirmed(worker, task, run, now_ms);
         }
     }
 
     async fn pace(&self, worker: &str, (task, run): (TaskId, u64), percent: u32) {
-        let Some(address) = self.address_of(worker) else {
+        let Some(call) = self.run_call(worker, task, run, percent) else {
             return;
         };
-        let headers = workers::life_header(worker);
-        let fence = self.term.fence;
-        let call = workers::pace_call(&headers, (task, run), percent, fence, PACE_TIMEOUT);
         // Without a confirmation the order is sent again while the run is there.
-        if let Ok(answer) = self.around.pool.call(address, &call).await
-            && answer.status == 200
-        {
+        let body = Body::Pace(call);
+        let answer = self.carry(worker, 0, body, carrier::ORDER_OVERHEAD).await;
+        if answer == Ok(Body::Confirmed(true)) {
             self.cell.borrow_mut().paced(worker, task, run, percent);
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`link`]: the way from any host to the coordinator, and past it to the store;
 //! - [`live`]: the settings in force, and how they follow their file;
 //! - [`peers`]: messages between hosts;
+//! - [`carrier`]: calls to workers that a host carries for the coordinator;
+//! - [`payloads`]: the texts of jobs, which their tasks are handed;
 //! - [`election`]: who coordinates;
 //! - [`lead`]: what the coordinator does;
 //! - [`operators`]: the operators' configuration, as it changes;
@@ -20,6 +22,7 @@
 //! - [`clock`]: time that counts suspensions;
 //! - [`logs`], [`metrics`], [`events`]: what an operator sees.
 
+pub mod carrier;
 pub mod clock;
 pub mod daemon;
 pub mod election;
@@ -33,6 +36,7 @@
 pub mod members;
 pub mod metrics;
 pub mod operators;
+pub mod payloads;
 pub mod peers;
 pub mod records;
 pub mod store;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -18,7 +18,8 @@
 use crate::{
     lead::Lead,
     members::Members,
-    peers::{self, Body, PeerError, Peers},
+    payloads::Payloads,
+    peers::{self, Body, HandedIn, PeerError, Peers},
     records::{self, CANCEL_PREFIX, NEW_PREFIX},
     store::GuardedStore,
 };
@@ -80,6 +81,10 @@
     /// Jobs that this host left in doubt, the oldest first: a repeat of one must not be told that it
     /// never runs.
     pub in_doubt: RefCell<IndexSet<JobId>>,
+    /// Texts of jobs that this host took from clients.
+    pub payloads: Rc<Payloads>,
+    /// Where this host takes messages, as `ip:port`.
+    pub own_address: String,
 }
 
 impl Link {
@@ -162,7 +167,14 @@
 
     async fn try_submit(&self, record: &JobRecord, patience: Duration) -> SubmitOutcome {
         let first = COORDINATOR_PATIENCE.min(patience / 2);
-        match self.ask(Body::Submit(record.clone()), first).await {
+        if let Some(spec) = &record.spec {
+            self.payloads.keep(JobId(record.id), &spec.payload);
+        }
+        let handed = HandedIn {
+            record: Some(record.clone()),
+            home: self.own_address.clone(),
+        };
+        match self.ask(Body::Submit(handed), first).await {
             Ok(Body::Submitted(submitted)) if submitted.accepted => SubmitOutcome::Accepted,
             Ok(Body::Submitted(submitted)) if submitted.retry_after_ms == 0 => {
                 SubmitOutcome::NeverFits
@@ -189,9 +201,12 @@
     ) -> SubmitOutcome {
         let id = JobId(record.id);
         let key = records::job_key(id);
+        let mut record = record.clone();
+        let payload = records::split_payload(&mut record);
         let txn = Txn::default()
             .expect(&key, 0)
             .put(&key, &record.encode_to_vec(), 0)
+            .put(&records::payload_key(id), payload.as_bytes(), 0)
             .put(&format!("{NEW_PREFIX}{id}"), &[], 0);
         let attempts = async {
             loop {
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -9,6 +9,7 @@
 };
 
 use adapter::store::{Committed, Event, Item, Listing, StoreError, Txn};
+use cell::routing::{Carrier, Routes};
 use indexmap::IndexMap;
 use kernel::log_event;
 use prost::Message;
@@ -54,11 +55,51 @@
     vacant: Cell<bool>,
     /// Our own entry vanished from the store.
     entry_lost: Cell<bool>,
+    /// This host leaves and must no longer be counted on.
+    leaving: Cell<bool>,
+    /// Notified when it does.
+    left: Notify,
+    region_of_zone: IndexMap<String, String>,
+    /// Routes over the hosts that live, until these change.
+    routes: RefCell<Option<Rc<Routes>>>,
     /// Notified at each change.
     pub changed: Notify,
 }
 
 impl Members {
+    /// No host is known yet.
+    pub fn new(region_of_zone: IndexMap<String, String>) -> Self {
+        Self {
+            region_of_zone,
+            ..Self::default()
+        }
+    }
+
+    /// Routes over the hosts that live.
+    pub fn routes(&self) -> Rc<Routes> {
+        let build = || {
+            let carrier = |(name, host): (&String, &Host)| Carrier {
+                name: name.as_str().into(),
+                zone: host.zone.as_str().into(),
+                cpu_millicores: host.cpu_millicores,
+            };
+            let carriers = self.hosts.borrow().iter().map(carrier).collect();
+            Rc::new(Routes::new(carriers, self.region_of_zone.clone()))
+        };
+        Rc::clone(self.routes.borrow_mut().get_or_insert_with(build))
+    }
+
+    /// Where a host that lives takes messages.
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        self.hosts.borrow().get(name).map(|host| host.address)
+    }
+
+    /// Takes this host out of the list, so that the others count on it no longer.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.left.notify_one();
+    }
+
     /// The hosts that live, by name.
     pub fn hosts(&self) -> IndexMap<String, Host> {
         self.hosts.borrow().clone()
@@ -121,6 +162,7 @@
                     cpu_millicores: record.cpu_millicores,
                 };
                 self.hosts.borrow_mut().insert(name.to_owned(), host);
+                self.routes.borrow_mut().take();
             }
             if name == own_name {
                 self.entry_lost.set(false);
@@ -134,6 +176,7 @@
             self.vacant.set(true);
         } else if let Some(name) = key.strip_prefix(HOST_PREFIX) {
             self.hosts.borrow_mut().shift_remove(name);
+            self.routes.borrow_mut().take();
             if name == own_name {
                 self.entry_lost.set(true);
             }
@@ -152,6 +195,7 @@
     async fn listed(&mut self, listing: &Listing) -> ControlFlow<()> {
         let members = &self.members;
         members.hosts.borrow_mut().clear();
+        members.routes.borrow_mut().take();
         members.entry_lost.set(true);
         if !listing.items.iter().any(|item| item.key == LEAD_KEY) {
             members.remove(LEAD_KEY, &self.own_name);
@@ -189,7 +233,7 @@
         cpu_millicores: own.cpu_millicores,
     };
     let key = format!("{HOST_PREFIX}{own_name}");
-    loop {
+    while !members.leaving.get() {
         let Ok(lease) = store.grant_lease(HOST_LEASE).await else {
             time::sleep(RETRY).await;
             continue;
@@ -201,7 +245,12 @@
         };
         members.entry_lost.set(false);
         loop {
-            time::sleep(RENEWAL).await;
+            let _tick = time::timeout(RENEWAL, members.left.notified()).await;
+            if members.leaving.get() {
+                // Without an answer the entry lapses by itself.
+                let _lapses = store.end_lease(lease).await;
+                return;
+            }
             // The store may drop keys and still renew the lease that held them.
             let ended = store.renew_lease(lease).await == Err(StoreError::LeaseEnded);
             if ended || members.entry_lost.get() {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -1,4 +1,6 @@
-//! Messages between hosts: length-delimited frames, many calls at a time over one connection.
+//! Calls between hosts: length-delimited frames, many calls at a time over one connection.
+
+mod messages;
 
 use std::{
     cell::{Cell, RefCell},
@@ -8,9 +10,12 @@
 };
 
 use bytes::Bytes;
-use cell::jobs::JobRecord;
-use futures::{SinkExt, StreamExt};
+use futures::{
+    FutureExt, SinkExt, StreamExt,
+    future::{LocalBoxFuture, Shared},
+};
 use indexmap::IndexMap;
+pub use messages::*;
 use prost::Message;
 use tokio::{
     net::{TcpListener, TcpStream, tcp},
@@ -23,151 +28,12 @@
 const MAX_FRAME_BYTES: usize = 1 << 20;
 /// A connection must stand within this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Frames that wait to be written on one connection.
-const QUEUED_FRAMES: usize = 256;
+/// Frames that wait to be written on one connection: the starts of a burst and the lists of the
+/// workers that one host carries calls to.
+const QUEUED_FRAMES: usize = 2_048;
 /// Initial buffer of a connection and direction, in bytes.
 const BUFFER_BYTES: usize = 2 << 10;
 
-/// A call or its answer.
-#[derive(Clone, PartialEq, Message)]
-pub struct Envelope {
-    /// Pairs an answer with its call.
-    #[prost(uint64, tag = "1")]
-    pub call: u64,
-    /// What is asked or answered.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 10, 11, 12, 13, 14, 15, 16")]
-    pub body: Option<Body>,
-}
-
-/// What is asked or answered.
-#[derive(Clone, PartialEq, prost::Oneof)]
-pub enum Body {
-    /// Accept a job.
-    #[prost(message, tag = "2")]
-    Submit(JobRecord),
-    /// Tell a job's state.
-    #[prost(fixed64, tag = "3")]
-    State(u64),
-    /// Tell how many jobs wait in a queue.
-    #[prost(string, tag = "4")]
-    Pending(String),
-    /// Cancel a job.
-    #[prost(fixed64, tag = "5")]
-    Cancel(u64),
-    /// Ask the advice service.
-    #[prost(message, tag = "6")]
-    Advise(AdviseCall),
-    /// Tell who coordinates.
-    #[prost(bool, tag = "7")]
-    WhoLeads(bool),
-    /// The host does not coordinate, or cannot do what is asked now. Nothing was done.
-    #[prost(bool, tag = "10")]
-    NotHere(bool),
-    /// What became of a job that was handed in.
-    #[prost(message, tag = "11")]
-    Submitted(Submitted),
-    /// A job's state; absent for a job that the coordinator does not know.
-    #[prost(message, tag = "12")]
-    StateIs(StateIs),
-    /// Jobs that wait.
-    #[prost(uint64, tag = "13")]
-    PendingIs(u64),
-    /// A job's cancelling is durable; false for a job that the coordinator does not know.
-    #[prost(bool, tag = "14")]
-    Cancelled(bool),
-    /// What the advice service answered.
-    #[prost(message, tag = "15")]
-    Advised(Advised),
-    /// Where the coordinator takes messages; empty if the host does not know.
-    #[prost(string, tag = "16")]
-    LeadIs(String),
-}
-
-/// A question to the advice service.
-#[derive(Clone, PartialEq, Message)]
-pub struct AdviseCall {
-    /// The job.
-    #[prost(fixed64, tag = "1")]
-    pub job: u64,
-    /// The occurrence.
-    #[prost(uint32, tag = "2")]
-    pub occurrence: u32,
-    /// The step.
-    #[prost(uint32, tag = "3")]
-    pub step: u32,
-    /// Workers that are named.
-    #[prost(string, repeated, tag = "4")]
-    pub workers: Vec<String>,
-    /// How long to wait for the answer, in milliseconds.
-    #[prost(uint64, tag = "5")]
-    pub timeout_ms: u64,
-}
-
-/// What the advice service answered.
-#[derive(Clone, PartialEq, Message)]
-pub struct Advised {
-    /// It answered.
-    #[prost(bool, tag = "1")]
-    pub answered: bool,
-    /// Workers that may run the step, as positions in the question.
-    #[prost(uint32, repeated, tag = "2")]
-    pub workers: Vec<u32>,
-    /// The ticket for each of them.
-    #[prost(string, repeated, tag = "3")]
-    pub tickets: Vec<String>,
-    /// How long the tickets can be used, in milliseconds.
-    #[prost(uint64, tag = "4")]
-    pub valid_ms: u64,
-}
-
-/// What became of a job that was handed in.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct Submitted {
-    /// It is accepted and durable.
-    #[prost(bool, tag = "1")]
-    pub accepted: bool,
-    /// It was not accepted; the caller may come back after this time, in milliseconds; 0 if no
-    /// worker could ever run it.
-    #[prost(uint64, tag = "2")]
-    pub retry_after_ms: u64,
-}
-
-/// A job's state.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct StateIs {
-    /// The coordinator knows the job.
-    #[prost(bool, tag = "1")]
-    pub known: bool,
-    /// The state, as [`encode_state`] gives it.
-    #[prost(uint32, tag = "2")]
-    pub state: u32,
-}
-
-/// Number of a state in a message.
-pub fn encode_state(state: cell::jobs::JobState) -> u32 {
-    use cell::jobs::JobState;
-    match state {
-        JobState::Queued => 0,
-        JobState::Running => 1,
-        JobState::Completed => 2,
-        JobState::Failed => 3,
-        JobState::Cancelled => 4,
-    }
-}
-
-/// The state with a number.
-pub fn decode_state(number: u32) -> Option<cell::jobs::JobState> {
-    use cell::jobs::JobState;
-    Some(match number {
-        0 => JobState::Queued,
-        1 => JobState::Running,
-        2 => JobState::Completed,
-        3 => JobState::Failed,
-        4 => JobState::Cancelled,
-        _ => return None,
-    })
-}
-
 /// Why a call to a host has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerError {
@@ -186,10 +52,14 @@
     waiting: Waiting,
 }
 
+/// A connection that is being opened; all calls to the host wait for the same one.
+type Opening = Shared<LocalBoxFuture<'static, Option<Line>>>;
+
 /// Connections to the other hosts.
 #[derive(Debug, Default)]
 pub struct Peers {
     lines: RefCell<IndexMap<SocketAddr, Line>>,
+    opening: RefCell<IndexMap<SocketAddr, Opening>>,
     next_call: Cell<u64>,
 }
 
@@ -234,6 +104,13 @@
         }
     }
 
+    /// Gives up the connection to a host; whoever waits for an answer over it learns so at once.
+    pub fn close(&self, address: SocketAddr) {
+        if let Some(line) = self.lines.borrow_mut().swap_remove(&address) {
+            line.waiting.borrow_mut().clear();
+        }
+    }
+
     fn forget(&self, address: SocketAddr, line: &Line) {
         let mut lines = self.lines.borrow_mut();
         if lines
@@ -250,27 +127,39 @@
         {
             return Ok(line.clone());
         }
-        let connect = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connect else {
-            return Err(PeerError::NotSent);
-        };
-        if stream.set_nodelay(true).is_err() {
-            return Err(PeerError::NotSent);
+        let opening = self
+            .opening
+            .borrow_mut()
+            .entry(address)
+            .or_insert_with(|| open(address).boxed_local().shared())
+            .clone();
+        let opened = opening.clone().await;
+        let mut all = self.opening.borrow_mut();
+        if all
+            .get(&address)
+            .is_some_and(|known| known.ptr_eq(&opening))
+        {
+            all.swap_remove(&address);
+            if let Some(line) = &opened {
+                self.lines.borrow_mut().insert(address, line.clone());
+            }
         }
-        let (read, write) = stream.into_split();
-        let (frames, queue) = mpsc::channel(QUEUED_FRAMES);
-        let waiting = Waiting::default();
-        let line = Line {
-            frames,
-            waiting: Rc::clone(&waiting),
-        };
-        tokio::task::spawn_local(write_frames(write, queue));
-        tokio::task::spawn_local(read_answers(read, waiting, line.frames.downgrade()));
-        self.lines.borrow_mut().insert(address, line.clone());
-        Ok(line)
+        opened.ok_or(PeerError::NotSent)
     }
 }
 
+async fn open(address: SocketAddr) -> Option<Line> {
+    let connect = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connect.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (read, write) = stream.into_split();
+    let (frames, queue) = mpsc::channel(QUEUED_FRAMES);
+    let waiting = Waiting::default();
+    tokio::task::spawn_local(write_frames(write, queue));
+    tokio::task::spawn_local(read_answers(read, Rc::clone(&waiting), frames.downgrade()));
+    Some(Line { frames, waiting })
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -8,6 +8,7 @@
 //! | `hc/a/new/ID` | empty: a job was accepted past the coordinator | any host |
 //! | `hc/a/cancel/ID` | empty: a job was cancelled past the coordinator | any host |
 //! | `hc/j/ID` | a job's record | who accepts it, then the coordinator |
+//! | `hc/p/ID` | the text that the job's tasks are handed, until the job ends | who accepts it |
 //! | `hc/term` | how many coordinators there have been | the coordinator, when it takes over |
 //! | `hc/roster` | workers that the coordinator may have given work | the coordinator |
 //!
@@ -16,6 +17,7 @@
 
 use cell::{
     ids::JobId,
+    jobs::JobRecord,
     workers::{Room, WorkerEntry},
 };
 use prost::Message;
@@ -36,6 +38,8 @@
 pub const CANCEL_PREFIX: &str = "hc/a/cancel/";
 /// Records of jobs.
 pub const JOB_PREFIX: &str = "hc/j/";
+/// Texts of jobs.
+pub const PAYLOAD_PREFIX: &str = "hc/p/";
 /// How many coordinators there have been.
 pub const TERM_KEY: &str = "hc/term";
 /// Workers that may have been given work.
@@ -46,6 +50,19 @@
     format!("{JOB_PREFIX}{id}")
 }
 
+/// Key of the text of a job.
+pub fn payload_key(id: JobId) -> String {
+    format!("{PAYLOAD_PREFIX}{id}")
+}
+
+/// Takes the text out of a record. It is kept apart, since a record is written with each end that
+/// counts, and read as a whole by each new coordinator.
+pub fn split_payload(record: &mut JobRecord) -> String {
+    let spec = record.spec.as_mut();
+    spec.map(|spec| std::mem::take(&mut spec.payload))
+        .unwrap_or_default()
+}
+
 /// Who coordinates the cell.
 #[derive(Clone, PartialEq, Message)]
 pub struct LeadRecord {
@@ -94,6 +111,9 @@
     /// Its service.
     #[prost(string, tag = "3")]
     pub service: String,
+    /// Its availability zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
 }
 
 /// Workers that may have been given work.
@@ -111,6 +131,7 @@
             id: entry.id.to_string(),
             address: entry.address.to_string(),
             service: entry.service.to_string(),
+            zone: entry.zone.to_string(),
         });
         Self {
             workers: workers.collect(),
@@ -123,7 +144,7 @@
             id: worker.id.as_str().into(),
             service: worker.service.as_str().into(),
             address: worker.address.as_str().into(),
-            zone: "".into(),
+            zone: worker.zone.as_str().into(),
             labels: Vec::new(),
             capacity: Room::default(),
             draining: false,
