--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`progress`]: how the work of a run goes on, and which workers are slow;
 //! - [`workers`]: what is known of a worker, its clock and its room;
 //! - [`coordinator`]: the state machine that turns all of it into orders;
+//! - [`outage`]: what callers are told while the store is away;
 //! - [`pacing`]: how fast tasks that fill may work beside tasks that serve;
 //! - [`placement`]: which workers a step's tasks go to;
 //! - [`routing`]: which host carries calls to a worker;
@@ -22,6 +23,7 @@
 pub mod coordinator;
 pub mod ids;
 pub mod jobs;
+pub mod outage;
 pub mod pacing;
 pub mod placement;
 pub mod progress;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -123,6 +123,9 @@
     });
     let (stop, stopped) = watch::channel(false);
     follow_platform(&around);
+    let own_lead = Rc::clone(&lead);
+    let coordinates = move || own_lead.borrow().is_some();
+    task::spawn_local(around.store.clone().watch_outages(coordinates));
     let members = Rc::clone(&around.members);
     listeners.serve(&around, &lead, &front, stopped);
     let coordination = task::spawn_local(coordinate(around, Rc::clone(&lead)));
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -128,7 +128,9 @@
             ..JobRecord::default()
         };
         let started = Instant::now();
+        let left = LeftCaller { id, started };
         let outcome = self.link.submit(&record, patience).await;
+        std::mem::forget(left);
         let took_ms = started.elapsed().as_millis();
         let queue_name = &queue.name;
         let config = self.operators.version();
@@ -140,7 +142,8 @@
         );
         match outcome {
             SubmitOutcome::Accepted => plain(200, ""),
-            SubmitOutcome::Refused { retry_after_ms } => refuse(503, retry_after_ms),
+            SubmitOutcome::Refused { retry_after_ms }
+            | SubmitOutcome::StoreAway { retry_after_ms } => refuse(503, retry_after_ms),
             SubmitOutcome::NeverFits => plain(429, ""),
             SubmitOutcome::Unavailable => refuse(503, UNAVAILABLE_RETRY_MS),
             SubmitOutcome::InDoubt => plain(504, ""),
@@ -172,6 +175,24 @@
     }
 }
 
+/// Logs a job whose caller left before it was answered, unless it is forgotten first.
+#[derive(Debug)]
+struct LeftCaller {
+    id: JobId,
+    started: Instant,
+}
+
+impl Drop for LeftCaller {
+    fn drop(&mut self) {
+        log_event!(
+            events::JOB_ANSWERED,
+            "job={} outcome=CallerLeft took_ms={}",
+            self.id,
+            self.started.elapsed().as_millis()
+        );
+    }
+}
+
 fn patience(request: &hyper::Request<Incoming>) -> Duration {
     let header = request.headers().get(DEADLINE_HEADER);
     let ms = header
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -10,6 +10,7 @@
 use cell::{
     ids::JobId,
     jobs::{JobRecord, Outcome},
+    outage::{self, Health, Turn},
 };
 use futures::{StreamExt, stream};
 use kernel::log_event;
@@ -19,7 +20,7 @@
     time,
 };
 
-use super::Lead;
+use super::{Lead, Submission};
 use crate::{
     clock, events,
     records::{self, LEAD_KEY, ROSTER_KEY, Roster},
@@ -38,6 +39,8 @@
 const PARALLEL_COMMITS: usize = 12;
 /// Failed commits are logged together over this time, in milliseconds.
 const FAILURES_LOGGED_EVERY_MS: u64 = 500;
+/// Time between two looks at jobs that wait for a store that fails.
+const STALLED_TICK: Duration = Duration::from_millis(40);
 /// Pause after a commit that failed.
 const RETRY: Duration = Duration::from_millis(90);
 
@@ -57,7 +60,8 @@
 
 /// Makes accepted jobs durable until the term ends. Transactions follow one another without
 /// waiting for the last: they touch different records, and a slow store must not queue them up.
-/// Their number is bounded; while all are under way, jobs gather for the next one.
+/// Their number is bounded; while all are under way, jobs gather for the next one. Nothing is sent to a
+/// store whose answers are overdue, since that would leave more jobs in doubt.
 pub(super) async fn accept(lead: Rc<Lead>) {
     let slots = Arc::new(Semaphore::new(PARALLEL_ACCEPTS));
     loop {
@@ -65,33 +69,24 @@
             lead.submitted.notified().await;
         }
         time::sleep(GATHER).await;
-        let Ok(first_slot) = Arc::clone(&slots).acquire_owned().await else {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
             return;
         };
-        drop(first_slot);
-        let submissions = std::mem::take(&mut *lead.submissions.borrow_mut());
-        let mut writes = submissions.into_iter().map(|submission| Write {
-            id: JobId(submission.record.id),
-            record: submission.record,
-            expected: 0,
-            payload: submission.payload,
-            accepts: true,
-            accepted: Some(submission.accepted),
-        });
-        loop {
-            let batch: Vec<Write> = writes.by_ref().take(WRITES_PER_TXN).collect();
-            if batch.is_empty() {
-                break;
-            }
-            let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
-                return;
-            };
-            let committing = Rc::clone(&lead);
-            lead.spawn(async move {
-                committing.commit_batch(batch).await;
-                drop(slot);
-            });
+        let health = lead.around.store.health();
+        if health != Health::Serving {
+            lead.turn_away_waiting(health);
+            lead.around.store.returned(STALLED_TICK).await;
+            continue;
         }
+        let batch = lead.next_submissions();
+        if batch.is_empty() {
+            continue;
+        }
+        let committing = Rc::clone(&lead);
+        lead.spawn(async move {
+            committing.commit_batch(batch).await;
+            drop(slot);
+        });
     }
 }
 
@@ -153,17 +148,38 @@
     }
 }
 
-/// Gives up on jobs that never left for the store, so that their callers can come back.
-fn turn_away(writes: Vec<Write>) -> Vec<Write> {
-    let (new, kept): (Vec<Write>, Vec<Write>) = writes.into_iter().partition(|w| w.accepts);
-    for accepted in new.into_iter().filter_map(|write| write.accepted) {
-        // A host that gave up waiting asks the store itself.
-        let _left = accepted.send(false);
+impl Lead {
+    /// The jobs that become durable next: urgent ones first, and those whose callers leave soonest.
+    fn next_submissions(&self) -> Vec<Write> {
+        let mut waiting = self.submissions.borrow_mut();
+        waiting.sort_by_key(|submission| (submission.priority, submission.leaves_ms));
+        let count = waiting.len().min(WRITES_PER_TXN);
+        let write = |submission: Submission| Write {
+            id: JobId(submission.record.id),
+            record: submission.record,
+            expected: 0,
+            payload: submission.payload,
+            accepts: true,
+            accepted: Some(submission.accepted),
+        };
+        waiting.drain(..count).map(write).collect()
+    }
+
+    /// Gives up on jobs that were not sent to the store, so that their callers can come back.
+    fn turn_away_waiting(&self, health: Health) {
+        let now_ms = clock::now_ms();
+        let submissions = std::mem::take(&mut *self.submissions.borrow_mut());
+        let (waiting, given_up): (Vec<_>, Vec<_>) = submissions.into_iter().partition(|waiting| {
+            let left_ms = waiting.leaves_ms.saturating_sub(now_ms);
+            now_ms < waiting.answer_by_ms && outage::turn(health, left_ms) == Turn::Wait
+        });
+        *self.submissions.borrow_mut() = waiting;
+        for submission in given_up {
+            // A host that gave up waiting asks the store itself.
+            let _left = submission.accepted.send(false);
+        }
     }
-    kept
-}
 
-impl Lead {
     /// Removes the keys of arrivals whose effect is durable.
     async fn drop_arrivals(&self, arrivals: &[String]) {
         for keys in arrivals.chunks(MAX_TXN_ENTRIES) {
@@ -238,8 +254,8 @@
                     in_doubt |= error != StoreError::Unavailable;
                     if in_doubt {
                         self.note_in_doubt(&writes);
-                    } else if self.around.store.is_lost() {
-                        writes = turn_away(writes);
+                    } else {
+                        writes = Self::turn_away_unsent(writes);
                     }
                     self.note_failed_commit(writes.len(), error);
                     time::sleep(RETRY).await;
@@ -249,6 +265,16 @@
         true
     }
 
+    /// Gives up on jobs that the store has certainly not accepted.
+    fn turn_away_unsent(writes: Vec<Write>) -> Vec<Write> {
+        let (new, kept): (Vec<Write>, Vec<Write>) = writes.into_iter().partition(|w| w.accepts);
+        for accepted in new.into_iter().filter_map(|write| write.accepted) {
+            // A host that gave up waiting asks the store itself.
+            let _left = accepted.send(false);
+        }
+        kept
+    }
+
     /// Remembers jobs that may be durable already, or may become so: a repeat of one must not be told
     /// that it never runs.
     fn note_in_doubt(&self, writes: &[Write]) {
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -27,6 +27,7 @@
     coordinator::{Coordinator, Tuning},
     ids::JobId,
     jobs::JobRecord,
+    outage::{self, Turn},
 };
 use indexmap::{IndexMap, IndexSet};
 use kernel::log_event;
@@ -56,6 +57,14 @@
 /// times of day differ, and may be set back by some seconds.
 const RETENTION_MARGIN_MS: u64 = 5_000;
 
+/// A job waits this long at most for a store that fails, in milliseconds. Below the time after
+/// which a host takes the coordinator for gone.
+const LONGEST_WAIT_MS: u64 = 600;
+
+/// Time that an answer needs to reach the host before its client leaves, in milliseconds: an answer that
+/// comes later leaves the job in doubt.
+const ANSWER_MARGIN_MS: u64 = 150;
+
 /// What a coordinator works with.
 #[derive(Clone, Debug)]
 pub struct Surroundings {
@@ -85,6 +94,12 @@
     record: JobRecord,
     /// The text that the job's tasks are handed; the record does not have it.
     payload: String,
+    /// Priority of its queue; smaller comes first.
+    priority: u32,
+    /// Its caller must be answered by then, in milliseconds of our clock.
+    answer_by_ms: u64,
+    /// When its caller leaves, in milliseconds of our clock.
+    leaves_ms: u64,
     /// True once it is durable; false if nothing was done.
     accepted: oneshot::Sender<bool>,
 }
@@ -238,7 +253,7 @@
         }
         match body {
             Body::Submit(handed) => match handed.record {
-                Some(record) => self.submit(record, &handed.home).await,
+                Some(record) => self.submit(record, &handed.home, handed.patience_ms).await,
                 None => Body::NotHere(true),
             },
             Body::State(id) => {
@@ -254,7 +269,7 @@
         }
     }
 
-    async fn submit(&self, mut record: JobRecord, home: &str) -> Body {
+    async fn submit(&self, mut record: JobRecord, home: &str, patience_ms: u64) -> Body {
         let id = JobId(record.id);
         let accepted = Body::Submitted(Submitted {
             accepted: true,
@@ -287,21 +302,31 @@
                 retry_after_ms,
             });
         }
-        if self.around.store.is_lost() {
-            return Body::NotHere(true);
+        if let Turn::ComeBack { .. } = outage::turn(self.around.store.health(), patience_ms) {
+            return Body::StoreAway(true);
         }
+        let now_ms = clock::now_ms();
+        let priority = {
+            let cell = self.cell.borrow();
+            let queue = cell.config().queues.get(record.queue.as_str());
+            queue.map_or(u32::MAX, |queue| queue.priority)
+        };
         let (sender, durable) = oneshot::channel();
         let payload = records::split_payload(&mut record);
         self.homes.borrow_mut().insert(id, home.into());
         self.submissions.borrow_mut().push(Submission {
             record,
             payload,
+            priority,
+            answer_by_ms: now_ms
+                + LONGEST_WAIT_MS.min(patience_ms.saturating_sub(ANSWER_MARGIN_MS)),
+            leaves_ms: now_ms + patience_ms,
             accepted: sender,
         });
         self.submitted.notify_one();
         match durable.await {
             Ok(true) => accepted,
-            Ok(false) => Body::NotHere(true),
+            Ok(false) => Body::StoreAway(true),
             Err(_) => Body::NotHere(false),
         }
     }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -4,12 +4,18 @@
 //! for all hosts together. When none answers, the host goes to the store itself: the store alone
 //! decides whether a job is accepted or cancelled, and a repeat of either changes nothing.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use adapter::store::{Committed, StoreError, Txn};
 use cell::{
     ids::JobId,
     jobs::{JobRecord, JobState},
+    outage::{self, Health, Turn},
 };
 use indexmap::IndexSet;
 use prost::Message;
@@ -19,7 +25,7 @@
     lead::Lead,
     members::Members,
     payloads::Payloads,
-    peers::{self, Body, HandedIn, PeerError, Peers},
+    peers::{self, Body, HandedIn, PeerError, Peers, Submitted},
     records::{self, CANCEL_PREFIX, NEW_PREFIX},
     store::GuardedStore,
 };
@@ -28,6 +34,14 @@
 /// between regions and a commit to a slow store.
 const COORDINATOR_PATIENCE: Duration = Duration::from_millis(900);
 
+/// How long a host tries to write to the store itself while the coordinator cannot.
+const STORE_PATIENCE: Duration = Duration::from_millis(400);
+/// How soon the coordinator is asked again while the store is away.
+const ASK_AGAIN: Duration = Duration::from_millis(150);
+
+/// What is asked with less time than this left cannot be answered before the client leaves.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+
 /// Jobs in doubt that a host remembers. Callers repeat within seconds, and this is more than arrive
 /// in an outage of 10 s at the two-year size.
 const MOST_IN_DOUBT: usize = 4_096;
@@ -49,10 +63,26 @@
     NeverFits,
     /// Neither coordinator nor store did anything.
     Unavailable,
+    /// The store is away and nothing was done; the caller may come back after this time, in
+    /// milliseconds.
+    StoreAway {
+        /// When its last chance still lies before its deadline.
+        retry_after_ms: u64,
+    },
     /// It may be accepted; a repeat will tell.
     InDoubt,
 }
 
+impl Submitted {
+    fn outcome(&self) -> SubmitOutcome {
+        match (self.accepted, self.retry_after_ms) {
+            (true, _) => SubmitOutcome::Accepted,
+            (false, 0) => SubmitOutcome::NeverFits,
+            (false, retry_after_ms) => SubmitOutcome::Refused { retry_after_ms },
+        }
+    }
+}
+
 /// What is known of something that a client asks about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Known<T> {
@@ -156,7 +186,8 @@
             }
             SubmitOutcome::Refused { .. }
             | SubmitOutcome::NeverFits
-            | SubmitOutcome::Unavailable => {
+            | SubmitOutcome::Unavailable
+            | SubmitOutcome::StoreAway { .. } => {
                 if in_doubt.contains(&id) {
                     return SubmitOutcome::InDoubt;
                 }
@@ -165,30 +196,52 @@
         outcome
     }
 
+    /// Tries until the job is answered or its caller leaves. Nothing is written past the coordinator to a
+    /// store that does not answer.
     async fn try_submit(&self, record: &JobRecord, patience: Duration) -> SubmitOutcome {
-        let first = COORDINATOR_PATIENCE.min(patience / 2);
+        let deadline = Instant::now() + patience;
+        let left = || deadline.saturating_duration_since(Instant::now());
         if let Some(spec) = &record.spec {
             self.payloads.keep(JobId(record.id), &spec.payload);
         }
-        let handed = HandedIn {
-            record: Some(record.clone()),
-            home: self.own_address.clone(),
-        };
-        match self.ask(Body::Submit(handed), first).await {
-            Ok(Body::Submitted(submitted)) if submitted.accepted => SubmitOutcome::Accepted,
-            Ok(Body::Submitted(submitted)) if submitted.retry_after_ms == 0 => {
-                SubmitOutcome::NeverFits
+        loop {
+            if left() < LEAST_PATIENCE {
+                return SubmitOutcome::Unavailable;
             }
-            Ok(Body::Submitted(submitted)) => SubmitOutcome::Refused {
-                retry_after_ms: submitted.retry_after_ms,
-            },
-            Ok(Body::NotHere(true)) | Err(PeerError::NotSent) => {
-                self.submit_to_store(record, patience, false).await
+            let handed = HandedIn {
+                record: Some(record.clone()),
+                home: self.own_address.clone(),
+                patience_ms: left().as_millis() as u64,
+            };
+            let asked = self.ask(Body::Submit(handed), COORDINATOR_PATIENCE.min(left()));
+            let (coordinator_there, in_doubt) = match asked.await {
+                Ok(Body::Submitted(submitted)) => return submitted.outcome(),
+                Ok(Body::StoreAway(_)) => (true, false),
+                Ok(Body::NotHere(true)) | Err(PeerError::NotSent) => (false, false),
+                _ => (false, true),
+            };
+            if in_doubt || self.store.answers_now().await {
+                let most = if coordinator_there {
+                    STORE_PATIENCE.min(left())
+                } else {
+                    left()
+                };
+                match self.submit_to_store(record, most, in_doubt).await {
+                    SubmitOutcome::Unavailable => {}
+                    outcome => return outcome,
+                }
             }
-            _ => {
-                self.submit_to_store(record, patience.saturating_sub(first), true)
-                    .await
+            let health = match self.store.health() {
+                Health::Serving if coordinator_there => Health::Stalled,
+                health => health,
+            };
+            let left_ms = left().as_millis() as u64;
+            if let Turn::ComeBack { after_ms } = outage::turn(health, left_ms) {
+                return SubmitOutcome::StoreAway {
+                    retry_after_ms: after_ms,
+                };
             }
+            self.store.returned(ASK_AGAIN.min(left())).await;
         }
     }
 
@@ -210,7 +263,7 @@
             .put(&format!("{NEW_PREFIX}{id}"), &[], 0);
         let attempts = async {
             loop {
-                if self.store.is_lost() && !in_doubt {
+                if self.store.health() != Health::Serving && !in_doubt {
                     return false;
                 }
                 // The caller's time may run out while the call is under way.
@@ -224,7 +277,7 @@
                     }
                     Err(_) => {}
                 }
-                time::sleep(Duration::from_millis(120)).await;
+                self.store.returned(Duration::from_millis(120)).await;
             }
         };
         match time::timeout(patience, attempts).await {
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -17,7 +17,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub body: Option<Body>,
 }
@@ -91,6 +91,9 @@
     /// That text; absent if the host does not have it and cannot get it.
     #[prost(message, tag = "23")]
     PayloadIs(PayloadIs),
+    /// The coordinator does not reach the store. Nothing was done.
+    #[prost(bool, tag = "24")]
+    StoreAway(bool),
 }
 
 /// A job that a client handed in.
@@ -102,6 +105,9 @@
     /// Which host took it and has its text at hand, as `ip:port`.
     #[prost(string, tag = "2")]
     pub home: String,
+    /// How long its client still waits, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub patience_ms: u64,
 }
 
 /// A question to the advice service.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -1,24 +1,27 @@
 //! The platform's store, with a pause after calls that failed.
 //!
 //! While the store is away, every call to it costs and none helps. After a failed call further
-//! ones fail at once for a while that grows with each failure in a row; the first call after that
-//! shows whether the store is back. The loss and the return are logged once each.
+//! ones fail at once for a while that grows with each failure in a row. Probes, the coordinator's more
+//! often than the others', show when the store is back. The loss and the return are logged once each.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use adapter::store::{Committed, Item, Listing, Store, StoreError, Txn, Watched};
+use cell::outage::{CallNumber, Health, StoreHealth};
 use kernel::log_event;
+use tokio::{sync::Notify, task, time};
 
-use crate::{clock, events};
+use crate::{clock, events, records::LEAD_KEY};
 
 /// Pause after the first failed call, in milliseconds; doubled with each further one.
 const FIRST_PAUSE_MS: u64 = 80;
 /// The longest pause, in milliseconds: well below the time in which configurations must apply.
 const LONGEST_PAUSE_MS: u64 = 640;
-/// Failed calls in a row after which the store counts as lost.
-const LOST_AFTER: u32 = 3;
-/// Time without an answer after which the store counts as lost, in milliseconds.
-const LOST_AFTER_MS: u64 = 500;
 /// A call is given up after this many times the usual time of an answer.
 const TIMEOUT_FACTOR: u64 = 8;
 /// The shortest time after which a call is given up, in milliseconds: covers the way between
@@ -34,13 +37,25 @@
 /// How long the answer to a watch may be late.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
 
+/// Time between two probes of a store that fails, by the coordinator: it must see the return
+/// before callers that wait for it leave.
+const LEAD_PROBE_PACE: Duration = Duration::from_millis(80);
+/// The same for the other hosts, which the coordinator serves meanwhile.
+const PROBE_PACE: Duration = Duration::from_millis(320);
+/// A probe is given up after this time.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// An answer of the store that is not older than this shows that it can be written to, in milliseconds.
+const FRESH_MS: u64 = 150;
+
 #[derive(Debug, Default)]
 struct Outage {
-    failures_in_a_row: Cell<u32>,
+    health: RefCell<StoreHealth>,
     paused_until_ms: Cell<u64>,
-    since_ms: Cell<u64>,
-    usual_ms: Cell<u64>,
-    fastest_ms: Cell<Option<u64>>,
+    lost_logged: Cell<bool>,
+    /// A call has failed, or is overdue.
+    troubled: Notify,
+    /// The store has answered after that.
+    returned: Notify,
 }
 
 /// The store, as this host reaches it.
@@ -50,6 +65,19 @@
     outage: Rc<Outage>,
 }
 
+/// A call that is under way; one that its caller gives up says nothing of the store.
+#[derive(Debug)]
+struct UnderWay<'a> {
+    outage: &'a Outage,
+    call: CallNumber,
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.outage.health.borrow_mut().dropped(self.call);
+    }
+}
+
 impl GuardedStore {
     /// Guards a store.
     pub fn new(store: Store) -> Self {
@@ -64,26 +92,74 @@
         self.store.redirect(address);
     }
 
-    /// Whether the store counts as lost.
+    /// How the store seems to be.
+    pub fn health(&self) -> Health {
+        let health = self.outage.health.borrow().health(clock::now_ms());
+        if health != Health::Serving {
+            self.outage.troubled.notify_one();
+        }
+        health
+    }
+
+    /// Whether the store is known to be away.
     pub fn is_lost(&self) -> bool {
-        self.outage.failures_in_a_row.get() >= LOST_AFTER
-            && clock::now_ms() >= self.outage.since_ms.get() + LOST_AFTER_MS
+        self.health() == Health::Away
+    }
+
+    /// Waits until the store answers again after a failure, for some time at most.
+    pub async fn returned(&self, most: Duration) {
+        let _tick = time::timeout(most, self.outage.returned.notified()).await;
+    }
+
+    /// Whether the store answers now: a write that it does not answer leaves its job in doubt.
+    pub async fn answers_now(&self) -> bool {
+        let now_ms = clock::now_ms();
+        let answered_ms = self.outage.health.borrow().answered_ms();
+        if self.health() == Health::Serving && now_ms < answered_ms + FRESH_MS {
+            return true;
+        }
+        if self.check().is_err() {
+            return false;
+        }
+        self.probe().await
+    }
+
+    async fn probe(&self) -> bool {
+        let get = self.store.get(LEAD_KEY, PROBE_TIMEOUT);
+        self.timed(get).await.is_ok()
+    }
+
+    /// Probes the store while it fails, for as long as the process runs.
+    pub async fn watch_outages(self, coordinates: impl Fn() -> bool) {
+        loop {
+            self.outage.troubled.notified().await;
+            while self.health() != Health::Serving {
+                let probing = self.clone();
+                // Probes do not wait for one another: the store may be silent, and return at any time.
+                task::spawn_local(async move { probing.probe().await });
+                let pace = if coordinates() {
+                    LEAD_PROBE_PACE
+                } else {
+                    PROBE_PACE
+                };
+                time::sleep(pace).await;
+            }
+        }
     }
 
     /// Whether the way to the store is long: even its fastest answer took more than
     /// [`FAR_STORE_MS`]. A store that is slow for a while is not far.
     pub fn is_far(&self) -> bool {
-        self.outage
-            .fastest_ms
-            .get()
-            .is_some_and(|ms| ms > FAR_STORE_MS)
+        let fastest_ms = self.outage.health.borrow().fastest_ms();
+        fastest_ms.is_some_and(|ms| ms > FAR_STORE_MS)
     }
 
     /// How long a call may take: long enough for the store as it answers now, and longer after
     /// each call that was given up, since the store may have turned slow.
     fn timeout(&self) -> Duration {
-        let usual_ms = (self.outage.usual_ms.get() * TIMEOUT_FACTOR).max(LEAST_TIMEOUT_MS);
-        let patient_ms = usual_ms << self.outage.failures_in_a_row.get().min(4);
+        let health = self.outage.health.borrow();
+        let usual_ms = (health.usual_ms() * TIMEOUT_FACTOR).max(LEAST_TIMEOUT_MS);
+        let patient_ms = usual_ms << health.failures_in_a_row().min(4);
         Duration::from_millis(patient_ms.min(MOST_TIMEOUT_MS))
     }
 
@@ -91,17 +167,17 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        let began_ms = clock::now_ms();
+        let outage = &*self.outage;
+        let number = outage.health.borrow_mut().began(clock::now_ms());
+        let under_way = UnderWay {
+            outage,
+            call: number,
+        };
         let result = call.await;
-        if result.is_ok() {
-            let took_ms = clock::now_ms() - began_ms;
-            let usual_ms = self.outage.usual_ms.get();
-            self.outage
-                .usual_ms
-                .set((usual_ms * 3 + took_ms).div_ceil(4));
-            let fastest_ms = self.outage.fastest_ms.get().unwrap_or(took_ms);
-            self.outage.fastest_ms.set(Some(fastest_ms.min(took_ms)));
+        if !is_failure(&result) {
+            outage.health.borrow_mut().answered(number, clock::now_ms());
         }
+        drop(under_way);
         self.note(result)
     }
 
@@ -193,31 +269,40 @@
     fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
         let outage = &self.outage;
         let now_ms = clock::now_ms();
-        if let Err(error @ (StoreError::Unavailable | StoreError::Unanswered)) = &result {
-            let failures = outage.failures_in_a_row.get();
-            if failures == 0 {
-                outage.since_ms.set(now_ms);
-            }
-            outage.failures_in_a_row.set(failures + 1);
+        let mut health = outage.health.borrow_mut();
+        if let Err(error) = &result
+            && is_failure(&result)
+        {
+            let failures = health.failures_in_a_row();
+            health.fails(now_ms);
             // A call without an answer has cost its timeout already, and may only have been slow.
             if *error == StoreError::Unavailable {
                 let pause_ms = (FIRST_PAUSE_MS << failures.min(8)).min(LONGEST_PAUSE_MS);
                 outage.paused_until_ms.set(now_ms + pause_ms);
             }
-            if failures + 1 == LOST_AFTER {
+            if health.health(now_ms) == Health::Away && !outage.lost_logged.replace(true) {
                 log_event!(events::DEPENDENCY_LOST, "dependency=store error={error}");
             }
+            outage.troubled.notify_one();
         } else {
-            if self.is_lost() {
-                let away_ms = now_ms - outage.since_ms.get();
+            if outage.lost_logged.replace(false) {
+                let away_ms = now_ms - health.failing_since_ms();
                 log_event!(
                     events::DEPENDENCY_REGAINED,
                     "dependency=store away_ms={away_ms}"
                 );
             }
-            outage.failures_in_a_row.set(0);
+            health.serves(now_ms);
             outage.paused_until_ms.set(0);
+            outage.returned.notify_waiters();
         }
         result
     }
 }
+
+fn is_failure<T>(result: &Result<T, StoreError>) -> bool {
+    matches!(
+        result,
+        Err(StoreError::Unavailable | StoreError::Unanswered)
+    )
+}
