--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -15,6 +15,10 @@
     peers::{self, AdviseCall, Advised, Body, PeerError, RunCall, StartCall, WorkerRef},
 };
 
+/// Hosts over which one order to start is sent at most.
+const START_WAYS: usize = 3;
+/// An order to start is sent again within this time, in milliseconds: its deadline is near then.
+const RESEND_WITHIN_MS: u64 = 600;
 /// Scheduling passes that follow one another are at least this far apart.
 const PASS_PACE: Duration = Duration::from_millis(8);
 /// The longest time between two passes.
@@ -127,16 +131,39 @@
         }
     }
 
+    /// Orders a start; through another host if the first one cannot be reached or dies. A worker carries
+    /// the same order out once, however often it arrives.
     async fn start(&self, worker: &str, call: StartCall) -> StartAnswer {
-        if !self.has_authority() {
-            return StartAnswer::Unhealthy; // Not sent: nothing was done.
-        }
         self.around.metrics.count("starts");
-        let body = Body::Start(call);
-        match self.carry(worker, 0, body, carrier::ORDER_OVERHEAD).await {
-            Ok(Body::StartIs(number)) => peers::decode_start_answer(number),
-            Err(PeerError::NotSent) => StartAnswer::Unhealthy,
-            Ok(_) | Err(PeerError::Unanswered) => StartAnswer::Unknown,
+        let began_ms = clock::now_ms();
+        let mut sent_before = false;
+        for detour in 0..START_WAYS {
+            if !self.has_authority() || clock::now_ms() > began_ms + RESEND_WITHIN_MS {
+                break;
+            }
+            let body = Body::Start(call.clone());
+            match self
+                .carry(worker, detour, body, carrier::ORDER_OVERHEAD)
+                .await
+            {
+                Ok(Body::StartIs(number)) => {
+                    let answer = peers::decode_start_answer(number);
+                    // A refusal of the repetition says nothing of the first order: the run may have
+                    // begun, and even ended.
+                    return match answer {
+                        StartAnswer::Started => answer,
+                        _ if sent_before => StartAnswer::Unknown,
+                        _ => answer,
+                    };
+                }
+                Err(PeerError::NotSent) => {}
+                Ok(_) | Err(PeerError::Unanswered) => sent_before = true,
+            }
+        }
+        if sent_before {
+            StartAnswer::Unknown
+        } else {
+            StartAnswer::Unhealthy // Not sent: nothing was done.
         }
     }
 
