Let a successor of any size work within two seconds

Cause: on the large site with one coordinator after the other lost for good (19 in 30 s), the hosts of 0.12 cores that are left could not coordinate: each pass looked at all 540 workers for each of some 1,200 steps that waited, and each host that was free to ask the advice service had all of them looked at again; the last one lost its lease for 7 s. Settling took up to 2 s, since first holds went over hosts that had just died.

Change: a pass looks only at workers with enough free processor; a step that needed no question is not looked at again for 50 ms, and at most 40 are for one question; the pause between passes grows with their cost; looks for room to keep free are bounded. A successor goes round its predecessor, expects first answers within 0.4 s, and waits 0.3 s for a connection.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -21,6 +21,10 @@
 const MOST_NAMED: usize = 100;
 /// Pause after a question that was not answered, in milliseconds.
 const RETRY_MS: u64 = 150;
+/// Steps that are looked at for one question at most.
+const MOST_LOOKS: usize = 40;
+/// A step that needed no question is looked at again after this time, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 50;
 /// Answers that take longer than this are heavy, in milliseconds.
 const HEAVY_MS: u64 = 150;
 
@@ -52,33 +56,55 @@
 impl Coordinator {
     /// The most urgent question; `light_only` keeps to those that are answered quickly.
     pub fn next_question(&mut self, now_ms: u64, light_only: bool) -> Option<Question> {
-        let question = self
-            .agenda
+        let agenda = std::mem::take(&mut self.agenda);
+        let may_ask = |id: &&StepId| self.may_ask(**id, now_ms, light_only);
+        let looks: Vec<StepId> = agenda
             .iter()
-            .find_map(|&step| self.question_for(step, now_ms, light_only))?;
-        let step = self
-            .jobs
-            .get_mut(&question.step.job)?
-            .step_mut(question.step)?;
-        step.advice.in_flight = true;
-        Some(question)
+            .filter(may_ask)
+            .take(MOST_LOOKS)
+            .copied()
+            .collect();
+        self.agenda = agenda;
+        for id in looks {
+            let question = self.question_for(id, now_ms);
+            let advice = &mut self.jobs.get_mut(&id.job)?.step_mut(id)?.advice;
+            match question {
+                Some(question) => {
+                    advice.in_flight = true;
+                    return Some(question);
+                }
+                // A look goes over all workers, and what it saw holds for a moment.
+                None => advice.not_before_ms = now_ms + LOOK_AGAIN_MS,
+            }
+        }
+        None
+    }
+
+    /// Whether a question about a step may be asked, if there is one.
+    fn may_ask(&self, id: StepId, now_ms: u64, light_only: bool) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let queue = self.config.queues.get(&job.queue);
+        let Some(terms) = queue.and_then(|queue| queue.advice) else {
+            return false;
+        };
+        let Some(step) = job.step(id) else {
+            return false;
+        };
+        let held_back = light_only && terms.call_ms as u64 > HEAVY_MS;
+        !held_back && !step.advice.in_flight && now_ms >= step.advice.not_before_ms
     }
 
-    fn question_for(&self, id: StepId, now_ms: u64, light_only: bool) -> Option<Question> {
+    fn question_for(&self, id: StepId, now_ms: u64) -> Option<Question> {
         let job = self.jobs.get(&id.job)?;
         let terms = self.config.queues.get(&job.queue)?.advice?;
-        if light_only && terms.call_ms as u64 > HEAVY_MS {
-            return None;
-        }
         let spec = job.step_spec(id.step)?;
         let step = job
             .occurrences
             .get(&id.occurrence)?
             .steps
             .get(id.step as usize)?;
-        if step.advice.in_flight || now_ms < step.advice.not_before_ms {
-            return None;
-        }
         let waiting = step.waiting().count() as u32;
         if waiting == 0 {
             return None;
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -21,6 +21,8 @@
 /// A gang keeps workers free once it has waited for this part of its objective, as a divisor: free
 /// workers do nothing until all of its room is there.
 const RESERVE_AFTER_PART: u64 = 4;
+/// Steps for which free workers are looked for in one pass at most: each look goes over all workers.
+const RESERVING_LOOKS: usize = 8;
 /// Part of all workers that gangs may keep free, as a divisor.
 const RESERVED_PART: usize = 3;
 
@@ -190,17 +192,20 @@
 
     fn start_what_fits(&mut self, now_ms: u64, unix_ms: u64, orders: &mut Vec<Order>) {
         let agenda = self.ready_steps(now_ms, unix_ms);
+        let open_room = OpenRoom::of(&self.workers, now_ms);
         let mut reserved: Vec<Rc<str>> = Vec::new();
         let mut reserving = 0;
+        let mut looks = 0;
         for urgency in &agenda {
-            let started = self.start_step(urgency.step, now_ms, &reserved, orders);
+            let started = self.start_step(urgency.step, now_ms, &open_room, &reserved, orders);
             if !started
                 && urgency.lateness == 0
                 && reserving < RESERVING_GANGS
+                && looks < RESERVING_LOOKS
                 && (!urgency.ends || self.has_waited_long(urgency.step, unix_ms))
-                && self.reserve_for(urgency.step, &mut reserved)
             {
-                reserving += 1;
+                looks += 1;
+                reserving += usize::from(self.reserve_for(urgency.step, &mut reserved));
             }
         }
         self.agenda = agenda.into_iter().map(|urgency| urgency.step).collect();
@@ -260,6 +265,7 @@
         &mut self,
         id: StepId,
         now_ms: u64,
+        open_room: &OpenRoom,
         reserved: &[Rc<str>],
         orders: &mut Vec<Order>,
     ) -> bool {
@@ -292,8 +298,10 @@
             needs_ticket,
             waiting: &waiting,
         };
-        let (mut spots, mut failed_spots) = wanted.spots(&self.workers, step, reserved, now_ms);
         let need = need_of(spec);
+        let candidates = open_room.at_least(need.room.cpu_millicores);
+        let (mut spots, mut failed_spots) =
+            wanted.spots(&self.workers, candidates, step, reserved, now_ms);
         let request = Request {
             need,
             count: waiting.len() as u32,
@@ -303,7 +311,10 @@
         };
         // Where a task failed it runs again only if nothing else will ever do.
         let mut placed = placement::place(&request, &mut spots);
-        if placed.is_empty() && (spec.gang || spots.is_empty()) && !failed_spots.is_empty() {
+        if placed.is_empty()
+            && !failed_spots.is_empty()
+            && (spec.gang || !wanted.has_other_worker(&self.workers, step, reserved, now_ms))
+        {
             spots.append(&mut failed_spots);
             placed = placement::place(&request, &mut spots);
         }
@@ -442,30 +453,56 @@
         worker.runs.keys().any(waits)
     }
 
+    /// Whether a worker may run the step, room aside.
+    fn may_use(&self, worker: &Worker, step: &Step, reserved: &[Rc<str>], now_ms: u64) -> bool {
+        let name = &worker.entry.id;
+        worker.takes_work(now_ms)
+            && *worker.entry.service == *self.service
+            && (!self.needs_ticket || step.advice.has_ticket(name, now_ms))
+            && has_label(worker, self.spec)
+            && !reserved.contains(name)
+            && !self.has_run_of_waiting(worker)
+    }
+
+    /// Workers on which waiting tasks failed.
+    fn failed_on<'s>(&self, step: &'s Step) -> Vec<&'s Rc<str>> {
+        self.waiting
+            .iter()
+            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
+            .collect()
+    }
+
+    /// Whether a worker on which no waiting task failed may run the step once it has room.
+    fn has_other_worker(
+        &self,
+        workers: &IndexMap<Rc<str>, Worker>,
+        step: &Step,
+        reserved: &[Rc<str>],
+        now_ms: u64,
+    ) -> bool {
+        let failed_on = self.failed_on(step);
+        workers.values().any(|worker| {
+            !failed_on.contains(&&worker.entry.id) && self.may_use(worker, step, reserved, now_ms)
+        })
+    }
+
     /// Workers that may run the step now: those without a failure of its tasks, and the others.
     fn spots<'w>(
         &self,
         workers: &'w IndexMap<Rc<str>, Worker>,
+        candidates: &[usize],
         step: &Step,
         reserved: &[Rc<str>],
         now_ms: u64,
     ) -> (Vec<Spot<'w>>, Vec<Spot<'w>>) {
-        let failed_on: Vec<&Rc<str>> = self
-            .waiting
-            .iter()
-            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
-            .collect();
+        let failed_on = self.failed_on(step);
         let mut spots = Vec::new();
         let mut failed_spots = Vec::new();
-        for (position, worker) in workers.values().enumerate() {
-            let name = &worker.entry.id;
-            let usable = worker.takes_work(now_ms)
-                && *worker.entry.service == *self.service
-                && has_label(worker, self.spec)
-                && !reserved.contains(name)
-                && !self.has_run_of_waiting(worker)
-                && (!self.needs_ticket || step.advice.has_ticket(name, now_ms));
-            if !usable {
+        for &position in candidates {
+            let Some((name, worker)) = workers.get_index(position) else {
+                continue;
+            };
+            if !self.may_use(worker, step, reserved, now_ms) {
                 continue;
             }
             let choice = if failed_on.contains(&name) {
@@ -486,6 +523,47 @@
     }
 }
 
+/// Workers that take work, with the processor that is free there, as a pass finds them.
+///
+/// In a full cell few workers have room for a task, and a pass looks for room for every step that waits.
+/// What the pass itself starts only takes room away, so the index stays a superset of what fits.
+#[derive(Debug)]
+struct OpenRoom {
+    /// Free processor in thousandths of a core, the most first.
+    free_millicores: Vec<u64>,
+    /// The workers' positions, in the same order.
+    positions: Vec<usize>,
+}
+
+impl OpenRoom {
+    fn of(workers: &IndexMap<Rc<str>, Worker>, now_ms: u64) -> Self {
+        let free = |worker: &Worker| {
+            let capacity = worker.entry.capacity.cpu_millicores;
+            capacity.saturating_sub(worker.used.cpu_millicores)
+        };
+        let mut rows: Vec<(u64, usize)> = workers
+            .values()
+            .enumerate()
+            .filter(|(_, worker)| worker.takes_work(now_ms))
+            .map(|(position, worker)| (free(worker), position))
+            .collect();
+        rows.sort_by_key(|&(free, position)| (std::cmp::Reverse(free), position));
+        let (free_millicores, positions) = rows.into_iter().unzip();
+        Self {
+            free_millicores,
+            positions,
+        }
+    }
+
+    /// Workers with at least this much free.
+    fn at_least(&self, millicores: u64) -> &[usize] {
+        let count = self
+            .free_millicores
+            .partition_point(|&free| free >= millicores);
+        &self.positions[..count]
+    }
+}
+
 /// The service whose workers run a job: the queue's now, or what it was if the queue is gone.
 pub(super) fn service_of(config: &crate::config::Config, job: &Job) -> Rc<str> {
     config
--- a/crates/entry/src/lead/carriers.rs
+++ b/crates/entry/src/lead/carriers.rs
@@ -30,6 +30,15 @@
     away: RefCell<IndexSet<String>>,
 }
 
+impl Carriers {
+    /// Nothing is known of the hosts but that the former coordinator may have died.
+    pub(super) fn after(former_lead: Option<String>) -> Self {
+        Self {
+            away: RefCell::new(former_lead.into_iter().collect()),
+        }
+    }
+}
+
 impl Lead {
     /// Sends a call to a worker through a host near it. `detour` counts the hosts that were tried for it
     /// before. `at_worker` is the longest that the call to the worker itself takes.
--- a/crates/entry/src/lead/holds.rs
+++ b/crates/entry/src/lead/holds.rs
@@ -16,6 +16,9 @@
 const WAIT: Duration = Duration::from_secs(1);
 /// The same for a worker with a run that makes no progress.
 const CLOSE_WAIT: Duration = Duration::from_millis(300);
+/// A worker that does not wait for anything answers within this time. After a takeover all inherited work
+/// waits for these answers, so the next way is tried soon.
+const FIRST_ANSWER: Duration = Duration::from_millis(400);
 /// Hosts that are tried for one hold before the worker itself counts as silent.
 const MOST_DETOURS: usize = 2;
 /// Pause after a hold that failed.
@@ -108,7 +111,11 @@
             connection: self.connection,
         });
         self.lead.around.metrics.count("holds");
-        let at_worker = wait + carrier::HOLD_OVERHEAD;
+        let at_worker = if proven {
+            wait + carrier::HOLD_OVERHEAD
+        } else {
+            FIRST_ANSWER
+        };
         let answer = self.lead.carry(&self.id, self.detour, call, at_worker);
         let Ok(Body::Held(held)) = answer.await else {
             return self.not_carried();
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -188,7 +188,7 @@
             in_doubt: RefCell::default(),
             revisions: RefCell::default(),
             homes: RefCell::default(),
-            carriers: carriers::Carriers::default(),
+            carriers: carriers::Carriers::after(around.members.former_lead()),
             taken_arrivals: RefCell::default(),
             rostered: RefCell::default(),
             schedule: Notify::new(),
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -23,6 +23,8 @@
 const PASS_PACE: Duration = Duration::from_millis(8);
 /// The longest time between two passes.
 const PASS_AT_LEAST: Duration = Duration::from_millis(60);
+/// The pause after a pass is at least this many times as long as the pass took.
+const PASS_SHARE: u32 = 3;
 /// How much longer than expected an answer of the advice service may take.
 const ADVICE_SLACK_MS: u64 = 500;
 /// Part of all hosts that stay free for light questions, as a divisor.
@@ -33,6 +35,7 @@
     let mut settled = false;
     loop {
         let _tick = time::timeout(PASS_AT_LEAST, lead.schedule.notified()).await;
+        let pass_began = time::Instant::now();
         if lead.has_authority() {
             let now_ms = clock::now_ms();
             let orders = lead.cell.borrow_mut().schedule(now_ms, clock::unix_ms());
@@ -53,7 +56,9 @@
                 );
             }
         }
-        time::sleep(PASS_PACE).await;
+        // On a weak host passes must leave time for lists, orders and the lease.
+        let pause = PASS_PACE.max(pass_began.elapsed() * PASS_SHARE);
+        time::sleep(pause.min(PASS_AT_LEAST)).await;
     }
 }
 
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -51,6 +51,8 @@
 pub struct Members {
     hosts: RefCell<IndexMap<String, Host>>,
     lead: RefCell<Option<LeadRecord>>,
+    /// Who coordinated before the place became vacant.
+    former_lead: RefCell<Option<String>>,
     /// The store has answered, and nobody coordinates.
     vacant: Cell<bool>,
     /// Our own entry vanished from the store.
@@ -118,6 +120,11 @@
         self.lead.borrow().as_ref()?.address.parse().ok()
     }
 
+    /// The host that coordinated before the place became vacant.
+    pub fn former_lead(&self) -> Option<String> {
+        self.former_lead.borrow().clone()
+    }
+
     /// Whether nobody coordinates, as far as the store says.
     pub fn is_vacant(&self) -> bool {
         self.vacant.get()
@@ -172,7 +179,9 @@
 
     fn remove(&self, key: &str, own_name: &str) {
         if key == LEAD_KEY {
-            *self.lead.borrow_mut() = None;
+            if let Some(former) = self.lead.borrow_mut().take() {
+                *self.former_lead.borrow_mut() = Some(former.host);
+            }
             self.vacant.set(true);
         } else if let Some(name) = key.strip_prefix(HOST_PREFIX) {
             self.hosts.borrow_mut().shift_remove(name);
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -26,8 +26,8 @@
 
 /// The longest frame, in bytes: a job with the longest text and many steps fits well.
 const MAX_FRAME_BYTES: usize = 1 << 20;
-/// A connection must stand within this time.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection must stand within this time: some ways between regions there and back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Frames that wait to be written on one connection: the starts of a burst and the lists of the
 /// workers that one host carries calls to.
 const QUEUED_FRAMES: usize = 2_048;
