--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -69,15 +69,14 @@
             lead.submitted.notified().await;
         }
         time::sleep(GATHER).await;
-        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
-            return;
-        };
         let health = lead.around.store.health();
-        if health != Health::Serving {
+        let slot = Arc::clone(&slots).try_acquire_owned();
+        // Slots may be held by jobs in doubt until the store is back.
+        let (Health::Serving, Ok(slot)) = (health, slot) else {
             lead.turn_away_waiting(health);
             lead.around.store.returned(STALLED_TICK).await;
             continue;
-        }
+        };
         let batch = lead.next_submissions();
         if batch.is_empty() {
             continue;
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -114,18 +114,22 @@
     /// Whether the store answers now: a write that it does not answer leaves its job in doubt.
     pub async fn answers_now(&self) -> bool {
         let now_ms = clock::now_ms();
-        let answered_ms = self.outage.health.borrow().answered_ms();
-        if self.health() == Health::Serving && now_ms < answered_ms + FRESH_MS {
-            return true;
+        if self.health() != Health::Serving || self.check().is_err() {
+            return false; // Probes show when it is back.
         }
-        if self.check().is_err() {
-            return false;
+        let (answered_ms, usual_ms) = {
+            let health = self.outage.health.borrow();
+            (health.answered_ms(), health.usual_ms())
+        };
+        if now_ms < answered_ms + FRESH_MS {
+            return true;
         }
-        self.probe().await
+        let patience_ms = (usual_ms * TIMEOUT_FACTOR).clamp(FRESH_MS, LEAST_TIMEOUT_MS);
+        self.probe(Duration::from_millis(patience_ms)).await
     }
 
-    async fn probe(&self) -> bool {
-        let get = self.store.get(LEAD_KEY, PROBE_TIMEOUT);
+    async fn probe(&self, patience: Duration) -> bool {
+        let get = self.store.get(LEAD_KEY, patience);
         self.timed(get).await.is_ok()
     }
 
@@ -136,7 +140,7 @@
             while self.health() != Health::Serving {
                 let probing = self.clone();
                 // Probes do not wait for one another: the store may be silent, and return at any time.
-                task::spawn_local(async move { probing.probe().await });
+                task::spawn_local(async move { probing.probe(PROBE_TIMEOUT).await });
                 let pace = if coordinates() {
                     LEAD_PROBE_PACE
                 } else {
