Take the place of a coordinator whose process has ended before its lease runs out

Cause: after a kill the key of the coordinator stayed in the store until its lease ran out, so nobody started work for 0.9 to 1.0 s, though the process was known to be gone.

Change: the strongest hosts near the store look at the coordinator every 150 ms. If nobody listens at its port, or the process that answers is another one than the one that took the key, a successor replaces the key on condition of its revision. Silence is no evidence: a host that pauses keeps its lease. Safety is where it was, in the fence.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -30,7 +30,7 @@
     members::{self, Host, Members},
     operators,
     payloads::Payloads,
-    peers::{self, Advised, Body, Peers},
+    peers::{self, Advised, Body, LeadIs, Peers},
     records::LeadRecord,
     store::GuardedStore,
 };
@@ -210,6 +210,8 @@
     task::spawn_local(follow_store_address(store(), Rc::clone(&around.settings)));
     task::spawn_local(operators::follow(store(), Rc::clone(&around.operators)));
     task::spawn_local(members::follow(store(), members(), name()));
+    let peers = Rc::clone(&around.peers);
+    task::spawn_local(election::watch_lead(store(), peers, members(), name()));
     task::spawn_local(members::register(store(), members(), name(), own));
 }
 
@@ -290,6 +292,7 @@
         host: settings.host_name.clone(),
         address: settings.peers_address.to_string(),
         nonce: 0,
+        process: surroundings.members.own_process(),
     };
     loop {
         let term = election::take_over(
@@ -322,7 +325,10 @@
     }
     if matches!(body, Body::WhoLeads(_)) {
         let address = members.lead_address().map(|address| address.to_string());
-        return Body::LeadIs(address.unwrap_or_default());
+        return Body::LeadIs(LeadIs {
+            address: address.unwrap_or_default(),
+            process: members.own_process(),
+        });
     }
     if matches!(
         body,
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -4,7 +4,7 @@
 //! harming each other are the fence that every worker compares, and the rule that a coordinator
 //! without a confirmed hold on the key stops giving orders after [`AUTHORITY_MS`].
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use adapter::store::{Committed, StoreError, Txn};
 use kernel::log_event;
@@ -17,6 +17,7 @@
     live::LiveSettings,
     members::Members,
     operators::Operators,
+    peers::{self, Body, Peers},
     records::{LEAD_KEY, LEAD_MIRROR_KEY, LeadRecord, TERM_KEY, TermRecord},
     store::GuardedStore,
 };
@@ -28,6 +29,10 @@
 /// A coordinator gives orders until this long after its hold on the key was last confirmed, in
 /// milliseconds. Its successor counts on that.
 pub const AUTHORITY_MS: u64 = 5_000;
+/// Time between two looks at the coordinator.
+const LOOK_PACE: Duration = Duration::from_millis(150);
+/// How long a coordinator that lives may take to answer.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Hosts wait up to this long before they try to take over, so that few collide.
 const JITTER_MS: u64 = 120;
 /// Head start of the hosts with the most processor: coordinating is the heaviest role.
@@ -48,6 +53,35 @@
     pub taken_ms: u64,
 }
 
+/// Looks after the coordinator for as long as the process runs, so that its place is taken before its
+/// lease runs out if its process ends. Only hosts that would succeed it at once do so.
+pub async fn watch_lead(store: GuardedStore, peers: Rc<Peers>, members: Rc<Members>, own: String) {
+    loop {
+        time::sleep(LOOK_PACE).await;
+        if store.is_far() || !members.is_among_strongest(&own) {
+            continue;
+        }
+        let Some(address) = members.lead_address() else {
+            continue;
+        };
+        if members.address_of(&own) == Some(address) {
+            continue;
+        }
+        // Silence may be a pause. That nobody listens there, or another process, says for certain
+        // that the coordinator's has ended.
+        let process = members.lead_process();
+        let call = peers.call(address, Body::WhoLeads(true), LOOK_TIMEOUT);
+        let ended = match call.await {
+            Ok(Body::LeadIs(answer)) => process.is_some_and(|process| answer.process != process),
+            Ok(_) => false,
+            Err(_) => peers::refuses(address).await,
+        };
+        if ended {
+            members.note_dead(address);
+        }
+    }
+}
+
 /// Waits until nobody coordinates, and takes over; returns once it has.
 pub async fn take_over(
     store: &GuardedStore,
@@ -66,7 +100,7 @@
             continue;
         }
         let changed = members.changed.notified();
-        if !members.is_vacant() {
+        if members.succeeds().is_none() {
             changed.await;
             continue;
         }
@@ -78,9 +112,9 @@
         if members.has_stronger(settings.cpu_millicores) {
             time::sleep(STRONG_FIRST).await;
         }
-        if !members.is_vacant() {
+        let Some(lead_revision) = members.succeeds() else {
             continue;
-        }
+        };
         // Both at once: while the store is slow, each call in a row prolongs the vacancy.
         let (term_item, lease) = tokio::join!(store.get(TERM_KEY), store.grant_lease(ttl));
         let (Ok(term_item), Ok(lease)) = (term_item, lease) else {
@@ -91,28 +125,45 @@
             let record = TermRecord::decode(item.value.as_slice()).unwrap_or_default();
             (item.revision, record.number + 1)
         });
-        if let Some(term) = try_once(store, members, own, lease, (revision, number)).await {
+        let seen = Seen {
+            lead_revision,
+            term_revision: revision,
+            number,
+        };
+        if let Some(term) = try_once(store, members, own, lease, seen).await {
             return term;
         }
         time::sleep(Duration::from_millis(JITTER_MS)).await;
     }
 }
 
+/// What the store showed before an attempt to take over.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    /// Revision of the entry of a coordinator that died, or 0 for none.
+    lead_revision: u64,
+    /// Revision of the count of terms, or 0 for none.
+    term_revision: u64,
+    /// The number of the next term.
+    number: u64,
+}
+
 async fn try_once(
     store: &GuardedStore,
     members: &Members,
     own: &LeadRecord,
     lease: u64,
-    (term_revision, number): (u64, u64),
+    seen: Seen,
 ) -> Option<Term> {
+    let number = seen.number;
     let own = LeadRecord {
         nonce: rand::rng().random(),
         ..own.clone()
     };
     let value = own.encode_to_vec();
     let txn = Txn::default()
-        .expect(LEAD_KEY, 0)
-        .expect(TERM_KEY, term_revision)
+        .expect(LEAD_KEY, seen.lead_revision)
+        .expect(TERM_KEY, seen.term_revision)
         .put(LEAD_KEY, &value, lease)
         .put(LEAD_MIRROR_KEY, &value, lease)
         .put(TERM_KEY, &TermRecord { number }.encode_to_vec(), 0);
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -25,6 +25,8 @@
     LEAD_LOST = (8031, "lead-lost", Warn, "This host no longer coordinates the cell. Look at the reason if it recurs.");
     /// The coordinator is another one.
     LEAD_SEEN = (8032, "lead-seen", Info, "The host has learned who coordinates the cell. Nothing to do.");
+    /// The coordinator's process has ended.
+    LEAD_DEAD = (8034, "lead-dead", Warn, "The host has seen that the coordinator's process has ended, and that its place can be taken before its lease runs out. See why it ended.");
     /// All workers of the predecessor are accounted for.
     LEAD_SETTLED = (8033, "lead-settled", Info, "The coordinator knows what its predecessor left running, so inherited work starts again. Nothing to do.");
     /// A job was accepted, refused or left in doubt.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -154,10 +154,11 @@
             let call = self
                 .peers
                 .call(host.address, Body::WhoLeads(true), LEAD_QUESTION_TIMEOUT);
-            let Ok(Body::LeadIs(address)) = call.await else {
+            let Ok(Body::LeadIs(lead)) = call.await else {
                 continue;
             };
-            let found = address
+            let found = lead
+                .address
                 .parse()
                 .ok()
                 .filter(|address| Some(*address) != known);
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 use kernel::log_event;
 use prost::Message;
+use rand::RngExt;
 use tokio::{sync::Notify, time};
 
 use crate::{
@@ -53,6 +54,12 @@
     lead: RefCell<Option<LeadRecord>>,
     /// Who coordinated before the place became vacant.
     former_lead: RefCell<Option<String>>,
+    /// Tells this process from others of the host.
+    own_process: u64,
+    /// The store's revision of the coordinator's entry.
+    lead_revision: Cell<u64>,
+    /// That revision, if the process of that coordinator is known to have ended.
+    dead_revision: Cell<u64>,
     /// The store has answered, and nobody coordinates.
     vacant: Cell<bool>,
     /// Our own entry vanished from the store.
@@ -73,6 +80,7 @@
     pub fn new(region_of_zone: IndexMap<String, String>) -> Self {
         Self {
             region_of_zone,
+            own_process: rand::rng().random_range(1..=u64::MAX),
             ..Self::default()
         }
     }
@@ -130,6 +138,46 @@
         self.vacant.get()
     }
 
+    /// The store's revision of the entry that a successor replaces: 0 if nobody coordinates, that of a
+    /// coordinator whose process has ended, or `None` while one may be at work.
+    pub fn succeeds(&self) -> Option<u64> {
+        if self.vacant.get() {
+            return Some(0);
+        }
+        let revision = self.lead_revision.get();
+        (revision != 0 && revision == self.dead_revision.get()).then_some(revision)
+    }
+
+    /// The process of the coordinator at `address` has ended; its key outlives it by its lease.
+    pub fn note_dead(&self, address: SocketAddr) {
+        if self.lead_address() != Some(address) || self.succeeds().is_some() {
+            return;
+        }
+        if let Some(lead) = &*self.lead.borrow() {
+            log_event!(events::LEAD_DEAD, "lead={}", lead.host);
+            *self.former_lead.borrow_mut() = Some(lead.host.clone());
+        }
+        self.dead_revision.set(self.lead_revision.get());
+        self.changed.notify_waiters();
+    }
+
+    /// Tells this process from others of the host.
+    pub fn own_process(&self) -> u64 {
+        self.own_process
+    }
+
+    /// Which process of its host coordinates; unknown if another host told of it.
+    pub fn lead_process(&self) -> Option<u64> {
+        let process = self.lead.borrow().as_ref().map(|lead| lead.process);
+        process.filter(|process| *process != 0)
+    }
+
+    /// Whether no host that lives has more processor than this one.
+    pub fn is_among_strongest(&self, own_name: &str) -> bool {
+        let own_millicores = self.hosts.borrow().get(own_name).map(|h| h.cpu_millicores);
+        own_millicores.is_some_and(|own| !self.has_stronger(own))
+    }
+
     /// Another host told who coordinates, while the store does not.
     pub fn note_lead(&self, address: SocketAddr) {
         let lead = LeadRecord {
@@ -137,12 +185,14 @@
             ..LeadRecord::default()
         };
         *self.lead.borrow_mut() = Some(lead);
+        self.lead_revision.set(0);
         self.vacant.set(false);
     }
 
     /// Another host was found to coordinate.
     pub fn note_occupied(&self) {
         self.vacant.set(false);
+        self.dead_revision.set(0);
     }
 
     fn put(&self, item: &Item, own_name: &str) {
@@ -157,6 +207,7 @@
                 item.revision
             );
             *self.lead.borrow_mut() = Some(lead);
+            self.lead_revision.set(item.revision);
             self.vacant.set(false);
         } else if let Some(name) = item.key.strip_prefix(HOST_PREFIX) {
             let Ok(record) = HostRecord::decode(item.value.as_slice()) else {
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -67,9 +67,9 @@
     /// What the advice service answered.
     #[prost(message, tag = "15")]
     Advised(Advised),
-    /// Where the coordinator takes messages; empty if the host does not know.
-    #[prost(string, tag = "16")]
-    LeadIs(String),
+    /// Who coordinates, as far as the host knows.
+    #[prost(message, tag = "16")]
+    LeadIs(LeadIs),
     /// What a worker answered to a hold.
     #[prost(message, tag = "17")]
     Held(Held),
@@ -96,6 +96,17 @@
     StoreAway(bool),
 }
 
+/// Who coordinates, as far as a host knows.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeadIs {
+    /// Where the coordinator takes messages; empty if the host does not know.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Tells apart processes of the host that answers.
+    #[prost(fixed64, tag = "2")]
+    pub process: u64,
+}
+
 /// A job that a client handed in.
 #[derive(Clone, PartialEq, Message)]
 pub struct HandedIn {
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -4,6 +4,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -148,6 +149,12 @@
     }
 }
 
+/// Whether nobody listens at an address, though its host is there.
+pub async fn refuses(address: SocketAddr) -> bool {
+    let connect = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 async fn open(address: SocketAddr) -> Option<Line> {
     let connect = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connect.ok()?.ok()?;
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -75,6 +75,9 @@
     /// Tells apart times that the same host takes over.
     #[prost(fixed64, tag = "3")]
     pub nonce: u64,
+    /// Tells apart processes of the host.
+    #[prost(fixed64, tag = "4")]
+    pub process: u64,
 }
 
 /// A host that lives.
