Open a new connection to a host after the old one was closed

Cause: when the other side closed a connection, nobody took it out of use until a write failed.

Test: the call after a close must be answered over a new connection; it waited 2 s before.

--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -51,6 +51,14 @@
 struct Line {
     frames: mpsc::Sender<Bytes>,
     waiting: Waiting,
+    /// No further answer will come.
+    ended: Rc<Cell<bool>>,
+}
+
+impl Line {
+    fn is_usable(&self) -> bool {
+        !self.ended.get() && !self.frames.is_closed()
+    }
 }
 
 /// A connection that is being opened; all calls to the host wait for the same one.
@@ -124,7 +132,7 @@
 
     async fn line(&self, address: SocketAddr) -> Result<Line, PeerError> {
         if let Some(line) = self.lines.borrow().get(&address)
-            && !line.frames.is_closed()
+            && line.is_usable()
         {
             return Ok(line.clone());
         }
@@ -163,8 +171,14 @@
     let (frames, queue) = mpsc::channel(QUEUED_FRAMES);
     let waiting = Waiting::default();
     tokio::task::spawn_local(write_frames(write, queue));
-    tokio::task::spawn_local(read_answers(read, Rc::clone(&waiting), frames.downgrade()));
-    Some(Line { frames, waiting })
+    let ended = Rc::<Cell<bool>>::default();
+    let answers = read_answers(read, Rc::clone(&waiting), Rc::clone(&ended));
+    tokio::task::spawn_local(answers);
+    Some(Line {
+        frames,
+        waiting,
+        ended,
+    })
 }
 
 fn codec() -> LengthDelimitedCodec {
@@ -190,7 +204,7 @@
     }
 }
 
-async fn read_answers(read: tcp::OwnedReadHalf, waiting: Waiting, frames: mpsc::WeakSender<Bytes>) {
+async fn read_answers(read: tcp::OwnedReadHalf, waiting: Waiting, ended: Rc<Cell<bool>>) {
     let mut framed = FramedRead::with_capacity(read, codec(), BUFFER_BYTES);
     while let Some((call, body)) = next_message(&mut framed).await {
         if let Some(sender) = waiting.borrow_mut().swap_remove(&call) {
@@ -198,9 +212,9 @@
             drop(sender.send(body));
         }
     }
-    // Whoever still waits learns now that no answer will come.
+    // Whoever still waits learns now that no answer will come, and nobody waits from here on.
+    ended.set(true);
     waiting.borrow_mut().clear();
-    drop(frames);
 }
 
 /// The number and the body of the next message; `None` after the end of the connection, or a frame
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,4 +3,5 @@
 mod failures;
 mod lasting;
 mod path;
+mod peers;
 mod support;
