Let hosts write accepted jobs themselves while the coordinator's link is nearly full

Change: the coordinator adds up what it hands to its link (crates/cell/src/link_budget.rs). Records hold done tasks as bits. Ends are committed every 100 ms instead of 40 ms then.

--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -7,7 +7,7 @@
 use crate::{
     config::Queue,
     ids::{JobId, StepId, TaskId},
-    jobs::{JobRecord, JobSpec, JobState, Outcome, StepSpec, TaskRecord},
+    jobs::{DoneTasks, JobRecord, JobSpec, JobState, Outcome, StepSpec, TaskRecord},
     progress::StepPace,
     workers::{Need, Room},
 };
@@ -171,7 +171,7 @@
             accepted_unix_ms: record.accepted_unix_ms,
             spec,
             inherited,
-            started: !record.tasks.is_empty(),
+            started: record.has_started(),
             outcome: record.outcome(),
             durable_outcome: record.outcome(),
             ended_unix_ms: record.ended_unix_ms,
@@ -180,10 +180,31 @@
             finished_occurrences: record.finished_occurrences.clone(),
             objective_unix_ms: record.accepted_unix_ms + allowed_ms,
         };
+        job.restore_done(&record.done_tasks);
         job.restore_tasks(&record.tasks);
         job
     }
 
+    fn restore_done(&mut self, steps: &[DoneTasks]) {
+        for record in steps {
+            self.begin_through(record.occurrence);
+            let id = StepId {
+                job: self.id,
+                occurrence: record.occurrence,
+                step: record.step,
+            };
+            let Some(step) = self.step_mut(id) else {
+                continue;
+            };
+            for position in record.positions() {
+                if let Some(task) = step.tasks.get_mut(position as usize) {
+                    task.done = true;
+                    step.done_count += 1;
+                }
+            }
+        }
+    }
+
     fn restore_tasks(&mut self, tasks: &[TaskRecord]) {
         for record in tasks {
             self.begin_through(record.occurrence);
@@ -198,15 +219,9 @@
             let Some(task) = self.task_mut(id) else {
                 continue;
             };
-            task.done = record.done;
             task.failed_runs.clone_from(&record.failed_runs);
             task.last_run = record.last_run;
             task.checkpoint.clone_from(&record.checkpoint);
-            if record.done
-                && let Some(step) = self.step_mut(id.step)
-            {
-                step.done_count += 1;
-            }
         }
     }
 
@@ -370,24 +385,25 @@
     /// The record that outlives this coordinator.
     pub fn record(&self) -> JobRecord {
         let mut tasks = Vec::new();
+        let mut done_tasks = Vec::new();
         for (&occurrence, state) in &self.occurrences {
             for (step, state) in state.steps.iter().enumerate() {
+                let step = step as u32;
+                if state.done_count > 0 {
+                    let done = state.tasks.iter().enumerate().filter(|(_, task)| task.done);
+                    let positions = done.map(|(position, _)| position);
+                    done_tasks.push(DoneTasks::new(occurrence, step, positions));
+                }
                 for (index, task) in state.tasks.iter().enumerate() {
-                    let counts =
-                        task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
-                    if counts {
+                    let counts = !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
+                    if counts && !task.done {
                         tasks.push(TaskRecord {
                             occurrence,
-                            step: step as u32,
+                            step,
                             index: index as u32,
-                            done: task.done,
                             failed_runs: task.failed_runs.clone(),
                             last_run: task.last_run,
-                            checkpoint: if task.done {
-                                String::new()
-                            } else {
-                                task.checkpoint.clone()
-                            },
+                            checkpoint: task.checkpoint.clone(),
                         });
                     }
                 }
@@ -401,6 +417,7 @@
             spec: self.spec.as_deref().cloned(),
             outcome: self.outcome.into(),
             tasks,
+            done_tasks,
             finished_occurrences: self.finished_occurrences.clone(),
             ended_unix_ms: self.ended_unix_ms,
         }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -149,9 +149,6 @@
     /// The task's position in the step.
     #[prost(uint32, tag = "3")]
     pub index: u32,
-    /// It has ended as done.
-    #[prost(bool, tag = "4")]
-    pub done: bool,
     /// Numbers of the runs that ended as failed.
     #[prost(uint64, repeated, tag = "5")]
     pub failed_runs: Vec<u64>,
@@ -163,6 +160,46 @@
     pub checkpoint: String,
 }
 
+/// Tasks of a step that have ended as done, one bit each.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DoneTasks {
+    /// The step's occurrence.
+    #[prost(uint32, tag = "1")]
+    pub occurrence: u32,
+    /// The step.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+    /// Bit `n % 8` of byte `n / 8` stands for the task at position `n`.
+    #[prost(bytes = "vec", tag = "3")]
+    pub bits: Vec<u8>,
+}
+
+impl DoneTasks {
+    /// The tasks at these positions.
+    pub fn new(occurrence: u32, step: u32, positions: impl Iterator<Item = usize>) -> Self {
+        let mut bits = Vec::new();
+        for position in positions {
+            if bits.len() <= position / 8 {
+                bits.resize(position / 8 + 1, 0);
+            }
+            bits[position / 8] |= 1 << (position % 8);
+        }
+        Self {
+            occurrence,
+            step,
+            bits,
+        }
+    }
+
+    /// Positions of the tasks.
+    pub fn positions(&self) -> impl Iterator<Item = u32> + '_ {
+        let is_set = |position: &usize| self.bits[position / 8] & (1 << (position % 8)) != 0;
+        (0..self.bits.len() * 8)
+            .filter(is_set)
+            .map(|position| position as u32)
+    }
+}
+
 /// The durable record of an accepted job.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct JobRecord {
@@ -184,9 +221,12 @@
     /// How it ended.
     #[prost(enumeration = "Outcome", tag = "6")]
     pub outcome: i32,
-    /// Tasks of which something counts.
+    /// Tasks that are not done and of which something counts.
     #[prost(message, repeated, tag = "7")]
     pub tasks: Vec<TaskRecord>,
+    /// Tasks that are done, for each step with any.
+    #[prost(message, repeated, tag = "10")]
+    pub done_tasks: Vec<DoneTasks>,
     /// Occurrences of which all tasks are done.
     #[prost(uint32, repeated, tag = "8")]
     pub finished_occurrences: Vec<u32>,
@@ -211,14 +251,19 @@
 }
 
 impl JobRecord {
+    /// Whether a task of it has started, as far as the record shows.
+    pub fn has_started(&self) -> bool {
+        !self.tasks.is_empty() || !self.done_tasks.is_empty()
+    }
+
     /// The state that the record alone shows.
     pub fn state(&self) -> JobState {
         match self.outcome() {
             Outcome::Completed => JobState::Completed,
             Outcome::Failed => JobState::Failed,
             Outcome::Cancelled => JobState::Cancelled,
-            Outcome::Open if self.tasks.is_empty() => JobState::Queued,
-            Outcome::Open => JobState::Running,
+            Outcome::Open if self.has_started() => JobState::Running,
+            Outcome::Open => JobState::Queued,
         }
     }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`progress`]: how the work of a run goes on, and which workers are slow;
 //! - [`workers`]: what is known of a worker, its clock and its room;
 //! - [`coordinator`]: the state machine that turns all of it into orders;
+//! - [`link_budget`]: whether the link of the coordinator is nearly full;
 //! - [`outage`]: what callers are told while the store is away;
 //! - [`pacing`]: how fast tasks that fill may work beside tasks that serve;
 //! - [`placement`]: which workers a step's tasks go to;
@@ -23,6 +24,7 @@
 pub mod coordinator;
 pub mod ids;
 pub mod jobs;
+pub mod link_budget;
 pub mod outage;
 pub mod pacing;
 pub mod placement;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,12 @@
 //! Start, signals, shutdown.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use adapter::{
     advice,
@@ -116,6 +122,7 @@
             in_doubt: RefCell::default(),
             payloads: Rc::clone(&around.payloads),
             own_address: settings.peers_address.to_string(),
+            writes_until: Cell::new(Instant::now()),
         },
         metrics: Rc::clone(&around.metrics),
         draining: false.into(),
--- a/crates/entry/src/lead/carriers.rs
+++ b/crates/entry/src/lead/carriers.rs
@@ -77,6 +77,7 @@
                 .ok_or(PeerError::NotSent);
         };
         let timeout = at_worker + WAY_OVER_HOST;
+        self.note_sent(body.encoded_len());
         match self.around.peers.call(address, body, timeout).await {
             // The host runs another version, or nothing on it answers for this message.
             Ok(Body::NotHere(_)) => {
--- a/crates/entry/src/lead/commits.rs
+++ b/crates/entry/src/lead/commits.rs
@@ -30,6 +30,8 @@
 const GATHER: Duration = Duration::from_millis(12);
 /// Least time between the starts of two commits.
 const PACE: Duration = Duration::from_millis(40);
+/// The same while the link is nearly full: more ends go into one write of a record.
+const TIGHT_PACE: Duration = Duration::from_millis(100);
 /// Records in one transaction: each takes a condition and a put, and a put or a deletion of its
 /// text, beside the condition on the key of the lead.
 const WRITES_PER_TXN: usize = (MAX_TXN_ENTRIES - 1) / 3;
@@ -133,7 +135,12 @@
         lead.tell_cancelled();
         lead.committed.notify_waiters();
         lead.drop_arrivals(&arrivals).await;
-        time::sleep_until(began + PACE).await;
+        let pace = if lead.link_is_tight() {
+            TIGHT_PACE
+        } else {
+            PACE
+        };
+        time::sleep_until(began + pace).await;
     }
 }
 
@@ -227,6 +234,7 @@
                 }
             }
             let sent_ms = clock::now_ms();
+            self.note_sent(txn.encoded_len());
             match self.around.store.commit(&txn).await {
                 Ok(Committed::Done { revision }) => {
                     self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -27,6 +27,7 @@
     coordinator::{Coordinator, Tuning},
     ids::JobId,
     jobs::JobRecord,
+    link_budget::LinkBudget,
     outage::{self, Turn},
 };
 use indexmap::{IndexMap, IndexSet};
@@ -48,7 +49,7 @@
     metrics::Metrics,
     operators::Operators,
     payloads::Payloads,
-    peers::{self, Body, Peers, StateIs, Submitted},
+    peers::{self, Body, HandedIn, Peers, StateIs, Submitted, Written},
     records,
     store::GuardedStore,
 };
@@ -125,6 +126,8 @@
     revisions: RefCell<IndexMap<JobId, u64>>,
     /// Which host took each open job from its client, as `ip:port`, as far as that is known.
     homes: RefCell<IndexMap<JobId, Rc<str>>>,
+    /// What this host's link has carried lately.
+    link_budget: Cell<LinkBudget>,
     /// What is known of the hosts on the way to workers.
     carriers: carriers::Carriers,
     /// Keys of arrivals that were taken in and can go once that is durable.
@@ -188,6 +191,7 @@
             in_doubt: RefCell::default(),
             revisions: RefCell::default(),
             homes: RefCell::default(),
+            link_budget: Cell::default(),
             carriers: carriers::Carriers::after(around.members.former_lead()),
             taken_arrivals: RefCell::default(),
             rostered: RefCell::default(),
@@ -252,10 +256,11 @@
             return Body::NotHere(true);
         }
         match body {
-            Body::Submit(handed) => match handed.record {
-                Some(record) => self.submit(record, &handed.home, handed.patience_ms).await,
+            Body::Submit(mut handed) => match handed.record.take() {
+                Some(record) => self.submit(record, &handed).await,
                 None => Body::NotHere(true),
             },
+            Body::Written(written) => self.take_written(written),
             Body::State(id) => {
                 let state = self.cell.borrow().state(JobId(id));
                 Body::StateIs(StateIs {
@@ -269,7 +274,8 @@
         }
     }
 
-    async fn submit(&self, mut record: JobRecord, home: &str, patience_ms: u64) -> Body {
+    async fn submit(&self, mut record: JobRecord, handed: &HandedIn) -> Body {
+        let patience_ms = handed.patience_ms;
         let id = JobId(record.id);
         let accepted = Body::Submitted(Submitted {
             accepted: true,
@@ -306,6 +312,9 @@
             return Body::StoreAway(true);
         }
         let now_ms = clock::now_ms();
+        if handed.without_text || self.link_is_tight() {
+            return Body::WriteYourself(self.term.fence);
+        }
         let priority = {
             let cell = self.cell.borrow();
             let queue = cell.config().queues.get(record.queue.as_str());
@@ -313,7 +322,9 @@
         };
         let (sender, durable) = oneshot::channel();
         let payload = records::split_payload(&mut record);
-        self.homes.borrow_mut().insert(id, home.into());
+        self.homes
+            .borrow_mut()
+            .insert(id, handed.home.as_str().into());
         self.submissions.borrow_mut().push(Submission {
             record,
             payload,
@@ -331,6 +342,35 @@
         }
     }
 
+    /// Takes in a job that another host wrote to the store.
+    fn take_written(&self, written: Written) -> Body {
+        if let Some(record) = &written.record {
+            let id = JobId(record.id);
+            if !self.cell.borrow().knows(id) {
+                self.revisions.borrow_mut().insert(id, written.revision);
+                self.homes.borrow_mut().insert(id, written.home.into());
+                self.take_in(record);
+            }
+        }
+        Body::Confirmed(true)
+    }
+
+    /// Counts bytes that are handed to this host's link.
+    fn note_sent(&self, bytes: usize) {
+        let mut budget = self.link_budget.get();
+        budget.sent(bytes as u64, clock::now_ms());
+        self.link_budget.set(budget);
+    }
+
+    /// Whether this host's link is nearly full.
+    fn link_is_tight(&self) -> bool {
+        let link_bytes_per_s = self.around.settings.current().link_bytes_per_s;
+        let mut budget = self.link_budget.get();
+        let tight = budget.is_tight(link_bytes_per_s, clock::now_ms());
+        self.link_budget.set(budget);
+        tight
+    }
+
     fn admit(&self, record: &JobRecord) -> Verdict {
         let cell = self.cell.borrow();
         let queue = cell.config().queues.get(record.queue.as_str());
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -262,6 +262,7 @@
                 } else {
                     let timeout = Duration::from_millis(call.timeout_ms + 150);
                     let body = Body::Advise(call);
+                    lead.note_sent(body.encoded_len());
                     match lead.around.peers.call(host.address, body, timeout).await {
                         Ok(Body::Advised(advised)) => advised,
                         _ => Advised::default(),
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -5,7 +5,7 @@
 //! decides whether a job is accepted or cancelled, and a repeat of either changes nothing.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -25,8 +25,8 @@
     lead::Lead,
     members::Members,
     payloads::Payloads,
-    peers::{self, Body, HandedIn, PeerError, Peers, Submitted},
-    records::{self, CANCEL_PREFIX, NEW_PREFIX},
+    peers::{self, Body, HandedIn, PeerError, Peers, Submitted, Written},
+    records::{self, CANCEL_PREFIX, LEAD_KEY, NEW_PREFIX},
     store::GuardedStore,
 };
 
@@ -36,6 +36,10 @@
 
 /// How long a host tries to write to the store itself while the coordinator cannot.
 const STORE_PATIENCE: Duration = Duration::from_millis(400);
+/// How long a host writes all jobs that it takes after the coordinator's link was nearly full.
+const WRITES_FOR: Duration = Duration::from_secs(2);
+/// How long the coordinator may take to hear of a job that it let this host write.
+const TELL_PATIENCE: Duration = Duration::from_millis(200);
 /// How soon the coordinator is asked again while the store is away.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
 
@@ -94,6 +98,20 @@
     Unavailable,
 }
 
+/// The change that accepts a job past the coordinator, and the record that it writes.
+fn accepting(record: &JobRecord) -> (JobRecord, Txn) {
+    let id = JobId(record.id);
+    let key = records::job_key(id);
+    let mut record = record.clone();
+    let payload = records::split_payload(&mut record);
+    let txn = Txn::default()
+        .expect(&key, 0)
+        .put(&key, &record.encode_to_vec(), 0)
+        .put(&records::payload_key(id), payload.as_bytes(), 0)
+        .put(&format!("{NEW_PREFIX}{id}"), &[], 0);
+    (record, txn)
+}
+
 /// Where this host's own coordinator stands while it coordinates.
 pub type LeadSlot = Rc<RefCell<Option<Rc<Lead>>>>;
 
@@ -115,6 +133,8 @@
     pub payloads: Rc<Payloads>,
     /// Where this host takes messages, as `ip:port`.
     pub own_address: String,
+    /// Until then the texts of jobs are not sent to the coordinator, whose link is nearly full.
+    pub writes_until: Cell<Instant>,
 }
 
 impl Link {
@@ -209,8 +229,14 @@
             if left() < LEAST_PATIENCE {
                 return SubmitOutcome::Unavailable;
             }
+            let without_text = Instant::now() < self.writes_until.get();
+            let mut handed_in = record.clone();
+            if without_text {
+                let _kept = records::split_payload(&mut handed_in);
+            }
             let handed = HandedIn {
-                record: Some(record.clone()),
+                record: Some(handed_in),
+                without_text,
                 home: self.own_address.clone(),
                 patience_ms: left().as_millis() as u64,
             };
@@ -218,6 +244,16 @@
             let (coordinator_there, in_doubt) = match asked.await {
                 Ok(Body::Submitted(submitted)) => return submitted.outcome(),
                 Ok(Body::StoreAway(_)) => (true, false),
+                Ok(Body::WriteYourself(fence)) => {
+                    if !without_text {
+                        self.writes_until.set(Instant::now() + WRITES_FOR);
+                    }
+                    match self.write_for_lead(record, fence).await {
+                        Some(true) => return SubmitOutcome::Accepted,
+                        Some(false) => (true, false),
+                        None => (true, true),
+                    }
+                }
                 Ok(Body::NotHere(true)) | Err(PeerError::NotSent) => (false, false),
                 _ => (false, true),
             };
@@ -246,6 +282,34 @@
         }
     }
 
+    /// Writes a job that the coordinator admits, and tells it so. False if nothing was done, `None` if that
+    /// is not known.
+    async fn write_for_lead(&self, record: &JobRecord, fence: u64) -> Option<bool> {
+        if self.store.health() != Health::Serving {
+            return Some(false);
+        }
+        let (record, txn) = accepting(record);
+        let txn = txn.expect(LEAD_KEY, fence);
+        match self.store.commit(&txn).await {
+            Ok(Committed::Done { revision }) => {
+                let written = Body::Written(Written {
+                    record: Some(record),
+                    revision,
+                    home: self.own_address.clone(),
+                });
+                // Without it the coordinator learns of the job through the store.
+                let _told = self.ask(written, TELL_PATIENCE).await;
+                Some(true)
+            }
+            Ok(Committed::Conflict { items }) => {
+                let key = records::job_key(JobId(record.id));
+                Some(items.iter().any(|item| item.key == key))
+            }
+            Err(StoreError::Unavailable) => Some(false),
+            Err(_) => None,
+        }
+    }
+
     /// Accepts a job past the coordinator.
     async fn submit_to_store(
         &self,
@@ -253,15 +317,7 @@
         patience: Duration,
         mut in_doubt: bool,
     ) -> SubmitOutcome {
-        let id = JobId(record.id);
-        let key = records::job_key(id);
-        let mut record = record.clone();
-        let payload = records::split_payload(&mut record);
-        let txn = Txn::default()
-            .expect(&key, 0)
-            .put(&key, &record.encode_to_vec(), 0)
-            .put(&records::payload_key(id), payload.as_bytes(), 0)
-            .put(&format!("{NEW_PREFIX}{id}"), &[], 0);
+        let (_, txn) = accepting(record);
         let attempts = async {
             loop {
                 if self.store.health() != Health::Serving && !in_doubt {
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -17,7 +17,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
     )]
     pub body: Option<Body>,
 }
@@ -94,6 +94,13 @@
     /// The coordinator does not reach the store. Nothing was done.
     #[prost(bool, tag = "24")]
     StoreAway(bool),
+    /// The job may be accepted; the host writes it to the store itself, on condition that the coordinator's entry
+    /// is still at this revision. Nothing was done.
+    #[prost(uint64, tag = "25")]
+    WriteYourself(u64),
+    /// The host has written a job.
+    #[prost(message, tag = "26")]
+    Written(Written),
 }
 
 /// Who coordinates, as far as a host knows.
@@ -119,6 +126,23 @@
     /// How long its client still waits, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub patience_ms: u64,
+    /// The record lacks the job's text, so that only the host that sends it can write it.
+    #[prost(bool, tag = "4")]
+    pub without_text: bool,
+}
+
+/// A job that a host wrote to the store for the coordinator.
+#[derive(Clone, PartialEq, Message)]
+pub struct Written {
+    /// The job, without its text.
+    #[prost(message, optional, tag = "1")]
+    pub record: Option<JobRecord>,
+    /// The store's revision of the record.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Which host has the job's text at hand, as `ip:port`.
+    #[prost(string, tag = "3")]
+    pub home: String,
 }
 
 /// A question to the advice service.
