Ask for advice round hosts that are gone

The coordinator kept handing its most urgent questions to hosts that were dead but still listed, and each failure held the step back for 150 ms.

Change: hosts that are known to be away are not asked, and a question whose host is gone is asked again at once.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -55,6 +55,8 @@
     },
     /// The service did not answer, or had no time.
     Failed,
+    /// The host that was to ask is gone; another one can ask at once.
+    NotAsked,
 }
 
 impl Coordinator {
@@ -176,6 +178,7 @@
         step.advice.in_flight = false;
         match outcome {
             AdviceOutcome::Failed => step.advice.not_before_ms = now_ms + RETRY_MS,
+            AdviceOutcome::NotAsked => {}
             AdviceOutcome::Good { rows, valid_ms } => {
                 for worker in &question.workers {
                     step.advice.asked.insert(Rc::clone(worker), ());
--- a/crates/cell/tests/cell/advice.rs
+++ b/crates/cell/tests/cell/advice.rs
@@ -188,3 +188,39 @@
     let looked_at_again_ms = step.map(|step| step.advice.not_before_ms);
     assert!(looked_at_again_ms.is_some_and(|at_ms| at_ms > now_ms));
 }
+
+/// Pattern: a third of all hosts is killed at once, and with them the questions that they were asking.
+#[test]
+fn a_question_whose_host_is_gone_is_asked_again_at_once() {
+    struct Case {
+        name: &'static str,
+        outcome: AdviceOutcome,
+        asked_again: bool,
+    }
+    let cases = [
+        Case {
+            name: "the host is gone",
+            outcome: AdviceOutcome::NotAsked,
+            asked_again: true,
+        },
+        Case {
+            name: "the service has no time",
+            outcome: AdviceOutcome::Failed,
+            asked_again: false,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::advised_config(), 2);
+        model.run_ms(60);
+        model.submit(support::job(1, "batch", vec![support::step(1, 1_000, 400)]));
+        let now_ms = model.now_ms;
+        let _orders = model.coordinator.schedule(now_ms, support::START_UNIX_MS);
+        let question = model.coordinator.next_question(now_ms, false);
+        let question = question.expect("the step asks");
+        model
+            .coordinator
+            .advice_answered(&question, &case.outcome, now_ms);
+        let again = model.coordinator.next_question(now_ms, false).is_some();
+        assert_eq!(again, case.asked_again, "{}", case.name);
+    }
+}
--- a/crates/entry/src/lead/carriers.rs
+++ b/crates/entry/src/lead/carriers.rs
@@ -37,6 +37,11 @@
             away: RefCell::new(former_lead.into_iter().collect()),
         }
     }
+
+    /// Whether a host did not answer when it was last probed or called.
+    pub(super) fn is_away(&self, host: &str) -> bool {
+        self.away.borrow().contains(host)
+    }
 }
 
 impl Lead {
@@ -63,7 +68,7 @@
             .ok_or(PeerError::NotSent)?;
         let members = &self.around.members;
         let routes = members.routes();
-        let answers = |host: &str| !self.carriers.away.borrow().contains(host);
+        let answers = |host: &str| !self.carriers.is_away(host);
         let route = routes
             .carrier(worker, &zone, detour, &own_name, answers)
             .filter(|carrier| *carrier.name != *own_name)
@@ -92,7 +97,7 @@
         }
     }
 
-    fn host_away(&self, host: &str, reason: &str) {
+    pub(super) fn host_away(&self, host: &str, reason: &str) {
         if self.carriers.away.borrow_mut().insert(host.to_owned()) {
             log_event!(events::CARRIER_AWAY, "host={host} reason={reason}");
         }
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -238,7 +238,7 @@
         }
         let total = hosts.len();
         for (name, host) in hosts {
-            if self.asking.borrow().contains(&name) {
+            if self.asking.borrow().contains(&name) || self.carriers.is_away(&name) {
                 continue;
             }
             let free = total - self.asking.borrow().len();
@@ -258,22 +258,44 @@
                     timeout_ms: question.expected_ms + ADVICE_SLACK_MS,
                 };
                 let advised = if own {
-                    daemon::ask_advice(&lead.around.pool, own_address, &call).await
+                    Ok(daemon::ask_advice(&lead.around.pool, own_address, &call).await)
                 } else {
                     let timeout = Duration::from_millis(call.timeout_ms + 150);
                     let body = Body::Advise(call);
                     lead.note_sent(body.encoded_len());
                     match lead.around.peers.call(host.address, body, timeout).await {
-                        Ok(Body::Advised(advised)) => advised,
-                        _ => Advised::default(),
+                        Ok(Body::Advised(advised)) => Ok(advised),
+                        Ok(_) => Ok(Advised::default()),
+                        Err(error) => Err(error),
                     }
                 };
                 lead.asking.borrow_mut().swap_remove(&name);
-                lead.advised(&question, &advised, &name);
+                match advised {
+                    Ok(advised) => lead.advised(&question, &advised, &name),
+                    Err(error) => lead.not_asked(&question, &name, error),
+                }
             });
         }
     }
 
+    /// The host that was to ask is gone; the next pass asks through another one.
+    fn not_asked(&self, question: &Question, host: &str, error: PeerError) {
+        log_event!(
+            events::ADVICE_ANSWERED,
+            "step={} host={host} named={} error={error:?}",
+            question.step,
+            question.workers.len()
+        );
+        if error == PeerError::NotSent {
+            self.host_away(host, "not_reached");
+        }
+        let now_ms = clock::now_ms();
+        self.cell
+            .borrow_mut()
+            .advice_answered(question, &AdviceOutcome::NotAsked, now_ms);
+        self.schedule.notify_one();
+    }
+
     fn advised(&self, question: &Question, advised: &Advised, host: &str) {
         log_event!(
             events::ADVICE_ANSWERED,
