--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -396,6 +396,19 @@
     }
 }
 
+impl Lead {
+    /// Reads the key of the lead, as of `sent_ms`.
+    async fn confirm_key(&self, sent_ms: u64) {
+        match self.around.store.get(records::LEAD_KEY).await {
+            Ok(Some(item)) if item.revision == self.term.fence => {
+                self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+            }
+            Ok(_) => self.lose("key_taken"),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Keeps the lease, and confirms that the key is still ours when nothing else has.
 async fn confirm(lead: Rc<Lead>) {
     const UNCONFIRMED_MS: u64 = 900;
@@ -410,13 +423,9 @@
             }
         });
         if sent_ms > lead.confirmed_ms.get() + UNCONFIRMED_MS {
-            match lead.around.store.get(records::LEAD_KEY).await {
-                Ok(Some(item)) if item.revision == lead.term.fence => {
-                    lead.confirmed_ms.set(lead.confirmed_ms.get().max(sent_ms));
-                }
-                Ok(_) => return lead.lose("key_taken"),
-                Err(_) => {}
-            }
+            // Nor do renewals wait for this: a store that was silent may be back before it is given up.
+            let confirming = Rc::clone(&lead);
+            lead.spawn(async move { confirming.confirm_key(sent_ms).await });
         }
         if !lead.has_authority() {
             return lead.lose("not_confirmed");
