Let tasks that last find workers that they may use

Cause: a step of which a worker may run one task only counted a worker that runs one as room for another. Besides, a task that lasts waited for room elsewhere rather than run where it had failed.

Both tests failed before.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -10,7 +10,7 @@
 use super::{
     Coordinator,
     job::{Ticket, room_of},
-    schedule::{has_label, service_of},
+    schedule::{has_label, service_of, task_limit},
 };
 use crate::{
     ids::StepId,
@@ -123,7 +123,10 @@
                 && has_label(worker, spec)
                 && worker.entry.capacity.fits(&Room::default(), &need)
         };
-        let takes = |worker: &Worker| takes(worker, &need, waiting);
+        let takes = |worker: &Worker| {
+            let limit = task_limit(worker, spec, id).min(waiting);
+            takes(worker, &need, limit)
+        };
         let wanted = if spec.gang { waiting } else { 1 };
         let mut fresh_room = 0;
         let mut good_room = 0;
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -309,11 +309,14 @@
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
         };
-        // Where a task failed it runs again only if nothing else will ever do.
+        // Where a task failed it runs again only if nothing else will ever do. A task that lasts may fail
+        // anywhere at any time, and does not wait for room elsewhere.
         let mut placed = placement::place(&request, &mut spots);
         if placed.is_empty()
             && !failed_spots.is_empty()
-            && (spec.gang || !wanted.has_other_worker(&self.workers, step, reserved, now_ms))
+            && (spec.gang
+                || spec.long_running
+                || !wanted.has_other_worker(&self.workers, step, reserved, now_ms))
         {
             spots.append(&mut failed_spots);
             placed = placement::place(&request, &mut spots);
@@ -584,7 +587,7 @@
 }
 
 /// How many more tasks of a step a worker may run.
-fn task_limit(worker: &Worker, spec: &StepSpec, step: StepId) -> u32 {
+pub(super) fn task_limit(worker: &Worker, spec: &StepSpec, step: StepId) -> u32 {
     if spec.max_per_worker == 0 {
         return u32::MAX;
     }
--- a/crates/cell/tests/cell/lasting.rs
+++ b/crates/cell/tests/cell/lasting.rs
@@ -71,3 +71,39 @@
         assert!(back, "{}: not back at work after 2 s", case.name);
     }
 }
+
+/// Pattern: a wide step of which a worker may run one task only. A good worker that runs one already has
+/// no room for another, so the question goes on to workers that were not named yet.
+#[test]
+fn tasks_that_may_not_share_a_worker_find_others_though_known_ones_have_room() {
+    let mut model = Model::new(support::advised_config(), 160);
+    model.good_percent = 6;
+    let step = StepSpec {
+        max_per_worker: 1,
+        ..lasting(9, 1_000)
+    };
+    model.submit(support::job(1, "urgent", vec![step]));
+    model.run_ms(6_000);
+    let running: usize = (0..160).map(|worker| model.tasks_on(worker).len()).sum();
+    assert_eq!(running, 9);
+}
+
+#[test]
+fn a_lasting_task_runs_again_where_it_failed_while_all_other_workers_are_full() {
+    let mut model = Model::new(support::config(), 2);
+    let long = |id| support::job(id, "batch", vec![support::step(1, 16_000, 60_000)]);
+    model.submit(long(2));
+    model.run_ms(200);
+    model.submit(support::job(1, "urgent", vec![lasting(1, 16_000)]));
+    model.run_ms(500);
+    let task: TaskId = "0000000000000001.0.0.0".parse().expect("a task's name");
+    let runs_at = |model: &Model| (0..2).find(|&w| model.tasks_on(w).contains(&task));
+    let home = runs_at(&model).expect("it runs");
+    model.set_fate(home, Fate::Fails);
+    while model.failures(task) == 0 {
+        model.run_ms(10);
+    }
+    model.set_fate(home, Fate::Sound);
+    model.run_ms(1_500);
+    assert_eq!(runs_at(&model), Some(home));
+}
