--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod histories;
 #[cfg(feature = "cell")]
 mod measure;
+mod rounds;
 
 use std::process;
 
@@ -22,6 +23,8 @@
     /// Measures what control costs, for docs/CAPACITY.md.
     #[cfg(feature = "cell")]
     Measure(measure::Settings),
+    /// Plays the regression set on the users' bench and writes the table of docs/BENCH.md.
+    Rounds(rounds::Settings),
 }
 
 fn main() -> process::ExitCode {
@@ -31,6 +34,7 @@
         Task::Histories(settings) => histories::run(&settings),
         #[cfg(feature = "cell")]
         Task::Measure(settings) => measure::run(&settings).map(|()| process::ExitCode::SUCCESS),
+        Task::Rounds(settings) => rounds::run(&settings).map(|()| process::ExitCode::SUCCESS),
     };
     match result {
         Ok(code) => code,
