Count only gangs among the looks for room to keep

Cause: the bound of eight looks in a pass also counted steps for which no room is ever kept.

The test failed before.

--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -21,7 +21,7 @@
 /// A gang keeps workers free once it has waited for this part of its objective, as a divisor: free
 /// workers do nothing until all of its room is there.
 const RESERVE_AFTER_PART: u64 = 4;
-/// Steps for which free workers are looked for in one pass at most: each look goes over all workers.
+/// Gangs for which free workers are looked for in one pass at most: each look goes over all workers.
 const RESERVING_LOOKS: usize = 8;
 /// Part of all workers that gangs may keep free, as a divisor.
 const RESERVED_PART: usize = 3;
@@ -202,6 +202,7 @@
                 && urgency.lateness == 0
                 && reserving < RESERVING_GANGS
                 && looks < RESERVING_LOOKS
+                && self.needs_room_kept(urgency.step)
                 && (!urgency.ends || self.has_waited_long(urgency.step, unix_ms))
             {
                 looks += 1;
@@ -364,6 +365,13 @@
         true
     }
 
+    /// Whether small steps could keep a step from ever finding room.
+    fn needs_room_kept(&self, id: StepId) -> bool {
+        let job = self.jobs.get(&id.job);
+        job.and_then(|job| job.step_spec(id.step))
+            .is_some_and(|spec| spec.long_running || (spec.gang && spec.count > 1))
+    }
+
     /// Whether a step's job has waited for a good part of its objective.
     fn has_waited_long(&self, id: StepId, unix_ms: u64) -> bool {
         self.jobs.get(&id.job).is_some_and(|job| {
@@ -378,10 +386,7 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
-        let Some(spec) = job
-            .step_spec(id.step)
-            .filter(|spec| spec.long_running || (spec.gang && spec.count > 1))
-        else {
+        let Some(spec) = job.step_spec(id.step) else {
             return false;
         };
         let Some(step) = job
--- a/crates/cell/tests/cell/gangs.rs
+++ b/crates/cell/tests/cell/gangs.rs
@@ -97,3 +97,27 @@
     }
     assert_eq!(model.state(1), Some(JobState::Completed));
 }
+
+/// Pattern: steps that find no room before a wide gang, and a stream of small ones after it. Steps for which no
+/// room is kept must not use up the looks for those for which it is.
+#[test]
+fn a_wide_gang_behind_steps_that_do_not_fit_still_gets_room_kept() {
+    let mut model = Model::new(support::config(), 12);
+    for number in 0..400 {
+        let steps = vec![support::step(4, 4_000, 700 + number % 7 * 90)];
+        model.submit(support::job(1_000 + number, "batch", steps));
+    }
+    model.run_ms(300);
+    for number in 0..20 {
+        let mut step = support::step(1, 1_000, 6_000);
+        "kind-that-is-away".clone_into(&mut step.required_label);
+        model.submit(support::job(100 + number, "urgent", vec![step]));
+    }
+    model.submit(support::job(
+        1,
+        "gang",
+        vec![support::gang(4, 9_000, 4_000)],
+    ));
+    model.run_ms(6_000);
+    assert_eq!(model.state(1), Some(JobState::Running));
+}
