Let successors know which host has a job's text

Cause: only the coordinator of the term in which a job was handed in knew which host kept its text.

Change: the record names the host. An order whose text cannot be had rests its job for 0.3 s and blames no worker.

--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -155,6 +155,10 @@
     pub finished_occurrences: Vec<u32>,
     /// When it must be done to count in full, in Unix milliseconds.
     pub objective_unix_ms: u64,
+    /// Which host has its text at hand, as `ip:port`; empty where that is not known.
+    pub home: Rc<str>,
+    /// Its text could not be had; nothing of it starts before this time, in milliseconds of our clock.
+    pub start_not_before_ms: u64,
 }
 
 impl Job {
@@ -179,6 +183,8 @@
             next_occurrence: 0,
             finished_occurrences: record.finished_occurrences.clone(),
             objective_unix_ms: record.accepted_unix_ms + allowed_ms,
+            home: record.home.as_str().into(),
+            start_not_before_ms: 0,
         };
         job.restore_done(&record.done_tasks);
         job.restore_tasks(&record.tasks);
@@ -420,6 +426,7 @@
             done_tasks,
             finished_occurrences: self.finished_occurrences.clone(),
             ended_unix_ms: self.ended_unix_ms,
+            home: self.home.to_string(),
         }
     }
 }
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -80,6 +80,8 @@
         run: u64,
         /// The job that the task is of.
         spec: Rc<crate::jobs::JobSpec>,
+        /// Which host has the job's text at hand; empty where that is not known.
+        home: Rc<str>,
         /// The order's deadline on the worker's clock, in milliseconds.
         until_worker_ms: u64,
         /// Progress to resume from; empty for none.
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -14,6 +14,10 @@
 /// Rest of a worker that refused a start, in milliseconds.
 const REFUSAL_REST_MS: u64 = 400;
 
+/// Rest of a job whose text could not be had, in milliseconds: the host that has it, or the store, may be
+/// back by then.
+const NO_TEXT_REST_MS: u64 = 300;
+
 /// A call without an answer may be carried out this much later, in milliseconds.
 const LATEST_ORDER_MS: u64 = 13_000;
 /// Workers shorten longer holds to this, in milliseconds.
@@ -47,6 +51,8 @@
     BadTicket,
     /// The worker is unhealthy and has done nothing.
     Unhealthy,
+    /// The job's text could not be had, and the order was not sent.
+    NoText,
     /// Another life of the worker answered.
     OtherLife,
     /// The order was malformed.
@@ -244,6 +250,11 @@
             | StartAnswer::BadTicket
             | StartAnswer::TooLate
             | StartAnswer::Malformed => {}
+            StartAnswer::NoText => {
+                if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                    job.start_not_before_ms = now_ms + NO_TEXT_REST_MS;
+                }
+            }
             StartAnswer::Fenced
             | StartAnswer::NoRoom
             | StartAnswer::Unhealthy
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -217,7 +217,7 @@
         let settled = self.inheritance_settled(now_ms);
         let mut ready = Vec::new();
         for job in self.open_jobs() {
-            if job.inherited && !settled {
+            if (job.inherited && !settled) || now_ms < job.start_not_before_ms {
                 continue;
             }
             let priority = self
@@ -280,6 +280,7 @@
             return false;
         };
         let service = service_of(&self.config, job);
+        let home = Rc::clone(&job.home);
         let needs_ticket = self
             .config
             .queues
@@ -354,6 +355,7 @@
                 task: task_id,
                 run,
                 spec: Rc::clone(&job_spec),
+                home: Rc::clone(&home),
                 until_worker_ms,
                 checkpoint: task.checkpoint.clone(),
                 ticket: ticket.map(|ticket| Rc::clone(&ticket.text)),
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -233,6 +233,10 @@
     /// When it ended, in Unix milliseconds; 0 while it is open.
     #[prost(uint64, tag = "9")]
     pub ended_unix_ms: u64,
+    /// Which host took it from its client and has its text at hand, as `ip:port`; empty where that is
+    /// not known.
+    #[prost(string, tag = "11")]
+    pub home: String,
 }
 
 /// What a client is told about its job.
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -169,3 +169,38 @@
         "the task starts again, not {again:?}"
     );
 }
+
+/// Pattern: the store is away, and with it the texts of jobs whose hosts are gone. That says nothing of the
+/// workers, and must not have the same order sent again in each pass.
+#[test]
+fn a_job_without_its_text_rests_and_blames_no_worker() {
+    let mut model = Model::new(support::config(), 1);
+    model.run_ms(60);
+    model.submit(support::job(
+        1,
+        "urgent",
+        vec![support::step(1, 1_000, 400)],
+    ));
+    let now_ms = model.now_ms;
+    let orders = model.coordinator.schedule(now_ms, support::START_UNIX_MS);
+    let [
+        Order::Start {
+            worker, task, run, ..
+        },
+    ] = orders.as_slice()
+    else {
+        panic!("{orders:?}");
+    };
+    model
+        .coordinator
+        .start_answered(worker, *task, *run, StartAnswer::NoText, now_ms);
+    assert!(model.coordinator.workers()[worker].takes_work(now_ms));
+    let at = |model: &mut Model, after_ms: u64| {
+        let orders = model
+            .coordinator
+            .schedule(now_ms + after_ms, support::START_UNIX_MS);
+        orders.len()
+    };
+    assert_eq!(at(&mut model, 100), 0);
+    assert_eq!(at(&mut model, 400), 1);
+}
--- a/crates/entry/src/carrier.rs
+++ b/crates/entry/src/carrier.rs
@@ -138,7 +138,7 @@
             return StartAnswer::Unhealthy;
         };
         let Some(text) = self.payloads.get(task.step.job, &call.home).await else {
-            return StartAnswer::Unhealthy; // Not sent: nothing was done.
+            return StartAnswer::NoText;
         };
         let body = workers::start_body(&StartOrder {
             task,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -121,10 +121,10 @@
             store: around.store.clone(),
             in_doubt: RefCell::default(),
             payloads: Rc::clone(&around.payloads),
-            own_address: settings.peers_address.to_string(),
             writes_until: Cell::new(Instant::now()),
         },
         metrics: Rc::clone(&around.metrics),
+        own_address: settings.peers_address.to_string(),
         draining: false.into(),
         open_connections: 0.into(),
     });
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -53,6 +53,8 @@
     pub link: Link,
     /// Counters and histograms.
     pub metrics: Rc<Metrics>,
+    /// Where this host takes messages, as `ip:port`.
+    pub own_address: String,
     /// The host was told to stop.
     pub draining: Cell<bool>,
     /// Connections that are open.
@@ -125,6 +127,7 @@
             service: queue.service.to_string(),
             accepted_unix_ms: clock::unix_ms(),
             spec: Some(spec),
+            home: self.own_address.clone(),
             ..JobRecord::default()
         };
         let started = Instant::now();
--- a/crates/entry/src/lead/mod.rs
+++ b/crates/entry/src/lead/mod.rs
@@ -124,8 +124,6 @@
     in_doubt: RefCell<IndexSet<JobId>>,
     /// Store's revision of each job's record.
     revisions: RefCell<IndexMap<JobId, u64>>,
-    /// Which host took each open job from its client, as `ip:port`, as far as that is known.
-    homes: RefCell<IndexMap<JobId, Rc<str>>>,
     /// What this host's link has carried lately.
     link_budget: Cell<LinkBudget>,
     /// What is known of the hosts on the way to workers.
@@ -190,7 +188,6 @@
             cancellations: RefCell::default(),
             in_doubt: RefCell::default(),
             revisions: RefCell::default(),
-            homes: RefCell::default(),
             link_budget: Cell::default(),
             carriers: carriers::Carriers::after(around.members.former_lead()),
             taken_arrivals: RefCell::default(),
@@ -260,7 +257,7 @@
                 Some(record) => self.submit(record, &handed).await,
                 None => Body::NotHere(true),
             },
-            Body::Written(written) => self.take_written(written),
+            Body::Written(written) => self.take_written(&written),
             Body::State(id) => {
                 let state = self.cell.borrow().state(JobId(id));
                 Body::StateIs(StateIs {
@@ -322,9 +319,6 @@
         };
         let (sender, durable) = oneshot::channel();
         let payload = records::split_payload(&mut record);
-        self.homes
-            .borrow_mut()
-            .insert(id, handed.home.as_str().into());
         self.submissions.borrow_mut().push(Submission {
             record,
             payload,
@@ -343,12 +337,11 @@
     }
 
     /// Takes in a job that another host wrote to the store.
-    fn take_written(&self, written: Written) -> Body {
+    fn take_written(&self, written: &Written) -> Body {
         if let Some(record) = &written.record {
             let id = JobId(record.id);
             if !self.cell.borrow().knows(id) {
                 self.revisions.borrow_mut().insert(id, written.revision);
-                self.homes.borrow_mut().insert(id, written.home.into());
                 self.take_in(record);
             }
         }
--- a/crates/entry/src/lead/orders.rs
+++ b/crates/entry/src/lead/orders.rs
@@ -84,6 +84,7 @@
                 until_worker_ms,
                 checkpoint,
                 ticket,
+                home,
                 ..
             } => {
                 log_event!(
@@ -91,7 +92,6 @@
                     "task={task} run={run} worker={worker} until={until_worker_ms} resume={}",
                     !checkpoint.is_empty()
                 );
-                let home = self.homes.borrow().get(&task.step.job).cloned();
                 self.spawn(async move {
                     let Some(at) = lead.worker_ref(&worker) else {
                         return lead.started(&worker, task, run, StartAnswer::Unhealthy);
@@ -103,7 +103,7 @@
                         until_worker_ms,
                         checkpoint,
                         ticket: ticket.map(|ticket| ticket.to_string()),
-                        home: home.unwrap_or_default().to_string(),
+                        home: home.to_string(),
                     };
                     let answer = lead.start(&worker, call).await;
                     lead.started(&worker, task, run, answer);
--- a/crates/entry/src/lead/retention.rs
+++ b/crates/entry/src/lead/retention.rs
@@ -70,7 +70,6 @@
         for id in ids {
             self.cell.borrow_mut().forget(*id);
             self.revisions.borrow_mut().swap_remove(id);
-            self.homes.borrow_mut().swap_remove(id);
         }
         log_event!(events::JOBS_REMOVED, "records={}", ids.len());
         true
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -131,8 +131,6 @@
     pub in_doubt: RefCell<IndexSet<JobId>>,
     /// Texts of jobs that this host took from clients.
     pub payloads: Rc<Payloads>,
-    /// Where this host takes messages, as `ip:port`.
-    pub own_address: String,
     /// Until then the texts of jobs are not sent to the coordinator, whose link is nearly full.
     pub writes_until: Cell<Instant>,
 }
@@ -237,7 +235,6 @@
             let handed = HandedIn {
                 record: Some(handed_in),
                 without_text,
-                home: self.own_address.clone(),
                 patience_ms: left().as_millis() as u64,
             };
             let asked = self.ask(Body::Submit(handed), COORDINATOR_PATIENCE.min(left()));
@@ -295,7 +292,6 @@
                 let written = Body::Written(Written {
                     record: Some(record),
                     revision,
-                    home: self.own_address.clone(),
                 });
                 // Without it the coordinator learns of the job through the store.
                 let _told = self.ask(written, TELL_PATIENCE).await;
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -120,9 +120,6 @@
     /// The job, with its text.
     #[prost(message, optional, tag = "1")]
     pub record: Option<JobRecord>,
-    /// Which host took it and has its text at hand, as `ip:port`.
-    #[prost(string, tag = "2")]
-    pub home: String,
     /// How long its client still waits, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub patience_ms: u64,
@@ -140,9 +137,6 @@
     /// The store's revision of the record.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Which host has the job's text at hand, as `ip:port`.
-    #[prost(string, tag = "3")]
-    pub home: String,
 }
 
 /// A question to the advice service.
@@ -534,7 +528,7 @@
 }
 
 /// Answers to an order to start, by their number in messages.
-const START_ANSWERS: [StartAnswer; 10] = [
+const START_ANSWERS: [StartAnswer; 11] = [
     StartAnswer::Unknown,
     StartAnswer::Started,
     StartAnswer::Fenced,
@@ -545,6 +539,7 @@
     StartAnswer::Unhealthy,
     StartAnswer::OtherLife,
     StartAnswer::Malformed,
+    StartAnswer::NoText,
 ];
 
 /// Number of an answer to an order to start in a message.
--- a/crates/entry/tests/entry/peers.rs
+++ b/crates/entry/tests/entry/peers.rs
@@ -151,6 +151,7 @@
         StartAnswer::Unhealthy,
         StartAnswer::OtherLife,
         StartAnswer::Malformed,
+        StartAnswer::NoText,
         StartAnswer::Unknown,
     ];
     for answer in answers {
