--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,6 +1,6 @@
 //! What control costs at small sizes, and straight lines through it.
 //!
-//! `docs/CAPACITY.md` argues about a cell far larger than one machine can run. Its
+//! `docs/design/capacity-hickoryd.md` argues about a cell far larger than one machine can run. Its
 //! slopes come from here: [`run`] measures decisions, the journal, whole cells in
 //! one process under a paused clock, and one real process, each at several sizes.
 //! Under the paused clock messages, bytes and calls are counted, so that a busy
--- a/crates/measure/src/scale.rs
+++ b/crates/measure/src/scale.rs
@@ -22,7 +22,7 @@
 }
 
 impl Scale {
-    /// The sizes that `docs/CAPACITY.md` quotes.
+    /// The sizes that `docs/design/capacity-hickoryd.md` quotes.
     pub fn full() -> Self {
         Self {
             workers: vec![50, 100, 200, 400],
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -20,7 +20,7 @@
     /// Runs whole cells under seeded faults and checks their histories.
     #[cfg(feature = "cell")]
     Histories(histories::Settings),
-    /// Measures what control costs, for docs/CAPACITY.md.
+    /// Measures what control costs, for docs/design/capacity-hickoryd.md.
     #[cfg(feature = "cell")]
     Measure(measure::Settings),
     /// Plays the regression set on the users' bench and writes the table of docs/BENCH.md.
