cell, entry: Do not wait at a takeover for workers that have left

Cause: a takeover completes when every worker of the durable roster has reported or the longest hold has run out, 11.2 s.

Change: a draining worker leaves the roster once it has no run, no order in transit and no end that is not durable; a worker that is gone leaves the coordinator's state; the roster says who was draining, and a draining worker of the predecessor that does not answer counts as gone once its entry has been missing for 2 s; the predecessor's authority is not waited for if its process has ended and its own takeover was complete.

Ruled out: a refused connection as proof that a worker's process has ended.

--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -139,6 +139,8 @@
     /// Workers of the predecessor that have not sent a report yet.
     unreported_workers: IndexSet<Rc<str>>,
     inherited_expiry_ms: u64,
+    /// When the list of workers was first read, in milliseconds of the local clock.
+    listed_since_ms: Option<u64>,
     run_floor: u64,
     next_due_unix_ms: Option<u64>,
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
@@ -159,6 +161,7 @@
             dirty: IndexSet::new(),
             unreported_workers: IndexSet::new(),
             inherited_expiry_ms: takeover.expiry_ms,
+            listed_since_ms: None,
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
@@ -198,6 +201,11 @@
         &self.workers
     }
 
+    /// Whether any known worker is draining.
+    pub fn has_draining_workers(&self) -> bool {
+        self.workers.values().any(|worker| worker.entry.draining)
+    }
+
     /// Adds or updates a worker from the list of workers. Returns whether it was unknown.
     pub fn update_worker(&mut self, entry: WorkerEntry) -> bool {
         if let Some(worker) = self.workers.get_mut(&entry.id) {
@@ -210,13 +218,27 @@
         true
     }
 
+    /// Records that the list of workers has been read completely.
+    pub fn list_read(&mut self, now_ms: u64) {
+        self.listed_since_ms.get_or_insert(now_ms);
+    }
+
     /// Records that a worker is no longer in the list of workers.
     pub fn remove_from_list(&mut self, id: &str, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.listed = false;
-        if worker.entry.draining && worker.unresponsive {
+        self.end_departed_worker(id, now_ms);
+    }
+
+    /// Ends a draining worker that neither is listed nor answers: it has left. Workers that a
+    /// predecessor used and that have not been heard yet are left to
+    /// [`Coordinator::settle_departed_workers`], since the list may not have been read yet.
+    fn end_departed_worker(&mut self, id: &str, now_ms: u64) {
+        if self.workers.get(id).is_some_and(Worker::has_departed)
+            && !self.unreported_workers.contains(id)
+        {
             self.worker_ended(id, now_ms);
         }
     }
@@ -263,6 +285,19 @@
         self.jobs.contains_key(&id)
     }
 
+    /// Workers that a successor must hear before it schedules inherited tasks: all but those that
+    /// are draining and have nothing to report. A worker left out receives no tasks until it is in
+    /// the durable roster again.
+    pub fn roster(&mut self, now_ms: u64) -> impl Iterator<Item = &WorkerEntry> {
+        for worker in self.workers.values_mut() {
+            worker.in_roster &= !worker.is_vacated(now_ms);
+        }
+        self.workers
+            .values()
+            .filter(move |worker| !worker.is_vacated(now_ms))
+            .map(|worker| &worker.entry)
+    }
+
     /// Records that workers are in the durable roster and may be given work.
     pub fn roster_durable(&mut self, names: &[Rc<str>]) {
         for name in names {
@@ -321,6 +356,18 @@
         self.open.iter().filter_map(|id| self.jobs.get(id))
     }
 
+    /// Workers of the predecessor for which inherited tasks wait.
+    pub fn unreported_workers(&self) -> impl Iterator<Item = &Worker> {
+        self.unreported_workers
+            .iter()
+            .filter_map(|id| self.workers.get(id))
+    }
+
+    /// Time left until the predecessor's orders and holds have certainly expired, in milliseconds.
+    pub fn inherited_left_ms(&self, now_ms: u64) -> u64 {
+        self.inherited_expiry_ms.saturating_sub(now_ms)
+    }
+
     /// Whether every worker of the predecessor has sent a report, or the predecessor's orders and
     /// holds have expired.
     pub fn takeover_complete(&self, now_ms: u64) -> bool {
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -147,9 +147,7 @@
             return;
         };
         worker.unresponsive = true;
-        if worker.entry.draining && !worker.listed {
-            self.worker_ended(id, now_ms);
-        }
+        self.end_departed_worker(id, now_ms);
     }
 
     /// Records that a worker process has ended and none of its runs continues.
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -24,6 +24,8 @@
 const RESERVE_AFTER_DIVISOR: u64 = 4;
 /// Maximum number of reservation attempts in one pass: each attempt iterates over all workers.
 const MAX_RESERVATION_ATTEMPTS: usize = 8;
+/// Time within which the entries of live workers are back after a store outage, in milliseconds.
+const ENTRY_RETURN_MS: u64 = 2_000;
 /// At most the number of workers divided by this may be reserved.
 const MAX_RESERVED_DIVISOR: usize = 3;
 
@@ -74,6 +76,7 @@
 
     /// Releases the runs of unresponsive workers whose holds and orders have all expired.
     fn release_expired_workers(&mut self, now_ms: u64) {
+        self.settle_departed_workers(now_ms);
         let lapsed = |worker: &&Worker| worker.unresponsive && worker.has_certainly_expired(now_ms);
         let ids: Vec<Rc<str>> = self
             .workers
@@ -95,6 +98,9 @@
                 self.workers.swap_remove(&id);
             }
         }
+        let unreported = &self.unreported_workers;
+        self.workers
+            .retain(|id, worker| unreported.contains(id) || !worker.is_gone(now_ms));
         if now_ms >= self.inherited_expiry_ms {
             self.unreported_workers.clear();
             // Workers of the predecessor that neither sent a report nor are listed have no runs any
@@ -104,6 +110,27 @@
         }
     }
 
+    /// Stops waiting for workers of the predecessor that were draining and have left: they do not
+    /// answer and their entries stay away longer than a store outage can explain.
+    fn settle_departed_workers(&mut self, now_ms: u64) {
+        let Some(listed_ms) = self.listed_since_ms else {
+            return;
+        };
+        if self.unreported_workers.is_empty() || now_ms < listed_ms + ENTRY_RETURN_MS {
+            return;
+        }
+        let has_left = |id: &&Rc<str>| self.workers.get(*id).is_some_and(Worker::has_departed);
+        let left: Vec<Rc<str>> = self
+            .unreported_workers
+            .iter()
+            .filter(has_left)
+            .cloned()
+            .collect();
+        for id in left {
+            self.worker_ended(&id, now_ms);
+        }
+    }
+
     /// Stops runs of unknown or ended jobs, and gangs with an unconfirmed start.
     fn stop_unneeded_runs(&mut self) {
         let mut unconfirmed = Vec::new();
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -377,6 +377,37 @@
             && now_ms >= self.health.backoff_until_ms.max(self.health.slow_until_ms)
     }
 
+    /// Whether the worker is draining and has nothing that a successor must learn from it: no run,
+    /// no order that may still arrive, and no end that is not durable.
+    pub fn is_vacated(&self, now_ms: u64) -> bool {
+        self.entry.draining
+            && self.fenced
+            && self.runs.is_empty()
+            && self.processed_end == self.durable_end
+            && self
+                .unconfirmed_orders
+                .iter()
+                .all(|order| order.expires_ms <= now_ms)
+    }
+
+    /// Whether the worker was draining, is no longer listed and does not answer.
+    pub fn has_departed(&self) -> bool {
+        self.entry.draining && !self.listed && self.unresponsive
+    }
+
+    /// Whether the process has ended and the worker is no longer listed, so that nothing is left of
+    /// it but orders that may still reach a process started later under the same identifier.
+    pub fn is_gone(&self, now_ms: u64) -> bool {
+        !self.listed
+            && !self.fenced
+            && self.unresponsive
+            && self.runs.is_empty()
+            && self
+                .unconfirmed_orders
+                .iter()
+                .all(|order| order.expires_ms <= now_ms)
+    }
+
     /// Whether every hold and order granted to the worker has expired, even if its clock runs as
     /// slow as permitted.
     pub fn has_certainly_expired(&self, now_ms: u64) -> bool {
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -92,6 +92,7 @@
                 self.coordinator.update_worker(worker.entry.clone());
             }
         }
+        self.coordinator.list_read(self.now_ms);
         self.coordinator.roster_durable(&names);
     }
 
@@ -146,11 +147,7 @@
     pub fn take_over(&mut self) {
         self.terms += 1;
         let takeover = TakeoverState {
-            roster: self
-                .workers
-                .values()
-                .map(|worker| worker.entry.clone())
-                .collect(),
+            roster: self.coordinator.roster(self.now_ms).cloned().collect(),
             expiry_ms: self.now_ms + PREDECESSOR_EXPIRY_MS,
             run_floor: self.terms * 1_000,
         };
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -143,3 +143,62 @@
         );
     }
 }
+
+/// A worker that drained and left does not hold up the tasks that a successor inherits, since
+/// nothing on it is unknown; one that still had a run does, until its hold has expired.
+#[test]
+fn successors_wait_only_for_workers_that_may_have_runs() {
+    struct Case {
+        name: &'static str,
+        /// Whether the drained worker's run has ended before it goes down.
+        vacated: bool,
+        /// Whether the store takes the end of that run.
+        store_up: bool,
+        starts_immediately: bool,
+    }
+    let cases = [
+        Case {
+            name: "vacated",
+            vacated: true,
+            store_up: true,
+            starts_immediately: true,
+        },
+        Case {
+            name: "end not durable",
+            vacated: true,
+            store_up: false,
+            starts_immediately: false,
+        },
+        Case {
+            name: "with a run",
+            vacated: false,
+            store_up: true,
+            starts_immediately: false,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::config(), 2);
+        let estimate_ms = if case.vacated { 300 } else { 60_000 };
+        model.submit(support::job(
+            1,
+            "batch",
+            vec![support::step(1, 1_000, estimate_ms)],
+        ));
+        model.run_ms(200);
+        let used = (0..2)
+            .find(|&number| !model.tasks_on(number).is_empty())
+            .expect("the task runs");
+        model.drain_worker(used);
+        model.store_up = case.store_up;
+        model.run_ms(1_000);
+        model.set_mode(used, WorkerMode::Down);
+        model.store_up = true;
+        model.submit(support::job(2, "batch", vec![support::step(1, 1_000, 300)]));
+        model.take_over();
+        model.run_ms(1_000);
+        let ended = model.state(2) == Some(JobState::Completed);
+        assert_eq!(ended, case.starts_immediately, "{}", case.name);
+        model.run_ms(20_000);
+        assert_eq!(model.state(2), Some(JobState::Completed), "{}", case.name);
+    }
+}
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -49,6 +49,9 @@
     pub lease: u64,
     /// Number of terms before this one.
     pub number: u64,
+    /// Fencing token of the leader whose process is known to have ended and whose key was replaced;
+    /// 0 if the key was vacant.
+    pub replaced_fence: u64,
     /// When the key was acquired, in milliseconds of [`clock::now_ms`].
     pub taken_ms: u64,
 }
@@ -203,6 +206,7 @@
         fence,
         lease,
         number,
+        replaced_fence: snapshot.leader_revision,
         taken_ms,
     })
 }
--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -139,6 +139,7 @@
             }
         }
         leader.unlist_missing(&seen);
+        leader.coordinator.borrow_mut().list_read(clock::now_ms());
         leader.roster.notify_one();
         ControlFlow::Continue(())
     }
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -125,6 +125,9 @@
         }
         drop(commits);
         leader.coordinator.borrow_mut().changes_durable(&changes);
+        if leader.coordinator.borrow().has_draining_workers() {
+            leader.roster.notify_one();
+        }
         for record in &changes.records {
             if record.outcome() != Outcome::Open {
                 let id = JobId(record.id);
@@ -367,20 +370,17 @@
 
     /// Writes the roster, which must be durable before any of its workers is given work.
     async fn write_roster(&self) {
+        let now_ms = clock::now_ms();
         let roster = {
-            let coordinator = self.coordinator.borrow();
-            Roster::of(coordinator.workers().values().map(|worker| &worker.entry))
+            let mut coordinator = self.coordinator.borrow_mut();
+            let settled_fence = if coordinator.takeover_complete(now_ms) {
+                self.term.fence
+            } else {
+                0
+            };
+            Roster::of(coordinator.roster(now_ms), settled_fence)
         };
-        let names: Vec<Rc<str>> = roster
-            .workers
-            .iter()
-            .map(|worker| worker.id.as_str().into())
-            .collect();
-        if self.durable_roster.borrow().len() == names.len()
-            && names
-                .iter()
-                .all(|name| self.durable_roster.borrow().contains(name))
-        {
+        if *self.durable_roster.borrow() == roster {
             return;
         }
         let value = roster.encode_to_vec();
@@ -394,7 +394,12 @@
                 Err(_) => time::sleep(RETRY_DELAY).await,
             }
         }
-        *self.durable_roster.borrow_mut() = names.iter().cloned().collect();
+        let names: Vec<Rc<str>> = roster
+            .workers
+            .iter()
+            .map(|worker| worker.id.as_str().into())
+            .collect();
+        *self.durable_roster.borrow_mut() = roster;
         self.coordinator.borrow_mut().roster_durable(&names);
         self.schedule.notify_one();
     }
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -49,7 +49,7 @@
     operator_config::OperatorConfig,
     payloads::PayloadCache,
     peers::{self, Body, Peers, StateReply, SubmitCall, SubmitReply, WrittenJob},
-    records,
+    records::{self, Roster},
     relay::Relay,
     store::GuardedStore,
 };
@@ -130,8 +130,8 @@
     relays: relays::Relays,
     /// Keys of arrivals that were applied; deleted once their effect is durable.
     applied_arrivals: RefCell<Vec<String>>,
-    /// Workers in the durable roster.
-    durable_roster: RefCell<IndexSet<Rc<str>>>,
+    /// The roster as last read from the store or written to it.
+    durable_roster: RefCell<Roster>,
     /// Requests a scheduling pass.
     schedule: Notify,
     /// Notified when a submission is queued.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -21,6 +21,10 @@
 /// A start order is resent only within this time, in milliseconds, since its deadline is close
 /// after that.
 const START_RETRY_WINDOW_MS: u64 = 600;
+/// Interval at which a leader logs for which workers inherited tasks wait, in milliseconds.
+const WAITING_LOG_INTERVAL_MS: u64 = 1_000;
+/// Maximum number of workers named at a time.
+const MAX_WAITING_LOGGED: usize = 4;
 /// Minimum pause between scheduling passes.
 const MIN_PASS_PAUSE: Duration = Duration::from_millis(8);
 /// Maximum time between two passes.
@@ -35,6 +39,7 @@
 /// Runs scheduling passes until the term ends.
 pub(super) async fn run(leader: Rc<Leader>) {
     let mut settled = false;
+    let mut waiting_logged_ms = leader.term.taken_ms;
     loop {
         let _tick = time::timeout(MAX_PASS_INTERVAL, leader.schedule.notified()).await;
         let pass_began = time::Instant::now();
@@ -51,8 +56,13 @@
             if leader.coordinator.borrow().has_changes() {
                 leader.commit.notify_one();
             }
+            if !settled && now_ms >= waiting_logged_ms + WAITING_LOG_INTERVAL_MS {
+                waiting_logged_ms = now_ms;
+                leader.log_waiting(now_ms);
+            }
             if !settled && leader.coordinator.borrow().takeover_complete(now_ms) {
                 settled = true;
+                leader.roster.notify_one();
                 let after_ms = now_ms - leader.term.taken_ms;
                 log_event!(
                     events::LEAD_SETTLED,
@@ -69,6 +79,23 @@
 }
 
 impl Leader {
+    /// Logs for which workers inherited tasks wait, and why each has not settled.
+    fn log_waiting(&self, now_ms: u64) {
+        let coordinator = self.coordinator.borrow();
+        let missing = coordinator.unreported_workers().count();
+        for worker in coordinator.unreported_workers().take(MAX_WAITING_LOGGED) {
+            log_event!(
+                events::LEAD_WAITING,
+                "fence={} worker={} listed={} draining={} missing={missing} expires_in_ms={}",
+                self.term.fence,
+                worker.entry.id,
+                worker.listed,
+                worker.entry.draining,
+                coordinator.inherited_left_ms(now_ms)
+            );
+        }
+    }
+
     /// The address and fence that a relaying host needs to call a worker.
     pub(super) fn worker_ref(&self, worker: &str) -> Option<WorkerRef> {
         let coordinator = self.coordinator.borrow();
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -40,7 +40,7 @@
     let config = context.operator_config.current()?;
     let takeover = TakeoverState {
         roster: roster.entries(),
-        expiry_ms: term.taken_ms + AUTHORITY_TIMEOUT_MS + MAX_HOLD_MS,
+        expiry_ms: term.taken_ms + authority_ms(term, &roster) + MAX_HOLD_MS,
         run_floor: term.number * RUN_NUMBERS_PER_TERM,
     };
     let tuning = Leader::tuning(&context.settings.current());
@@ -67,14 +67,17 @@
     );
     let leader = Leader::new(context, term, coordinator);
     leader.revisions.borrow_mut().extend(job_revisions);
-    let durable_roster = roster
-        .workers
-        .iter()
-        .map(|worker| worker.id.as_str().into());
-    leader.durable_roster.borrow_mut().extend(durable_roster);
+    *leader.durable_roster.borrow_mut() = roster;
     Some(Rc::new(leader))
 }
 
+/// How long former leaders may still extend holds, in milliseconds: not at all if the predecessor's
+/// process has ended and its own takeover was complete, since no other leader was left then.
+fn authority_ms(term: Term, roster: &Roster) -> u64 {
+    let none_left = term.replaced_fence != 0 && term.replaced_fence == roster.settled_fence;
+    if none_left { 0 } else { AUTHORITY_TIMEOUT_MS }
+}
+
 fn decode(item: &Item) -> Option<JobRecord> {
     JobRecord::decode(item.value.as_slice()).ok()
 }
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -117,6 +117,9 @@
     /// Its availability zone.
     #[prost(string, tag = "4")]
     pub zone: String,
+    /// Whether it was about to shut down.
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
 }
 
 /// Workers that may have been given work.
@@ -125,19 +128,25 @@
     /// The workers, in no defined order.
     #[prost(message, repeated, tag = "1")]
     pub workers: Vec<RosterWorker>,
+    /// Fence of the last leader whose takeover was complete, so that no earlier leader's hold or
+    /// order was left; 0 if unknown.
+    #[prost(uint64, tag = "2")]
+    pub settled_fence: u64,
 }
 
 impl Roster {
     /// Builds the roster of the given worker entries.
-    pub fn of<'a>(entries: impl Iterator<Item = &'a WorkerEntry>) -> Self {
+    pub fn of<'a>(entries: impl Iterator<Item = &'a WorkerEntry>, settled_fence: u64) -> Self {
         let workers = entries.map(|entry| RosterWorker {
             id: entry.id.to_string(),
             address: entry.address.to_string(),
             service: entry.service.to_string(),
             zone: entry.zone.to_string(),
+            draining: entry.draining,
         });
         Self {
             workers: workers.collect(),
+            settled_fence,
         }
     }
 
@@ -150,7 +159,7 @@
             zone: worker.zone.as_str().into(),
             labels: Vec::new(),
             capacity: Resources::default(),
-            draining: false,
+            draining: worker.draining,
             started_unix_ms: 0,
         };
         self.workers.iter().map(entry).collect()
