entry: Hand leadership over before shutting down

Cause: a leader that was told to stop released its key at once, so that nobody led while a successor was elected.

Change: the leader leads until a preferred successor, which sees in its checks that the host is leaving, has replaced the key; it resigns 2 s after the signal at the latest.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -81,6 +81,8 @@
 /// How long a draining host still accepts connections: the platform probes readiness twice, one
 /// second apart, before it stops sending traffic.
 const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2_600);
+/// Part of that period in which requests that arrive are answered by another leader.
+const HANDOVER_RESERVE: Duration = Duration::from_millis(600);
 /// Part of the grace period reserved for process exit.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
 
@@ -153,12 +155,14 @@
     );
     frontend.draining.set(true);
     members.leave();
-    let own = leader.borrow_mut().take();
+    let drain_ended = time::Instant::now() + DRAIN_ACCEPT_PERIOD;
+    let own = leader.borrow().clone();
     if let Some(own) = own {
-        own.resign().await;
+        own.hand_over(drain_ended - HANDOVER_RESERVE).await;
+        leader.borrow_mut().take();
     }
     coordination.abort();
-    time::sleep(DRAIN_ACCEPT_PERIOD).await;
+    time::sleep_until(drain_ended).await;
     stop.send_replace(true);
     let grace =
         Duration::from_millis(live.current().shutdown_grace_ms).saturating_sub(SHUTDOWN_RESERVE);
@@ -346,6 +350,7 @@
         return Body::LeaderInfo(LeaderInfo {
             address: address.unwrap_or_default(),
             process: members.own_process_id(),
+            leaving: members.is_leaving(),
         });
     }
     if matches!(
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -24,6 +24,9 @@
 
 /// TTL of the leader key's lease, unless the store only grants longer ones.
 pub const LEADER_LEASE_TTL: Duration = Duration::from_secs(1);
+/// Minimum TTL of that lease, in store latencies: the lease runs from its grant, and is renewed
+/// only after the key has been written.
+const LEASE_TTL_LATENCIES: u32 = 6;
 /// Interval between renewals of that lease.
 pub const LEADER_RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a leader may send orders after its key was last confirmed, in milliseconds. Its
@@ -50,7 +53,7 @@
     /// Number of terms before this one.
     pub number: u64,
     /// Fencing token of the leader whose process is known to have ended and whose key was replaced;
-    /// 0 if the key was vacant.
+    /// 0 if there was none.
     pub replaced_fence: u64,
     /// When the key was acquired, in milliseconds of [`clock::now_ms`].
     pub taken_ms: u64,
@@ -82,7 +85,11 @@
         let call = peers.call(address, Body::GetLeader(true), LEADER_CHECK_TIMEOUT);
         let ended = match call.await {
             Ok(Body::LeaderInfo(answer)) => {
-                process.is_some_and(|process| answer.process != process)
+                let other_process = process.is_some_and(|process| answer.process != process);
+                if answer.leaving && !other_process {
+                    members.mark_leader_leaving(address);
+                }
+                other_process
             }
             Ok(_) => false,
             Err(_) => peers::refuses_connections(address).await,
@@ -93,7 +100,7 @@
     }
 }
 
-/// Waits until there is no leader and acquires the leader key; returns the new term.
+/// Waits until the leader is gone or announces that it shuts down, and acquires the leader key; returns the new term.
 pub async fn acquire_term(
     store: &GuardedStore,
     members: &Members,
@@ -103,7 +110,9 @@
 ) -> Term {
     loop {
         let settings = settings.current();
-        let ttl = LEADER_LEASE_TTL.max(Duration::from_millis(settings.shortest_lease_ms));
+        let ttl = LEADER_LEASE_TTL
+            .max(Duration::from_millis(settings.shortest_lease_ms))
+            .max(store.average_latency() * LEASE_TTL_LATENCIES);
         let configured = operator_config.changed.notified();
         if operator_config.current().is_none() {
             // A leader needs a configuration.
@@ -111,7 +120,7 @@
             continue;
         }
         let changed = members.changed.notified();
-        if members.replaceable_revision().is_none() {
+        if members.replaceable_revision().is_none() || members.is_leaving() {
             changed.await;
             continue;
         }
@@ -140,6 +149,7 @@
             leader_revision,
             term_revision: revision,
             number,
+            leader_dead: members.is_leader_dead(),
         };
         if let Some(term) = try_acquire(store, members, own, lease, snapshot).await {
             return term;
@@ -151,8 +161,10 @@
 /// Revisions read before an attempt to acquire the key.
 #[derive(Clone, Copy, Debug)]
 struct StoreSnapshot {
-    /// Revision of a dead leader's key, or 0 for none.
+    /// Revision of the key of a leader that is dead or leaving, or 0 for none.
     leader_revision: u64,
+    /// Whether that leader's process is known to have ended.
+    leader_dead: bool,
     /// Revision of the term counter, or 0 for none.
     term_revision: u64,
     /// The number of the next term.
@@ -206,7 +218,11 @@
         fence,
         lease,
         number,
-        replaced_fence: snapshot.leader_revision,
+        replaced_fence: if snapshot.leader_dead {
+            snapshot.leader_revision
+        } else {
+            0
+        },
         taken_ms,
     })
 }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -29,6 +29,8 @@
     LEAD_DEAD = (8034, "lead-dead", Warn, "The host has detected that the coordinator's process ended, so that the coordinator can be replaced before its lease expires. Check why the process ended.");
     /// All inherited work is accounted for.
     LEAD_SETTLED = (8033, "lead-settled", Info, "The coordinator has determined which runs its predecessor left, and schedules inherited work again. Nothing to do.");
+    /// The leader shuts down.
+    LEAD_LEAVING = (8036, "lead-leaving", Info, "The coordinator's host shuts down, and this host may replace the coordinator, which leads until then. Nothing to do.");
     /// Inherited work waits for workers of the predecessor.
     LEAD_WAITING = (8035, "lead-waiting", Warn, "Workers that the predecessor used have not returned their lists; inherited tasks wait for them, at most until all holds have expired. Check whether the workers named have left or are cut off.");
     /// A submission was answered, or its caller disconnected.
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -241,8 +241,10 @@
         }
     }
 
-    /// Releases the leader key, so that another host takes over immediately.
-    pub async fn resign(&self) {
+    /// Leads until another host has taken the leader key, which the preferred successors do as soon
+    /// as they see that this host is leaving. At `deadline` releases the key.
+    pub async fn hand_over(&self, deadline: time::Instant) {
+        let _timed_out = time::timeout_at(deadline, self.ended.cancelled()).await;
         self.end_term("resigned");
         // If this is not answered, the lease expires on its own.
         let _result = self.context.store.end_lease(self.term.lease).await;
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -84,12 +84,12 @@
 
 async fn renew_lease_until_ended(context: &HostContext, term: Term) {
     loop {
-        time::sleep(LEADER_RENEWAL_INTERVAL).await;
         if context.store.renew_lease(term.lease).await
             == Err(adapter::store::StoreError::LeaseEnded)
         {
             return;
         }
+        time::sleep(LEADER_RENEWAL_INTERVAL).await;
     }
 }
 
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -60,6 +60,8 @@
     leader_revision: Cell<u64>,
     /// Equal to `leader_revision` if that leader's process is known to have ended.
     dead_leader_revision: Cell<u64>,
+    /// Equal to `leader_revision` if that leader has announced that it shuts down.
+    leaving_leader_revision: Cell<u64>,
     /// The store has been read and holds no leader key.
     vacant: Cell<bool>,
     /// This host's registration is missing from the store.
@@ -110,6 +112,11 @@
         self.leave_requested.notify_one();
     }
 
+    /// Whether this host is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// The live hosts by name.
     pub fn hosts(&self) -> IndexMap<String, Host> {
         self.hosts.borrow().clone()
@@ -139,19 +146,39 @@
     }
 
     /// Store revision of the leader key that a successor replaces: 0 if there is no key, the key's
-    /// revision if the leader's process has ended, `None` while the leader may be running.
+    /// revision if the leader's process has ended or is about to, `None` otherwise.
     pub fn replaceable_revision(&self) -> Option<u64> {
         if self.vacant.get() {
             return Some(0);
         }
         let revision = self.leader_revision.get();
-        (revision != 0 && revision == self.dead_leader_revision.get()).then_some(revision)
+        let is_leaving = revision != 0 && revision == self.leaving_leader_revision.get();
+        (is_leaving || self.is_leader_dead()).then_some(revision)
+    }
+
+    /// Whether the process of the current leader is known to have ended.
+    pub fn is_leader_dead(&self) -> bool {
+        let revision = self.leader_revision.get();
+        revision != 0 && revision == self.dead_leader_revision.get()
+    }
+
+    /// Records that the leader at `address` shuts down and leads until it is replaced.
+    pub fn mark_leader_leaving(&self, address: SocketAddr) {
+        if self.leader_address() != Some(address) || self.replaceable_revision().is_some() {
+            return;
+        }
+        if let Some(leader) = &*self.leader.borrow() {
+            log_event!(events::LEAD_LEAVING, "lead={}", leader.host);
+            *self.previous_leader.borrow_mut() = Some(leader.host.clone());
+        }
+        self.leaving_leader_revision.set(self.leader_revision.get());
+        self.changed.notify_waiters();
     }
 
     /// Records that the process of the leader at `address` has ended. Its key remains until the
     /// lease expires.
     pub fn mark_leader_dead(&self, address: SocketAddr) {
-        if self.leader_address() != Some(address) || self.replaceable_revision().is_some() {
+        if self.leader_address() != Some(address) || self.vacant.get() || self.is_leader_dead() {
             return;
         }
         if let Some(leader) = &*self.leader.borrow() {
@@ -194,6 +221,7 @@
     pub fn mark_leader_present(&self) {
         self.vacant.set(false);
         self.dead_leader_revision.set(0);
+        self.leaving_leader_revision.set(0);
     }
 
     fn apply_put(&self, item: &Item, own_name: &str) {
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -113,6 +113,9 @@
     /// Random identifier of the answering host's process.
     #[prost(fixed64, tag = "2")]
     pub process: u64,
+    /// Whether the answering host shuts down and, if it is the leader, leads until it is replaced.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
 }
 
 /// A submission forwarded to the leader.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -160,6 +160,11 @@
         min_latency_ms.is_some_and(|ms| ms > FAR_STORE_THRESHOLD_MS)
     }
 
+    /// Usual response time of the store.
+    pub fn average_latency(&self) -> Duration {
+        Duration::from_millis(self.outage.health.borrow().average_latency_ms())
+    }
+
     /// Timeout of the next call: a multiple of the usual response time, doubled with each
     /// consecutive failure, since the store may have become slow.
     fn timeout(&self) -> Duration {
