cell, entry: Resend unanswered starts, and poll sooner while answers get lost

Change: an unanswered start is sent again after 0.3 s under the same run number, which a worker executes once; one unanswered hold is repeated at once over a new connection before the worker counts as unresponsive; while workers that stay up lose answers (AnswerLoss), holds wait 0.3 s instead of 1 s and time out sooner.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`admission`]: which jobs are refused on submission, and when the caller may retry.
 
 pub mod admission;
+pub mod answer_loss;
 pub mod config;
 pub mod coordinator;
 pub mod ids;
--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -21,6 +21,12 @@
 /// Timeout of a poll that does not wait. After a takeover all inherited work depends on these
 /// answers, so the next route is tried soon.
 const FIRST_POLL_TIMEOUT: Duration = Duration::from_millis(400);
+/// The same while answers get lost, so that the ends in a lost answer are noticed soon.
+const LOSSY_POLL_WAIT: Duration = Duration::from_millis(300);
+/// How long after its wait a worker may answer while answers get lost.
+const LOSSY_ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Consecutive unanswered holds after which a worker counts as unresponsive.
+const MAX_UNANSWERED_HOLDS: usize = 2;
 /// Routes retried for one hold before the worker counts as unresponsive.
 const MAX_ROUTE_RETRIES: usize = 2;
 /// Delay after a failed hold.
@@ -55,6 +61,8 @@
     route_index: usize,
     /// Consecutive failed routes; reset when the worker answers or is reported unresponsive.
     failed_routes: usize,
+    /// Consecutive holds that were relayed and not answered.
+    unanswered: usize,
     was_silent: bool,
 }
 
@@ -77,6 +85,7 @@
         connection: 0,
         route_index: 0,
         failed_routes: 0,
+        unanswered: 0,
         was_silent: true,
     };
     loop {
@@ -106,17 +115,25 @@
         let Some(terms) = terms else {
             return NextStep::End;
         };
+        let lossy = self.leader.answer_loss.get().is_expected(sent_ms);
         let wait = match (has_connection, terms.prompt_response) {
             (false, _) => Duration::ZERO,
             (true, true) => CLOSE_WATCH_WAIT,
+            (true, false) if lossy => LOSSY_POLL_WAIT,
             (true, false) => POLL_WAIT,
         };
+        let answer_timeout = if lossy {
+            LOSSY_ANSWER_TIMEOUT
+        } else {
+            Duration::ZERO
+        };
         let call = Body::Hold(HoldCall {
             worker,
             until_worker_ms: terms.until_worker_ms,
             acknowledged_end: terms.acknowledged_end,
             wait_ms: wait.as_millis() as u64,
             connection: self.connection,
+            answer_timeout_ms: answer_timeout.as_millis() as u64,
         });
         self.leader.context.metrics.count("holds");
         let worker_timeout = if has_connection {
@@ -134,6 +151,10 @@
             HoldOutcome::Listed => {
                 self.connection = reply.connection;
                 self.failed_routes = 0;
+                if self.unanswered > 0 && !self.was_silent {
+                    self.leader.record_lost_answer();
+                }
+                self.unanswered = 0;
                 self.handle_report(sent_ms, &reply.report()).await;
                 NextStep::Again
             }
@@ -151,6 +172,12 @@
             }
             HoldOutcome::Unusable => self.handle_failure("unhealthy"),
             HoldOutcome::Silent => {
+                self.unanswered += 1;
+                if self.unanswered < MAX_UNANSWERED_HOLDS {
+                    // The answer may have been lost: a new connection tells.
+                    self.connection = 0;
+                    return NextStep::Again;
+                }
                 // The relaying host may be the one that is disconnected.
                 self.route_index += 1;
                 self.handle_failure("no_answer")
@@ -218,6 +245,12 @@
 }
 
 impl Leader {
+    fn record_lost_answer(&self) {
+        let mut loss = self.answer_loss.get();
+        loss.record(clock::now_ms());
+        self.answer_loss.set(loss);
+    }
+
     /// Logs ends that were not reported before.
     fn log_ends(&self, id: &str, report: &HoldReport) {
         let coordinator = self.coordinator.borrow();
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -24,6 +24,7 @@
 use adapter::{http::ConnectionPool, settings::Settings};
 use cell::{
     admission::Verdict,
+    answer_loss::AnswerLoss,
     coordinator::{Coordinator, Tuning},
     ids::JobId,
     jobs::JobRecord,
@@ -126,6 +127,8 @@
     revisions: RefCell<IndexMap<JobId, u64>>,
     /// Recent traffic on this host's network link.
     link_budget: Cell<LinkBudget>,
+    /// Recently lost answers of workers.
+    answer_loss: Cell<AnswerLoss>,
     /// Reachability of the relaying hosts.
     relays: relays::Relays,
     /// Keys of arrivals that were applied; deleted once their effect is durable.
@@ -189,6 +192,7 @@
             in_doubt: RefCell::default(),
             revisions: RefCell::default(),
             link_budget: Cell::default(),
+            answer_loss: Cell::default(),
             relays: relays::Relays::new(context.members.previous_leader()),
             applied_arrivals: RefCell::default(),
             durable_roster: RefCell::default(),
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -16,11 +16,11 @@
     relay,
 };
 
-/// Maximum number of routes over which one start order is sent.
-const MAX_START_ROUTES: usize = 3;
+/// Maximum number of times that one start order is sent.
+const MAX_START_ATTEMPTS: usize = 3;
 /// A start order is resent only within this time, in milliseconds, since its deadline is close
 /// after that.
-const START_RETRY_WINDOW_MS: u64 = 600;
+const START_RETRY_WINDOW_MS: u64 = 700;
 /// Interval at which a leader logs for which workers inherited tasks wait, in milliseconds.
 const WAITING_LOG_INTERVAL_MS: u64 = 1_000;
 /// Maximum number of workers named at a time.
@@ -174,13 +174,15 @@
         }
     }
 
-    /// Sends a start order, over another route if the first host cannot be reached or dies. A
-    /// worker executes the same order only once, however often it arrives.
+    /// Sends a start order, again if the worker does not answer, and over another route if the first
+    /// host cannot be reached or dies. A worker executes the same order only once, however often it
+    /// arrives.
     async fn start(&self, worker: &str, call: StartCall) -> StartResponse {
         self.context.metrics.count("starts");
         let began_ms = clock::now_ms();
         let mut sent_before = false;
-        for route_index in 0..MAX_START_ROUTES {
+        let mut route_index = 0;
+        for _ in 0..MAX_START_ATTEMPTS {
             if !self.has_authority() || clock::now_ms() > began_ms + START_RETRY_WINDOW_MS {
                 break;
             }
@@ -193,14 +195,18 @@
                     let answer = peers::decode_start_response(number);
                     // A refusal of the resent order does not tell the outcome of the first one: the
                     // run may have started, and even ended.
-                    return match answer {
-                        StartResponse::Started => answer,
-                        _ if sent_before => StartResponse::Unknown,
-                        _ => answer,
-                    };
+                    match answer {
+                        StartResponse::Started => return answer,
+                        StartResponse::Unknown => sent_before = true,
+                        _ if sent_before => return StartResponse::Unknown,
+                        _ => return answer,
+                    }
+                }
+                Err(PeerError::NotSent) => route_index += 1,
+                Ok(_) | Err(PeerError::Unanswered) => {
+                    sent_before = true;
+                    route_index += 1;
                 }
-                Err(PeerError::NotSent) => {}
-                Ok(_) | Err(PeerError::Unanswered) => sent_before = true,
             }
         }
         if sent_before {
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -261,6 +261,9 @@
     /// the worker answers immediately and no end is acknowledged.
     #[prost(fixed64, tag = "5")]
     pub connection: u64,
+    /// How long after its wait the worker may answer, in milliseconds; 0 for the default.
+    #[prost(uint64, tag = "6")]
+    pub answer_timeout_ms: u64,
 }
 
 /// Outcome of a hold.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -26,8 +26,8 @@
 
 /// How long after its wait a hold may still be answered.
 const HOLD_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
-/// Timeout of a start order, whose outcome is unknown after that.
-const START_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of a start order; the leader sends it again.
+const START_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a stop order; the leader sends it again.
 const STOP_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of an order that sets the share of a best-effort run; the leader sends it again.
@@ -121,14 +121,12 @@
         } else {
             Duration::ZERO
         };
+        let margin = match call.answer_timeout_ms {
+            0 => HOLD_TIMEOUT_MARGIN,
+            ms => Duration::from_millis(ms).min(HOLD_TIMEOUT_MARGIN),
+        };
         let headers = workers::instance_header(&call.worker.id);
-        let hold = workers::hold_call(
-            &headers,
-            terms,
-            call.worker.fence,
-            wait,
-            wait + HOLD_TIMEOUT_MARGIN,
-        );
+        let hold = workers::hold_call(&headers, terms, call.worker.fence, wait, wait + margin);
         let Ok(answer) = connection.line.call(&hold).await else {
             return HoldReply::with_outcome(HoldOutcome::Silent);
         };
