cell, entry: Commit the end of a job without waiting for other records

Cause: commits ran in rounds, each as long as its slowest transaction.

Change: records are written by transactions of their own, at most one a record at a time, ended jobs first; of twelve transactions four are reserved for them. Ends are acknowledged once every record that was changed or being written when they were processed is durable.

--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -2,22 +2,41 @@
 
 use std::rc::Rc;
 
+use indexmap::IndexSet;
+
 use super::Coordinator;
 use crate::{
     ids::JobId,
     jobs::{JobRecord, Outcome},
+    workers::Worker,
 };
 
-/// Changes to be written to the store together.
-#[derive(Debug, Default)]
-pub struct Changes {
-    /// New versions of job records.
-    pub records: Vec<JobRecord>,
-    outcomes: Vec<(JobId, Outcome)>,
-    ends: Vec<ProcessedEnds>,
+/// A new version of a job's record, to be written to the store. No other version of it is taken
+/// before this one is durable.
+#[derive(Debug)]
+pub struct RecordChange {
+    /// The record to write.
+    pub record: JobRecord,
+    outcome: Outcome,
+}
+
+impl RecordChange {
+    fn id(&self) -> JobId {
+        JobId(self.record.id)
+    }
+}
+
+/// How many records may be taken at once.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeLimits {
+    /// Maximum number of records.
+    pub records: usize,
+    /// Maximum number of records of open jobs: their writes only save work after a takeover, while
+    /// the callers of ended jobs wait for theirs.
+    pub open_records: usize,
 }
 
-/// Highest end of a worker whose effect is contained in a set of changes.
+/// Highest processed end of a worker.
 #[derive(Debug)]
 struct ProcessedEnds {
     worker: Rc<str>,
@@ -25,60 +44,114 @@
     number: u64,
 }
 
+/// Ends that may be acknowledged once all records that their effects may be in are durable.
+#[derive(Debug)]
+pub(super) struct PendingEnds {
+    ends: Vec<ProcessedEnds>,
+    /// Jobs whose record has not been taken since.
+    dirty: IndexSet<JobId>,
+    /// Jobs whose record is being written.
+    writing: IndexSet<JobId>,
+}
+
+impl PendingEnds {
+    fn is_durable(&self) -> bool {
+        self.dirty.is_empty() && self.writing.is_empty()
+    }
+}
+
 impl Coordinator {
-    /// Whether there are changes that have not been made durable.
+    /// Whether there are changes to take.
     pub fn has_changes(&self) -> bool {
-        !self.dirty.is_empty()
-            || self
-                .workers
-                .values()
-                .any(|worker| worker.processed_end > worker.durable_end)
+        self.dirty.iter().any(|id| !self.writing.contains(id))
+            || self.workers.values().any(Worker::has_new_ends)
+    }
+
+    /// Whether the record of a job is durable in its latest version.
+    pub fn is_durable(&self, id: JobId) -> bool {
+        !self.dirty.contains(&id) && !self.writing.contains(&id)
     }
 
-    /// Takes all changes since the last call. Pass them to [`Coordinator::changes_durable`] or
-    /// [`Coordinator::changes_unconfirmed`] when the write has ended.
-    pub fn take_changes(&mut self) -> Changes {
-        let dirty = std::mem::take(&mut self.dirty);
-        let jobs = dirty.iter().filter_map(|id| self.jobs.get(id));
-        let mut changes = Changes::default();
-        for job in jobs {
-            changes.records.push(job.record());
-            changes.outcomes.push((job.id, job.outcome));
+    /// Takes changed records, those of ended jobs first. Pass each to
+    /// [`Coordinator::record_durable`] once it is written.
+    pub fn take_changes(&mut self, limits: ChangeLimits) -> Vec<RecordChange> {
+        let idle = self.dirty.iter().filter(|id| !self.writing.contains(*id));
+        let (mut taken, mut open): (Vec<JobId>, Vec<JobId>) = idle.copied().partition(|id| {
+            self.jobs
+                .get(id)
+                .is_none_or(|job| job.outcome != Outcome::Open)
+        });
+        open.truncate(limits.open_records);
+        taken.append(&mut open);
+        taken.truncate(limits.records);
+        self.collect_pending_ends();
+        let mut changes = Vec::with_capacity(taken.len());
+        for id in taken {
+            self.dirty.swap_remove(&id);
+            for pending in &mut self.pending_ends {
+                if pending.dirty.swap_remove(&id) && self.jobs.contains_key(&id) {
+                    pending.writing.insert(id);
+                }
+            }
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            self.writing.insert(id);
+            changes.push(RecordChange {
+                record: job.record(),
+                outcome: job.outcome,
+            });
         }
-        changes.ends = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.processed_end > worker.durable_end)
-            .map(|(id, worker)| ProcessedEnds {
-                worker: Rc::clone(id),
-                started_unix_ms: worker.started_unix_ms,
-                number: worker.processed_end,
+        self.acknowledge_durable_ends();
+        changes
+    }
+
+    /// Collects the ends processed since the last call, with the jobs that they may have changed.
+    fn collect_pending_ends(&mut self) {
+        let new_ends = self.workers.iter_mut().filter(|(_, w)| w.has_new_ends());
+        let ends: Vec<ProcessedEnds> = new_ends
+            .map(|(id, worker)| {
+                worker.pending_end = worker.processed_end;
+                ProcessedEnds {
+                    worker: Rc::clone(id),
+                    started_unix_ms: worker.started_unix_ms,
+                    number: worker.processed_end,
+                }
             })
             .collect();
-        changes
+        if !ends.is_empty() {
+            self.pending_ends.push(PendingEnds {
+                ends,
+                dirty: self.dirty.clone(),
+                writing: self.writing.clone(),
+            });
+        }
     }
 
-    /// Records that the changes are durable: outcomes may be reported and ends acknowledged.
-    pub fn changes_durable(&mut self, changes: &Changes) {
-        for (id, outcome) in &changes.outcomes {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.durable_outcome = *outcome;
-            }
+    /// Records that a record is durable: its outcome may be reported, and ends whose effects are all
+    /// durable may be acknowledged.
+    pub fn record_durable(&mut self, change: &RecordChange) {
+        let id = change.id();
+        self.writing.swap_remove(&id);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.durable_outcome = change.outcome;
         }
-        for ends in &changes.ends {
-            if let Some(worker) = self.workers.get_mut(&ends.worker)
-                && worker.started_unix_ms == ends.started_unix_ms
-            {
-                worker.durable_end = worker.durable_end.max(ends.number);
-            }
+        for pending in &mut self.pending_ends {
+            pending.writing.swap_remove(&id);
         }
+        self.acknowledge_durable_ends();
     }
 
-    /// Records that the write failed or its result is unknown; the changes are included in the next
-    /// [`Coordinator::take_changes`].
-    pub fn changes_unconfirmed(&mut self, changes: &Changes) {
-        self.dirty
-            .extend(changes.outcomes.iter().map(|(id, _)| *id));
+    fn acknowledge_durable_ends(&mut self) {
+        for pending in self.pending_ends.extract_if(.., |p| p.is_durable()) {
+            for ends in pending.ends {
+                if let Some(worker) = self.workers.get_mut(&ends.worker)
+                    && worker.started_unix_ms == ends.started_unix_ms
+                {
+                    worker.durable_end = worker.durable_end.max(ends.number);
+                }
+            }
+        }
     }
 
     /// Ended jobs whose retention period has passed.
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -31,7 +31,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use advice::{AdviceOutcome, AdviceQuery};
-pub use changes::Changes;
+pub use changes::{ChangeLimits, RecordChange};
 pub use job::{Job, Ticket};
 pub use reports::{HoldTerms, StartResponse};
 
@@ -135,7 +135,12 @@
     workers: IndexMap<Rc<str>, Worker>,
     jobs: IndexMap<JobId, Job>,
     open: IndexSet<JobId>,
+    /// Jobs changed since their record was last taken.
     dirty: IndexSet<JobId>,
+    /// Jobs whose record is being written.
+    writing: IndexSet<JobId>,
+    /// Processed ends whose effects are not durable, oldest first.
+    pending_ends: Vec<changes::PendingEnds>,
     /// Workers of the predecessor that have not sent a report yet.
     unreported_workers: IndexSet<Rc<str>>,
     inherited_expiry_ms: u64,
@@ -159,6 +164,8 @@
             jobs: IndexMap::new(),
             open: IndexSet::new(),
             dirty: IndexSet::new(),
+            writing: IndexSet::new(),
+            pending_ends: Vec::new(),
             unreported_workers: IndexSet::new(),
             inherited_expiry_ms: takeover.expiry_ms,
             listed_since_ms: None,
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -160,6 +160,7 @@
         // process.
         worker.fenced = false;
         worker.processed_end = 0;
+        worker.pending_end = 0;
         worker.durable_end = 0;
         worker.held_until_worker_ms = 0;
         let mut released = Vec::new();
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -327,6 +327,8 @@
     pub started_unix_ms: u64,
     /// Highest sequence number of a processed end.
     pub processed_end: u64,
+    /// Highest sequence number of an end whose effect is being made durable.
+    pub pending_end: u64,
     /// Highest sequence number of an end whose effect is durable.
     pub durable_end: u64,
     /// Runs that occupy resources, by task.
@@ -357,6 +359,7 @@
             clock: None,
             held_until_worker_ms: 0,
             processed_end: 0,
+            pending_end: 0,
             durable_end: 0,
             runs: IndexMap::new(),
             used: Resources::default(),
@@ -377,6 +380,11 @@
             && now_ms >= self.health.backoff_until_ms.max(self.health.slow_until_ms)
     }
 
+    /// Whether ends were processed whose effect is not being made durable yet.
+    pub fn has_new_ends(&self) -> bool {
+        self.processed_end > self.pending_end
+    }
+
     /// Whether the worker is draining and has nothing that a successor must learn from it: no run,
     /// no order that may still arrive, and no end that is not durable.
     pub fn is_vacated(&self, now_ms: u64) -> bool {
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -4,7 +4,9 @@
 
 use hickorychute_cell::{
     config::Config,
-    coordinator::{AdviceOutcome, Coordinator, Order, StartResponse, TakeoverState, Tuning},
+    coordinator::{
+        AdviceOutcome, ChangeLimits, Coordinator, Order, StartResponse, TakeoverState, Tuning,
+    },
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, StepSpec},
     workers::{EndKind, HoldReport, ReportedRun, Resources, WorkerEntry},
@@ -136,11 +138,15 @@
         if !self.store_up {
             return;
         }
-        let changes = self.coordinator.take_changes();
-        for record in &changes.records {
+        let all = ChangeLimits {
+            records: usize::MAX,
+            open_records: usize::MAX,
+        };
+        for change in self.coordinator.take_changes(all) {
+            let record = &change.record;
             self.records.insert(JobId(record.id), record.clone());
+            self.coordinator.record_durable(&change);
         }
-        self.coordinator.changes_durable(&changes);
     }
 
     /// Replaces the coordinator by a successor, which starts from the durable records.
--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -29,6 +29,15 @@
     retry_delay: RETRY_DELAY,
 };
 
+/// An arrival that was applied and whose key has not been deleted.
+#[derive(Clone, Debug)]
+pub(super) struct AppliedArrival {
+    /// The job that it changed.
+    pub(super) job: JobId,
+    /// Its key.
+    pub(super) key: String,
+}
+
 /// Applies jobs accepted or cancelled directly in the store.
 #[derive(Debug)]
 struct ArrivalsHandler(Rc<Leader>);
@@ -84,11 +93,12 @@
 
 impl Leader {
     async fn apply_arrival(&self, key: &str) {
-        if let Some(id) = key
+        let job = if let Some(id) = key
             .strip_prefix(ACCEPTED_PREFIX)
             .and_then(|id| id.parse().ok())
         {
             self.load_job(id).await;
+            id
         } else if let Some(id) = key
             .strip_prefix(CANCEL_PREFIX)
             .and_then(|id| id.parse().ok())
@@ -98,10 +108,14 @@
                 .borrow_mut()
                 .cancellation_durable(id, clock::unix_ms());
             self.schedule.notify_one();
+            id
         } else {
             return;
-        }
-        self.applied_arrivals.borrow_mut().push(key.to_owned());
+        };
+        let key = key.to_owned();
+        self.applied_arrivals
+            .borrow_mut()
+            .push(AppliedArrival { job, key });
         self.commit.notify_one();
     }
 
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -7,11 +7,11 @@
 
 use adapter::store::{Committed, Item, MAX_TXN_ENTRIES, StoreError, Txn};
 use cell::{
+    coordinator::{ChangeLimits, RecordChange},
     ids::JobId,
     jobs::{JobRecord, Outcome},
     outage::{self, Health, RequestDecision},
 };
-use futures::{StreamExt, stream};
 use kernel::log_event;
 use prost::Message;
 use tokio::{
@@ -19,7 +19,7 @@
     time,
 };
 
-use super::{Leader, Submission};
+use super::{Leader, Submission, arrivals::AppliedArrival};
 use crate::{
     clock, events,
     records::{self, LEADER_KEY, ROSTER_KEY, Roster},
@@ -38,6 +38,8 @@
 const MAX_PARALLEL_ACCEPTS: usize = 8;
 /// Maximum concurrent transactions with task results.
 const MAX_PARALLEL_COMMITS: usize = 12;
+/// Concurrent transactions with task results of which only ended jobs are part.
+const RESERVED_COMMITS: usize = 4;
 /// Failed commits are logged at most once in this time, in milliseconds.
 const FAILURE_LOG_INTERVAL_MS: u64 = 500;
 /// Interval at which jobs that wait for a failing store are checked.
@@ -90,53 +92,46 @@
     }
 }
 
-/// Commits task results until the term ends.
+/// Commits task results until the term ends. Transactions run concurrently, since each record is
+/// in at most one of them: with a slow store, the end of a job does not wait for other jobs' writes.
 pub(super) async fn run(leader: Rc<Leader>) {
+    let slots = Arc::new(Semaphore::new(MAX_PARALLEL_COMMITS));
     loop {
         if !leader.coordinator.borrow().has_changes() {
             leader.commit.notified().await;
         }
         time::sleep(BATCH_DELAY).await;
         let began = time::Instant::now();
-        let arrivals = std::mem::take(&mut *leader.applied_arrivals.borrow_mut());
-        let changes = leader.coordinator.borrow_mut().take_changes();
-        let mut writes = changes.records.iter().map(|record| {
-            let id = JobId(record.id);
-            let expected = leader.revisions.borrow().get(&id).copied().unwrap_or(0);
-            Write {
-                id,
-                record: record.clone(),
-                expected,
-                payload: String::new(),
-                is_new_job: false,
-                accepted: None,
-            }
-        });
-        let batches = std::iter::from_fn(|| {
-            let batch: Vec<Write> = writes.by_ref().take(MAX_WRITES_PER_TXN).collect();
-            (!batch.is_empty()).then_some(batch)
-        });
-        let commits = batches.map(|batch| leader.commit_batch(batch));
-        let mut commits = stream::iter(commits).buffer_unordered(MAX_PARALLEL_COMMITS);
-        while let Some(committed) = commits.next().await {
-            if !committed {
-                return;
-            }
-        }
-        drop(commits);
-        leader.coordinator.borrow_mut().changes_durable(&changes);
-        if leader.coordinator.borrow().has_draining_workers() {
-            leader.roster.notify_one();
-        }
-        for record in &changes.records {
-            if record.outcome() != Outcome::Open {
-                let id = JobId(record.id);
-                log_event!(events::JOB_ENDED, "job={id} outcome={:?}", record.outcome());
+        let free = slots.available_permits();
+        let limits = ChangeLimits {
+            records: free * MAX_WRITES_PER_TXN,
+            open_records: free.saturating_sub(RESERVED_COMMITS) * MAX_WRITES_PER_TXN,
+        };
+        let mut changes = leader
+            .coordinator
+            .borrow_mut()
+            .take_changes(limits)
+            .into_iter();
+        loop {
+            let batch: Vec<RecordChange> = changes.by_ref().take(MAX_WRITES_PER_TXN).collect();
+            if batch.is_empty() {
+                break;
             }
+            let slot = Arc::clone(&slots).acquire_owned().await;
+            let committing = Rc::clone(&leader);
+            leader.spawn(async move {
+                if committing.commit_changes(&batch).await {
+                    committing.finish_commit(&batch);
+                    drop(slot);
+                }
+            });
         }
-        leader.notify_cancelled();
+        // Ends without an effect on any record are acknowledged without a commit.
         leader.committed.notify_waiters();
-        leader.delete_arrivals(&arrivals).await;
+        if !leader.applied_arrivals.borrow().is_empty() {
+            let deleting = Rc::clone(&leader);
+            leader.spawn(async move { deleting.delete_arrivals().await });
+        }
         let interval = if leader.is_link_saturated() {
             SATURATED_COMMIT_INTERVAL
         } else {
@@ -190,13 +185,61 @@
         }
     }
 
+    async fn commit_changes(&self, changes: &[RecordChange]) -> bool {
+        let write = |change: &RecordChange| {
+            let id = JobId(change.record.id);
+            Write {
+                id,
+                record: change.record.clone(),
+                expected: self.revisions.borrow().get(&id).copied().unwrap_or(0),
+                payload: String::new(),
+                is_new_job: false,
+                accepted: None,
+            }
+        };
+        self.commit_batch(changes.iter().map(write).collect()).await
+    }
+
+    /// Performs what waits for the changes to be durable.
+    fn finish_commit(&self, changes: &[RecordChange]) {
+        {
+            let mut coordinator = self.coordinator.borrow_mut();
+            for change in changes {
+                coordinator.record_durable(change);
+            }
+            if coordinator.has_draining_workers() {
+                self.roster.notify_one();
+            }
+        }
+        for record in changes.iter().map(|change| &change.record) {
+            if record.outcome() != Outcome::Open {
+                let id = JobId(record.id);
+                log_event!(events::JOB_ENDED, "job={id} outcome={:?}", record.outcome());
+            }
+        }
+        self.notify_cancelled();
+        self.committed.notify_waiters();
+        self.commit.notify_one();
+    }
+
     /// Deletes the keys of arrivals whose effect is durable.
-    async fn delete_arrivals(&self, arrivals: &[String]) {
-        for keys in arrivals.chunks(MAX_TXN_ENTRIES) {
-            let txn = keys.iter().fold(Txn::default(), |txn, key| txn.delete(key));
+    async fn delete_arrivals(&self) {
+        let durable: Vec<AppliedArrival> = {
+            let coordinator = self.coordinator.borrow();
+            self.applied_arrivals
+                .borrow_mut()
+                .extract_if(.., |arrival| coordinator.is_durable(arrival.job))
+                .collect()
+        };
+        for arrivals in durable.chunks(MAX_TXN_ENTRIES) {
+            let txn = arrivals
+                .iter()
+                .fold(Txn::default(), |txn, arrival| txn.delete(&arrival.key));
             if self.context.store.commit(&txn).await.is_err() {
                 // Keys that remain are applied again at the next takeover, which changes nothing.
-                self.applied_arrivals.borrow_mut().extend_from_slice(keys);
+                self.applied_arrivals
+                    .borrow_mut()
+                    .extend_from_slice(arrivals);
             }
         }
     }
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -39,6 +39,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use self::arrivals::AppliedArrival;
 use crate::{
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
@@ -132,7 +133,7 @@
     /// Reachability of the relaying hosts.
     relays: relays::Relays,
     /// Keys of arrivals that were applied; deleted once their effect is durable.
-    applied_arrivals: RefCell<Vec<String>>,
+    applied_arrivals: RefCell<Vec<AppliedArrival>>,
     /// The roster as last read from the store or written to it.
     durable_roster: RefCell<Roster>,
     /// Requests a scheduling pass.
