cell, entry: Hold a caller's last request briefly during an outage

Cause: a caller whose remaining time allows no Retry-After (1 s at least) was held until its deadline in the hope that the store returns.

Change: such a request is held for 250 ms and then rejected without Retry-After, so that the caller retries at its own pace.

--- a/crates/cell/src/outage.rs
+++ b/crates/cell/src/outage.rs
@@ -2,9 +2,9 @@
 //!
 //! A job is accepted by a write to the store. If the write gets no response, the client cannot be
 //! told whether the job was accepted, which is the worst outcome for it. So a host does not write
-//! to a store that appears unavailable, and asks callers to retry later. Callers retry until the
-//! time that remains allows no further attempt; that last request waits, since the store may
-//! recover before its deadline.
+//! to a store that appears unavailable, and asks callers to retry later. Once the time that remains
+//! allows no named delay, a request waits briefly, since the store may recover, and is then
+//! rejected; the caller may retry at its own pace until its deadline.
 
 use indexmap::IndexMap;
 
@@ -21,6 +21,8 @@
 /// Retry delay given to callers, in milliseconds: the smallest non-zero value of the `Retry-After`
 /// header.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// Maximum time for which a request waits without time for a named delay, in milliseconds.
+const MAX_LAST_WAIT_MS: u64 = 250;
 /// Time that must remain after the retry delay to serve the request, in milliseconds.
 const REQUEST_SERVICE_MS: u64 = 350;
 
@@ -153,17 +155,24 @@
         /// Retry delay, in milliseconds.
         after_ms: u64,
     },
+    /// The request is rejected immediately. The shortest delay that can be named would end after
+    /// the caller's deadline, so none is: the caller retries at its own pace.
+    Reject,
 }
 
-/// Decides whether a request waits, given that its caller waits for another `left_ms` and nothing
-/// of the request has been executed.
-pub fn decide_request(health: Health, left_ms: u64) -> RequestDecision {
+/// Decides whether a request waits, given that it has waited for `waited_ms`, that its caller waits
+/// for another `left_ms`, and that nothing of the request has been executed.
+///
+/// A caller without time for a named delay is held only briefly: the store may be away for much
+/// longer, and an answer lets the caller turn elsewhere.
+pub fn decide_request(health: Health, waited_ms: u64, left_ms: u64) -> RequestDecision {
     let can_retry = left_ms >= RETRY_AFTER_MS + REQUEST_SERVICE_MS;
-    if left_ms == 0 || (health == Health::Unavailable && can_retry) {
-        RequestDecision::RetryAfter {
+    match health {
+        _ if left_ms == 0 => RequestDecision::Reject,
+        Health::Unavailable if can_retry => RequestDecision::RetryAfter {
             after_ms: RETRY_AFTER_MS,
-        }
-    } else {
-        RequestDecision::Wait
+        },
+        Health::Unavailable if waited_ms >= MAX_LAST_WAIT_MS => RequestDecision::Reject,
+        _ => RequestDecision::Wait,
     }
 }
--- a/crates/cell/tests/cell/records.rs
+++ b/crates/cell/tests/cell/records.rs
@@ -1,6 +1,7 @@
 //! State of tasks in a job's durable record.
 
 use hickorychute_cell::{
+    coordinator::{ChangeLimits, Coordinator},
     ids::TaskId,
     jobs::{DoneTasks, JobRecord, JobState},
 };
@@ -92,3 +93,56 @@
     assert_eq!(model.state(1), Some(JobState::Failed));
     assert_eq!(model.failures(task), 2);
 }
+
+/// With a slow store, the record of a job that ends is written beside those of other jobs, and an
+/// end is acknowledged to its worker only once every record that it may have changed is durable.
+/// Guards against outcomes that wait for other jobs' writes, and against ends that are forgotten
+/// before they are recorded.
+#[test]
+fn ended_jobs_are_written_first_and_ends_wait_for_their_records() {
+    const LIMITS: ChangeLimits = ChangeLimits {
+        records: 10,
+        open_records: 1,
+    };
+    let mut model = Model::new(support::config(), 1);
+    model.store_up = false;
+    // The second task of the first job runs on after the second job has ended.
+    let steps = vec![
+        support::step(1, 1_000, 200),
+        support::step(1, 1_000, 60_000),
+    ];
+    model.submit(support::job(1, "batch", steps));
+    model.submit(support::job(2, "batch", vec![support::step(1, 1_000, 200)]));
+    model.run_ms(1_000);
+    let coordinator = &mut model.coordinator;
+    assert!(coordinator.has_changes());
+    let changes = coordinator.take_changes(LIMITS);
+    let ids: Vec<u64> = changes.iter().map(|change| change.record.id).collect();
+    assert_eq!(ids, [2, 1], "the ended job is first");
+    assert!(
+        !coordinator.has_changes(),
+        "nothing is written twice at once"
+    );
+    let durable_end = |coordinator: &Coordinator| {
+        let worker = coordinator
+            .workers()
+            .values()
+            .next()
+            .expect("the worker is there");
+        (worker.durable_end, worker.processed_end)
+    };
+    coordinator.record_durable(&changes[0]);
+    assert_eq!(
+        coordinator.job_state(support::id(2)),
+        Some(JobState::Completed)
+    );
+    assert_eq!(
+        durable_end(coordinator),
+        (0, 2),
+        "the first job is being written"
+    );
+    assert!(!coordinator.is_durable(support::id(1)));
+    coordinator.record_durable(&changes[1]);
+    assert_eq!(durable_end(coordinator), (2, 2));
+    assert!(coordinator.is_durable(support::id(1)));
+}
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -160,7 +160,12 @@
         match outcome {
             SubmitOutcome::Accepted => plain(200, ""),
             SubmitOutcome::Refused { retry_after_ms }
-            | SubmitOutcome::StoreAway { retry_after_ms } => refuse(503, retry_after_ms),
+            | SubmitOutcome::StoreAway {
+                retry_after_ms: Some(retry_after_ms),
+            } => refuse(503, retry_after_ms),
+            SubmitOutcome::StoreAway {
+                retry_after_ms: None,
+            } => plain(503, ""),
             SubmitOutcome::NeverFits => plain(429, ""),
             SubmitOutcome::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
             SubmitOutcome::InDoubt => plain(504, ""),
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -176,7 +176,8 @@
         let (waiting, rejected): (Vec<_>, Vec<_>) = submissions.into_iter().partition(|waiting| {
             let left_ms = waiting.client_deadline_ms.saturating_sub(now_ms);
             now_ms < waiting.response_deadline_ms
-                && outage::decide_request(health, left_ms) == RequestDecision::Wait
+                && outage::decide_request(health, now_ms - waiting.waiting_since_ms, left_ms)
+                    == RequestDecision::Wait
         });
         *self.submissions.borrow_mut() = waiting;
         for submission in rejected {
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -99,6 +99,8 @@
     payload: String,
     /// Priority of its queue; lower values are committed first.
     priority: u32,
+    /// Time from which its wait for the store counts, in milliseconds of [`clock::now_ms`].
+    waiting_since_ms: u64,
     /// Time at which the caller must be answered, in milliseconds of [`clock::now_ms`].
     response_deadline_ms: u64,
     /// Time at which the caller stops waiting, in milliseconds of [`clock::now_ms`].
@@ -315,8 +317,9 @@
                 retry_after_ms,
             });
         }
-        if let RequestDecision::RetryAfter { .. } =
-            outage::decide_request(self.context.store.health(), client_timeout_ms)
+        let health = self.context.store.health();
+        if outage::decide_request(health, call.waited_ms, client_timeout_ms)
+            != RequestDecision::Wait
         {
             return Body::StoreAway(true);
         }
@@ -335,6 +338,7 @@
             record,
             payload,
             priority,
+            waiting_since_ms: now_ms.saturating_sub(call.waited_ms),
             response_deadline_ms: now_ms
                 + MAX_STORE_WAIT_MS.min(client_timeout_ms.saturating_sub(RESPONSE_MARGIN_MS)),
             client_deadline_ms: now_ms + client_timeout_ms,
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -69,9 +69,9 @@
     Unavailable,
     /// The store is unavailable and nothing was written; the caller may retry.
     StoreAway {
-        /// Time after which the last attempt still fits before the caller's deadline, in
-        /// milliseconds.
-        retry_after_ms: u64,
+        /// Time after which another attempt fits before the caller's deadline, in milliseconds;
+        /// `None` if none fits that can be named.
+        retry_after_ms: Option<u64>,
     },
     /// The job may have been accepted; a retry will tell.
     InDoubt,
@@ -220,6 +220,8 @@
     async fn try_submit(&self, record: &JobRecord, client_timeout: Duration) -> SubmitOutcome {
         let deadline = Instant::now() + client_timeout;
         let left = || deadline.saturating_duration_since(Instant::now());
+        let started = Instant::now();
+        let waited_ms = || started.elapsed().as_millis() as u64;
         if let Some(spec) = &record.spec {
             self.payloads.cache(JobId(record.id), &spec.payload);
         }
@@ -236,6 +238,7 @@
                 record: Some(sent_record),
                 without_payload,
                 client_timeout_ms: left().as_millis() as u64,
+                waited_ms: waited_ms(),
             };
             let asked = self.call_leader(Body::Submit(call), LEADER_TIMEOUT.min(left()));
             let (leader_reachable, in_doubt) = match asked.await {
@@ -271,12 +274,18 @@
                 health => health,
             };
             let left_ms = left().as_millis() as u64;
-            if let RequestDecision::RetryAfter { after_ms } =
-                outage::decide_request(health, left_ms)
-            {
-                return SubmitOutcome::StoreAway {
-                    retry_after_ms: after_ms,
-                };
+            match outage::decide_request(health, waited_ms(), left_ms) {
+                RequestDecision::Wait => {}
+                RequestDecision::RetryAfter { after_ms } => {
+                    return SubmitOutcome::StoreAway {
+                        retry_after_ms: Some(after_ms),
+                    };
+                }
+                RequestDecision::Reject => {
+                    return SubmitOutcome::StoreAway {
+                        retry_after_ms: None,
+                    };
+                }
             }
             self.store.recovered(LEADER_RETRY_DELAY.min(left())).await;
         }
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -130,6 +130,9 @@
     /// The record has no payload, so that only the sending host can write the job.
     #[prost(bool, tag = "4")]
     pub without_payload: bool,
+    /// How long the request has waited, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub waited_ms: u64,
 }
 
 /// A job that a host wrote to the store for the leader.
