entry: Answer peers' calls in a module of their own

The daemon, the leader and its client depended on one another: the leader's orders used the daemon's advice query, and the leader took its slot from the client. Queries to the advice service and the answers to other hosts are modules now, and the slot belongs to the leader. No change of behaviour.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,12 +9,10 @@
 };
 
 use adapter::{
-    advice,
     http::ConnectionPool,
     settings::{self, Settings, SettingsError},
     store::Store,
 };
-use cell::ids::{JobId, StepId};
 use clap::Parser;
 use kernel::log_event;
 use snafu::{ResultExt, Snafu};
@@ -29,13 +27,14 @@
 use crate::{
     clock, election, events,
     frontend::{self, Frontend},
-    leader,
-    leader_client::{LeaderClient, LeaderSlot},
+    leader::{self, LeaderSlot},
+    leader_client::LeaderClient,
     live::{self, LiveSettings},
     members::{self, Host, Members},
     operator_config,
     payloads::PayloadCache,
-    peers::{self, AdviceReply, Body, LeaderInfo, Peers},
+    peer_calls::PeerCalls,
+    peers::{self, Peers},
     records::LeaderRecord,
     relay::Relay,
     store::GuardedStore,
@@ -270,14 +269,13 @@
         frontend: &Rc<Frontend>,
         stopped: watch::Receiver<bool>,
     ) {
-        let (leader, members) = (Rc::clone(leader), Rc::clone(&context.members));
-        let (pool, settings) = (context.pool.clone(), Rc::clone(&context.settings));
-        let relay = Rc::clone(&context.relay);
+        let peer_calls = Rc::new(PeerCalls {
+            context: context.clone(),
+            leader: Rc::clone(leader),
+        });
         task::spawn_local(peers::serve(self.peers, move |body| {
-            let (leader, members) = (Rc::clone(&leader), Rc::clone(&members));
-            let (pool, relay) = (pool.clone(), Rc::clone(&relay));
-            let advice_address = settings.current().advice_address;
-            handle_peer_call(body, leader, members, relay, pool, advice_address)
+            let peer_calls = Rc::clone(&peer_calls);
+            async move { peer_calls.answer(body).await }
         }));
         task::spawn_local(frontend::serve_readiness(
             self.readiness,
@@ -328,70 +326,3 @@
         leader::run(&context, term, &slot).await;
     }
 }
-
-/// Handles a call from another host.
-async fn handle_peer_call(
-    body: Body,
-    leader: LeaderSlot,
-    members: Rc<Members>,
-    relay: Rc<Relay>,
-    pool: ConnectionPool,
-    advice_address: Option<SocketAddr>,
-) -> Body {
-    if let Body::Advise(call) = body {
-        let reply = match advice_address {
-            Some(address) => query_advice(&pool, address, &call).await,
-            None => AdviceReply::default(),
-        };
-        return Body::AdviceReply(reply);
-    }
-    if matches!(body, Body::GetLeader(_)) {
-        let address = members.leader_address().map(|address| address.to_string());
-        return Body::LeaderInfo(LeaderInfo {
-            address: address.unwrap_or_default(),
-            process: members.own_process_id(),
-            leaving: members.is_leaving(),
-        });
-    }
-    if matches!(
-        body,
-        Body::Hold(_) | Body::Start(_) | Body::Stop(_) | Body::Pace(_) | Body::Payload(_)
-    ) {
-        return relay.relay(body).await.unwrap_or(Body::NotHandled(true));
-    }
-    let own = leader.borrow().clone();
-    match own {
-        Some(leader) => leader.answer(body).await,
-        None => Body::NotHandled(true),
-    }
-}
-
-/// Queries the advice service from this host. The default reply, with `answered` unset, means that
-/// it did not answer.
-pub async fn query_advice(
-    pool: &ConnectionPool,
-    address: SocketAddr,
-    call: &peers::AdviceCall,
-) -> AdviceReply {
-    let step = StepId {
-        job: JobId(call.job),
-        occurrence: call.occurrence,
-        step: call.step,
-    };
-    let timeout = Duration::from_millis(call.timeout_ms);
-    let Some(answer) = advice::ask(pool, address, step, &call.workers, timeout).await else {
-        return AdviceReply::default();
-    };
-    let mut reply = AdviceReply {
-        answered: true,
-        valid_ms: answer.valid_ms,
-        ..AdviceReply::default()
-    };
-    for (worker, ticket) in answer.rows {
-        if let Some(position) = call.workers.iter().position(|named| *named == worker) {
-            reply.workers.push(position as u32);
-            reply.tickets.push(ticket);
-        }
-    }
-    reply
-}
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -44,7 +44,6 @@
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
     events,
-    leader_client::LeaderSlot,
     live::LiveSettings,
     members::Members,
     metrics::Metrics,
@@ -152,6 +151,9 @@
     busy_advice_hosts: RefCell<IndexSet<String>>,
 }
 
+/// A host's own leader; set during its term.
+pub type LeaderSlot = Rc<RefCell<Option<Rc<Leader>>>>;
+
 /// Leads until the term ends.
 pub async fn run(context: &HostContext, term: Term, slot: &LeaderSlot) {
     let Some(leader) = takeover::load(context, term).await else {
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -11,7 +11,7 @@
 
 use super::Leader;
 use crate::{
-    clock, daemon, events,
+    advice_client, clock, events,
     peers::{self, AdviceCall, AdviceReply, Body, PeerError, RunCall, StartCall, WorkerRef},
     relay,
 };
@@ -309,7 +309,7 @@
                     timeout_ms: query.expected_ms + ADVICE_TIMEOUT_MARGIN_MS,
                 };
                 let reply = if own {
-                    Ok(daemon::query_advice(&leader.context.pool, own_address, &call).await)
+                    Ok(advice_client::query(&leader.context.pool, own_address, &call).await)
                 } else {
                     let timeout = Duration::from_millis(call.timeout_ms + 150);
                     let body = Body::Advise(call);
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -22,7 +22,7 @@
 use tokio::time;
 
 use crate::{
-    leader::Leader,
+    leader::LeaderSlot,
     members::Members,
     payloads::PayloadCache,
     peers::{self, Body, PeerError, Peers, SubmitCall, SubmitReply, WrittenJob},
@@ -112,9 +112,6 @@
     (record, txn)
 }
 
-/// This host's own leader; set during its term.
-pub type LeaderSlot = Rc<RefCell<Option<Rc<Leader>>>>;
-
 /// Sends client requests to the leader or the store.
 #[derive(Debug)]
 pub struct LeaderClient {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,7 +11,8 @@
 //! - [`frontend`]: client requests and the platform's readiness probe;
 //! - [`leader_client`]: requests to the leader, with direct store access as the fallback;
 //! - [`live`]: the current settings, reloaded when their file changes;
-//! - [`peers`]: calls between hosts;
+//! - [`peers`]: calls between hosts; [`peer_calls`]: their answers;
+//! - [`advice_client`]: queries to the advice service;
 //! - [`relay`]: calls to workers that a host relays for the leader;
 //! - [`payloads`]: job payloads, passed to each task on start;
 //! - [`election`]: leader election;
@@ -23,6 +24,7 @@
 //! - [`clock`]: monotonic time that includes suspensions;
 //! - [`logs`], [`metrics`], [`events`]: logging and metrics.
 
+pub mod advice_client;
 pub mod clock;
 pub mod daemon;
 pub mod election;
@@ -36,6 +38,7 @@
 pub mod metrics;
 pub mod operator_config;
 pub mod payloads;
+pub mod peer_calls;
 pub mod peers;
 mod prefix_watch;
 pub mod records;
