--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -9,8 +9,8 @@
 
 use super::{
     Coordinator,
+    candidates::{has_label, service_of, task_limit},
     job::{Ticket, resources_of},
-    schedule::{has_label, service_of, task_limit},
 };
 use crate::{
     ids::StepId,
--- /dev/null
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -0,0 +1,172 @@
+//! Workers that may run the waiting tasks of a step.
+
+use std::{cmp::Reverse, rc::Rc};
+
+use indexmap::IndexMap;
+
+use super::job::{Job, Step};
+use crate::{
+    config::Config,
+    ids::{StepId, TaskId},
+    jobs::StepSpec,
+    placement::Candidate,
+    workers::Worker,
+};
+
+/// The waiting tasks of a step that are to be placed.
+pub(super) struct WaitingStep<'a> {
+    pub(super) id: StepId,
+    pub(super) spec: &'a StepSpec,
+    pub(super) service: &'a str,
+    pub(super) needs_ticket: bool,
+    pub(super) waiting: &'a [u32],
+}
+
+impl WaitingStep<'_> {
+    /// Whether an earlier run of a waiting task still occupies resources on a worker.
+    fn has_run_of_waiting(&self, worker: &Worker) -> bool {
+        let waits = |task: &TaskId| task.step == self.id && self.waiting.contains(&task.index);
+        worker.runs.keys().any(waits)
+    }
+
+    /// Whether a worker may run the step, regardless of free resources.
+    fn may_use(&self, worker: &Worker, step: &Step, reserved: &[Rc<str>], now_ms: u64) -> bool {
+        let name = &worker.entry.id;
+        worker.is_schedulable(now_ms)
+            && *worker.entry.service == *self.service
+            && (!self.needs_ticket || step.advice.has_ticket(name, now_ms))
+            && has_label(worker, self.spec)
+            && !reserved.contains(name)
+            && !self.has_run_of_waiting(worker)
+    }
+
+    /// Workers on which waiting tasks failed.
+    fn failed_on<'s>(&self, step: &'s Step) -> Vec<&'s Rc<str>> {
+        self.waiting
+            .iter()
+            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
+            .collect()
+    }
+
+    /// Whether there is an eligible worker on which no waiting task failed, regardless of free
+    /// resources.
+    pub(super) fn has_other_worker(
+        &self,
+        workers: &IndexMap<Rc<str>, Worker>,
+        step: &Step,
+        reserved: &[Rc<str>],
+        now_ms: u64,
+    ) -> bool {
+        let failed_on = self.failed_on(step);
+        workers.values().any(|worker| {
+            !failed_on.contains(&&worker.entry.id) && self.may_use(worker, step, reserved, now_ms)
+        })
+    }
+
+    /// Eligible workers for the step: those on which no waiting task failed, and the others.
+    pub(super) fn candidates<'w>(
+        &self,
+        workers: &'w IndexMap<Rc<str>, Worker>,
+        positions: &[usize],
+        step: &Step,
+        reserved: &[Rc<str>],
+        now_ms: u64,
+    ) -> (Vec<Candidate<'w>>, Vec<Candidate<'w>>) {
+        let failed_on = self.failed_on(step);
+        let mut candidates = Vec::new();
+        let mut failed_candidates = Vec::new();
+        for &position in positions {
+            let Some((name, worker)) = workers.get_index(position) else {
+                continue;
+            };
+            if !self.may_use(worker, step, reserved, now_ms) {
+                continue;
+            }
+            let choice = if failed_on.contains(&name) {
+                &mut failed_candidates
+            } else {
+                &mut candidates
+            };
+            choice.push(Candidate {
+                worker: position,
+                capacity: worker.entry.capacity,
+                used: worker.used,
+                best_effort_millicores: worker.best_effort_millicores,
+                rack: worker.entry.rack(),
+                task_limit: task_limit(worker, self.spec, self.id),
+            });
+        }
+        (candidates, failed_candidates)
+    }
+}
+
+/// Index of schedulable workers by free CPU, created once per pass.
+///
+/// In a full cell few workers have room for a task, and a pass searches for room for every waiting
+/// step. Starts during the pass only reduce free resources, so the index remains a superset of the
+/// workers that fit.
+#[derive(Debug)]
+pub(super) struct FreeCpuIndex {
+    /// Free CPU in millicores, in descending order.
+    free_millicores: Vec<u64>,
+    /// Indices of the workers, in the same order.
+    positions: Vec<usize>,
+}
+
+impl FreeCpuIndex {
+    pub(super) fn of(workers: &IndexMap<Rc<str>, Worker>, now_ms: u64) -> Self {
+        let free = |worker: &Worker| {
+            let capacity = worker.entry.capacity.cpu_millicores;
+            capacity.saturating_sub(worker.used.cpu_millicores)
+        };
+        let mut by_free_cpu: Vec<(u64, usize)> = workers
+            .values()
+            .enumerate()
+            .filter(|(_, worker)| worker.is_schedulable(now_ms))
+            .map(|(position, worker)| (free(worker), position))
+            .collect();
+        by_free_cpu.sort_by_key(|&(free, position)| (Reverse(free), position));
+        let (free_millicores, positions) = by_free_cpu.into_iter().unzip();
+        Self {
+            free_millicores,
+            positions,
+        }
+    }
+
+    /// Indices of the workers with at least this much free CPU.
+    pub(super) fn with_at_least(&self, millicores: u64) -> &[usize] {
+        let count = self
+            .free_millicores
+            .partition_point(|&free| free >= millicores);
+        &self.positions[..count]
+    }
+}
+
+/// The service that runs a job: the current service of its queue, or the recorded one if the queue
+/// no longer exists.
+pub(super) fn service_of(config: &Config, job: &Job) -> Rc<str> {
+    config
+        .queues
+        .get(&job.queue)
+        .map_or(&job.service, |queue| &queue.service)
+        .clone()
+}
+
+/// Whether a worker has the label required by a step, if any.
+pub(super) fn has_label(worker: &Worker, spec: &StepSpec) -> bool {
+    spec.required_label.is_empty()
+        || worker
+            .entry
+            .labels
+            .iter()
+            .any(|label| **label == *spec.required_label)
+}
+
+/// Number of further tasks of a step that the worker may run under the step's limit per worker.
+pub(super) fn task_limit(worker: &Worker, spec: &StepSpec, step: StepId) -> u32 {
+    if spec.max_per_worker == 0 {
+        return u32::MAX;
+    }
+    let active = worker.runs.keys().filter(|task| task.step == step).count() as u32;
+    spec.max_per_worker.saturating_sub(active)
+}
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -18,12 +18,15 @@
 //! - ends are acknowledged to a worker only after their effect is durable.
 
 mod advice;
+mod candidates;
 mod changes;
 mod ends;
+mod expiry;
 mod job;
 mod movement;
 mod pace;
 mod reports;
+mod reserves;
 mod schedule;
 
 use std::rc::Rc;
--- a/crates/cell/src/coordinator/movement.rs
+++ b/crates/cell/src/coordinator/movement.rs
@@ -7,7 +7,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, job::Job, schedule};
+use super::{Coordinator, candidates, job::Job, schedule};
 use crate::{
     ids::TaskId,
     jobs::StepSpec,
@@ -234,11 +234,11 @@
         let Some(spec) = job.step_spec(task.step.step) else {
             return false;
         };
-        let service = schedule::service_of(&self.config, job);
+        let service = candidates::service_of(&self.config, job);
         let fits_elsewhere = self.workers.values().any(|other| {
             other.is_schedulable(now_ms)
                 && other.entry.service == service
-                && schedule::has_label(other, spec)
+                && candidates::has_label(other, spec)
                 && other.entry.capacity.fits(&other.used, &run.resources)
         });
         if !fits_elsewhere {
