--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod answer_loss;
 mod gangs;
 mod histories;
 mod lasting;
--- a/crates/entry/tests/entry/failures.rs
+++ b/crates/entry/tests/entry/failures.rs
@@ -104,6 +104,54 @@
     test_cell.assert_no_faults();
 }
 
+/// Workers leave starts unanswered and execute them late. Each start is repeated under its run
+/// number, so the jobs complete well before the late executions, and no task runs twice.
+#[tokio::test]
+async fn starts_without_an_answer_are_repeated() {
+    let test_cell = TestCell::start(1, 3, false).await;
+    for worker in &test_cell.platform.workers {
+        worker.delay_starts(2);
+    }
+    let began = Instant::now();
+    let path = support::path("batch", 1);
+    let text = "run=100 cpu=1000";
+    assert_eq!(test_cell.submit(0, &path, 9, text).await.status, 200);
+    test_cell.wait_for_state(0, &path, "completed").await;
+    assert!(
+        began.elapsed() < Duration::from_millis(1_500),
+        "{:?}",
+        began.elapsed()
+    );
+    time::sleep(Duration::from_millis(1_500)).await;
+    test_cell.assert_no_faults();
+}
+
+/// A leader that is told to stop leads until its successor has the key, so that work goes on.
+#[tokio::test]
+async fn a_stopped_coordinator_leads_until_it_is_replaced() {
+    let test_cell = TestCell::start(3, 4, false).await;
+    for number in 0..6 {
+        let path = support::path("batch", number);
+        assert_eq!(test_cell.submit(0, &path, 3, "run=700").await.status, 200);
+    }
+    let leader = test_cell.leader();
+    let other = test_cell.follower();
+    test_cell.hosts[leader].signal(Signal::TERM);
+    for number in 0..6 {
+        test_cell
+            .wait_for_state(other, &support::path("batch", number), "completed")
+            .await;
+    }
+    test_cell
+        .wait_until("the term ends", |cell| {
+            cell.hosts[leader].log().contains("lead-lost")
+        })
+        .await;
+    let log = test_cell.hosts[leader].log();
+    assert!(!log.contains("reason=resigned"), "{log}");
+    test_cell.assert_no_faults();
+}
+
 #[tokio::test]
 async fn tasks_keep_running_during_a_store_outage_and_submissions_get_retry_after() {
     let test_cell = TestCell::start(3, 4, false).await;
