--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -392,10 +392,7 @@
             && self.fenced
             && self.runs.is_empty()
             && self.processed_end == self.durable_end
-            && self
-                .unconfirmed_orders
-                .iter()
-                .all(|order| order.expires_ms <= now_ms)
+            && !self.has_pending_orders(now_ms)
     }
 
     /// Whether the worker was draining, is no longer listed and does not answer.
@@ -410,10 +407,14 @@
             && !self.fenced
             && self.unresponsive
             && self.runs.is_empty()
-            && self
-                .unconfirmed_orders
-                .iter()
-                .all(|order| order.expires_ms <= now_ms)
+            && !self.has_pending_orders(now_ms)
+    }
+
+    /// Whether an order without a response may still reach this process or a later one.
+    fn has_pending_orders(&self, now_ms: u64) -> bool {
+        self.unconfirmed_orders
+            .iter()
+            .any(|order| order.expires_ms > now_ms)
     }
 
     /// Whether every hold and order granted to the worker has expired, even if its clock runs as
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -1,8 +1,10 @@
 //! Takeover of the cell by a new coordinator.
 
 use hickorychute_cell::{
+    coordinator::{Coordinator, TakeoverState, Tuning},
     ids::{StepId, TaskId},
     jobs::JobState,
+    workers::WorkerEntry,
 };
 
 use crate::support::{self, Model, WorkerMode};
@@ -202,3 +204,92 @@
         assert_eq!(model.state(2), Some(JobState::Completed), "{}", case.name);
     }
 }
+
+/// A draining worker of the predecessor that does not answer may be alive, and its entry may be
+/// missing only because the store was away or the list has not been read. Guards against starting
+/// its tasks elsewhere while they run.
+#[test]
+fn a_silent_draining_worker_has_left_only_once_its_entry_stays_away() {
+    const EXPIRY_MS: u64 = 11_200;
+    struct Case {
+        name: &'static str,
+        draining: bool,
+        list_read_ms: Option<u64>,
+        listed: bool,
+        at_ms: u64,
+        settled: bool,
+    }
+    let cases = [
+        Case {
+            name: "list not read",
+            draining: true,
+            list_read_ms: None,
+            listed: false,
+            at_ms: 5_000,
+            settled: false,
+        },
+        Case {
+            name: "entry may still return",
+            draining: true,
+            list_read_ms: Some(100),
+            listed: false,
+            at_ms: 2_090,
+            settled: false,
+        },
+        Case {
+            name: "entry stays away",
+            draining: true,
+            list_read_ms: Some(100),
+            listed: false,
+            at_ms: 2_100,
+            settled: true,
+        },
+        Case {
+            name: "still listed",
+            draining: true,
+            list_read_ms: Some(100),
+            listed: true,
+            at_ms: 5_000,
+            settled: false,
+        },
+        Case {
+            name: "not draining: crashed or cut off",
+            draining: false,
+            list_read_ms: Some(100),
+            listed: false,
+            at_ms: 11_190,
+            settled: false,
+        },
+        Case {
+            name: "holds expired",
+            draining: false,
+            list_read_ms: Some(100),
+            listed: false,
+            at_ms: EXPIRY_MS,
+            settled: true,
+        },
+    ];
+    for case in cases {
+        let entry = WorkerEntry {
+            draining: case.draining,
+            ..support::entry(0)
+        };
+        let takeover = TakeoverState {
+            roster: vec![entry.clone()],
+            expiry_ms: EXPIRY_MS,
+            run_floor: 1_000,
+        };
+        let mut coordinator = Coordinator::new(Tuning::default(), support::config(), takeover);
+        coordinator.hold_failed(&entry.id, 50);
+        if case.listed {
+            coordinator.update_worker(entry.clone());
+        }
+        if let Some(read_ms) = case.list_read_ms {
+            coordinator.list_read(read_ms);
+        }
+        coordinator.hold_failed(&entry.id, case.at_ms - 10);
+        let _orders = coordinator.schedule(case.at_ms, support::START_UNIX_MS);
+        let settled = coordinator.takeover_complete(case.at_ms);
+        assert_eq!(settled, case.settled, "{}", case.name);
+    }
+}
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -100,7 +100,8 @@
     }
 }
 
-/// Waits until the leader is gone or announces that it shuts down, and acquires the leader key; returns the new term.
+/// Waits until the leader is gone or announces that it shuts down, and acquires the leader key;
+/// returns the new term.
 pub async fn acquire_term(
     store: &GuardedStore,
     members: &Members,
