--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays this case; see claim.txt beside it.
 cd "$(dirname "$0")/../.."
-exec target/review/rig vast-job review/1
+exec target/review/rig cold-start review/1
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays this case; see claim.txt beside it.
 cd "$(dirname "$0")/../.."
-exec target/review/rig roster review/3
+exec target/review/rig many-ends review/3
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 on loopback: a server with a thread for each connection, and a client.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub struct Request {
     pub method: String,
@@ -131,6 +131,53 @@
     found.and_then(|(_, n)| n.parse().ok()).unwrap_or(0)
 }
 
+/// Starts a link to `target` that carries at most `mbps` towards its callers, all connections
+/// together; returns its address.
+pub fn link(target: SocketAddr, mbps: f64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let free_at = Arc::new(Mutex::new(Instant::now()));
+    thread::spawn(move || {
+        for caller in listener.incoming().flatten() {
+            let Ok(callee) = TcpStream::connect(target) else {
+                continue;
+            };
+            let (Ok(from_caller), Ok(to_callee)) = (caller.try_clone(), callee.try_clone()) else {
+                continue;
+            };
+            thread::spawn(move || carry(from_caller, to_callee, |_| {}));
+            let free_at = Arc::clone(&free_at);
+            let pace = move |bytes: usize| {
+                let taken = Duration::from_secs_f64(bytes as f64 * 8.0 / (mbps * 1e6));
+                let until = {
+                    let mut free_at = free_at.lock().unwrap();
+                    *free_at = (*free_at).max(Instant::now()) + taken;
+                    *free_at
+                };
+                thread::sleep(until.saturating_duration_since(Instant::now()));
+            };
+            thread::spawn(move || carry(callee, caller, pace));
+        }
+    });
+    address
+}
+
+fn carry(mut from: TcpStream, mut to: TcpStream, pace: impl Fn(usize)) {
+    let _ = to.set_nodelay(true);
+    let mut buffer = [0; 8 << 10];
+    while let Ok(count) = from.read(&mut buffer) {
+        if count == 0 {
+            break;
+        }
+        pace(count);
+        if to.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
 /// Sends one request over a new connection; `None` if there is no answer in time.
 pub fn call(
     address: SocketAddr,
