--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -178,7 +178,11 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
-/// Sends one request over a new connection; `None` if there is no answer in time.
+/// Time that clients give for an answer, in milliseconds (`X-Deadline-Ms`).
+const DEADLINE_MS: u64 = 3_000;
+
+/// Sends one request over a new connection; `None` if there is no answer in time, after which the
+/// client leaves.
 pub fn call(
     address: SocketAddr,
     method: &str,
@@ -192,7 +196,7 @@
     stream.set_nodelay(true).ok()?;
     let request = format!(
         "{method} {path} HTTP/1.1\r\nhost: {host}\r\nx-deadline-ms: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-        timeout.as_millis(),
+        DEADLINE_MS,
         body.len()
     );
     stream.write_all(request.as_bytes()).ok()?;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -41,6 +41,9 @@
         "advice-gone" => advice_gone(&mut cell, trouble),
         "vast-job" => vast_job(&mut cell, trouble),
         "cold-start" => cold_start(&mut cell, trouble),
+        "failed-once" => failed_once(&mut cell, trouble),
+        "reserved" => reserved(&mut cell, trouble),
+        "left-and-cancelled" => left_and_cancelled(&mut cell, trouble),
         other => Err(format!("no case {other}")),
     };
     let verdict = catch_unwind(AssertUnwindSafe(play)).unwrap_or(Err("the rig panicked".into()));
@@ -154,6 +157,136 @@
     cell.settle(job, 40)
 }
 
+/// One of two minions that may run a task fails it once; the other is full of lasting tasks.
+fn failed_once(cell: &mut Cell, trouble: bool) -> Verdict {
+    let kind = |n| if n <= 2 { "a" } else { "b" };
+    let minions: Vec<Arc<Minion>> = (1..=12)
+        .map(|n| cell.minion_of_kind(kind(n), n, "muc-ost", 0))
+        .collect();
+    cell.configure(1, true, false);
+    cell.start_hosts(3)?;
+    let lasting = "00000000000000d2";
+    cell.submit(lasting, r#"{"spec":"run=600000","steps":[{"count":2,"cpu":7500,"mem_mb":4096,"estimate_ms":1000,"long_running":true,"required_label":"a"}]}"#)?;
+    cell.until(5, "lasting tasks", |cell| {
+        cell.ledger.of(lasting).len() == 2
+    })?;
+    let runs = cell.ledger.of(lasting);
+    if runs[0].minion != runs[1].minion {
+        return Err("the lasting tasks are on two minions".into());
+    }
+    let other = minions[..2]
+        .iter()
+        .find(|m| m.id != runs[0].minion)
+        .ok_or("no minion")?;
+    thread::sleep(Duration::from_secs(1));
+    if trouble {
+        other.grey(true);
+    }
+    let job = "00000000000000d3";
+    cell.submit(job, r#"{"spec":"run=2000","steps":[{"count":1,"cpu":2000,"mem_mb":512,"estimate_ms":2000,"required_label":"a"}]}"#)?;
+    cell.until(5, "a start", |cell| !cell.ledger.of(job).is_empty())?;
+    if !trouble {
+        thread::sleep(Duration::from_secs(4));
+        let state = cell.state(job);
+        cell.ledger
+            .note(format!("client: GET /plans/{job}: {state}"));
+        return if state == "completed" {
+            Ok(Vec::new())
+        } else {
+            Ok(vec![format!("{job} is {state:?}")])
+        };
+    }
+    thread::sleep(Duration::from_millis(3_000));
+    other.grey(false);
+    cell.starves(job, 30)
+}
+
+/// One of twenty jobs can't be done beside the lasting tasks on the minions that it needs.
+fn reserved(cell: &mut Cell, trouble: bool) -> Verdict {
+    let kind = |n| if n <= 2 { "a" } else { "b" };
+    for n in 1..=12 {
+        cell.minion_of_kind(kind(n), n, "muc-ost", 0);
+    }
+    cell.configure(1, true, false);
+    cell.start_hosts(3)?;
+    let lasting = "00000000000000d4";
+    cell.submit(lasting, r#"{"spec":"run=600000","steps":[{"count":2,"cpu":2000,"mem_mb":1024,"estimate_ms":1000,"long_running":true,"required_label":"a","max_per_server":1}]}"#)?;
+    cell.until(5, "lasting tasks", |cell| {
+        cell.ledger.of(lasting).len() == 2
+    })?;
+    if trouble {
+        cell.submit("00000000000000d5", r#"{"spec":"run=600000","steps":[{"count":2,"cpu":15000,"mem_mb":1024,"estimate_ms":1000,"long_running":true,"required_label":"a"}]}"#)?;
+    }
+    thread::sleep(Duration::from_secs(1));
+    let sound: Vec<String> = (1..20).map(|n| format!("00000000000001{n:02x}")).collect();
+    for job in &sound {
+        cell.submit(job, r#"{"spec":"run=1000","steps":[{"count":1,"cpu":2000,"mem_mb":512,"estimate_ms":1000,"required_label":"a"}]}"#)?;
+    }
+    thread::sleep(Duration::from_secs(30));
+    let mut faults = Vec::new();
+    for job in &sound {
+        let state = cell.state(job);
+        cell.ledger
+            .note(format!("client: GET /plans/{job}: {state}"));
+        if cell.ledger.of(job).is_empty() {
+            faults.push(format!(
+                "LOST: {job}: accepted, {state}; nothing has run for 30 s, with room for it fourteen times over"
+            ));
+        }
+    }
+    Ok(faults)
+}
+
+/// A client leaves before its job is answered, and cancels it.
+fn left_and_cancelled(cell: &mut Cell, trouble: bool) -> Verdict {
+    for n in 1..=3 {
+        cell.minion(n, "muc-ost", 0);
+    }
+    cell.configure(1, true, false);
+    cell.start_hosts(3)?;
+    let job = "00000000000000c2";
+    if trouble {
+        let late = (format!("hc/j/{job}"), Duration::from_millis(1_500));
+        cell.store.trouble.lock().unwrap().late_write = Some(late);
+    }
+    let path = format!("/plans/{job}");
+    let body = r#"{"spec":"run=6000","steps":[{"count":2,"cpu":2000,"mem_mb":512,"estimate_ms":6000},{"count":2,"cpu":2000,"mem_mb":512,"estimate_ms":6000,"after":[0]}]}"#;
+    let patience = Duration::from_millis(300);
+    let (first, second) = (cell.hosts[0].front, cell.hosts[1].front);
+    let began = Instant::now();
+    let answer = http::call(first, "POST", "jobs.example", &path, body, patience);
+    let status = answer.map_or(0, |(status, _)| status);
+    cell.ledger.note(format!(
+        "client: POST {path} {body}: {status} (0: it has left)"
+    ));
+    thread::sleep((began + patience).saturating_duration_since(Instant::now()));
+    let deadline = Duration::from_secs(3);
+    let answer = http::call(second, "DELETE", "jobs.example", &path, "", deadline);
+    let status = answer.map_or(0, |(status, _)| status);
+    cell.ledger.note(format!("client: DELETE {path}: {status}"));
+    if !matches!(status, 200..=299 | 410) {
+        return Err(format!("the cancelling wasn't acknowledged: {status}"));
+    }
+    let acknowledged = Instant::now();
+    for _ in 0..6 {
+        thread::sleep(Duration::from_millis(2_500));
+        let state = cell.state(job);
+        cell.ledger.note(format!(
+            "client: GET {path}: {state:?} (empty: no such job)"
+        ));
+    }
+    // `cancel_ms` of the deployment.
+    let limit = acknowledged + Duration::from_secs(3);
+    let late = |ran: &worker::Ran| {
+        let at = cell.ledger.at(ran.began);
+        (ran.began > limit).then(|| {
+            let (task, run, minion) = (&ran.task, ran.run, &ran.minion);
+            format!("UNASKED: {task} run {run} on {minion} began at {at:.3}, more than 3 s after its job's cancelling was acknowledged")
+        })
+    };
+    Ok(cell.ledger.of(job).iter().filter_map(late).collect())
+}
+
 /// All hosts are killed after the configuration has grown, on links of 10 Mbit/s.
 fn cold_start(cell: &mut Cell, trouble: bool) -> Verdict {
     for n in 1..=3 {
@@ -420,9 +553,34 @@
     }
 
     fn minion(&self, number: u32, zone: &str, way_ms: u64) -> Arc<Minion> {
+        self.minion_of_kind("a", number, zone, way_ms)
+    }
+
+    fn minion_of_kind(&self, kind: &str, number: u32, zone: &str, way_ms: u64) -> Arc<Minion> {
         let (id, rack) = (format!("i-{number}"), format!("r1-{number}"));
         let way = Duration::from_millis(way_ms);
-        Minion::start(&id, &rack, zone, way, &self.store, &self.ledger)
+        Minion::start(&id, (kind, &rack), zone, way, &self.store, &self.ledger)
+    }
+
+    /// LOST: a job of one task has been accepted, fits several times over on a minion that may run
+    /// it, and hasn't a run for `seconds`.
+    fn starves(&self, job: &str, seconds: u64) -> Verdict {
+        let until = Instant::now() + Duration::from_secs(seconds);
+        let before = self.ledger.of(job).len();
+        while Instant::now() < until && self.ledger.of(job).len() == before {
+            thread::sleep(Duration::from_millis(100));
+        }
+        self.ledger
+            .note(format!("client: GET /plans/{job}: {}", self.state(job)));
+        if self.ledger.of(job).len() > before {
+            thread::sleep(Duration::from_secs(4));
+            self.ledger
+                .note(format!("client: GET /plans/{job}: {}", self.state(job)));
+            return Ok(Vec::new());
+        }
+        Ok(vec![format!(
+            "LOST: {job}: nothing has run for {seconds} s, with room for it many times over"
+        )])
     }
 
     /// Writes a configuration with the queue `plans`, which may be left out, and `quotes`.
--- a/review/rig/worker.rs
+++ b/review/rig/worker.rs
@@ -18,6 +18,8 @@
 const HOLD_MAX_MS: u64 = 6_000;
 /// How long it stays after it has reported that it drains, at least: `drain_ms` and some seconds.
 const DRAIN_MS: u128 = 8_000;
+/// After this a run fails on a minion that fails all that it starts.
+const GREY_RUN: Duration = Duration::from_millis(200);
 /// Ends listed at a time.
 const LISTED_ENDS: usize = 500;
 
@@ -138,6 +140,7 @@
     last_end: u64,
     highest: BTreeMap<String, u64>,
     cut: bool,
+    grey: bool,
     left: bool,
     draining: Option<Instant>,
     beat: Option<Instant>,
@@ -146,6 +149,7 @@
 
 pub struct Minion {
     pub id: String,
+    kind: String,
     rack: String,
     zone: String,
     address: SocketAddr,
@@ -162,7 +166,7 @@
 impl Minion {
     pub fn start(
         id: &str,
-        rack: &str,
+        (kind, rack): (&str, &str),
         zone: &str,
         way: Duration,
         store: &Arc<Store>,
@@ -171,6 +175,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let minion = Arc::new(Self {
             id: id.to_owned(),
+            kind: kind.to_owned(),
             rack: rack.to_owned(),
             zone: zone.to_owned(),
             address: listener.local_addr().expect("an address"),
@@ -211,6 +216,20 @@
         self.state.lock().unwrap().cut = cut;
     }
 
+    /// Makes the minion fail all that it starts, or ends that.
+    pub fn grey(&self, grey: bool) {
+        self.ledger.note(format!(
+            "{}: {}",
+            self.id,
+            if grey {
+                "fails all that it starts from now on"
+            } else {
+                "is sound again"
+            }
+        ));
+        self.state.lock().unwrap().grey = grey;
+    }
+
     /// Reports `draining` with the next heartbeat, and returns when that is accepted.
     pub fn drain(&self) {
         let beat = self.state.lock().unwrap().beat.unwrap();
@@ -234,9 +253,10 @@
             None => ("ready", String::new()),
         };
         let entry = format!(
-            r#"{{"service":"pool","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{word}","cold_left_ms":0,"capacity":{{"cpu":16000,"mem_mb":32768,"gpu":0}},"labels":["a","{}"],"born":{},"clock_ms":{},"seq":1{left}}}"#,
+            r#"{{"service":"pool","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{word}","cold_left_ms":0,"capacity":{{"cpu":16000,"mem_mb":32768,"gpu":0}},"labels":["{}","{}"],"born":{},"clock_ms":{},"seq":1{left}}}"#,
             self.address,
             self.zone,
+            self.kind,
             self.rack,
             self.born,
             self.clock()
@@ -408,8 +428,12 @@
                 let run = Run {
                     number,
                     began: Instant::now(),
-                    lasts,
-                    fails: word("fail=") == 1,
+                    lasts: if state.grey {
+                        GREY_RUN.min(lasts)
+                    } else {
+                        lasts
+                    },
+                    fails: word("fail=") == 1 || state.grey,
                     place,
                 };
                 state.runs.insert(task, run);
