--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays this case; see claim.txt beside it.
 cd "$(dirname "$0")/../.."
-exec target/review/rig drain-cut review/5
+exec target/review/rig reserved review/5
