--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -43,6 +43,7 @@
         "cold-start" => cold_start(&mut cell, trouble),
         "failed-once" => failed_once(&mut cell, trouble),
         "reserved" => reserved(&mut cell, trouble),
+        "fillers" => fillers(&mut cell, trouble),
         "left-and-cancelled" => left_and_cancelled(&mut cell, trouble),
         other => Err(format!("no case {other}")),
     };
@@ -237,6 +238,26 @@
     Ok(faults)
 }
 
+/// Lasting tasks that fill ask for the whole processor of every minion.
+fn fillers(cell: &mut Cell, trouble: bool) -> Verdict {
+    for n in 1..=6 {
+        cell.minion(n, "muc-ost", 0);
+    }
+    cell.configure(1, true, false);
+    cell.start_hosts(3)?;
+    if trouble {
+        let lasting = "00000000000000d7";
+        cell.submit(lasting, r#"{"spec":"run=600000","steps":[{"count":6,"cpu":16000,"mem_mb":1024,"estimate_ms":1000,"long_running":true,"fills":true}]}"#)?;
+        cell.until(5, "lasting tasks", |cell| {
+            cell.ledger.of(lasting).len() == 6
+        })?;
+    }
+    thread::sleep(Duration::from_secs(1));
+    let job = "00000000000000d8";
+    cell.submit(job, r#"{"spec":"run=2000","steps":[{"count":1,"cpu":1000,"mem_mb":512,"estimate_ms":2000,"fills":true}]}"#)?;
+    cell.starves(job, 30)
+}
+
 /// A client leaves before its job is answered, and cancels it.
 fn left_and_cancelled(cell: &mut Cell, trouble: bool) -> Verdict {
     for n in 1..=3 {
