entry: deadlines of reads follow progress, so that a cell on slow links comes back

Cause: the time-out of a call covered its whole response. A listing was given 0.9 s a page, the configuration takes 1.0 s in base64; what had arrived was thrown away and transferred again, for ever. The logs did not show it, so a failed page is now logged (E8141, E8142). On the code before: 17 failures in 19.3 s, all with pages=0 and "the store did not answer", no E8020. This rules out an outage, the backoff and a configuration that can't be decoded.

A listing keeps the pages that it has read. The same cause in the takeover: a term was abandoned when the records took more than 8 s to read, and, that limit lifted, ended by itself (E8031 not_confirmed after read_ms=15240), since its authority of 5 s counted from the election. It now ends only if reads make no progress for 8 s, and confirms the key after a long read.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -69,6 +69,10 @@
     CARRIER_BACK = (8134, "carrier-back", Info, "A host that did not answer the coordinator answers again. Nothing to do.");
     /// A commit failed.
     COMMIT_FAILED = (8140, "commit-failed", Warn, "Records could not be committed to the store and are retried. Check for a store outage.");
+    /// A page of a listing could not be read.
+    LISTING_FAILED = (8141, "listing-failed", Warn, "A page of a listing of the store could not be read and is read again; the pages before it are kept. If this recurs with the same number of pages, check the link to the store.");
+    /// A listing that had failed is complete.
+    LISTING_COMPLETE = (8142, "listing-complete", Info, "A listing of the store is complete after failed reads. Nothing to do.");
     /// Log lines were dropped.
     LINES_DROPPED = (8150, "lines-dropped", Warn, "The log output could not keep up and lines were dropped; the dropped lines are counted in the metrics.");
 }
--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -5,7 +5,7 @@
 
 use adapter::{
     entries,
-    store::{Event, Listing, WORKERS_PREFIX},
+    store::{Event, WORKERS_PREFIX},
 };
 use cell::{ids::JobId, jobs::JobRecord};
 use indexmap::IndexSet;
@@ -16,6 +16,7 @@
 use super::{Leader, holds};
 use crate::{
     clock, events,
+    listing::Listing,
     prefix_watch::{self, WatchConfig, WatchHandler},
     records::{self, ACCEPTED_PREFIX, ARRIVALS_PREFIX, CANCEL_PREFIX, LEADER_MIRROR_KEY},
 };
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -67,6 +67,9 @@
 /// client's deadline leaves the job in doubt.
 const RESPONSE_MARGIN_MS: u64 = 150;
 
+/// The leader key is read if no commit has confirmed it for this long, in milliseconds.
+const CONFIRM_INTERVAL_MS: u64 = 900;
+
 /// Services of this host that a leader uses.
 #[derive(Clone, Debug)]
 pub struct HostContext {
@@ -427,7 +430,6 @@
 
 /// Renews the lease, and reads the leader key if no commit has confirmed it recently.
 async fn maintain_lease(leader: Rc<Leader>) {
-    const CONFIRM_INTERVAL_MS: u64 = 900;
     loop {
         let sent_ms = clock::now_ms();
         // Renewals run concurrently, so that one lost answer does not cost the lease.
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use adapter::store::{Item, Listing};
+use adapter::store::Item;
 use cell::{
     coordinator::{Coordinator, TakeoverState},
     ids::JobId,
@@ -12,30 +12,36 @@
 use prost::Message;
 use tokio::time;
 
-use super::{HostContext, Leader};
+use super::{CONFIRM_INTERVAL_MS, HostContext, Leader};
 use crate::{
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
     events,
-    records::{JOB_PREFIX, ROSTER_KEY, Roster},
+    listing::{Listing, ListingReader},
+    records::{JOB_PREFIX, LEADER_KEY, ROSTER_KEY, Roster},
 };
 
 /// Run numbers reserved per term for each task.
 const RUN_NUMBERS_PER_TERM: u64 = 1_000;
 /// Maximum hold that workers grant, in milliseconds, allowing for slow worker clocks.
 const MAX_HOLD_MS: u64 = 6_200;
-/// Time limit for reading the records; the term is abandoned after it.
-const READ_TIMEOUT: Duration = Duration::from_secs(8);
+/// A term is abandoned once its reads have failed for this long without progress. Reading as such
+/// may take much longer, depending on the number of records and the link.
+const MAX_READ_STALL_MS: u64 = 8_000;
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Loads records and roster; `None` if the lease ends or the store does not return them in time.
 pub(super) async fn load(context: &HostContext, term: Term) -> Option<Rc<Leader>> {
     let renewal = renew_lease_until_ended(context, term);
-    let read = time::timeout(READ_TIMEOUT, read_all(context));
-    let (jobs, roster) = tokio::select! {
+    // Concurrent: with a slow store, sequential calls would delay the takeover.
+    let read = async {
+        let (jobs, roster) = tokio::join!(read_jobs(context), read_roster(context));
+        Some((jobs?, roster?, confirm_term(context, term).await?))
+    };
+    let (jobs, roster, confirmed_ms) = tokio::select! {
         () = renewal => return None,
-        read = read => read.ok()?,
+        read = read => read?,
     };
     let config = context.operator_config.current()?;
     let takeover = TakeoverState {
@@ -66,6 +72,7 @@
         clock::now_ms() - term.taken_ms
     );
     let leader = Leader::new(context, term, coordinator);
+    leader.last_confirmed_ms.set(confirmed_ms);
     leader.revisions.borrow_mut().extend(job_revisions);
     *leader.durable_roster.borrow_mut() = roster;
     Some(Rc::new(leader))
@@ -93,26 +100,57 @@
     }
 }
 
-/// Reads both concurrently: with a slow store, sequential calls would delay the takeover.
-async fn read_all(context: &HostContext) -> (Listing, Roster) {
-    tokio::join!(read_jobs(context), read_roster(context))
+/// Reads all job records; `None` once reads have failed for [`MAX_READ_STALL_MS`].
+async fn read_jobs(context: &HostContext) -> Option<Listing> {
+    let mut reader = ListingReader::new(&context.store, JOB_PREFIX);
+    let mut pages = 0;
+    let mut failing_since_ms = None;
+    loop {
+        if let Ok(listing) = reader.read().await {
+            return Some(listing);
+        }
+        if reader.pages() > pages {
+            pages = reader.pages();
+            failing_since_ms = None;
+        }
+        wait_to_retry(&mut failing_since_ms).await?;
+    }
 }
 
-async fn read_jobs(context: &HostContext) -> Listing {
+/// Reads the roster; `None` once reads have failed for [`MAX_READ_STALL_MS`].
+async fn read_roster(context: &HostContext) -> Option<Roster> {
+    let mut failing_since_ms = None;
     loop {
-        match context.store.list(JOB_PREFIX).await {
-            Ok(listing) => return listing,
-            Err(_) => time::sleep(RETRY_DELAY).await,
+        if let Ok(item) = context.store.get(ROSTER_KEY).await {
+            let decode = |item: Item| Roster::decode(item.value.as_slice()).ok();
+            return Some(item.and_then(decode).unwrap_or_default());
         }
+        wait_to_retry(&mut failing_since_ms).await?;
     }
 }
 
-async fn read_roster(context: &HostContext) -> Roster {
+/// Confirms that the leader key is still ours; `None` if it is not. Returns the time from which the
+/// confirmation counts. Reading can outlast the authority that the election gave.
+async fn confirm_term(context: &HostContext, term: Term) -> Option<u64> {
+    if clock::now_ms() < term.taken_ms + CONFIRM_INTERVAL_MS {
+        return Some(term.taken_ms);
+    }
     loop {
-        match context.store.get(ROSTER_KEY).await {
-            Ok(Some(item)) => return Roster::decode(item.value.as_slice()).unwrap_or_default(),
-            Ok(None) => return Roster::default(),
+        let sent_ms = clock::now_ms();
+        match context.store.get(LEADER_KEY).await {
+            Ok(Some(item)) if item.revision == term.fence => return Some(sent_ms),
+            Ok(_) => return None,
             Err(_) => time::sleep(RETRY_DELAY).await,
         }
     }
 }
+
+/// Waits before a failed read is repeated; `None` if reads have failed for [`MAX_READ_STALL_MS`].
+async fn wait_to_retry(failing_since_ms: &mut Option<u64>) -> Option<()> {
+    let now_ms = clock::now_ms();
+    if now_ms >= *failing_since_ms.get_or_insert(now_ms) + MAX_READ_STALL_MS {
+        return None;
+    }
+    time::sleep(RETRY_DELAY).await;
+    Some(())
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! workers report their runs.
 //!
 //! - [`daemon`]: startup, signals and shutdown;
+//! - `listing`: reads all keys under a prefix of the store, page by page;
 //! - `prefix_watch`: watches all keys under a prefix of the store;
 //! - [`frontend`]: client requests and the platform's readiness probe;
 //! - [`leader_client`]: requests to the leader, with direct store access as the fallback;
@@ -32,6 +33,7 @@
 pub mod frontend;
 pub mod leader;
 pub mod leader_client;
+mod listing;
 pub mod live;
 pub mod logs;
 pub mod members;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use adapter::store::{Committed, Event, Item, Listing, StoreError, Txn};
+use adapter::store::{Committed, Event, Item, StoreError, Txn};
 use cell::routing::{Relay, RoutingTable};
 use indexmap::IndexMap;
 use kernel::log_event;
@@ -18,6 +18,7 @@
 
 use crate::{
     events,
+    listing::Listing,
     prefix_watch::{self, WatchConfig, WatchHandler},
     records::{HOST_PREFIX, HostRecord, LEADER_KEY, LeaderRecord, MEMBERS_PREFIX},
     store::GuardedStore,
--- a/crates/entry/src/operator_config.rs
+++ b/crates/entry/src/operator_config.rs
@@ -4,7 +4,7 @@
 
 use adapter::{
     config,
-    store::{CONFIG_KEY, Event, Listing},
+    store::{CONFIG_KEY, Event},
 };
 use cell::config::Config;
 use kernel::log_event;
@@ -12,6 +12,7 @@
 
 use crate::{
     events,
+    listing::Listing,
     prefix_watch::{self, WatchConfig, WatchHandler},
     store::GuardedStore,
 };
--- a/crates/entry/src/prefix_watch.rs
+++ b/crates/entry/src/prefix_watch.rs
@@ -6,10 +6,13 @@
 
 use std::{ops::ControlFlow, time::Duration};
 
-use adapter::store::{Event, Listing};
+use adapter::store::Event;
 use tokio::time;
 
-use crate::store::GuardedStore;
+use crate::{
+    listing::{Listing, ListingReader},
+    store::GuardedStore,
+};
 
 /// Timing of a prefix watch.
 #[derive(Clone, Copy, Debug)]
@@ -38,8 +41,10 @@
     config: WatchConfig,
     handler: &mut impl WatchHandler,
 ) {
+    let mut reader = ListingReader::new(store, prefix);
     loop {
-        if let Ok(listing) = store.list(prefix).await {
+        if let Ok(listing) = reader.read().await {
+            reader = ListingReader::new(store, prefix);
             if handler.handle_listing(&listing).await.is_break() {
                 return;
             }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use adapter::store::{Committed, Item, Listing, Store, StoreError, Txn, Watched};
+use adapter::store::{Committed, Item, Page, Store, StoreError, Txn, Watched};
 use cell::outage::{CallId, Health, StoreHealth};
 use kernel::log_event;
 use tokio::{sync::Notify, task, time};
@@ -32,9 +32,9 @@
 /// The store is far if even its fastest response took longer than this, in milliseconds: between
 /// the round-trip times within a region and between regions.
 const FAR_STORE_THRESHOLD_MS: u64 = 25;
-/// Timeout of one page of a listing.
-const LIST_TIMEOUT: Duration = Duration::from_millis(900);
-/// How long after its wait a watch may still be answered.
+/// Timeout until a page of a listing begins to arrive.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long after its wait the answer to a watch may begin to arrive.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
 
 /// Interval between the leader's probes of a failing store: it must detect the recovery before
@@ -205,14 +205,14 @@
         self.track(self.store.get(key, self.timeout())).await
     }
 
-    /// Reads everything under a prefix.
+    /// Reads the page of the items under a prefix that follows the key `after`, or the first one.
     ///
     /// # Errors
     ///
-    /// [`StoreError`] if the store does not answer for a page.
-    pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+    /// [`StoreError`] if the store does not answer.
+    pub async fn read_page(&self, prefix: &str, after: &str) -> Result<Page, StoreError> {
         self.check_backoff()?;
-        self.record_result(self.store.list(prefix, LIST_TIMEOUT).await)
+        self.record_result(self.store.read_page(prefix, after, PAGE_TIMEOUT).await)
     }
 
     /// Waits for changes under a prefix after the revision `after`.
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Entry host processes against the stand-in platform.
 
+mod cold_start;
 mod failures;
 mod jobs;
 mod peers;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -128,6 +128,12 @@
     pub async fn start_with(hosts: usize, workers: usize, advised: bool, lines: &str) -> Self {
         let platform = Platform::start(workers).await;
         platform.configure(1, &["urgent", "batch"], advised);
+        Self::start_on(platform, hosts, lines).await
+    }
+
+    /// The same, on a platform that has a configuration.
+    pub async fn start_on(platform: Platform, hosts: usize, lines: &str) -> Self {
+        let workers = platform.workers.len();
         let folder = tempfile::tempdir().expect("a temporary directory is created");
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(1))
