cell: a run that a full list of ends lacks may have ended, and its task waits

Cause: a worker lists at most 500 unacknowledged ends. A task whose end lay beyond was in neither list, which counted as proof that it had never started. The same in the first report after a takeover, and a takeover stopped waiting after 11.2 s for workers that answered but had not listed all ends. Evidence: each next run began 0.2 s after the last had ended, on the same worker, under the next number, without a lapse; with 480 tasks instead of 1,500 every one ran once.

Absence from a list that may be cut off proves nothing now (head of coordinator/mod.rs): the adapter marks a full list; a run that it lacks frees its resources, and its task waits for the end, for a report that is not full, or for the lapse of the worker's hold. A takeover waits for all ends of the workers that answer. E8137 tells when a list is full, E8035 whether a worker was heard. Related: an empty page of a store listing that announces another one is an error, not the end.

Tests, failing with the guard removed: tasks_whose_ends_do_not_fit_into_a_report_run_once and two more in the model ("starts after it was done"), tasks_with_more_ends_than_workers_list_run_once with processes (2,055 starts of 1,500 tasks).

--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -10,7 +10,7 @@
     ids::{StepId, TaskId},
     jobs::StepSpec,
     placement::Candidate,
-    workers::Worker,
+    workers::{Phase, Run, Worker},
 };
 
 /// The waiting tasks of a step that are to be placed.
@@ -167,6 +167,7 @@
     if spec.max_per_worker == 0 {
         return u32::MAX;
     }
-    let active = worker.runs.keys().filter(|task| task.step == step).count() as u32;
+    let occupies = |(task, run): &(&TaskId, &Run)| task.step == step && run.phase != Phase::Ended;
+    let active = worker.runs.iter().filter(occupies).count() as u32;
     spec.max_per_worker.saturating_sub(active)
 }
--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -28,8 +28,9 @@
             for task in tasks {
                 self.release(&id, task);
             }
+            // Ends that it did not list before its hold expired do not count.
+            self.unreported_workers.swap_remove(&id);
             if self.workers.get(&id).is_some_and(|worker| !worker.listed) {
-                self.unreported_workers.swap_remove(&id);
                 self.workers.swap_remove(&id);
             }
         }
@@ -37,7 +38,9 @@
         self.workers
             .retain(|id, worker| unreported.contains(id) || !worker.is_gone(now_ms));
         if now_ms >= self.inherited_expiry_ms {
-            self.unreported_workers.clear();
+            let workers = &self.workers;
+            self.unreported_workers
+                .retain(|id| workers.get(id).is_some_and(|worker| worker.fenced));
             // Workers of the predecessor that neither sent a report nor are listed have no runs any
             // more.
             self.workers
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -8,13 +8,15 @@
 //! The following rules prevent a task from running twice at the same time:
 //!
 //! - a task has at most one active run; the run is released only once its worker reports its end, a
-//!   report shows that it never started, or every hold and order granted to the worker has
-//!   certainly expired;
+//!   report that lists all ends shows that it never started, or every hold and order granted to the
+//!   worker has certainly expired. Absence from a list that may be cut off proves nothing: the run
+//!   may have ended beyond the cut;
 //! - an unconfirmed order to start keeps its resources reserved until its deadline on the worker's
 //!   clock has passed or a stop of its run is confirmed;
 //! - after a takeover, a task of an inherited job starts only once every worker used by the
-//!   predecessor has accepted the new fencing token and reported its runs, or the predecessor's
-//!   last hold must have expired;
+//!   predecessor has accepted the new fencing token and reported all its runs and ends, or the
+//!   predecessor's last hold must have expired. The latter stands for silent workers only: one that
+//!   answers may still list ends;
 //! - ends are acknowledged to a worker only after their effect is durable.
 
 mod advice;
@@ -144,7 +146,7 @@
     writing: IndexSet<JobId>,
     /// Processed ends whose effects are not durable, oldest first.
     pending_ends: Vec<changes::PendingEnds>,
-    /// Workers of the predecessor that have not sent a report yet.
+    /// Workers of the predecessor that have not reported all their runs and ends yet.
     unreported_workers: IndexSet<Rc<str>>,
     inherited_expiry_ms: u64,
     /// When the list of workers was first read, in milliseconds of the local clock.
@@ -378,9 +380,11 @@
         self.inherited_expiry_ms.saturating_sub(now_ms)
     }
 
-    /// Whether every worker of the predecessor has sent a report, or the predecessor's orders and
-    /// holds have expired.
+    /// Whether every worker of the predecessor has reported all its runs and ends, or does not
+    /// answer and the predecessor's orders and holds have expired.
     pub fn takeover_complete(&self, now_ms: u64) -> bool {
-        self.unreported_workers.is_empty() || now_ms >= self.inherited_expiry_ms
+        let expired = now_ms >= self.inherited_expiry_ms;
+        let is_settled = |worker: &Worker| expired && !worker.fenced;
+        self.unreported_workers().all(is_settled)
     }
 }
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -130,14 +130,16 @@
             worker_ms: report.clock_ms,
             received_ms: now_ms,
         });
-        self.unreported_workers.swap_remove(id);
+        if !report.ends_truncated {
+            self.unreported_workers.swap_remove(id);
+        }
         for end in &report.ended {
             self.apply_end(id, end, now_ms, unix_ms);
         }
         for reported in &report.running {
             self.apply_reported_run(id, reported, now_ms);
         }
-        self.release_missing_runs(id, sent_ms, report);
+        self.settle_missing_runs(id, sent_ms, report);
         self.review_runs(id, now_ms, unix_ms);
     }
 
@@ -287,8 +289,10 @@
         // of the run from reports would never release it.
         if let Some(known) = known.filter(|known| known.run == run && !known.stop_confirmed) {
             known.stop_confirmed = true;
-            // From now on the run is ending or will never start.
-            known.phase = Phase::Present { since_ms: now_ms };
+            if known.phase != Phase::Ended {
+                // From now on the run is ending or will never start.
+                known.phase = Phase::Present { since_ms: now_ms };
+            }
         }
     }
 
@@ -373,9 +377,10 @@
         );
     }
 
-    /// Releases runs that the report should contain but does not.
-    fn release_missing_runs(&mut self, id: &str, sent_ms: u64, report: &HoldReport) {
-        let Some(worker) = self.workers.get(id) else {
+    /// Settles runs that the report should contain but does not. They no longer exist; only if the
+    /// report lists all ends is it known that they left none, so that their tasks may start again.
+    fn settle_missing_runs(&mut self, id: &str, sent_ms: u64, report: &HoldReport) {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         let absent: Vec<TaskId> = worker
@@ -392,9 +397,16 @@
                     until_worker_ms,
                     in_flight,
                 } => !in_flight && report.clock_ms >= until_worker_ms,
+                Phase::Ended => true,
             })
             .map(|(&task, _)| task)
             .collect();
+        if report.ends_truncated {
+            for task in absent {
+                worker.vacate_run(task);
+            }
+            return;
+        }
         for task in absent {
             self.release(id, task);
         }
@@ -445,6 +457,7 @@
                     .stop_sent_ms
                     .is_none_or(|sent| now_ms >= sent + repeated_ms);
                 if let Some(reason) = run.stopping
+                    && run.phase != Phase::Ended
                     && due
                 {
                     run.stop_sent_ms = Some(now_ms);
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -149,6 +149,9 @@
     pub running: Vec<ReportedRun>,
     /// Ends that have not been acknowledged.
     pub ended: Vec<ReportedEnd>,
+    /// Whether there may be further ends that are not listed. A run that such a report does not
+    /// contain is not known to have left no end.
+    pub ends_truncated: bool,
 }
 
 /// A reading of a worker's clock and the local time at which it was received.
@@ -221,6 +224,9 @@
         /// Time at which this became known, in milliseconds of the local clock.
         since_ms: u64,
     },
+    /// The worker no longer has the run, and its end has not been listed. The run may have ended in
+    /// any way, so its task keeps waiting for the end, but it occupies no resources.
+    Ended,
 }
 
 /// A run that occupies resources on a worker.
@@ -457,9 +463,20 @@
 
     /// Removes a run and releases its resources.
     pub fn remove_run(&mut self, task: TaskId) -> Option<Run> {
-        let run = self.runs.swap_remove(&task)?;
-        self.used.remove(&run.resources);
-        self.best_effort_millicores -= run.best_effort_millicores;
-        Some(run)
+        self.vacate_run(task);
+        self.runs.swap_remove(&task)
+    }
+
+    /// Releases the resources of a run that the worker no longer has, and keeps the run until its
+    /// end is known.
+    pub fn vacate_run(&mut self, task: TaskId) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        if run.phase != Phase::Ended {
+            self.used.remove(&run.resources);
+            self.best_effort_millicores -= run.best_effort_millicores;
+            run.phase = Phase::Ended;
+        }
     }
 }
--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -22,6 +22,8 @@
     };
     let mut model = Model::new(config, WORKERS);
     model.eligible_percent = 70;
+    // Few, so that lists are often cut off.
+    model.max_listed_ends = 2 + (seed % 10) as usize;
     for number in 0..JOBS {
         let mut steps = Vec::new();
         for _ in 0..random.random_range(1..3) {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod answer_loss;
+mod ends;
 mod gangs;
 mod histories;
 mod lasting;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -38,6 +38,8 @@
     pub now_ms: u64,
     /// Whether the store accepts writes.
     pub store_up: bool,
+    /// Maximum number of ends that a worker lists in a report.
+    pub max_listed_ends: usize,
     /// Share of the workers that the advice service declares eligible for a step, in percent.
     pub eligible_percent: u64,
     /// Number of starts executed by workers.
@@ -63,6 +65,7 @@
             workers: IndexMap::new(),
             now_ms: 100_000,
             store_up: true,
+            max_listed_ends: 500,
             eligible_percent: 100,
             starts: 0,
             first_starts_ms: IndexMap::new(),
@@ -592,7 +595,13 @@
                         },
                     })
                     .collect(),
-                ended: worker.ends.clone(),
+                ended: worker
+                    .ends
+                    .iter()
+                    .take(self.max_listed_ends)
+                    .cloned()
+                    .collect(),
+                ends_truncated: worker.ends.len() >= self.max_listed_ends,
             };
             self.coordinator
                 .hold_answered(&id, now_ms, now_ms, unix_ms, &report);
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -32,7 +32,7 @@
     /// The leader shuts down.
     LEAD_LEAVING = (8036, "lead-leaving", Info, "The coordinator's host shuts down, and this host may replace the coordinator, which leads until then. Nothing to do.");
     /// Inherited work waits for workers of the predecessor.
-    LEAD_WAITING = (8035, "lead-waiting", Warn, "Workers that the predecessor used have not returned their lists; inherited tasks wait for them, at most until all holds have expired. Check whether the workers named have left or are cut off.");
+    LEAD_WAITING = (8035, "lead-waiting", Warn, "Workers that the predecessor used have not returned their lists, or not all ends; inherited tasks wait for them, for silent ones at most until all holds have expired. Check whether the workers named have left or are cut off.");
     /// A submission was answered, or its caller disconnected.
     JOB_ANSWERED = (8100, "job-answered", Info, "A job submission was answered. The line gives the outcome and its cause.");
     /// A cancellation was answered.
@@ -63,6 +63,8 @@
     WORKER_SILENT = (8131, "worker-silent", Warn, "A worker does not answer its coordinator. Its tasks start elsewhere once their runs have certainly lapsed.");
     /// A worker answers, for the first time or again.
     WORKER_HEARD = (8132, "worker-heard", Info, "A worker returned its lists, for the first time or again.");
+    /// A worker has more ended runs than it lists.
+    ENDS_TRUNCATED = (8137, "ends-truncated", Warn, "A worker has more ended runs than fit into its list, because their ends could not be made durable. Tasks whose ends are not listed wait for them. Check for a store outage.");
     /// A relaying host does not answer.
     CARRIER_AWAY = (8133, "carrier-away", Warn, "A host does not answer the coordinator, which now reaches the workers near it through other hosts. Check whether the host is running.");
     /// A relaying host answers again.
--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -64,6 +64,8 @@
     /// Consecutive holds that were relayed and not answered.
     unanswered: usize,
     was_silent: bool,
+    /// Whether the last report may have lacked ends.
+    was_truncated: bool,
 }
 
 /// What the poll loop does next.
@@ -87,6 +89,7 @@
         failed_routes: 0,
         unanswered: 0,
         was_silent: true,
+        was_truncated: false,
     };
     loop {
         match poll.poll_once().await {
@@ -216,6 +219,15 @@
             );
             self.was_silent = false;
         }
+        if report.ends_truncated && !self.was_truncated {
+            log_event!(
+                events::ENDS_TRUNCATED,
+                "worker={id} running={} listed={}",
+                report.running.len(),
+                report.ended.len()
+            );
+        }
+        self.was_truncated = report.ends_truncated;
         leader.schedule.notify_one();
         if !report.ended.is_empty() {
             leader.commit.notify_one();
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -86,10 +86,11 @@
         for worker in coordinator.unreported_workers().take(MAX_WAITING_LOGGED) {
             log_event!(
                 events::LEAD_WAITING,
-                "fence={} worker={} listed={} draining={} missing={missing} expires_in_ms={}",
+                "fence={} worker={} listed={} heard={} draining={} missing={missing} expires_in_ms={}",
                 self.term.fence,
                 worker.entry.id,
                 worker.listed,
+                worker.fenced,
                 worker.entry.draining,
                 coordinator.inherited_left_ms(now_ms)
             );
--- a/crates/entry/src/listing.rs
+++ b/crates/entry/src/listing.rs
@@ -64,13 +64,16 @@
     pub async fn read(&mut self) -> Result<Listing, StoreError> {
         loop {
             let after = self.items.last().map_or("", |item| &item.key);
-            let page = self.store.read_page(self.prefix, after).await;
+            let page = match self.store.read_page(self.prefix, after).await {
+                // Without a last key the next page cannot be named, and what follows is not absent.
+                Ok(page) if page.more && page.items.is_empty() => Err(StoreError::InvalidResponse),
+                page => page,
+            };
             let page = page.inspect_err(|error| self.log_failure(*error))?;
             self.pages += 1;
             let as_of = *self.as_of.get_or_insert(page.as_of);
-            let more = page.more && !page.items.is_empty();
             self.items.extend(page.items);
-            if !more {
+            if !page.more {
                 self.log_completion();
                 let items = std::mem::take(&mut self.items);
                 return Ok(Listing { items, as_of });
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -306,6 +306,9 @@
     /// Ended runs that are not acknowledged.
     #[prost(message, repeated, tag = "6")]
     pub ended: Vec<EndRow>,
+    /// Whether there may be further ends that are not listed.
+    #[prost(bool, tag = "7")]
+    pub ends_truncated: bool,
 }
 
 impl HoldReply {
@@ -326,6 +329,7 @@
             started_unix_ms: report.started_unix_ms,
             running: report.running.iter().map(RunRow::of).collect(),
             ended: report.ended.iter().map(EndRow::of).collect(),
+            ends_truncated: report.ends_truncated,
         }
     }
 
@@ -340,6 +344,7 @@
                 .filter_map(RunRow::to_reported)
                 .collect(),
             ended: self.ended.iter().filter_map(EndRow::to_reported).collect(),
+            ends_truncated: self.ends_truncated,
         }
     }
 }
--- a/crates/entry/tests/entry/failures.rs
+++ b/crates/entry/tests/entry/failures.rs
@@ -245,6 +245,60 @@
     test_cell.assert_no_faults();
 }
 
+/// While the store is away, ends cannot be acknowledged, and workers list 500 of them. Guards
+/// against starting tasks again whose ends lie beyond, also by a coordinator that takes over.
+#[tokio::test]
+async fn tasks_with_more_ends_than_workers_list_run_once() {
+    struct Case {
+        name: &'static str,
+        kills_leader: bool,
+    }
+    let cases = [
+        Case {
+            name: "same coordinator",
+            kills_leader: false,
+        },
+        Case {
+            name: "takeover",
+            kills_leader: true,
+        },
+    ];
+    for case in cases {
+        let mut test_cell = TestCell::start(3, 1, false).await;
+        let path = support::path("batch", 1);
+        let body = serde_json::json!({
+            "spec": "run=200 cpu=100",
+            "steps": [{"count": 1_500, "cpu": 100, "mem_mb": 1, "estimate_ms": 200}],
+        });
+        assert_eq!(
+            test_cell.call(0, "POST", &path, Some(body)).await.status,
+            200
+        );
+        test_cell.wait_for_state(0, &path, "running").await;
+        let store = &test_cell.platform.store;
+        store.set_response_mode(ResponseMode::Unavailable);
+        test_cell
+            .wait_until("more ends than a worker lists", |test_cell| {
+                test_cell.platform.cell.done_of("0000000000000001") > 1_000
+            })
+            .await;
+        let leader = test_cell.leader();
+        if case.kills_leader {
+            test_cell.hosts[leader].signal(Signal::KILL);
+            test_cell.hosts[leader].wait();
+        }
+        test_cell
+            .platform
+            .store
+            .set_response_mode(ResponseMode::Normal);
+        let other = (leader + 1) % 3;
+        test_cell.wait_for_state(other, &path, "completed").await;
+        let starts = test_cell.platform.cell.starts_of("0000000000000001");
+        assert_eq!(starts, 1_500, "{}", case.name);
+        test_cell.assert_no_faults();
+    }
+}
+
 #[tokio::test]
 async fn tasks_of_an_unresponsive_worker_restart_only_after_their_runs_lapsed() {
     let test_cell = TestCell::start(3, 3, false).await;
--- a/crates/entry/tests/entry/peers.rs
+++ b/crates/entry/tests/entry/peers.rs
@@ -118,6 +118,7 @@
             measured_value: 250,
         }],
         ended: ended.collect(),
+        ends_truncated: true,
     }
 }
 
