cell: a failed task returns to its worker once waiting has cost it its turn

Cause: a task prefers workers on which it has not failed, and the preference ended only if no other worker was eligible, whatever its load; a worker full of lasting tasks kept it for ever. With advice the worker that failed the task also counted as room, so that no further one was asked about. The logs did not tell; E8117 now counts what the workers of waiting steps lack. Ruled out: a back-off, a slow worker, a reservation, no attempts left.

The preference now ends when the worker has completed a run that it started after the failure, after 1 s of being passed over, before the last attempt after 4 s, or up to 8 s while the objective can still be met (coordinator/patience.rs). Tried first: return at once when the others are full of lasting tasks; the last attempt then failed 0.2 s later on the worker that was still faulty. Gangs returned at once before and wait now.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Coordinator,
-    candidates::{has_label, service_of, task_limit},
+    candidates::{has_label, is_distrusted, service_of, task_limit},
     job::{Ticket, resources_of},
 };
 use crate::{
@@ -129,16 +129,27 @@
             fitting_tasks(worker, &demand, limit)
         };
         let required = if spec.gang { waiting } else { 1 };
+        // A worker on which a waiting task failed is the last one to be used, so its room does not
+        // make up for that of others.
+        let failures = if spec.long_running {
+            Vec::new()
+        } else {
+            step.failures(step.waiting())
+        };
         let mut ticketed_slots = 0;
         let mut eligible_slots = 0;
         let mut stale = Vec::new();
         let mut unqueried = Vec::new();
+        let mut last_resort = Vec::new();
         let expected = |named_workers: usize| {
             (terms.call_ms + terms.per_worker_ms * named_workers as f64) as u64
         };
         for worker in self.workers.values().filter(eligible) {
             let name = &worker.entry.id;
             match step.advice.eligible.get(name) {
+                Some(_) if is_distrusted(worker, &failures) => {
+                    last_resort.push((fitting_tasks(worker), Rc::clone(name)));
+                }
                 Some(_) if step.advice.has_ticket(name, now_ms) => {
                     ticketed_slots += fitting_tasks(worker);
                     eligible_slots += fitting_tasks(worker);
@@ -160,7 +171,11 @@
         } else if !unqueried.is_empty() {
             unqueried
         } else {
-            return None;
+            last_resort.retain(|(slots, name)| *slots > 0 && !step.advice.has_ticket(name, now_ms));
+            if last_resort.is_empty() {
+                return None;
+            }
+            last_resort
         };
         named_workers.sort_unstable_by_key(|entry| std::cmp::Reverse(entry.0));
         named_workers.truncate(
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -4,12 +4,15 @@
 
 use indexmap::IndexMap;
 
-use super::job::{Job, Step};
+use super::{
+    job::{Failure, Job, Step},
+    patience::Patience,
+};
 use crate::{
     config::Config,
     ids::{StepId, TaskId},
     jobs::StepSpec,
-    placement::Candidate,
+    placement::{self, Candidate, Request},
     workers::{Phase, Run, Worker},
 };
 
@@ -40,30 +43,7 @@
             && !self.has_run_of_waiting(worker)
     }
 
-    /// Workers on which waiting tasks failed.
-    fn failed_on<'s>(&self, step: &'s Step) -> Vec<&'s Rc<str>> {
-        self.waiting
-            .iter()
-            .filter_map(|&n| step.tasks[n as usize].failed_on.as_ref())
-            .collect()
-    }
-
-    /// Whether there is an eligible worker on which no waiting task failed, regardless of free
-    /// resources.
-    pub(super) fn has_other_worker(
-        &self,
-        workers: &IndexMap<Rc<str>, Worker>,
-        step: &Step,
-        reserved: &[Rc<str>],
-        now_ms: u64,
-    ) -> bool {
-        let failed_on = self.failed_on(step);
-        workers.values().any(|worker| {
-            !failed_on.contains(&&worker.entry.id) && self.may_use(worker, step, reserved, now_ms)
-        })
-    }
-
-    /// Eligible workers for the step: those on which no waiting task failed, and the others.
+    /// Eligible workers for the step.
     pub(super) fn candidates<'w>(
         &self,
         workers: &'w IndexMap<Rc<str>, Worker>,
@@ -71,21 +51,20 @@
         step: &Step,
         reserved: &[Rc<str>],
         now_ms: u64,
-    ) -> (Vec<Candidate<'w>>, Vec<Candidate<'w>>) {
-        let failed_on = self.failed_on(step);
-        let mut candidates = Vec::new();
-        let mut failed_candidates = Vec::new();
+    ) -> Candidates<'w> {
+        let failures = step.failures(self.waiting.iter().copied());
+        let mut candidates = Candidates::default();
         for &position in positions {
-            let Some((name, worker)) = workers.get_index(position) else {
+            let Some((_, worker)) = workers.get_index(position) else {
                 continue;
             };
             if !self.may_use(worker, step, reserved, now_ms) {
                 continue;
             }
-            let choice = if failed_on.contains(&name) {
-                &mut failed_candidates
+            let choice = if is_distrusted(worker, &failures) {
+                &mut candidates.failed
             } else {
-                &mut candidates
+                &mut candidates.preferred
             };
             choice.push(Candidate {
                 worker: position,
@@ -96,7 +75,45 @@
                 task_limit: task_limit(worker, self.spec, self.id),
             });
         }
-        (candidates, failed_candidates)
+        candidates
+    }
+}
+
+/// Eligible workers for a step.
+#[derive(Debug, Default)]
+pub(super) struct Candidates<'w> {
+    /// Workers that are used as soon as they have room.
+    preferred: Vec<Candidate<'w>>,
+    /// Workers on which a waiting task failed.
+    failed: Vec<Candidate<'w>>,
+}
+
+impl Candidates<'_> {
+    /// Chooses a worker for each task of the request, as far as possible; see
+    /// [`placement::place`]. Workers that are not preferred are chosen once the step has been
+    /// passed over for as long as its patience allows.
+    pub(super) fn choose(
+        self,
+        request: &Request<'_>,
+        step: &mut Step,
+        patience: &Patience,
+        now_ms: u64,
+    ) -> Vec<usize> {
+        let mut usable = self.preferred;
+        let placed = placement::place(request, &mut usable);
+        if !placed.is_empty() || self.failed.is_empty() {
+            return placed;
+        }
+        usable.extend(self.failed);
+        let placed = placement::place(request, &mut usable);
+        if placed.is_empty() {
+            return placed;
+        }
+        step.passed_over_since_ms.get_or_insert(now_ms);
+        if step.passed_over_ms(now_ms) < patience.after_failure_ms() {
+            return Vec::new();
+        }
+        placed
     }
 }
 
@@ -142,6 +159,14 @@
     }
 }
 
+/// Whether tasks whose runs failed as given should rather run on another worker: one of them failed
+/// on this one, which has not completed a run that was started later.
+pub(super) fn is_distrusted(worker: &Worker, failures: &[&Failure]) -> bool {
+    failures.iter().any(|failure| {
+        failure.worker == worker.entry.id && worker.health.sound_since_ms < failure.at_ms
+    })
+}
+
 /// The service that runs a job: the current service of its queue, or the recorded one if the queue
 /// no longer exists.
 pub(super) fn service_of(config: &Config, job: &Job) -> Rc<str> {
--- a/crates/cell/src/coordinator/ends.rs
+++ b/crates/cell/src/coordinator/ends.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use super::Coordinator;
+use super::{Coordinator, job::Failure};
 use crate::{
     ids::TaskId,
     jobs::Outcome,
-    workers::{EndKind, ReportedEnd, StopReason, Worker},
+    workers::{EndKind, Phase, ReportedEnd, StopReason, Worker},
 };
 
 /// Number of consecutive failed runs, of different jobs, after which a worker is backed off.
@@ -26,15 +26,18 @@
             return;
         }
         worker.processed_end = end.number;
-        if worker
-            .runs
-            .get(&end.task)
-            .is_some_and(|run| run.run <= end.run)
-        {
+        let ended = worker.runs.get(&end.task).filter(|r| r.run <= end.run);
+        let started_ms = ended.and_then(|run| match run.phase {
+            Phase::Present { since_ms } => Some(since_ms),
+            Phase::Ordered { .. } | Phase::Ended => None,
+        });
+        if ended.is_some() {
             worker.remove_run(end.task);
         }
         match end.kind {
             EndKind::Done => {
+                let health = &mut worker.health;
+                health.sound_since_ms = health.sound_since_ms.max(started_ms.unwrap_or(0));
                 worker.health.consecutive_failures = 0;
                 worker.health.consecutive_backoffs = 0;
                 self.record_completion(id, end, unix_ms);
@@ -49,7 +52,7 @@
                 if worker.health.consecutive_failures >= FAILURES_BEFORE_BACKOFF {
                     Self::back_off(worker, now_ms);
                 }
-                self.record_failure(id, end, unix_ms);
+                self.record_failure(id, end, now_ms, unix_ms);
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
                 self.requeue(id, end);
@@ -115,7 +118,7 @@
         }
     }
 
-    fn record_failure(&mut self, id: &str, end: &ReportedEnd, unix_ms: u64) {
+    fn record_failure(&mut self, id: &str, end: &ReportedEnd, now_ms: u64, unix_ms: u64) {
         let job_id = end.task.step.job;
         let Some(job) = self.jobs.get_mut(&job_id) else {
             return;
@@ -138,7 +141,10 @@
         if member.done {
             return;
         }
-        member.failed_on = Some(Rc::from(id));
+        member.last_failure = Some(Failure {
+            worker: Rc::from(id),
+            at_ms: now_ms,
+        });
         if long_running {
             // Long-running tasks are restarted however often they fail.
             return self.requeue(id, end);
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -55,6 +55,15 @@
     pub run: u64,
 }
 
+/// A failed run, by its task or its worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Identifier of the worker.
+    pub worker: Rc<str>,
+    /// When the end was reported, in milliseconds of the local clock.
+    pub at_ms: u64,
+}
+
 /// State of a task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -71,8 +80,8 @@
     pub active: Option<ActiveRun>,
     /// Number of runs that were stopped as hung.
     pub hung_runs: u32,
-    /// Worker of the last failed run.
-    pub failed_on: Option<Rc<str>>,
+    /// The last failed run.
+    pub last_failure: Option<Failure>,
 }
 
 /// State of a step within one occurrence.
@@ -89,6 +98,12 @@
     pub gang_ordered_ms: Option<u64>,
     /// Task durations on the fastest workers.
     pub pace: StepPace,
+    /// When the waiting tasks were first denied a worker with room because another one is
+    /// preferred, in milliseconds of the local clock; absent once any of them was placed.
+    pub passed_over_since_ms: Option<u64>,
+    /// When the waiting tasks were first found no worker, in milliseconds of the local clock; absent
+    /// once any of them was placed.
+    pub waiting_since_ms: Option<u64>,
 }
 
 impl Step {
@@ -99,6 +114,8 @@
             advice: Advice::default(),
             gang_ordered_ms: None,
             pace: StepPace::default(),
+            passed_over_since_ms: None,
+            waiting_since_ms: None,
         }
     }
 
@@ -107,6 +124,30 @@
         self.done_count as usize == self.tasks.len()
     }
 
+    /// The last failed run of each of the given tasks.
+    pub fn failures(&self, tasks: impl Iterator<Item = u32>) -> Vec<&Failure> {
+        tasks
+            .filter_map(|n| self.tasks.get(n as usize)?.last_failure.as_ref())
+            .collect()
+    }
+
+    /// Highest number of counted failures among the given tasks. Those of a gang are counted on its
+    /// first member.
+    pub fn max_failed_runs(&self, tasks: impl Iterator<Item = u32>) -> usize {
+        let failed_runs = |n: u32| {
+            self.tasks
+                .get(n as usize)
+                .map_or(0, |t| t.failed_runs.len())
+        };
+        tasks.map(failed_runs).max().unwrap_or(0)
+    }
+
+    /// How long the waiting tasks have been passed over, in milliseconds.
+    pub fn passed_over_ms(&self, now_ms: u64) -> u64 {
+        self.passed_over_since_ms
+            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// Positions of the tasks that are neither complete nor active.
     pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
         let waits = |task: &Task| !task.done && task.active.is_none();
@@ -453,5 +494,6 @@
     Demand {
         resources: resources_of(spec),
         best_effort_millicores: spec.cpu_millicores - spec.reserved_millicores(),
+        long_running: spec.long_running,
     }
 }
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -27,9 +27,11 @@
 mod job;
 mod movement;
 mod pace;
+mod patience;
 mod reports;
 mod reserves;
 mod schedule;
+mod waiting;
 
 use std::rc::Rc;
 
@@ -39,6 +41,7 @@
 pub use changes::{ChangeLimits, RecordChange};
 pub use job::{Job, Ticket};
 pub use reports::{HoldTerms, StartResponse};
+pub use waiting::WaitingReport;
 
 use crate::{
     config::Config,
@@ -155,6 +158,8 @@
     next_due_unix_ms: Option<u64>,
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
     ready_steps: Vec<StepId>,
+    /// Workers that were kept free for a step at the last scheduling pass.
+    reserved: Vec<Rc<str>>,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
 }
@@ -177,6 +182,7 @@
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
+            reserved: Vec::new(),
             average_pace: AveragePace::default(),
         };
         for entry in takeover.roster {
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -200,11 +200,15 @@
                 until_worker_ms: u64::MAX,
                 in_flight: false,
             };
+            let demand = Demand {
+                resources: order.resources,
+                ..Demand::default()
+            };
             worker.add_run(
                 order.task,
                 Run {
                     stopping: Some(StopReason::WorkerRestarted),
-                    ..Run::new(order.run, order.resources, phase, now_ms)
+                    ..Run::new(order.run, &demand, phase, now_ms)
                 },
             );
         }
@@ -335,7 +339,7 @@
         // A run that was ordered by the predecessor.
         let unknown_demand = Demand {
             resources: Resources::UNKNOWN,
-            best_effort_millicores: 0,
+            ..Demand::default()
         };
         let demand = job
             .as_ref()
@@ -366,10 +370,9 @@
                 stopping: (!needed).then_some(StopReason::NotNeeded),
                 progress: Progress::first_report(reported.percent, now_ms),
                 measured_value: reported.measured_value,
-                best_effort_millicores: demand.best_effort_millicores,
                 ..Run::new(
                     reported.run,
-                    demand.resources,
+                    &demand,
                     Phase::Present { since_ms: now_ms },
                     now_ms,
                 )
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -6,13 +6,14 @@
     Coordinator, Order,
     candidates::{FreeCpuIndex, WaitingStep, service_of},
     job::{ActiveRun, Job, demand_of},
+    patience::Patience,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS},
 };
 use crate::{
     admission::MAX_LATENESS_FACTOR,
     ids::{JobId, StepId, TaskId},
     jobs::Outcome,
-    placement::{self, Request},
+    placement::Request,
     workers::{Phase, StopReason},
 };
 
@@ -157,7 +158,13 @@
         let mut reserving = 0;
         let mut attempts = 0;
         for urgency in &ready_steps {
-            let started = self.start_step(urgency.step, now_ms, &free_cpu, &reserved, orders);
+            let started = self.start_step(
+                urgency.step,
+                (now_ms, unix_ms),
+                &free_cpu,
+                &reserved,
+                orders,
+            );
             if !started
                 && urgency.lateness == 0
                 && reserving < MAX_RESERVING_STEPS
@@ -173,6 +180,7 @@
             .into_iter()
             .map(|urgency| urgency.step)
             .collect();
+        self.reserved = reserved;
     }
 
     /// Steps with waiting tasks whose dependencies are complete, most urgent first.
@@ -228,7 +236,7 @@
     fn start_step(
         &mut self,
         id: StepId,
-        now_ms: u64,
+        (now_ms, unix_ms): (u64, u64),
         free_cpu: &FreeCpuIndex,
         reserved: &[Rc<str>],
         orders: &mut Vec<Order>,
@@ -249,6 +257,12 @@
             .queues
             .get(&job.queue)
             .is_some_and(|q| q.advice.is_some());
+        let max_attempts = self
+            .config
+            .queues
+            .get(&job.queue)
+            .map_or(u32::MAX, |queue| queue.max_attempts);
+        let objective_unix_ms = job.due_unix_ms(id.occurrence) + job.allowed_ms();
         let Some(step) = job.step_mut(id) else {
             return false;
         };
@@ -265,8 +279,7 @@
         };
         let demand = demand_of(spec);
         let positions = free_cpu.with_at_least(demand.resources.cpu_millicores);
-        let (mut candidates, mut failed_candidates) =
-            waiting_step.candidates(&self.workers, positions, step, reserved, now_ms);
+        let candidates = waiting_step.candidates(&self.workers, positions, step, reserved, now_ms);
         let request = Request {
             demand,
             count: waiting.len() as u32,
@@ -274,21 +287,19 @@
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
         };
-        // A failed task is placed on the same worker again only if no other worker is eligible. A
-        // long-running task can fail anywhere at any time and does not wait for room elsewhere.
-        let mut placed = placement::place(&request, &mut candidates);
-        if placed.is_empty()
-            && !failed_candidates.is_empty()
-            && (spec.gang
-                || spec.long_running
-                || !waiting_step.has_other_worker(&self.workers, step, reserved, now_ms))
-        {
-            candidates.append(&mut failed_candidates);
-            placed = placement::place(&request, &mut candidates);
-        }
+        let failed_runs = step.max_failed_runs(waiting.iter().copied());
+        let patience = Patience {
+            long_running: spec.long_running,
+            last_attempt: failed_runs + 1 >= max_attempts as usize,
+            slack_ms: objective_unix_ms.saturating_sub(unix_ms + spec.estimate_ms),
+        };
+        let placed = candidates.choose(&request, step, &patience, now_ms);
         if placed.is_empty() {
+            step.waiting_since_ms.get_or_insert(now_ms);
             return false;
         }
+        step.waiting_since_ms = None;
+        step.passed_over_since_ms = None;
         let gang_run = waiting
             .iter()
             .map(|&n| step.tasks[n as usize].last_run)
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -60,6 +60,8 @@
     pub resources: Resources,
     /// Idle CPU that a best-effort task can use, in millicores; 0 for other tasks.
     pub best_effort_millicores: u64,
+    /// Whether the task runs until its job is cancelled.
+    pub long_running: bool,
 }
 
 /// Entry of a worker in the list of workers.
@@ -250,6 +252,8 @@
     pub measured_value: u64,
     /// Idle CPU that a best-effort task can use, in millicores; 0 for other tasks.
     pub best_effort_millicores: u64,
+    /// Whether the run does not end by itself.
+    pub long_running: bool,
     /// CPU share last confirmed for a best-effort task, in percent; absent if unknown.
     pub pace_percent: Option<u32>,
     /// Time at which an unconfirmed order to change the share was sent, in milliseconds of the
@@ -259,17 +263,18 @@
 
 impl Run {
     /// Creates a run in the given phase, without reported progress.
-    pub fn new(run: u64, resources: Resources, phase: Phase, now_ms: u64) -> Self {
+    pub fn new(run: u64, demand: &Demand, phase: Phase, now_ms: u64) -> Self {
         Self {
             run,
-            resources,
+            resources: demand.resources,
             phase,
             stopping: None,
             stop_sent_ms: None,
             stop_confirmed: false,
             progress: Progress::unreported(now_ms),
             measured_value: 0,
-            best_effort_millicores: 0,
+            best_effort_millicores: demand.best_effort_millicores,
+            long_running: demand.long_running,
             pace_percent: None,
             pace_sent_ms: None,
         }
@@ -284,6 +289,9 @@
     pub consecutive_failures: u32,
     /// Job of the last failed run.
     pub last_failed_job: Option<JobId>,
+    /// When the latest of the runs that completed had started, in milliseconds of the local clock; 0
+    /// if none has completed.
+    pub sound_since_ms: u64,
     /// Time before which nothing is placed on the worker, in milliseconds of the local clock.
     pub backoff_until_ms: u64,
     /// Number of consecutive back-offs, reset when a task completes.
@@ -447,13 +455,24 @@
             in_flight: true,
         };
         let ordered = Run {
-            best_effort_millicores: demand.best_effort_millicores,
             pace_percent: Some(100), // Workers start every run with its full share.
-            ..Run::new(run, demand.resources, phase, now_ms)
+            ..Run::new(run, &demand, phase, now_ms)
         };
         self.add_run(task, ordered);
     }
 
+    /// Resources of the runs that do not end by themselves. What remains of the worker becomes free
+    /// once all other runs have ended.
+    pub fn permanently_used(&self) -> Resources {
+        let mut used = Resources::default();
+        let is_permanent =
+            |run: &&Run| run.long_running && run.stopping.is_none() && run.phase != Phase::Ended;
+        for run in self.runs.values().filter(is_permanent) {
+            used.add(&run.resources);
+        }
+        used
+    }
+
     /// Adds a run and reserves its resources.
     pub fn add_run(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.resources);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -14,6 +14,7 @@
 mod outage;
 mod pacing;
 mod placement;
+mod preferences;
 mod records;
 mod routing;
 mod support;
--- a/crates/cell/tests/cell/placement.rs
+++ b/crates/cell/tests/cell/placement.rs
@@ -40,6 +40,7 @@
     demand: Demand {
         resources: resources(4_000),
         best_effort_millicores: 0,
+        long_running: false,
     },
     count: 2,
     all_or_nothing: false,
@@ -143,6 +144,7 @@
         demand: Demand {
             resources: resources(0),
             best_effort_millicores: 5_000,
+            long_running: false,
         },
         ..REQUEST
     };
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -194,6 +194,17 @@
         self.coordinator.update_worker(entry);
     }
 
+    /// Adds a label to a worker.
+    pub fn add_label(&mut self, number: usize, label: &str) {
+        let (_, worker) = self
+            .workers
+            .get_index_mut(number)
+            .expect("the worker is there");
+        worker.entry.labels.push(label.into());
+        let entry = worker.entry.clone();
+        self.coordinator.update_worker(entry);
+    }
+
     /// Marks a worker as draining.
     pub fn drain_worker(&mut self, number: usize) {
         let (_, worker) = self
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -49,6 +49,8 @@
     RUN_ENDING = (8112, "run-ending", Info, "A run was ordered to stop because it is no longer wanted on its worker.");
     /// A worker reported the end of a run.
     RUN_ENDED = (8113, "run-ended", Info, "A worker reported the end of a run.");
+    /// A step waits for a worker.
+    STEP_WAITING = (8117, "step-waiting", Info, "The most urgent steps that have waited for 2 s, with the number of workers that their service has, that answer, that have a ticket, that are kept free for others, on which the tasks failed, and that have room.");
     /// The share of a best-effort run was changed.
     RUN_PACED = (8116, "run-paced", Info, "The share of a best-effort run was changed because a latency-sensitive task on the same worker came close to its latency target or has recovered.");
     /// The end of a job is durable.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -21,10 +21,15 @@
 /// A start order is resent only within this time, in milliseconds, since its deadline is close
 /// after that.
 const START_RETRY_WINDOW_MS: u64 = 700;
-/// Interval at which a leader logs for which workers inherited tasks wait, in milliseconds.
+/// Interval at which a leader logs which steps wait, and for which workers inherited tasks wait, in
+/// milliseconds.
 const WAITING_LOG_INTERVAL_MS: u64 = 1_000;
 /// Maximum number of workers named at a time.
 const MAX_WAITING_LOGGED: usize = 4;
+/// Steps are logged once they have waited for this long, in milliseconds.
+const LONG_WAIT_MS: u64 = 2_000;
+/// Maximum number of steps logged at a time.
+const MAX_STEPS_LOGGED: usize = 2;
 /// Minimum pause between scheduling passes.
 const MIN_PASS_PAUSE: Duration = Duration::from_millis(8);
 /// Maximum time between two passes.
@@ -56,9 +61,12 @@
             if leader.coordinator.borrow().has_changes() {
                 leader.commit.notify_one();
             }
-            if !settled && now_ms >= waiting_logged_ms + WAITING_LOG_INTERVAL_MS {
+            if now_ms >= waiting_logged_ms + WAITING_LOG_INTERVAL_MS {
                 waiting_logged_ms = now_ms;
-                leader.log_waiting(now_ms);
+                if !settled {
+                    leader.log_waiting(now_ms);
+                }
+                leader.log_waiting_steps(now_ms);
             }
             if !settled && leader.coordinator.borrow().takeover_complete(now_ms) {
                 settled = true;
@@ -97,6 +105,15 @@
         }
     }
 
+    /// Logs the most urgent steps that have waited for long, and what their workers lack.
+    fn log_waiting_steps(&self, now_ms: u64) {
+        let coordinator = self.coordinator.borrow();
+        let waiting = coordinator.waiting_steps(now_ms, LONG_WAIT_MS);
+        for report in waiting.take(MAX_STEPS_LOGGED) {
+            log_event!(events::STEP_WAITING, "{report}");
+        }
+    }
+
     /// The address and fence that a relaying host needs to call a worker.
     pub(super) fn worker_ref(&self, worker: &str) -> Option<WorkerRef> {
         let coordinator = self.coordinator.borrow();
