--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -5,8 +5,9 @@
 use indexmap::IndexMap;
 
 use super::{
-    job::{Failure, Job, Step},
+    job::{Failure, Job, Step, resources_of},
     patience::Patience,
+    schedule::Pass,
 };
 use crate::{
     config::Config,
@@ -33,13 +34,12 @@
     }
 
     /// Whether a worker may run the step, regardless of free resources.
-    fn may_use(&self, worker: &Worker, step: &Step, reserved: &[Rc<str>], now_ms: u64) -> bool {
+    fn may_use(&self, worker: &Worker, step: &Step, now_ms: u64) -> bool {
         let name = &worker.entry.id;
         worker.is_schedulable(now_ms)
             && *worker.entry.service == *self.service
             && (!self.needs_ticket || step.advice.has_ticket(name, now_ms))
             && has_label(worker, self.spec)
-            && !reserved.contains(name)
             && !self.has_run_of_waiting(worker)
     }
 
@@ -47,21 +47,23 @@
     pub(super) fn candidates<'w>(
         &self,
         workers: &'w IndexMap<Rc<str>, Worker>,
-        positions: &[usize],
         step: &Step,
-        reserved: &[Rc<str>],
-        now_ms: u64,
+        pass: &Pass,
     ) -> Candidates<'w> {
+        let millicores = resources_of(self.spec).cpu_millicores;
+        let positions = pass.free_cpu.with_at_least(millicores);
         let failures = step.failures(self.waiting.iter().copied());
         let mut candidates = Candidates::default();
         for &position in positions {
-            let Some((_, worker)) = workers.get_index(position) else {
+            let Some((name, worker)) = workers.get_index(position) else {
                 continue;
             };
-            if !self.may_use(worker, step, reserved, now_ms) {
+            if !self.may_use(worker, step, pass.now_ms) {
                 continue;
             }
-            let choice = if is_distrusted(worker, &failures) {
+            let choice = if pass.reservations.contains(name) {
+                &mut candidates.reserved
+            } else if is_distrusted(worker, &failures) {
                 &mut candidates.failed
             } else {
                 &mut candidates.preferred
@@ -77,6 +79,27 @@
         }
         candidates
     }
+
+    /// Whether reservations of others yield to the step once its patience is over: otherwise the
+    /// step would wait for them alone, and not for its turn in a busy service.
+    pub(super) fn may_use_reserved(
+        &self,
+        workers: &IndexMap<Rc<str>, Worker>,
+        step: &Step,
+        pass: &Pass,
+    ) -> bool {
+        let demand = resources_of(self.spec);
+        let becomes_free = |worker: &Worker| {
+            let name = &worker.entry.id;
+            worker.is_schedulable(pass.now_ms)
+                && *worker.entry.service == *self.service
+                && has_label(worker, self.spec)
+                && (!self.needs_ticket || step.advice.eligible.contains_key(name))
+                && !pass.reservations.contains(name)
+                && (worker.entry.capacity).fits(&worker.permanently_used(), &demand)
+        };
+        pass.reservations.is_idle(self.service) || !workers.values().any(becomes_free)
+    }
 }
 
 /// Eligible workers for a step.
@@ -86,6 +109,8 @@
     preferred: Vec<Candidate<'w>>,
     /// Workers on which a waiting task failed.
     failed: Vec<Candidate<'w>>,
+    /// Workers that are reserved for other steps.
+    reserved: Vec<Candidate<'w>>,
 }
 
 impl Candidates<'_> {
@@ -101,19 +126,30 @@
     ) -> Vec<usize> {
         let mut usable = self.preferred;
         let placed = placement::place(request, &mut usable);
-        if !placed.is_empty() || self.failed.is_empty() {
+        if !placed.is_empty() {
             return placed;
         }
-        usable.extend(self.failed);
-        let placed = placement::place(request, &mut usable);
-        if placed.is_empty() {
-            return placed;
-        }
-        step.passed_over_since_ms.get_or_insert(now_ms);
-        if step.passed_over_ms(now_ms) < patience.after_failure_ms() {
-            return Vec::new();
+        let others = [
+            (self.failed, Some(patience.after_failure_ms())),
+            (self.reserved, patience.before_reserved_ms()),
+        ];
+        for (candidates, max_passed_over_ms) in others {
+            let is_over = max_passed_over_ms
+                .is_some_and(|max_ms| max_ms == 0 || step.passed_over_ms(now_ms) >= max_ms);
+            if candidates.is_empty() || (!is_over && step.passed_over_since_ms.is_some()) {
+                continue;
+            }
+            let mut extended = usable.clone();
+            extended.extend(candidates);
+            let placed = placement::place(request, &mut extended);
+            match (placed.is_empty(), is_over) {
+                (true, true) => usable = extended,
+                (true, false) => {}
+                (false, true) => return placed,
+                (false, false) => step.passed_over_since_ms = Some(now_ms),
+            }
         }
-        placed
+        Vec::new()
     }
 }
 
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -385,6 +385,14 @@
         spec.after.iter().all(done)
     }
 
+    /// Whether any task has an active run.
+    pub fn has_active_task(&self) -> bool {
+        let steps = self.occurrences.values().flat_map(|o| &o.steps);
+        steps
+            .flat_map(|step| &step.tasks)
+            .any(|task| task.active.is_some())
+    }
+
     /// Estimated CPU time of the waiting tasks, in core-milliseconds.
     pub fn waiting_core_ms(&self) -> u64 {
         let Some(spec) = &self.spec else {
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -1,14 +1,21 @@
 //! Workers kept free for gangs and long-running tasks that would otherwise starve among smaller
 //! steps.
+//!
+//! Room that is kept must be able to serve the step for which it is kept: only workers count that
+//! may be used now and that have enough room once all runs that end by themselves have ended. Nor
+//! may it stop others: while a service is mostly idle, or for a step that can run on no other
+//! worker, a reservation delays a job without a run by its patience at most.
 
 use std::rc::Rc;
 
+use indexmap::IndexMap;
+
 use super::{
     Coordinator,
     candidates::{has_label, service_of, task_limit},
     job::resources_of,
 };
-use crate::{ids::StepId, placement::Candidate, workers::Resources};
+use crate::{ids::StepId, placement::Candidate, workers::Worker};
 
 /// Maximum number of steps for which workers are reserved at a time.
 pub(super) const MAX_RESERVING_STEPS: usize = 2;
@@ -17,8 +24,48 @@
 /// Workers are reserved for a gang once it has waited for its objective divided by this number:
 /// reserved workers idle until enough of them are free.
 const RESERVE_AFTER_DIVISOR: u64 = 4;
-/// At most the number of workers divided by this may be reserved.
+/// At most the number of workers of the service divided by this may be reserved.
 const MAX_RESERVED_DIVISOR: usize = 3;
+/// A service of whose CPU less than one part in this number is in use is mostly idle: a step waits
+/// because few workers may run it, not because of the load.
+const IDLE_DIVISOR: u64 = 2;
+
+/// Workers reserved during a scheduling pass.
+#[derive(Debug, Default)]
+pub(super) struct Reservations {
+    /// Identifiers of the workers.
+    pub(super) workers: Vec<Rc<str>>,
+    /// Services that are mostly idle.
+    idle_services: Vec<Rc<str>>,
+}
+
+impl Reservations {
+    /// No reservations yet.
+    pub(super) fn of(workers: &IndexMap<Rc<str>, Worker>, now_ms: u64) -> Self {
+        let mut cpu: IndexMap<&Rc<str>, (u64, u64)> = IndexMap::new();
+        for worker in workers.values().filter(|w| w.is_schedulable(now_ms)) {
+            let (used, total) = cpu.entry(&worker.entry.service).or_default();
+            *used += worker.used.cpu_millicores;
+            *total += worker.entry.capacity.cpu_millicores;
+        }
+        let is_idle = |(used, total): (u64, u64)| used < total / IDLE_DIVISOR;
+        let idle = cpu.into_iter().filter(|(_, usage)| is_idle(*usage));
+        Self {
+            workers: Vec::new(),
+            idle_services: idle.map(|(service, _)| Rc::clone(service)).collect(),
+        }
+    }
+
+    /// Whether a worker is reserved.
+    pub(super) fn contains(&self, worker: &Rc<str>) -> bool {
+        self.workers.contains(worker)
+    }
+
+    /// Whether a service is mostly idle.
+    pub(super) fn is_idle(&self, service: &str) -> bool {
+        self.idle_services.iter().any(|idle| **idle == *service)
+    }
+}
 
 impl Coordinator {
     /// Whether a step could be starved by smaller ones unless workers are reserved for it.
@@ -39,7 +86,7 @@
 
     /// Reserves workers for a gang or for long-running tasks that do not fit among smaller steps.
     /// Returns whether any were reserved.
-    pub(super) fn reserve_for(&self, id: StepId, reserved: &mut Vec<Rc<str>>) -> bool {
+    pub(super) fn reserve_for(&self, id: StepId, reserved: &mut Vec<Rc<str>>, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
@@ -63,22 +110,22 @@
         let mut fitting: Vec<(u64, u32, &Rc<str>)> = self
             .workers
             .values()
-            .filter(|worker| worker.listed && !worker.unresponsive && !worker.entry.draining)
+            .filter(|worker| worker.is_schedulable(now_ms))
             .filter(|worker| worker.entry.service == service && has_label(worker, spec))
             .filter(|worker| !advised || step.advice.eligible.contains_key(&worker.entry.id))
             .filter(|worker| !reserved.contains(&worker.entry.id))
             .map(|worker| {
-                let empty = Candidate {
+                let vacated = Candidate {
                     worker: 0,
                     capacity: worker.entry.capacity,
-                    used: Resources::default(),
+                    used: worker.permanently_used(),
                     best_effort_millicores: 0,
                     rack: "",
                     task_limit: task_limit(worker, spec, id),
                 };
                 (
                     worker.used.cpu_millicores,
-                    empty.fitting_tasks(&demand, spec.count),
+                    vacated.fitting_tasks(&demand, spec.count),
                     &worker.entry.id,
                 )
             })
@@ -94,8 +141,9 @@
             missing = missing.saturating_sub(fitting_tasks);
             chosen.push(Rc::clone(name));
         }
-        if missing > 0 || reserved.len() + chosen.len() > self.workers.len() / MAX_RESERVED_DIVISOR
-        {
+        let of_service = |worker: &&Worker| worker.entry.service == service;
+        let worker_count = self.workers.values().filter(of_service).count();
+        if missing > 0 || reserved.len() + chosen.len() > worker_count / MAX_RESERVED_DIVISOR {
             return false;
         }
         reserved.extend(chosen);
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -5,9 +5,9 @@
 use super::{
     Coordinator, Order,
     candidates::{FreeCpuIndex, WaitingStep, service_of},
-    job::{ActiveRun, Job, demand_of},
+    job::{ActiveRun, Job, Step, demand_of},
     patience::Patience,
-    reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS},
+    reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
 };
 use crate::{
     admission::MAX_LATENESS_FACTOR,
@@ -31,6 +31,19 @@
     step: StepId,
 }
 
+/// What holds for all steps of a scheduling pass.
+#[derive(Debug)]
+pub(super) struct Pass {
+    /// Time of the pass, in milliseconds of the local clock.
+    pub(super) now_ms: u64,
+    /// The same, in Unix milliseconds.
+    pub(super) unix_ms: u64,
+    /// Workers by free CPU at the start of the pass.
+    pub(super) free_cpu: FreeCpuIndex,
+    /// Workers that are kept free for more urgent steps.
+    pub(super) reservations: Reservations,
+}
+
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
@@ -153,18 +166,16 @@
 
     fn start_ready_steps(&mut self, now_ms: u64, unix_ms: u64, orders: &mut Vec<Order>) {
         let ready_steps = self.ready_steps(now_ms, unix_ms);
-        let free_cpu = FreeCpuIndex::of(&self.workers, now_ms);
-        let mut reserved: Vec<Rc<str>> = Vec::new();
+        let mut pass = Pass {
+            now_ms,
+            unix_ms,
+            free_cpu: FreeCpuIndex::of(&self.workers, now_ms),
+            reservations: Reservations::of(&self.workers, now_ms),
+        };
         let mut reserving = 0;
         let mut attempts = 0;
         for urgency in &ready_steps {
-            let started = self.start_step(
-                urgency.step,
-                (now_ms, unix_ms),
-                &free_cpu,
-                &reserved,
-                orders,
-            );
+            let started = self.start_step(urgency.step, &pass, orders);
             if !started
                 && urgency.lateness == 0
                 && reserving < MAX_RESERVING_STEPS
@@ -173,14 +184,16 @@
                 && (!urgency.finite || self.has_waited_long(urgency.step, unix_ms))
             {
                 attempts += 1;
-                reserving += usize::from(self.reserve_for(urgency.step, &mut reserved));
+                let reserved =
+                    self.reserve_for(urgency.step, &mut pass.reservations.workers, now_ms);
+                reserving += usize::from(reserved);
             }
         }
         self.ready_steps = ready_steps
             .into_iter()
             .map(|urgency| urgency.step)
             .collect();
-        self.reserved = reserved;
+        self.reserved = pass.reservations.workers;
     }
 
     /// Steps with waiting tasks whose dependencies are complete, most urgent first.
@@ -233,53 +246,57 @@
     }
 
     /// Starts as many of a step's waiting tasks as fit. Returns whether any was started.
-    fn start_step(
-        &mut self,
-        id: StepId,
-        (now_ms, unix_ms): (u64, u64),
-        free_cpu: &FreeCpuIndex,
-        reserved: &[Rc<str>],
-        orders: &mut Vec<Order>,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
+    fn start_step(&mut self, id: StepId, pass: &Pass, orders: &mut Vec<Order>) -> bool {
+        let chosen = self.choose_workers(id, pass);
+        let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
         };
-        let Some(job_spec) = job.spec.clone() else {
+        if chosen.is_empty() {
+            step.waiting_since_ms.get_or_insert(pass.now_ms);
             return false;
+        }
+        step.waiting_since_ms = None;
+        step.passed_over_since_ms = None;
+        self.order_runs(id, &chosen, pass.now_ms, orders);
+        true
+    }
+
+    /// Chooses workers for as many of a step's waiting tasks as fit. Returns the position of each
+    /// task in the step and that of its worker.
+    fn choose_workers(&mut self, id: StepId, pass: &Pass) -> Vec<(u32, usize)> {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return Vec::new();
+        };
+        let Some(job_spec) = job.spec.clone() else {
+            return Vec::new();
         };
         let Some(spec) = job_spec.steps.get(id.step as usize) else {
-            return false;
+            return Vec::new();
         };
         let service = service_of(&self.config, job);
-        let payload_host = Rc::clone(&job.payload_host);
-        let needs_ticket = self
-            .config
-            .queues
-            .get(&job.queue)
-            .is_some_and(|q| q.advice.is_some());
-        let max_attempts = self
-            .config
-            .queues
-            .get(&job.queue)
-            .map_or(u32::MAX, |queue| queue.max_attempts);
+        let queue = self.config.queues.get(&job.queue);
+        let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
         let objective_unix_ms = job.due_unix_ms(id.occurrence) + job.allowed_ms();
+        // Whether the job has a run matters only once the step has been passed over.
+        let passed_over = |step: &Step| step.passed_over_since_ms.is_some();
+        let stands_still =
+            job.step(id).is_some_and(passed_over) && (spec.long_running || !job.has_active_task());
         let Some(step) = job.step_mut(id) else {
-            return false;
+            return Vec::new();
         };
         let waiting: Vec<u32> = step.waiting().collect();
         if spec.gang && waiting.len() < step.tasks.len() - step.done_count as usize {
-            return false;
+            return Vec::new();
         }
         let waiting_step = WaitingStep {
             id,
             spec,
             service: &service,
-            needs_ticket,
+            needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
             waiting: &waiting,
         };
         let demand = demand_of(spec);
-        let positions = free_cpu.with_at_least(demand.resources.cpu_millicores);
-        let candidates = waiting_step.candidates(&self.workers, positions, step, reserved, now_ms);
+        let candidates = waiting_step.candidates(&self.workers, step, pass);
         let request = Request {
             demand,
             count: waiting.len() as u32,
@@ -289,23 +306,43 @@
         };
         let failed_runs = step.max_failed_runs(waiting.iter().copied());
         let patience = Patience {
+            waits_for_reserved: !stands_still
+                || !waiting_step.may_use_reserved(&self.workers, step, pass),
             long_running: spec.long_running,
             last_attempt: failed_runs + 1 >= max_attempts as usize,
-            slack_ms: objective_unix_ms.saturating_sub(unix_ms + spec.estimate_ms),
+            slack_ms: objective_unix_ms.saturating_sub(pass.unix_ms + spec.estimate_ms),
         };
-        let placed = candidates.choose(&request, step, &patience, now_ms);
-        if placed.is_empty() {
-            step.waiting_since_ms.get_or_insert(now_ms);
-            return false;
-        }
-        step.waiting_since_ms = None;
-        step.passed_over_since_ms = None;
-        let gang_run = waiting
+        let placed = candidates.choose(&request, step, &patience, pass.now_ms);
+        waiting.into_iter().zip(placed).collect()
+    }
+
+    /// Orders runs of a step's tasks, each on the worker at the given position.
+    fn order_runs(
+        &mut self,
+        id: StepId,
+        chosen: &[(u32, usize)],
+        now_ms: u64,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some(job_spec) = job.spec.clone() else {
+            return;
+        };
+        let Some(spec) = job_spec.steps.get(id.step as usize) else {
+            return;
+        };
+        let payload_host = Rc::clone(&job.payload_host);
+        let Some(step) = job.step_mut(id) else {
+            return;
+        };
+        let gang_run = chosen
             .iter()
-            .map(|&n| step.tasks[n as usize].last_run)
+            .map(|&(index, _)| step.tasks[index as usize].last_run)
             .max()
             .unwrap_or(0);
-        for (&index, position) in waiting.iter().zip(placed) {
+        for &(index, position) in chosen {
             let Some((name, worker)) = self.workers.get_index_mut(position) else {
                 continue;
             };
@@ -322,7 +359,7 @@
                 worker: Rc::clone(name),
                 run,
             });
-            worker.order_run(task_id, run, demand, until_worker_ms, now_ms);
+            worker.order_run(task_id, run, demand_of(spec), until_worker_ms, now_ms);
             let ticket = step.advice.eligible.get(name);
             orders.push(Order::Start {
                 worker: Rc::clone(name),
@@ -338,7 +375,6 @@
         if spec.gang {
             step.gang_ordered_ms = Some(now_ms);
         }
-        true
     }
 }
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod preferences;
 mod records;
+mod reservations;
 mod routing;
 mod support;
 mod takeover;
