cell: faulty and slow workers are a last resort instead of being left out

Jobs that only a backed-off or slow worker could run stood still: up to 8 s after the worker was sound again, and for as long as its runs were slow. A job that stands still, in a service that is mostly idle or with no other worker that could take it, now places one task on such a worker after 1 s, before the last attempt after 4 to 8 s; if it completes, the back-off ends. In a busy service nothing changes. A refused order (0.4 s) has its own time and no longer shortens a longer back-off.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Coordinator,
-    candidates::{has_label, is_distrusted, service_of, task_limit},
+    candidates::{WaitingStep, has_label, is_distrusted, service_of, task_limit},
     job::{Ticket, resources_of},
 };
 use crate::{
@@ -119,7 +119,7 @@
         let service = service_of(&self.config, job);
         let demand = resources_of(spec);
         let eligible = |worker: &&Worker| {
-            worker.is_schedulable(now_ms)
+            worker.is_usable(now_ms)
                 && worker.entry.service == service
                 && has_label(worker, spec)
                 && worker.entry.capacity.fits(&Resources::default(), &demand)
@@ -129,8 +129,8 @@
             fitting_tasks(worker, &demand, limit)
         };
         let required = if spec.gang { waiting } else { 1 };
-        // A worker on which a waiting task failed is the last one to be used, so its room does not
-        // make up for that of others.
+        // Workers on which a waiting task failed and suspect workers are the last ones to be used, so
+        // their room does not make up for that of others.
         let failures = if spec.long_running {
             Vec::new()
         } else {
@@ -147,6 +147,10 @@
         for worker in self.workers.values().filter(eligible) {
             let name = &worker.entry.id;
             match step.advice.eligible.get(name) {
+                None if step.advice.queried.contains_key(name) => {}
+                _ if worker.is_suspect(now_ms) => {
+                    last_resort.push((fitting_tasks(worker), Rc::clone(name)));
+                }
                 Some(_) if is_distrusted(worker, &failures) => {
                     last_resort.push((fitting_tasks(worker), Rc::clone(name)));
                 }
@@ -158,10 +162,7 @@
                     eligible_slots += fitting_tasks(worker);
                     stale.push((fitting_tasks(worker), Rc::clone(name)));
                 }
-                None if !step.advice.queried.contains_key(name) => {
-                    unqueried.push((fitting_tasks(worker), Rc::clone(name)));
-                }
-                None => {}
+                None => unqueried.push((fitting_tasks(worker), Rc::clone(name))),
             }
         }
         let mut named_workers = if ticketed_slots >= required {
@@ -171,7 +172,12 @@
         } else if !unqueried.is_empty() {
             unqueried
         } else {
-            last_resort.retain(|(slots, name)| *slots > 0 && !step.advice.has_ticket(name, now_ms));
+            let may_use_suspects = self.may_use_suspects(id, now_ms);
+            last_resort.retain(|(slots, name)| {
+                *slots > 0
+                    && !step.advice.has_ticket(name, now_ms)
+                    && (may_use_suspects || !self.is_suspect_worker(name, now_ms))
+            });
             if last_resort.is_empty() {
                 return None;
             }
@@ -190,6 +196,31 @@
         })
     }
 
+    /// Whether a step may use faulty and slow workers once its patience is over: its job stands
+    /// still, and not because of the load.
+    fn may_use_suspects(&self, id: StepId, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let (Some(spec), Some(step)) = (job.step_spec(id.step), job.step(id)) else {
+            return false;
+        };
+        let waiting_step = WaitingStep {
+            id,
+            spec,
+            service: &service_of(&self.config, job),
+            needs_ticket: true,
+            waiting: &[],
+        };
+        (spec.long_running || !job.has_active_task())
+            && !waiting_step.awaits_its_turn(&self.workers, step, &self.reservations, now_ms)
+    }
+
+    fn is_suspect_worker(&self, worker: &str, now_ms: u64) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.is_suspect(now_ms))
+    }
+
     /// Applies the result of a query.
     pub fn advice_answered(&mut self, query: &AdviceQuery, outcome: &AdviceOutcome, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&query.step.job) else {
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -7,6 +7,7 @@
 use super::{
     job::{Failure, Job, Step, resources_of},
     patience::Patience,
+    reserves::Reservations,
     schedule::Pass,
 };
 use crate::{
@@ -36,7 +37,7 @@
     /// Whether a worker may run the step, regardless of free resources.
     fn may_use(&self, worker: &Worker, step: &Step, now_ms: u64) -> bool {
         let name = &worker.entry.id;
-        worker.is_schedulable(now_ms)
+        worker.is_usable(now_ms)
             && *worker.entry.service == *self.service
             && (!self.needs_ticket || step.advice.has_ticket(name, now_ms))
             && has_label(worker, self.spec)
@@ -61,7 +62,14 @@
             if !self.may_use(worker, step, pass.now_ms) {
                 continue;
             }
-            let choice = if pass.reservations.contains(name) {
+            let is_suspect = worker.is_suspect(pass.now_ms);
+            if is_suspect && worker.is_probed() {
+                continue;
+            }
+            let task_limit = task_limit(worker, self.spec, self.id);
+            let choice = if is_suspect {
+                &mut candidates.suspect
+            } else if pass.reservations.contains(name) {
                 &mut candidates.reserved
             } else if is_distrusted(worker, &failures) {
                 &mut candidates.failed
@@ -74,31 +82,37 @@
                 used: worker.used,
                 best_effort_millicores: worker.best_effort_millicores,
                 rack: worker.entry.rack(),
-                task_limit: task_limit(worker, self.spec, self.id),
+                // One task shows whether a suspect worker is sound.
+                task_limit: if is_suspect {
+                    task_limit.min(1)
+                } else {
+                    task_limit
+                },
             });
         }
         candidates
     }
 
-    /// Whether reservations of others yield to the step once its patience is over: otherwise the
-    /// step would wait for them alone, and not for its turn in a busy service.
-    pub(super) fn may_use_reserved(
+    /// Whether the step waits because of the load, and its turn will come: its service is busy, and
+    /// some worker that is neither suspect nor reserved could run it once other runs have ended.
+    pub(super) fn awaits_its_turn(
         &self,
         workers: &IndexMap<Rc<str>, Worker>,
         step: &Step,
-        pass: &Pass,
+        reservations: &Reservations,
+        now_ms: u64,
     ) -> bool {
         let demand = resources_of(self.spec);
         let becomes_free = |worker: &Worker| {
             let name = &worker.entry.id;
-            worker.is_schedulable(pass.now_ms)
+            worker.is_schedulable(now_ms)
                 && *worker.entry.service == *self.service
                 && has_label(worker, self.spec)
                 && (!self.needs_ticket || step.advice.eligible.contains_key(name))
-                && !pass.reservations.contains(name)
+                && !reservations.contains(name)
                 && (worker.entry.capacity).fits(&worker.permanently_used(), &demand)
         };
-        pass.reservations.is_idle(self.service) || !workers.values().any(becomes_free)
+        !reservations.is_idle(self.service) && workers.values().any(becomes_free)
     }
 }
 
@@ -111,6 +125,8 @@
     failed: Vec<Candidate<'w>>,
     /// Workers that are reserved for other steps.
     reserved: Vec<Candidate<'w>>,
+    /// Workers that count as faulty or slow.
+    suspect: Vec<Candidate<'w>>,
 }
 
 impl Candidates<'_> {
@@ -132,6 +148,7 @@
         let others = [
             (self.failed, Some(patience.after_failure_ms())),
             (self.reserved, patience.before_reserved_ms()),
+            (self.suspect, patience.before_suspect_ms()),
         ];
         for (candidates, max_passed_over_ms) in others {
             let is_over = max_passed_over_ms
@@ -153,7 +170,7 @@
     }
 }
 
-/// Index of schedulable workers by free CPU, created once per pass.
+/// Index of usable workers by free CPU, created once per pass.
 ///
 /// In a full cell few workers have room for a task, and a pass searches for room for every waiting
 /// step. Starts during the pass only reduce free resources, so the index remains a superset of the
@@ -175,7 +192,7 @@
         let mut by_free_cpu: Vec<(u64, usize)> = workers
             .values()
             .enumerate()
-            .filter(|(_, worker)| worker.is_schedulable(now_ms))
+            .filter(|(_, worker)| worker.is_usable(now_ms))
             .map(|(position, worker)| (free(worker), position))
             .collect();
         by_free_cpu.sort_by_key(|&(free, position)| (Reverse(free), position));
--- a/crates/cell/src/coordinator/ends.rs
+++ b/crates/cell/src/coordinator/ends.rs
@@ -40,6 +40,9 @@
                 health.sound_since_ms = health.sound_since_ms.max(started_ms.unwrap_or(0));
                 worker.health.consecutive_failures = 0;
                 worker.health.consecutive_backoffs = 0;
+                if worker.health.probe == Some(end.task) {
+                    worker.health.backoff_until_ms = 0;
+                }
                 self.record_completion(id, end, unix_ms);
             }
             EndKind::Failed => {
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -159,7 +159,7 @@
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
     ready_steps: Vec<StepId>,
     /// Workers that were kept free for a step at the last scheduling pass.
-    reserved: Vec<Rc<str>>,
+    reservations: reserves::Reservations,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
 }
@@ -182,7 +182,7 @@
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
-            reserved: Vec::new(),
+            reservations: reserves::Reservations::default(),
             average_pace: AveragePace::default(),
         };
         for entry in takeover.roster {
--- a/crates/cell/src/coordinator/patience.rs
+++ b/crates/cell/src/coordinator/patience.rs
@@ -17,9 +17,9 @@
 /// What the waiting tasks of a step can lose by waiting, and by a further failure.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Patience {
-    /// Whether the tasks wait for as long as workers are reserved for others. They do not if the
-    /// job stands still meanwhile, without a run or with a long-running task that has none.
-    pub(super) waits_for_reserved: bool,
+    /// Whether the tasks wait because of the load, or their job does not stand still: it has a run,
+    /// and no long-running task without one.
+    pub(super) awaits_its_turn: bool,
     /// Whether the tasks run until their job is cancelled.
     pub(super) long_running: bool,
     /// Whether another failure ends the job.
@@ -48,6 +48,12 @@
     /// How long the tasks may be kept from workers that are reserved for others, in milliseconds;
     /// `None` for no limit.
     pub(super) fn before_reserved_ms(&self) -> Option<u64> {
-        (!self.waits_for_reserved).then_some(USUAL_MS)
+        (!self.awaits_its_turn).then_some(USUAL_MS)
+    }
+
+    /// How long the tasks may be kept from workers that count as faulty or slow, in milliseconds;
+    /// `None` for no limit.
+    pub(super) fn before_suspect_ms(&self) -> Option<u64> {
+        (!self.awaits_its_turn).then(|| self.after_failure_ms().max(USUAL_MS))
     }
 }
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -255,7 +255,7 @@
                     resources,
                     expires_ms: now_ms + MAX_DELIVERY_DELAY_MS,
                 });
-                worker.health.backoff_until_ms = now_ms + REFUSAL_BACKOFF_MS;
+                worker.health.refusal_until_ms = now_ms + REFUSAL_BACKOFF_MS;
                 self.stop_gang_of(task, run);
                 return;
             }
@@ -272,7 +272,7 @@
             | StartResponse::NoRoom
             | StartResponse::Unhealthy
             | StartResponse::OtherLife => {
-                worker.health.backoff_until_ms = now_ms + REFUSAL_BACKOFF_MS;
+                worker.health.refusal_until_ms = now_ms + REFUSAL_BACKOFF_MS;
             }
         }
         if answer == StartResponse::BadTicket
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -193,7 +193,7 @@
             .into_iter()
             .map(|urgency| urgency.step)
             .collect();
-        self.reserved = pass.reservations.workers;
+        self.reservations = pass.reservations;
     }
 
     /// Steps with waiting tasks whose dependencies are complete, most urgent first.
@@ -306,8 +306,13 @@
         };
         let failed_runs = step.max_failed_runs(waiting.iter().copied());
         let patience = Patience {
-            waits_for_reserved: !stands_still
-                || !waiting_step.may_use_reserved(&self.workers, step, pass),
+            awaits_its_turn: !stands_still
+                || waiting_step.awaits_its_turn(
+                    &self.workers,
+                    step,
+                    &pass.reservations,
+                    pass.now_ms,
+                ),
             long_running: spec.long_running,
             last_attempt: failed_runs + 1 >= max_attempts as usize,
             slack_ms: objective_unix_ms.saturating_sub(pass.unix_ms + spec.estimate_ms),
--- a/crates/cell/src/coordinator/waiting.rs
+++ b/crates/cell/src/coordinator/waiting.rs
@@ -79,7 +79,7 @@
             workers: count(&|_, _| true),
             schedulable: count(&|worker, _| worker.is_schedulable(now_ms)),
             ticketed: count(&|_, name| step.advice.has_ticket(name, now_ms)),
-            reserved: count(&|_, name| self.reserved.contains(name)),
+            reserved: count(&|_, name| self.reservations.contains(name)),
             failed: count(&|worker, _| is_distrusted(worker, &failures)),
             with_room: count(&|worker, _| {
                 worker.entry.capacity.fits(&worker.used, &demand)
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -281,7 +281,7 @@
     }
 }
 
-/// Failure history of a worker, from which placement on it is suspended.
+/// Failure history of a worker, from which other workers are preferred to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerHealth {
     /// Number of consecutive failed runs; runs of the same job as the previous failure are not
@@ -292,13 +292,17 @@
     /// When the latest of the runs that completed had started, in milliseconds of the local clock; 0
     /// if none has completed.
     pub sound_since_ms: u64,
-    /// Time before which nothing is placed on the worker, in milliseconds of the local clock.
+    /// Time before which nothing is placed on the worker because it refused an order or did not
+    /// answer it, in milliseconds of the local clock.
+    pub refusal_until_ms: u64,
+    /// Time until which the worker counts as faulty, in milliseconds of the local clock.
     pub backoff_until_ms: u64,
     /// Number of consecutive back-offs, reset when a task completes.
     pub consecutive_backoffs: u32,
-    /// Time until which the worker counts as slow and receives no new tasks, in milliseconds of the
-    /// local clock.
+    /// Time until which the worker counts as slow, in milliseconds of the local clock.
     pub slow_until_ms: u64,
+    /// Task last placed on the worker while it counted as faulty or slow.
+    pub probe: Option<TaskId>,
 }
 
 /// An order to start that got no response.
@@ -356,7 +360,7 @@
     /// Orders without a response that may still reach this worker process or a later one with the
     /// same identifier.
     pub unconfirmed_orders: Vec<UnconfirmedOrder>,
-    /// Failure history, from which placement on the worker is suspended.
+    /// Failure history, from which other workers are preferred.
     pub health: WorkerHealth,
 }
 
@@ -384,14 +388,30 @@
         }
     }
 
-    /// Whether new tasks may be placed on the worker.
-    pub fn is_schedulable(&self, now_ms: u64) -> bool {
+    /// Whether new tasks can be placed on the worker.
+    pub fn is_usable(&self, now_ms: u64) -> bool {
         self.listed
             && self.in_roster
             && self.fenced
             && !self.unresponsive
             && !self.entry.draining
-            && now_ms >= self.health.backoff_until_ms.max(self.health.slow_until_ms)
+            && now_ms >= self.health.refusal_until_ms
+    }
+
+    /// Whether the worker counts as faulty or slow, so that tasks should run elsewhere.
+    pub fn is_suspect(&self, now_ms: u64) -> bool {
+        now_ms < self.health.backoff_until_ms.max(self.health.slow_until_ms)
+    }
+
+    /// Whether new tasks may be placed on the worker as on any other.
+    pub fn is_schedulable(&self, now_ms: u64) -> bool {
+        self.is_usable(now_ms) && !self.is_suspect(now_ms)
+    }
+
+    /// Whether a task that was placed on the worker while it was suspect still runs there.
+    pub fn is_probed(&self) -> bool {
+        let probe = self.health.probe.as_ref();
+        probe.is_some_and(|task| self.runs.contains_key(task))
     }
 
     /// Whether ends were processed whose effect is not being made durable yet.
@@ -450,6 +470,9 @@
         now_ms: u64,
     ) {
         self.held_until_worker_ms = self.held_until_worker_ms.max(until_worker_ms);
+        if self.is_suspect(now_ms) {
+            self.health.probe = Some(task);
+        }
         let phase = Phase::Ordered {
             until_worker_ms,
             in_flight: true,
--- a/crates/cell/tests/cell/preferences.rs
+++ b/crates/cell/tests/cell/preferences.rs
@@ -190,3 +190,71 @@
     assert_eq!(model.state(3), Some(JobState::Completed));
     assert_eq!(model.state(2), Some(JobState::Completed));
 }
+
+/// Guards against jobs that stand still while the only workers that may run them are backed off:
+/// the back-off grows with each failure, and outlasts the fault.
+#[test]
+fn a_backed_off_worker_serves_jobs_that_no_other_worker_can_run() {
+    struct Case {
+        name: &'static str,
+        config: Rc<Config>,
+        step: StepSpec,
+    }
+    let cases = [
+        Case {
+            name: "finite task",
+            config: support::config(),
+            step: support::step(1, 2_000, 400),
+        },
+        Case {
+            name: "lasting task",
+            config: support::config(),
+            step: long_running(support::step(1, 2_000, 400)),
+        },
+        Case {
+            name: "queue with advice",
+            config: support::advised_config(),
+            step: support::step(1, 2_000, 400),
+        },
+    ];
+    let filler = long_running(support::step(2, 7_500, 1_000));
+    for case in cases {
+        let (mut model, free) = cell_with_one_free_worker(case.config, 12, &filler);
+        model.set_mode(free, WorkerMode::FailsRuns);
+        for number in 0..70 {
+            let steps = vec![labelled(support::step(1, 1_000, 200))];
+            model.submit(support::job(100 + number, "urgent", steps));
+            model.run_ms(100);
+        }
+        model.set_mode(free, WorkerMode::Healthy);
+        model.submit(support::job(2, "urgent", vec![labelled(case.step)]));
+        model.run_ms(MAX_IDLE_MS);
+        let started = model.first_starts_ms.contains_key(&task(2, 0));
+        assert!(started, "{}: not started", case.name);
+    }
+}
+
+/// The same for a worker that stays slow, which receives no tasks while others can.
+#[test]
+fn a_slow_worker_serves_jobs_that_no_other_worker_can_run() {
+    let mut model = Model::new(support::config(), 12);
+    for number in 0..LABELLED_WORKERS {
+        model.add_label(number, LABEL);
+    }
+    model.run_ms(100);
+    let wide = labelled(support::step(6, 4_000, 20_000));
+    model.submit(support::job(1, "batch", vec![wide]));
+    model.run_ms(300);
+    let slow = (0..LABELLED_WORKERS)
+        .find(|&number| model.tasks_on(number).len() == 2)
+        .expect("the first four tasks fill one worker");
+    model.set_mode(slow, WorkerMode::Slow(8));
+    model.run_ms(5_000);
+    let id = model.workers.get_index(slow).expect("it is there").0;
+    let worker = &model.coordinator.workers()[id];
+    assert!(worker.is_suspect(model.now_ms), "it counts as slow");
+    let steps = vec![labelled(support::step(1, 2_000, 400))];
+    model.submit(support::job(2, "urgent", steps));
+    model.run_ms(MAX_IDLE_MS);
+    assert!(model.first_starts_ms.contains_key(&task(2, 0)));
+}
