cell: a run is missing only from a report requested after its start was confirmed

Cause: a report that lacks a run counted if it was requested in the same millisecond in which the start was confirmed. The poll may have been sent, and answered by the worker, before the start reached it.

Now the report must have been requested later. Test: a_run_is_missing_only_from_a_report_requested_after_its_ start_was_confirmed ("in the same millisecond" failed before).

--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -395,7 +395,8 @@
                 !report.running.iter().any(reported)
             })
             .filter(|(_, run)| match run.phase {
-                Phase::Present { since_ms } => sent_ms >= since_ms,
+                // Within the same millisecond the report may have been requested first.
+                Phase::Present { since_ms } => sent_ms > since_ms,
                 Phase::Ordered {
                     until_worker_ms,
                     in_flight,
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -170,6 +170,60 @@
     );
 }
 
+/// A poll may reach a worker before an order to start, although its answer arrives later. Guards
+/// against giving up a run that such an answer lacks: its room was given away, and the worker
+/// exceeded its capacity.
+#[test]
+fn a_run_is_missing_only_from_a_report_requested_after_its_start_was_confirmed() {
+    struct Case {
+        name: &'static str,
+        sent_ms: u64,
+        released: bool,
+    }
+    let confirmed_ms = 30;
+    let cases = [
+        Case {
+            name: "before the confirmation",
+            sent_ms: confirmed_ms - 1,
+            released: false,
+        },
+        Case {
+            name: "in the same millisecond",
+            sent_ms: confirmed_ms,
+            released: false,
+        },
+        Case {
+            name: "after the confirmation",
+            sent_ms: confirmed_ms + 1,
+            released: true,
+        },
+    ];
+    for case in cases {
+        let mut coordinator = support::coordinator(support::config());
+        let worker = support::entry(0);
+        let id: Rc<str> = Rc::clone(&worker.id);
+        coordinator.update_worker(worker);
+        coordinator.roster_durable(&[Rc::clone(&id)]);
+        let report = |clock_ms| HoldReport {
+            clock_ms,
+            started_unix_ms: support::START_UNIX_MS,
+            ..HoldReport::default()
+        };
+        let unix_ms = support::START_UNIX_MS;
+        coordinator.hold_answered(&id, 0, 10, unix_ms, &report(1_000));
+        let steps = vec![support::step(1, 1_000, 500)];
+        coordinator.add_job(&support::job(1, "urgent", steps), false, unix_ms);
+        let orders = coordinator.schedule(20, unix_ms);
+        let [Order::Start { task, run, .. }] = orders.as_slice() else {
+            panic!("expected one start, got {orders:?}");
+        };
+        coordinator.start_answered(&id, *task, *run, StartResponse::Started, confirmed_ms);
+        coordinator.hold_answered(&id, case.sent_ms, 40, unix_ms, &report(1_030));
+        let released = coordinator.workers()[&id].runs.is_empty();
+        assert_eq!(released, case.released, "{}", case.name);
+    }
+}
+
 /// A payload is unavailable while its host is gone and the store does not respond. The worker is
 /// not at fault, and the order must not be sent again in each pass.
 #[test]
