--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -278,11 +278,12 @@
         }
     }
 
-    /// Begins all occurrences up to `last` that have neither begun nor completed.
+    /// Begins all occurrences of the job up to `last` that have neither begun nor completed.
     pub fn begin_through(&mut self, last: u32) {
         let Some(spec) = self.spec.clone() else {
             return;
         };
+        let last = last.min(spec.occurrences.saturating_sub(1));
         while self.next_occurrence <= last {
             let number = self.next_occurrence;
             self.next_occurrence += 1;
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -40,9 +40,9 @@
 
     /// Adds `other` to each resource.
     pub fn add(&mut self, other: &Self) {
-        self.cpu_millicores += other.cpu_millicores;
-        self.memory_mb += other.memory_mb;
-        self.gpus += other.gpus;
+        self.cpu_millicores = self.cpu_millicores.saturating_add(other.cpu_millicores);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
     /// Subtracts `other` from each resource, down to zero.
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod cold_start;
 mod failures;
 mod jobs;
+mod odd_entries;
 mod peers;
 mod relays;
 mod reload;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -3,9 +3,12 @@
 use std::{
     fs,
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -103,8 +106,17 @@
 /// Offset of the next port to try.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
+/// Held while a port is tried and while a process is started: a process that is being started holds
+/// all open sockets until it executes its program, and with them the ports that are being tried.
+static SOCKETS: Mutex<()> = Mutex::new(());
+
+fn lock_sockets() -> MutexGuard<'static, ()> {
+    SOCKETS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// An address that no other host of this process uses and no process listens on.
 fn unused_address() -> SocketAddr {
+    let _sockets = lock_sockets();
     // Concurrent test processes start at different ports.
     let offset = (process::id() % u32::from(PORT_COUNT)) as u16;
     loop {
@@ -117,6 +129,17 @@
     }
 }
 
+/// Starts an entry host process; its log goes to a new file.
+fn start_process(settings: &Path, log: &Path) -> Child {
+    let out = fs::File::create(log).expect("the log file is created");
+    let _sockets = lock_sockets();
+    Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
+        .env("HICKORYCHUTE_BOOT", settings)
+        .stdout(Stdio::from(out))
+        .spawn()
+        .expect("the process starts")
+}
+
 impl TestCell {
     /// Starts `hosts` hosts and `workers` workers, and waits until a leader has settled and all
     /// workers have answered.
@@ -188,12 +211,7 @@
             .folder
             .path()
             .join(format!("{name}.{}.log", self.hosts.len()));
-        let out = fs::File::create(&log).expect("the log file is created");
-        let process = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
-            .env("HICKORYCHUTE_BOOT", &settings)
-            .stdout(Stdio::from(out))
-            .spawn()
-            .expect("the process starts");
+        let process = start_process(&settings, &log);
         self.hosts.push(Host {
             name,
             clients,
@@ -204,6 +222,19 @@
         });
     }
 
+    /// Kills a host, starts it again, and waits until it has a configuration.
+    pub async fn kill_and_restart(&mut self, host: usize) {
+        let killed = &mut self.hosts[host];
+        killed.signal(Signal::KILL);
+        killed.wait();
+        killed.log.set_extension("restarted.log");
+        killed.process = start_process(&killed.settings, &killed.log);
+        self.wait_until("configuration of the restarted host", |test_cell| {
+            test_cell.hosts[host].log().contains("config-applied")
+        })
+        .await;
+    }
+
     /// Index of the leader: the host that logged the highest fence.
     pub fn leader(&self) -> usize {
         let taken = |host: &Host| {
