--- a/crates/cell/src/coordinator/waiting.rs
+++ b/crates/cell/src/coordinator/waiting.rs
@@ -49,10 +49,15 @@
         now_ms: u64,
         min_wait_ms: u64,
     ) -> impl Iterator<Item = WaitingReport> {
+        let has_waited = move |id: &&StepId| {
+            let step = self.jobs.get(&id.job).and_then(|job| job.step(**id));
+            step.and_then(|step| step.waiting_since_ms)
+                .is_some_and(|since_ms| now_ms >= since_ms + min_wait_ms)
+        };
         self.ready_steps
             .iter()
+            .filter(has_waited)
             .filter_map(move |&id| self.waiting_report(id, now_ms))
-            .filter(move |report| report.waited_ms >= min_wait_ms)
     }
 
     fn waiting_report(&self, id: StepId, now_ms: u64) -> Option<WaitingReport> {
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -129,18 +129,19 @@
     }
 }
 
-/// Confirms that the leader key is still ours; `None` if it is not. Returns the time from which the
-/// confirmation counts. Reading can outlast the authority that the election gave.
+/// Confirms that the leader key is still ours; `None` if it is not, or once reads have failed for
+/// [`MAX_READ_STALL_MS`]. Returns the time from which the confirmation counts. Reading can outlast the authority that the election gave.
 async fn confirm_term(context: &HostContext, term: Term) -> Option<u64> {
     if clock::now_ms() < term.taken_ms + CONFIRM_INTERVAL_MS {
         return Some(term.taken_ms);
     }
+    let mut failing_since_ms = None;
     loop {
         let sent_ms = clock::now_ms();
         match context.store.get(LEADER_KEY).await {
             Ok(Some(item)) if item.revision == term.fence => return Some(sent_ms),
             Ok(_) => return None,
-            Err(_) => time::sleep(RETRY_DELAY).await,
+            Err(_) => wait_to_retry(&mut failing_since_ms).await?,
         }
     }
 }
