--- a/crates/cell/tests/cell/preferences.rs
+++ b/crates/cell/tests/cell/preferences.rs
@@ -10,28 +10,12 @@
 
 use crate::support::{self, Model, WorkerMode};
 
-/// Label of the workers that the jobs of these tests require.
-const LABEL: &str = "special";
 /// A job with attempts left that could run and has nothing running must be started within this
 /// time.
 const MAX_IDLE_MS: u64 = 2_500;
 /// Number of labelled workers: one is filled, the other fails its runs.
 const LABELLED_WORKERS: usize = 2;
 
-fn labelled(step: StepSpec) -> StepSpec {
-    StepSpec {
-        required_label: LABEL.to_owned(),
-        ..step
-    }
-}
-
-fn long_running(step: StepSpec) -> StepSpec {
-    StepSpec {
-        long_running: true,
-        ..step
-    }
-}
-
 fn task(job: u64, index: u32) -> TaskId {
     let text = format!("{job:016x}.0.0.{index}");
     text.parse().expect("a valid task ID")
@@ -45,10 +29,14 @@
 ) -> (Model, usize) {
     let mut model = Model::new(config, workers);
     for number in 0..LABELLED_WORKERS {
-        model.add_label(number, LABEL);
+        model.add_label(number, support::LABEL);
     }
     model.run_ms(100);
-    model.submit(support::job(1, "batch", vec![labelled(filler.clone())]));
+    model.submit(support::job(
+        1,
+        "batch",
+        vec![support::labelled(filler.clone())],
+    ));
     model.run_ms(1_000);
     let idle: Vec<usize> = (0..LABELLED_WORKERS)
         .filter(|&number| model.tasks_on(number).is_empty())
@@ -71,7 +59,7 @@
         step: StepSpec,
         takes_over: bool,
     }
-    let lasting = long_running(support::step(2, 7_500, 1_000));
+    let lasting = support::long_running(support::step(2, 7_500, 1_000));
     let cases = [
         Case {
             name: "full of lasting tasks",
@@ -117,7 +105,7 @@
     for case in cases {
         let (mut model, free) = cell_with_one_free_worker(case.config, case.workers, &case.filler);
         model.set_mode(free, WorkerMode::FailsRuns);
-        model.submit(support::job(2, "batch", vec![labelled(case.step)]));
+        model.submit(support::job(2, "batch", vec![support::labelled(case.step)]));
         while model.failures(task(2, 0)) == 0 {
             model.run_ms(10);
         }
@@ -158,13 +146,17 @@
         },
     ];
     for case in cases {
-        let filler = long_running(support::step(2, 7_500, 1_000));
+        let filler = support::long_running(support::step(2, 7_500, 1_000));
         let (mut model, free) = cell_with_one_free_worker(support::config(), 12, &filler);
         if case.filled_workers == 0 {
             model.set_mode(LABELLED_WORKERS - 1 - free, WorkerMode::Down);
         }
         model.set_mode(free, WorkerMode::FailsRuns);
-        model.submit(support::job(2, "urgent", vec![labelled(case.step)]));
+        model.submit(support::job(
+            2,
+            "urgent",
+            vec![support::labelled(case.step)],
+        ));
         model.run_ms(3_000);
         model.set_mode(free, WorkerMode::Healthy);
         model.run_ms(7_000);
@@ -175,10 +167,10 @@
 /// A run that was started later and completes shows that the worker is sound.
 #[test]
 fn a_failed_task_returns_to_a_worker_that_has_completed_a_later_run() {
-    let filler = long_running(support::step(2, 7_500, 1_000));
+    let filler = support::long_running(support::step(2, 7_500, 1_000));
     let (mut model, free) = cell_with_one_free_worker(support::config(), 12, &filler);
     model.set_mode(free, WorkerMode::FailsRuns);
-    let steps = vec![labelled(support::step(1, 2_000, 400))];
+    let steps = vec![support::labelled(support::step(1, 2_000, 400))];
     model.submit(support::job(2, "urgent", steps.clone()));
     while model.failures(task(2, 0)) == 0 {
         model.run_ms(10);
@@ -209,7 +201,7 @@
         Case {
             name: "lasting task",
             config: support::config(),
-            step: long_running(support::step(1, 2_000, 400)),
+            step: support::long_running(support::step(1, 2_000, 400)),
         },
         Case {
             name: "queue with advice",
@@ -217,17 +209,21 @@
             step: support::step(1, 2_000, 400),
         },
     ];
-    let filler = long_running(support::step(2, 7_500, 1_000));
+    let filler = support::long_running(support::step(2, 7_500, 1_000));
     for case in cases {
         let (mut model, free) = cell_with_one_free_worker(case.config, 12, &filler);
         model.set_mode(free, WorkerMode::FailsRuns);
         for number in 0..70 {
-            let steps = vec![labelled(support::step(1, 1_000, 200))];
+            let steps = vec![support::labelled(support::step(1, 1_000, 200))];
             model.submit(support::job(100 + number, "urgent", steps));
             model.run_ms(100);
         }
         model.set_mode(free, WorkerMode::Healthy);
-        model.submit(support::job(2, "urgent", vec![labelled(case.step)]));
+        model.submit(support::job(
+            2,
+            "urgent",
+            vec![support::labelled(case.step)],
+        ));
         model.run_ms(MAX_IDLE_MS);
         let started = model.first_starts_ms.contains_key(&task(2, 0));
         assert!(started, "{}: not started", case.name);
@@ -239,10 +235,10 @@
 fn a_slow_worker_serves_jobs_that_no_other_worker_can_run() {
     let mut model = Model::new(support::config(), 12);
     for number in 0..LABELLED_WORKERS {
-        model.add_label(number, LABEL);
+        model.add_label(number, support::LABEL);
     }
     model.run_ms(100);
-    let wide = labelled(support::step(6, 4_000, 20_000));
+    let wide = support::labelled(support::step(6, 4_000, 20_000));
     model.submit(support::job(1, "batch", vec![wide]));
     model.run_ms(300);
     let slow = (0..LABELLED_WORKERS)
@@ -253,7 +249,7 @@
     let id = model.workers.get_index(slow).expect("it is there").0;
     let worker = &model.coordinator.workers()[id];
     assert!(worker.is_suspect(model.now_ms), "it counts as slow");
-    let steps = vec![labelled(support::step(1, 2_000, 400))];
+    let steps = vec![support::labelled(support::step(1, 2_000, 400))];
     model.submit(support::job(2, "urgent", steps));
     model.run_ms(MAX_IDLE_MS);
     assert!(model.first_starts_ms.contains_key(&task(2, 0)));
--- a/crates/cell/tests/cell/reservations.rs
+++ b/crates/cell/tests/cell/reservations.rs
@@ -10,25 +10,9 @@
 
 use crate::support::{self, Model};
 
-/// Label of the workers that the jobs of these tests require.
-const LABEL: &str = "special";
 /// A job that could run and has nothing running must be started within this time.
 const MAX_IDLE_MS: u64 = 2_500;
 
-fn labelled(step: StepSpec) -> StepSpec {
-    StepSpec {
-        required_label: LABEL.to_owned(),
-        ..step
-    }
-}
-
-fn long_running(step: StepSpec) -> StepSpec {
-    StepSpec {
-        long_running: true,
-        ..step
-    }
-}
-
 fn first_task(job: u64) -> TaskId {
     let text = format!("{job:016x}.0.0.0");
     text.parse().expect("a valid task ID")
@@ -51,7 +35,7 @@
 fn cases() -> Vec<Case> {
     let lasting = |count| StepSpec {
         max_per_worker: 1,
-        ..long_running(support::step(count, 2_000, 1_000))
+        ..support::long_running(support::step(count, 2_000, 1_000))
     };
     vec![
         Case {
@@ -60,7 +44,7 @@
             workers: 12,
             labelled_workers: 2,
             running: lasting(2),
-            blocked: long_running(support::step(2, 15_000, 1_000)),
+            blocked: support::long_running(support::step(2, 15_000, 1_000)),
             takes_over: false,
         },
         Case {
@@ -69,7 +53,7 @@
             workers: 12,
             labelled_workers: 2,
             running: lasting(2),
-            blocked: long_running(support::step(2, 15_000, 1_000)),
+            blocked: support::long_running(support::step(2, 15_000, 1_000)),
             takes_over: true,
         },
         Case {
@@ -78,7 +62,7 @@
             workers: 60,
             labelled_workers: 9,
             running: lasting(9),
-            blocked: long_running(support::step(9, 15_000, 1_000)),
+            blocked: support::long_running(support::step(9, 15_000, 1_000)),
             takes_over: false,
         },
         Case {
@@ -96,7 +80,7 @@
             workers: 12,
             labelled_workers: 3,
             running: lasting(3),
-            blocked: long_running(support::step(3, 15_000, 1_000)),
+            blocked: support::long_running(support::step(3, 15_000, 1_000)),
             takes_over: false,
         },
         Case {
@@ -110,7 +94,7 @@
             },
             blocked: StepSpec {
                 memory_mb: 31_000,
-                ..long_running(support::step(2, 1_000, 1_000))
+                ..support::long_running(support::step(2, 1_000, 1_000))
             },
             takes_over: false,
         },
@@ -123,7 +107,7 @@
                 max_per_worker: 1,
                 ..support::step(2, 2_000, 90_000)
             },
-            blocked: long_running(support::step(2, 15_000, 1_000)),
+            blocked: support::long_running(support::step(2, 15_000, 1_000)),
             takes_over: false,
         },
         Case {
@@ -150,12 +134,20 @@
         // The same workers are eligible for every step in queues with advice.
         model.eligible_percent = 0;
         for number in 0..case.labelled_workers {
-            model.add_label(number, LABEL);
+            model.add_label(number, support::LABEL);
         }
         model.run_ms(100);
-        model.submit(support::job(1, "batch", vec![labelled(case.running)]));
+        model.submit(support::job(
+            1,
+            "batch",
+            vec![support::labelled(case.running)],
+        ));
         model.run_ms(500);
-        model.submit(support::job(2, "gang", vec![labelled(case.blocked)]));
+        model.submit(support::job(
+            2,
+            "gang",
+            vec![support::labelled(case.blocked)],
+        ));
         // Workers are kept free for a gang once it has waited for part of its objective.
         model.run_ms(4_000);
         if case.takes_over {
@@ -163,13 +155,15 @@
             model.run_ms(300);
         }
         for number in 10..29 {
-            let steps = vec![labelled(support::step(1, 2_000, 300))];
+            let steps = vec![support::labelled(support::step(1, 2_000, 300))];
             model.submit(support::job(number, "batch", steps));
         }
         model.submit(support::job(
             30,
             "batch",
-            vec![labelled(long_running(support::step(1, 500, 300)))],
+            vec![support::labelled(support::long_running(support::step(
+                1, 500, 300,
+            )))],
         ));
         model.run_ms(MAX_IDLE_MS);
         for number in (10..29).chain([30]) {
@@ -190,7 +184,7 @@
     let cases = [
         Case {
             name: "lasting tasks",
-            blocked: long_running(support::step(2, 15_000, 1_000)),
+            blocked: support::long_running(support::step(2, 15_000, 1_000)),
         },
         Case {
             name: "gang",
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -98,6 +98,25 @@
     }
 }
 
+/// Label that [`labelled`] steps require.
+pub const LABEL: &str = "special";
+
+/// The same step for workers with [`LABEL`] only.
+pub fn labelled(step: StepSpec) -> StepSpec {
+    StepSpec {
+        required_label: LABEL.to_owned(),
+        ..step
+    }
+}
+
+/// The same step with tasks that run until their job is cancelled.
+pub fn long_running(step: StepSpec) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step
+    }
+}
+
 /// A gang of `count` tasks.
 pub fn gang(count: u32, cpu_millicores: u64, estimate_ms: u64) -> StepSpec {
     StepSpec {
--- a/crates/cell/tests/cell/workers.rs
+++ b/crates/cell/tests/cell/workers.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use hickorychute_cell::{
-    coordinator::{Order, StartResponse},
+    coordinator::{Coordinator, Order, StartResponse},
     jobs::JobState,
     workers::HoldReport,
 };
@@ -130,23 +130,34 @@
     }
 }
 
+/// A report of a worker without runs.
+fn empty_report(clock_ms: u64) -> HoldReport {
+    HoldReport {
+        clock_ms,
+        started_unix_ms: support::START_UNIX_MS,
+        ..HoldReport::default()
+    }
+}
+
+/// A coordinator whose only worker reported at 10 ms that it has no runs.
+fn coordinator_with_idle_worker() -> (Coordinator, Rc<str>) {
+    let mut coordinator = support::coordinator(support::config());
+    let worker = support::entry(0);
+    let id = Rc::clone(&worker.id);
+    coordinator.update_worker(worker);
+    coordinator.roster_durable(&[Rc::clone(&id)]);
+    let unix_ms = support::START_UNIX_MS;
+    coordinator.hold_answered(&id, 0, 10, unix_ms, &empty_report(1_000));
+    (coordinator, id)
+}
+
 /// Guards against a run that is never released: each further confirmation of a stop, while a long
 /// poll was waiting, renewed the time from which the run counted as present, so its absence from
 /// the next report was ignored. It occurred with workers that executed orders late.
 #[test]
 fn a_stop_confirmed_twice_does_not_retain_its_run() {
-    let mut coordinator = support::coordinator(support::config());
-    let worker = support::entry(0);
-    let id: Rc<str> = Rc::clone(&worker.id);
-    coordinator.update_worker(worker);
-    coordinator.roster_durable(&[Rc::clone(&id)]);
-    let report = |clock_ms| HoldReport {
-        clock_ms,
-        started_unix_ms: support::START_UNIX_MS,
-        ..HoldReport::default()
-    };
+    let (mut coordinator, id) = coordinator_with_idle_worker();
     let unix_ms = support::START_UNIX_MS;
-    coordinator.hold_answered(&id, 0, 10, unix_ms, &report(1_000));
     coordinator.add_job(
         &support::job(1, "gang", vec![support::gang(1, 1_000, 500)]),
         false,
@@ -162,7 +173,7 @@
     // The hold sent at 950 ms is answered after the stop was sent and confirmed again.
     let _stop = coordinator.schedule(1_300, unix_ms);
     coordinator.stop_confirmed(&id, *task, *run, 1_400);
-    coordinator.hold_answered(&id, 950, 1_950, unix_ms, &report(1_500));
+    coordinator.hold_answered(&id, 950, 1_950, unix_ms, &empty_report(1_500));
     let again = coordinator.schedule(2_000, unix_ms);
     assert!(
         matches!(again.as_slice(), [Order::Start { run: second, .. }] if second > run),
@@ -199,18 +210,8 @@
         },
     ];
     for case in cases {
-        let mut coordinator = support::coordinator(support::config());
-        let worker = support::entry(0);
-        let id: Rc<str> = Rc::clone(&worker.id);
-        coordinator.update_worker(worker);
-        coordinator.roster_durable(&[Rc::clone(&id)]);
-        let report = |clock_ms| HoldReport {
-            clock_ms,
-            started_unix_ms: support::START_UNIX_MS,
-            ..HoldReport::default()
-        };
+        let (mut coordinator, id) = coordinator_with_idle_worker();
         let unix_ms = support::START_UNIX_MS;
-        coordinator.hold_answered(&id, 0, 10, unix_ms, &report(1_000));
         let steps = vec![support::step(1, 1_000, 500)];
         coordinator.add_job(&support::job(1, "urgent", steps), false, unix_ms);
         let orders = coordinator.schedule(20, unix_ms);
@@ -218,7 +219,7 @@
             panic!("expected one start, got {orders:?}");
         };
         coordinator.start_answered(&id, *task, *run, StartResponse::Started, confirmed_ms);
-        coordinator.hold_answered(&id, case.sent_ms, 40, unix_ms, &report(1_030));
+        coordinator.hold_answered(&id, case.sent_ms, 40, unix_ms, &empty_report(1_030));
         let released = coordinator.workers()[&id].runs.is_empty();
         assert_eq!(released, case.released, "{}", case.name);
     }
