entry, cell: log which runs are lost with their worker, and whether it refused connections

E8138 names the runs ordered last, with their age; holds return 'refused' apart from 'silent'. Decisions are unchanged.

--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::Coordinator;
+use super::{Coordinator, losses::LossEvidence};
 use crate::{ids::TaskId, workers::Worker};
 
 /// Time within which the entries of live workers are back after a store outage, in milliseconds.
@@ -20,6 +20,7 @@
             .map(|w| Rc::clone(&w.entry.id))
             .collect();
         for id in ids {
+            self.record_loss(&id, LossEvidence::HoldsExpired, now_ms);
             let tasks: Vec<TaskId> = self
                 .workers
                 .get(&id)
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -25,6 +25,7 @@
 mod ends;
 mod expiry;
 mod job;
+mod losses;
 mod movement;
 mod pace;
 mod patience;
@@ -40,7 +41,8 @@
 pub use advice::{AdviceOutcome, AdviceQuery};
 pub use changes::{ChangeLimits, RecordChange};
 pub use job::{Job, Ticket};
-pub use reports::{HoldTerms, StartResponse};
+pub use losses::{LossEvidence, WorkerLoss};
+pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
 
 use crate::{
@@ -162,6 +164,8 @@
     reservations: reserves::Reservations,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
+    /// Losses of workers that have not been taken for the log.
+    losses: Vec<WorkerLoss>,
 }
 
 impl Coordinator {
@@ -184,6 +188,7 @@
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
             average_pace: AveragePace::default(),
+            losses: Vec::new(),
         };
         for entry in takeover.roster {
             coordinator.unreported_workers.insert(Rc::clone(&entry.id));
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, Order, job::demand_of};
+use super::{Coordinator, Order, job::demand_of, losses::LossEvidence};
 use crate::{
     ids::TaskId,
     progress::Progress,
@@ -38,6 +38,16 @@
     pub prompt_response: bool,
 }
 
+/// Why a hold returned no report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldFailure {
+    /// The worker's address refuses connections. Its process has probably ended; a cut link may
+    /// refuse connections as well, while the worker runs on.
+    Refused,
+    /// The worker does not answer, or is unhealthy.
+    Silent,
+}
+
 /// A worker's response to an order to start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartResponse {
@@ -126,6 +136,7 @@
         worker.started_unix_ms = report.started_unix_ms;
         worker.fenced = true;
         worker.unresponsive = false;
+        worker.refused = false;
         worker.clock = Some(ClockReading {
             worker_ms: report.clock_ms,
             received_ms: now_ms,
@@ -143,17 +154,19 @@
         self.review_runs(id, now_ms, unix_ms);
     }
 
-    /// Records that a hold got no response.
-    pub fn hold_failed(&mut self, id: &str, now_ms: u64) {
+    /// Records that a hold returned no report.
+    pub fn hold_failed(&mut self, id: &str, failure: HoldFailure, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.unresponsive = true;
+        worker.refused |= failure == HoldFailure::Refused;
         self.end_departed_worker(id, now_ms);
     }
 
     /// Records that a worker process has ended and none of its runs continues.
     pub fn worker_ended(&mut self, id: &str, now_ms: u64) {
+        self.record_loss(id, LossEvidence::ProcessEnded, now_ms);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -236,6 +236,9 @@
 pub struct Run {
     /// Run number, unique within the task.
     pub run: u64,
+    /// When the run was ordered or, if a predecessor ordered it, first reported, in milliseconds of
+    /// the local clock.
+    pub ordered_ms: u64,
     /// Resources that the run occupies.
     pub resources: Resources,
     /// State of the order to start the run.
@@ -266,6 +269,7 @@
     pub fn new(run: u64, demand: &Demand, phase: Phase, now_ms: u64) -> Self {
         Self {
             run,
+            ordered_ms: now_ms,
             resources: demand.resources,
             phase,
             stopping: None,
@@ -336,6 +340,8 @@
     pub fenced: bool,
     /// Whether the last hold got no response.
     pub unresponsive: bool,
+    /// Whether its address has refused a connection since its last report.
+    pub refused: bool,
     /// Last reading of the worker's clock.
     pub clock: Option<ClockReading>,
     /// Latest expiry of all holds and orders granted to the worker, in milliseconds of its clock.
@@ -374,6 +380,7 @@
             in_roster: false,
             fenced: false,
             unresponsive: false,
+            refused: false,
             clock: None,
             held_until_worker_ms: 0,
             processed_end: 0,
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -5,7 +5,8 @@
 use hickorychute_cell::{
     config::Config,
     coordinator::{
-        AdviceOutcome, ChangeLimits, Coordinator, Order, StartResponse, TakeoverState, Tuning,
+        AdviceOutcome, ChangeLimits, Coordinator, HoldFailure, Order, StartResponse, TakeoverState,
+        Tuning,
     },
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, StepSpec},
@@ -574,7 +575,8 @@
             let unix_ms = self.unix_ms();
             let worker = &mut self.workers[&id];
             if matches!(worker.mode, WorkerMode::Unreachable | WorkerMode::Down) {
-                self.coordinator.hold_failed(&id, now_ms);
+                self.coordinator
+                    .hold_failed(&id, HoldFailure::Silent, now_ms);
                 continue;
             }
             let Some(terms) = self.coordinator.begin_hold(&id, true, now_ms) else {
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -1,7 +1,7 @@
 //! Takeover of the cell by a new coordinator.
 
 use hickorychute_cell::{
-    coordinator::{Coordinator, TakeoverState, Tuning},
+    coordinator::{Coordinator, HoldFailure, TakeoverState, Tuning},
     ids::{StepId, TaskId},
     jobs::JobState,
     workers::WorkerEntry,
@@ -280,14 +280,14 @@
             run_floor: 1_000,
         };
         let mut coordinator = Coordinator::new(Tuning::default(), support::config(), takeover);
-        coordinator.hold_failed(&entry.id, 50);
+        coordinator.hold_failed(&entry.id, HoldFailure::Silent, 50);
         if case.listed {
             coordinator.update_worker(entry.clone());
         }
         if let Some(read_ms) = case.list_read_ms {
             coordinator.list_read(read_ms);
         }
-        coordinator.hold_failed(&entry.id, case.at_ms - 10);
+        coordinator.hold_failed(&entry.id, HoldFailure::Silent, case.at_ms - 10);
         let _orders = coordinator.schedule(case.at_ms, support::START_UNIX_MS);
         let settled = coordinator.takeover_complete(case.at_ms);
         assert_eq!(settled, case.settled, "{}", case.name);
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -67,6 +67,8 @@
     WORKER_HEARD = (8132, "worker-heard", Info, "A worker returned its lists, for the first time or again.");
     /// A worker has more ended runs than it lists.
     ENDS_TRUNCATED = (8137, "ends-truncated", Warn, "A worker has more ended runs than fit into its list, because their ends could not be made durable. Tasks whose ends are not listed wait for them. Check for a store outage.");
+    /// Runs were lost with their worker.
+    WORKER_LOST = (8138, "worker-lost", Warn, "Runs were lost with their worker: its process has ended, or its holds have expired. The line names the runs ordered last, with their age. Check what the runs of several such lines have in common.");
     /// A relaying host does not answer.
     CARRIER_AWAY = (8133, "carrier-away", Warn, "A host does not answer the coordinator, which now reaches the workers near it through other hosts. Check whether the host is running.");
     /// A relaying host answers again.
--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cell::workers::HoldReport;
+use cell::{coordinator::HoldFailure, workers::HoldReport};
 use kernel::log_event;
 use tokio::time;
 
@@ -171,10 +171,10 @@
                     .coordinator
                     .borrow_mut()
                     .worker_ended(&self.id, now_ms);
-                self.handle_failure("other_life")
+                self.handle_failure(HoldFailure::Silent, "other_life")
             }
-            HoldOutcome::Unusable => self.handle_failure("unhealthy"),
-            HoldOutcome::Silent => {
+            HoldOutcome::Unusable => self.handle_failure(HoldFailure::Silent, "unhealthy"),
+            outcome @ (HoldOutcome::Silent | HoldOutcome::Refused) => {
                 self.unanswered += 1;
                 if self.unanswered < MAX_UNANSWERED_HOLDS {
                     // The answer may have been lost: a new connection tells.
@@ -183,7 +183,11 @@
                 }
                 // The relaying host may be the one that is disconnected.
                 self.route_index += 1;
-                self.handle_failure("no_answer")
+                if outcome == HoldOutcome::Refused {
+                    self.handle_failure(HoldFailure::Refused, "refused")
+                } else {
+                    self.handle_failure(HoldFailure::Silent, "no_answer")
+                }
             }
         }
     }
@@ -197,7 +201,7 @@
         if self.failed_routes <= MAX_ROUTE_RETRIES {
             return NextStep::Again;
         }
-        self.handle_failure("no_host")
+        self.handle_failure(HoldFailure::Silent, "no_host")
     }
 
     async fn handle_report(&mut self, sent_ms: u64, report: &HoldReport) {
@@ -235,7 +239,7 @@
         }
     }
 
-    fn handle_failure(&mut self, reason: &str) -> NextStep {
+    fn handle_failure(&mut self, failure: HoldFailure, reason: &str) -> NextStep {
         self.connection = 0;
         self.failed_routes = 0;
         if !self.was_silent {
@@ -250,7 +254,7 @@
         self.leader
             .coordinator
             .borrow_mut()
-            .hold_failed(&self.id, now_ms);
+            .hold_failed(&self.id, failure, now_ms);
         self.leader.schedule.notify_one();
         NextStep::After(RETRY_DELAY)
     }
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -54,6 +54,7 @@
                 .coordinator
                 .borrow_mut()
                 .schedule(now_ms, clock::unix_ms());
+            leader.log_losses();
             for order in orders {
                 leader.execute(order);
             }
@@ -105,6 +106,15 @@
         }
     }
 
+    /// Logs which runs were lost with their worker.
+    fn log_losses(&self) {
+        let losses = self.coordinator.borrow_mut().take_losses();
+        for loss in losses {
+            self.context.metrics.count("workers_lost");
+            log_event!(events::WORKER_LOST, "{loss}");
+        }
+    }
+
     /// Logs the most urgent steps that have waited for long, and what their workers lack.
     fn log_waiting_steps(&self, now_ms: u64) {
         let coordinator = self.coordinator.borrow();
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -283,6 +283,8 @@
     OtherLife = 3,
     /// The worker is unhealthy, or its answer is malformed.
     Unusable = 4,
+    /// The worker's address refuses connections.
+    Refused = 5,
 }
 
 /// A worker's answer to a hold.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -101,6 +101,9 @@
                     line,
                     used_ms: 0,
                 },
+                Err(CallError::Refused) => {
+                    return HoldReply::with_outcome(HoldOutcome::Refused);
+                }
                 Err(_) => return HoldReply::with_outcome(HoldOutcome::Silent),
             },
         };
@@ -164,7 +167,7 @@
         let order = workers::start_call(&headers, body, START_TIMEOUT);
         match self.pool.call(address, &order).await {
             Ok(answer) => workers::decode_start_response(&answer),
-            Err(CallError::NotSent) => StartResponse::Unhealthy,
+            Err(CallError::NotSent | CallError::Refused) => StartResponse::Unhealthy,
             Err(CallError::Unanswered) => StartResponse::Unknown,
         }
     }
