--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -16,7 +16,7 @@
 
 use super::{
     START_UNIX_MS,
-    worker::{DelayedStart, DelayedStarts, ModelWorker, PresentRun, WorkerMode},
+    worker::{DelayedStart, DelayedStarts, ModelWorker, PresentRun, Rebirth, WorkerMode},
 };
 
 /// Step of the simulated time, in milliseconds.
@@ -25,6 +25,10 @@
 const HOLD_INTERVAL_MS: u64 = 50;
 /// Time after which the members of an incomplete gang end, in milliseconds.
 const GANG_TIMEOUT_MS: u64 = 3_000;
+/// Time from the start of a deadly task to the crash of its worker, in milliseconds.
+const CRASH_DELAY_MS: u64 = 10;
+/// Time for which a crashed worker is down, in milliseconds.
+const CRASH_DURATION_MS: u64 = 3_000;
 /// Time for which holds and orders of a failed coordinator can remain in effect, in milliseconds.
 const PREDECESSOR_EXPIRY_MS: u64 = 11_200;
 
@@ -47,6 +51,12 @@
     pub starts: u64,
     /// Time of the first start of each task, in milliseconds.
     pub first_starts_ms: IndexMap<TaskId, u64>,
+    /// Tasks that crash each worker that starts them.
+    pub deadly: IndexSet<TaskId>,
+    /// How a crashed worker comes back.
+    pub rebirth: Rebirth,
+    /// Number of workers that crashed under each deadly task.
+    pub crashes: IndexMap<TaskId, u64>,
     /// Number of gang runs that ended because not all members started in time.
     pub gang_timeouts: u64,
     config: Rc<Config>,
@@ -70,6 +80,9 @@
             eligible_percent: 100,
             starts: 0,
             first_starts_ms: IndexMap::new(),
+            deadly: IndexSet::new(),
+            rebirth: Rebirth::SameId,
+            crashes: IndexMap::new(),
             gang_timeouts: 0,
             config,
             records: IndexMap::new(),
@@ -124,6 +137,8 @@
         let until_ms = self.now_ms + span_ms;
         while self.now_ms < until_ms {
             self.now_ms += STEP_MS;
+            self.crash_workers();
+            self.revive_workers();
             self.advance_workers();
             self.execute_delayed_starts();
             let orders = self.coordinator.schedule(self.now_ms, self.unix_ms());
@@ -195,6 +210,75 @@
         self.coordinator.update_worker(entry);
     }
 
+    /// Crashes a worker, which loses all its runs and refuses connections until it is back.
+    pub fn crash_worker(&mut self, number: usize) {
+        let revive_ms = self.now_ms + CRASH_DURATION_MS;
+        let (id, worker) = self
+            .workers
+            .get_index_mut(number)
+            .expect("the worker is there");
+        worker.mode = WorkerMode::Down;
+        worker.revive_ms = Some(revive_ms);
+        worker.present.clear();
+        let id = Rc::clone(id);
+        self.discard_unacknowledged_ends(&id);
+    }
+
+    /// Crashes the workers that started a deadly task.
+    fn crash_workers(&mut self) {
+        for number in 0..self.workers.len() {
+            let (_, worker) = &self.workers.get_index(number).expect("in range");
+            let kills = |(task, present): &(&TaskId, &PresentRun)| {
+                self.deadly.contains(*task) && self.now_ms >= present.since_ms + CRASH_DELAY_MS
+            };
+            let killers: Vec<TaskId> = worker
+                .present
+                .iter()
+                .filter(kills)
+                .map(|(&task, _)| task)
+                .collect();
+            if killers.is_empty() {
+                continue;
+            }
+            for task in killers {
+                *self.crashes.entry(task).or_default() += 1;
+            }
+            self.crash_worker(number);
+        }
+    }
+
+    /// Starts the processes of crashed workers that are due.
+    fn revive_workers(&mut self) {
+        for number in 0..self.workers.len() {
+            let (_, worker) = self.workers.get_index(number).expect("in range");
+            if worker.revive_ms.is_none_or(|due_ms| self.now_ms < due_ms) {
+                continue;
+            }
+            match self.rebirth {
+                Rebirth::SameId => self.restart_worker(number, DelayedStarts::InProcess),
+                Rebirth::NewId => self.replace_worker(number),
+            }
+        }
+    }
+
+    /// Replaces a worker by a new process with another identifier.
+    fn replace_worker(&mut self, number: usize) {
+        let (id, worker) = self.workers.get_index(number).expect("in range");
+        let id = Rc::clone(id);
+        let entry = WorkerEntry {
+            id: format!("{id}'").into(),
+            started_unix_ms: self.unix_ms(),
+            ..worker.entry.clone()
+        };
+        let worker = ModelWorker::new(entry.clone(), self.now_ms);
+        self.workers.insert(Rc::clone(&entry.id), worker);
+        self.workers.swap_remove(&id);
+        self.coordinator.update_worker(entry.clone());
+        self.coordinator.roster_durable(&[entry.id]);
+        self.coordinator.remove_from_list(&id, self.now_ms);
+        self.coordinator.worker_ended(&id, self.now_ms);
+    }
+
     /// Adds a label to a worker.
     pub fn add_label(&mut self, number: usize, label: &str) {
         let (_, worker) = self
@@ -387,8 +471,12 @@
                 ..
             } => {
                 let spec = job.steps[task.step.step as usize].clone();
-                let mode = self.workers[&worker].mode;
-                let answer = match mode {
+                let known = self.workers.get(&worker);
+                let answer = match known.map_or(WorkerMode::Down, |worker| worker.mode) {
+                    // A crashed worker refuses connections.
+                    WorkerMode::Down if known.is_none_or(|w| w.revive_ms.is_some()) => {
+                        StartResponse::Unhealthy
+                    }
                     WorkerMode::Unreachable | WorkerMode::Down => StartResponse::Unknown,
                     WorkerMode::DelaysStarts(by_ms) => {
                         let due_ms = self.now_ms + by_ms;
@@ -428,7 +516,9 @@
             Order::Stop {
                 worker, task, run, ..
             } => {
-                let model = &mut self.workers[&worker];
+                let Some(model) = self.workers.get_mut(&worker) else {
+                    return;
+                };
                 if matches!(model.mode, WorkerMode::Unreachable | WorkerMode::Down) {
                     return;
                 }
@@ -575,8 +665,11 @@
             let unix_ms = self.unix_ms();
             let worker = &mut self.workers[&id];
             if matches!(worker.mode, WorkerMode::Unreachable | WorkerMode::Down) {
-                self.coordinator
-                    .hold_failed(&id, HoldFailure::Silent, now_ms);
+                let failure = match worker.revive_ms {
+                    Some(_) => HoldFailure::Refused,
+                    None => HoldFailure::Silent,
+                };
+                self.coordinator.hold_failed(&id, failure, now_ms);
                 continue;
             }
             let Some(terms) = self.coordinator.begin_hold(&id, true, now_ms) else {
--- a/crates/cell/tests/cell/support/worker.rs
+++ b/crates/cell/tests/cell/support/worker.rs
@@ -27,6 +27,15 @@
     Down,
 }
 
+/// How a crashed worker comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rebirth {
+    /// Under its identifier.
+    SameId,
+    /// Under a new identifier, at the same address.
+    NewId,
+}
+
 /// Where a delayed order is when the worker restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DelayedStarts {
@@ -72,6 +81,8 @@
     pub entry: WorkerEntry,
     /// Current behaviour.
     pub mode: WorkerMode,
+    /// When the process starts again after a crash, in simulated milliseconds.
+    pub(super) revive_ms: Option<u64>,
     pub(super) present: IndexMap<TaskId, PresentRun>,
     pub(super) ends: Vec<ReportedEnd>,
     pub(super) next_end: u64,
@@ -104,6 +115,7 @@
         Self {
             entry,
             mode: WorkerMode::Healthy,
+            revive_ms: None,
             present: IndexMap::new(),
             ends: Vec::new(),
             next_end: 1,
