--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -4,7 +4,8 @@
 //! must be refused on submission. A late result still has value, and late jobs are scheduled after
 //! jobs that can meet their objective, so a job is refused only if even a late completion is out of
 //! reach. The estimate is deliberately simple: CPU time queued ahead of the job, divided by the CPU
-//! capacity of its service, compared with the time allowed for the job.
+//! capacity of its service, compared with the time allowed for the job. A job that would start on trial is
+//! also refused if many others wait for one: trials use few workers, and each may take one down.
 
 use crate::{config::Queue, coordinator::Coordinator, jobs::JobSpec, workers::Resources};
 
@@ -33,12 +34,14 @@
     /// Applies admission control to a job that has not been accepted yet.
     pub fn admit(&self, queue: &Queue, spec: &JobSpec) -> Verdict {
         let mut capacity = Resources::default();
+        let mut workers = 0;
         let mut fits_any = vec![false; spec.steps.len()];
         for worker in self.workers().values() {
             if !worker.listed || worker.entry.service != queue.service {
                 continue;
             }
             capacity.add(&worker.entry.capacity);
+            workers += 1;
             for (found, step) in fits_any.iter_mut().zip(&spec.steps) {
                 let demand = Resources {
                     cpu_millicores: step.reserved_millicores(),
@@ -64,10 +67,10 @@
         let allowed_ms =
             (critical_path_ms as f64 * queue.critical_path_factor) as u64 + queue.base_objective_ms;
         let max_duration_ms = allowed_ms * MAX_LATENESS_FACTOR;
-        if wait_ms + critical_path_ms <= max_duration_ms {
+        let excess_ms = (wait_ms + critical_path_ms).saturating_sub(max_duration_ms);
+        if excess_ms == 0 && !self.has_full_trial_queue(&queue.name, workers) {
             return Verdict::Accept;
         }
-        let excess_ms = wait_ms + critical_path_ms - max_duration_ms;
         let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
         Verdict::Refuse {
             retry_after_ms: excess_ms.clamp(min_ms, max_ms),
--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -5,7 +5,7 @@
 //! step first. The set of workers that are eligible for a step never changes: only tickets are
 //! renewed, and only if an eligible worker has room.
 
-use std::rc::Rc;
+use std::{cmp::Reverse, rc::Rc};
 
 use super::{
     Coordinator,
@@ -13,6 +13,7 @@
     job::{Ticket, resources_of},
 };
 use crate::{
+    config::AdviceCost,
     ids::StepId,
     workers::{Resources, Worker},
 };
@@ -59,13 +60,25 @@
     NotSent,
 }
 
+impl AdviceQuery {
+    fn new(step: StepId, workers: Vec<Rc<str>>, terms: AdviceCost) -> Self {
+        let expected_ms = terms.call_ms + terms.per_worker_ms * workers.len() as f64;
+        Self {
+            step,
+            workers,
+            expected_ms: expected_ms as u64,
+        }
+    }
+}
+
 impl Coordinator {
     /// Returns the most urgent query. With `light_only`, queues with slow answers are skipped.
     pub fn next_advice_query(&mut self, now_ms: u64, light_only: bool) -> Option<AdviceQuery> {
         let ready_steps = std::mem::take(&mut self.ready_steps);
         let may_ask = |id: &&StepId| self.may_ask(**id, now_ms, light_only);
-        let examined: Vec<StepId> = ready_steps
-            .iter()
+        let is_other = |id: &&StepId| !self.trial_workers.contains_all_of(**id);
+        let examined: Vec<StepId> = (self.trial_workers.asking())
+            .chain(ready_steps.iter().filter(is_other))
             .filter(may_ask)
             .take(MAX_EXAMINED_STEPS)
             .copied()
@@ -116,6 +129,13 @@
         if waiting == 0 {
             return None;
         }
+        let (_, others) = job.split_waiting(step);
+        if others.is_empty() {
+            // Only the workers that are kept free for trials are asked about.
+            let workers = self.trial_workers.to_ask_about(id, spec, step, now_ms);
+            let workers: Vec<_> = workers.take(MAX_NAMED_WORKERS).cloned().collect();
+            return (!workers.is_empty()).then(|| AdviceQuery::new(id, workers, terms));
+        }
         let service = service_of(&self.config, job);
         let demand = resources_of(spec);
         let eligible = |worker: &&Worker| {
@@ -141,9 +161,6 @@
         let mut stale = Vec::new();
         let mut unqueried = Vec::new();
         let mut last_resort = Vec::new();
-        let expected = |named_workers: usize| {
-            (terms.call_ms + terms.per_worker_ms * named_workers as f64) as u64
-        };
         for worker in self.workers.values().filter(eligible) {
             let name = &worker.entry.id;
             match step.advice.eligible.get(name) {
@@ -183,17 +200,12 @@
             }
             last_resort
         };
-        named_workers.sort_unstable_by_key(|entry| std::cmp::Reverse(entry.0));
+        named_workers.sort_unstable_by_key(|entry| Reverse(entry.0));
         named_workers.truncate(
             (waiting as usize * NAMED_WORKERS_PER_TASK).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS),
         );
         let workers: Vec<Rc<str>> = named_workers.into_iter().map(|(_, name)| name).collect();
-        let expected_ms = expected(workers.len());
-        Some(AdviceQuery {
-            step: id,
-            workers,
-            expected_ms,
-        })
+        Some(AdviceQuery::new(id, workers, terms))
     }
 
     /// Whether a step may use faulty and slow workers once its patience is over: its job stands
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -35,7 +35,7 @@
     }
 
     /// Whether a worker may run the step, regardless of free resources.
-    fn may_use(&self, worker: &Worker, step: &Step, now_ms: u64) -> bool {
+    pub(super) fn may_use(&self, worker: &Worker, step: &Step, now_ms: u64) -> bool {
         let name = &worker.entry.id;
         worker.is_usable(now_ms)
             && *worker.entry.service == *self.service
@@ -63,7 +63,7 @@
                 continue;
             }
             let is_suspect = worker.is_suspect(pass.now_ms);
-            if is_suspect && worker.is_probed() {
+            if (is_suspect && worker.is_probed()) || worker.has_starting_trial(pass.now_ms) {
                 continue;
             }
             let task_limit = task_limit(worker, self.spec, self.id);
@@ -76,23 +76,44 @@
             } else {
                 &mut candidates.preferred
             };
-            choice.push(Candidate {
-                worker: position,
-                capacity: worker.entry.capacity,
-                used: worker.used,
-                best_effort_millicores: worker.best_effort_millicores,
-                rack: worker.entry.rack(),
-                // One task shows whether a suspect worker is sound.
-                task_limit: if is_suspect {
-                    task_limit.min(1)
-                } else {
-                    task_limit
-                },
-            });
+            // One task shows whether a suspect worker is sound.
+            let task_limit = if is_suspect {
+                task_limit.min(1)
+            } else {
+                task_limit
+            };
+            choice.push(candidate(position, worker, task_limit));
         }
         candidates
     }
 
+    /// Those of the workers at the given positions that tasks on trial may use. Workers on which
+    /// another trial starts are left out, but for repeated trials of the same pass.
+    pub(super) fn trial_candidates<'w>(
+        &self,
+        workers: &'w IndexMap<Rc<str>, Worker>,
+        positions: impl Iterator<Item = usize>,
+        step: &Step,
+        now_ms: u64,
+        room: TrialRoom,
+    ) -> Vec<Candidate<'w>> {
+        let is_free = |worker: &Worker| match room {
+            TrialRoom::Empty => worker.runs.values().all(|r| r.phase == Phase::Ended),
+            TrialRoom::SurvivedTrials => worker.has_only_survived_trials(now_ms),
+            TrialRoom::Repeated => worker.has_only_new_repeated_trials(now_ms),
+            TrialRoom::Any => !worker.has_starting_trial(now_ms),
+        };
+        let demand = resources_of(self.spec);
+        positions
+            .filter_map(|position| Some((position, workers.get_index(position)?.1)))
+            .filter(|(_, worker)| is_free(worker) && self.may_use(worker, step, now_ms))
+            .map(|(position, worker)| {
+                candidate(position, worker, task_limit(worker, self.spec, self.id))
+            })
+            .filter(|candidate| candidate.fitting_tasks(&demand, 1) > 0)
+            .collect()
+    }
+
     /// Whether the step waits because of the load, and its turn will come: its service is busy, and
     /// some worker that is neither suspect nor reserved could run it once other runs have ended.
     pub(super) fn awaits_its_turn(
@@ -116,6 +137,30 @@
     }
 }
 
+/// Which workers a trial may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TrialRoom {
+    /// Workers without runs.
+    Empty,
+    /// The same, and those with other runs that have just survived a trial.
+    SurvivedTrials,
+    /// Workers without runs, and those with repeated trials of this pass.
+    Repeated,
+    /// Workers with room.
+    Any,
+}
+
+fn candidate(position: usize, worker: &Worker, task_limit: u32) -> Candidate<'_> {
+    Candidate {
+        worker: position,
+        capacity: worker.entry.capacity,
+        used: worker.used,
+        best_effort_millicores: worker.best_effort_millicores,
+        rack: worker.entry.rack(),
+        task_limit,
+    }
+}
+
 /// Eligible workers for a step.
 #[derive(Debug, Default)]
 pub(super) struct Candidates<'w> {
--- a/crates/cell/src/coordinator/ends.rs
+++ b/crates/cell/src/coordinator/ends.rs
@@ -114,6 +114,9 @@
         job.close_completed(unix_ms);
         if job.outcome != Outcome::Open {
             self.open.swap_remove(&job_id);
+            if job.on_trial {
+                self.recent_crashes.record_safe_job(&job.queue);
+            }
         }
         self.dirty.insert(job_id);
         for (active, task) in superseded {
--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, losses::LossEvidence};
+use super::{Coordinator, crash_log::LossEvidence};
 use crate::{ids::TaskId, workers::Worker};
 
 /// Time within which the entries of live workers are back after a store outage, in milliseconds.
@@ -20,7 +20,8 @@
             .map(|w| Rc::clone(&w.entry.id))
             .collect();
         for id in ids {
-            self.record_loss(&id, LossEvidence::HoldsExpired, now_ms);
+            self.judge_lost_worker(&id, self.pass_unix_ms);
+            self.record_loss(&id, LossEvidence::HoldsExpired);
             let tasks: Vec<TaskId> = self
                 .workers
                 .get(&id)
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use super::crashes::CrashHistory;
 use crate::{
     config::Queue,
     ids::{JobId, StepId, TaskId},
@@ -82,6 +83,10 @@
     pub hung_runs: u32,
     /// The last failed run.
     pub last_failure: Option<Failure>,
+    /// Workers that crashed under the task.
+    pub crashes: CrashHistory,
+    /// Whether a worker has started the task.
+    pub has_started: bool,
 }
 
 /// State of a step within one occurrence.
@@ -104,6 +109,9 @@
     /// When the waiting tasks were first found no worker, in milliseconds of the local clock; absent
     /// once any of them was placed.
     pub waiting_since_ms: Option<u64>,
+    /// When the tasks on trial were first found no worker, in milliseconds of the local clock;
+    /// absent once any of them was placed.
+    pub trial_waiting_since_ms: Option<u64>,
 }
 
 impl Step {
@@ -116,6 +124,7 @@
             pace: StepPace::default(),
             passed_over_since_ms: None,
             waiting_since_ms: None,
+            trial_waiting_since_ms: None,
         }
     }
 
@@ -168,6 +177,10 @@
 
 /// The coordinator's state of a job.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct Job {
     /// Identifier of the job.
     pub id: JobId,
@@ -183,6 +196,10 @@
     pub inherited: bool,
     /// Whether a task has started.
     pub started: bool,
+    /// Whether its tasks start on trial, because new jobs of its queue crashed their workers.
+    pub on_trial: bool,
+    /// Whether a worker crashed under any of its tasks.
+    pub has_crashes: bool,
     /// Outcome, whether or not it is durable.
     pub outcome: Outcome,
     /// Outcome that is durable and may be reported to clients.
@@ -223,6 +240,8 @@
             spec,
             inherited,
             started: record.has_started(),
+            on_trial: false,
+            has_crashes: false,
             outcome: record.outcome(),
             durable_outcome: record.outcome(),
             ended_unix_ms: record.ended_unix_ms,
@@ -275,9 +294,41 @@
             task.failed_runs.clone_from(&record.failed_runs);
             task.last_run = record.last_run;
             task.checkpoint.clone_from(&record.checkpoint);
+            task.crashes = CrashHistory {
+                suspected: record.suspected_runs.clone(),
+                conclusive: record.conclusive_runs.clone(),
+                nearby: record.nearby_runs.clone(),
+            };
+            self.has_crashes |= !task.crashes.is_empty();
+        }
+    }
+
+    /// Records that a worker has started a task.
+    pub fn record_start(&mut self, id: TaskId) {
+        self.started = true;
+        if let Some(task) = self.task_mut(id) {
+            task.has_started = true;
         }
     }
 
+    /// The first task that matches.
+    pub fn find_task(&self, matches: impl Fn(&Task) -> bool) -> Option<TaskId> {
+        self.occurrences.iter().find_map(|(&occurrence, state)| {
+            state.steps.iter().enumerate().find_map(|(step, state)| {
+                let index = state.tasks.iter().position(&matches)?;
+                let step = StepId {
+                    job: self.id,
+                    occurrence,
+                    step: step as u32,
+                };
+                Some(TaskId {
+                    step,
+                    index: index as u32,
+                })
+            })
+        })
+    }
+
     /// Begins all occurrences of the job up to `last` that have neither begun nor completed.
     pub fn begin_through(&mut self, last: u32) {
         let Some(spec) = self.spec.clone() else {
@@ -459,7 +510,9 @@
                     done_tasks.push(DoneTasks::new(occurrence, step, positions));
                 }
                 for (index, task) in state.tasks.iter().enumerate() {
-                    let counts = !task.failed_runs.is_empty() || !task.checkpoint.is_empty();
+                    let counts = !task.failed_runs.is_empty()
+                        || !task.checkpoint.is_empty()
+                        || !task.crashes.is_empty();
                     if counts && !task.done {
                         tasks.push(TaskRecord {
                             occurrence,
@@ -468,6 +521,9 @@
                             failed_runs: task.failed_runs.clone(),
                             last_run: task.last_run,
                             checkpoint: task.checkpoint.clone(),
+                            suspected_runs: task.crashes.suspected.clone(),
+                            conclusive_runs: task.crashes.conclusive.clone(),
+                            nearby_runs: task.crashes.nearby.clone(),
                         });
                     }
                 }
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -22,16 +22,19 @@
 mod advice;
 mod candidates;
 mod changes;
+mod crash_log;
+mod crashes;
 mod ends;
 mod expiry;
 mod job;
-mod losses;
 mod movement;
 mod pace;
 mod patience;
 mod reports;
 mod reserves;
 mod schedule;
+mod trial_workers;
+mod trials;
 mod waiting;
 
 use std::rc::Rc;
@@ -40,8 +43,9 @@
 
 pub use advice::{AdviceOutcome, AdviceQuery};
 pub use changes::{ChangeLimits, RecordChange};
+pub use crash_log::{CrashEvent, CrashReport, LossEvidence, WorkerLoss};
+pub use crashes::CrashHistory;
 pub use job::{Job, Ticket};
-pub use losses::{LossEvidence, WorkerLoss};
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
 
@@ -100,6 +104,8 @@
         checkpoint: String,
         /// Ticket from the advice service, if the queue requires one.
         ticket: Option<Rc<str>>,
+        /// Whether the task may crash the worker.
+        on_trial: bool,
     },
     /// Stop a run, or prevent it from starting.
     Stop {
@@ -164,8 +170,18 @@
     reservations: reserves::Reservations,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
-    /// Losses of workers that have not been taken for the log.
-    losses: Vec<WorkerLoss>,
+    /// Lost workers of the last seconds.
+    recent_crashes: crashes::RecentCrashes,
+    /// Queues whose new jobs run on trial.
+    dangerous_queues: Vec<Rc<str>>,
+    /// Workers that are kept free for trials.
+    trial_workers: trial_workers::TrialWorkers,
+    /// Services in which steps that are not on trial waited for room in the last scheduling pass.
+    contended_services: IndexSet<Rc<str>>,
+    /// Events that have not been taken for the log.
+    crash_events: Vec<CrashEvent>,
+    /// Time of the last scheduling pass, in Unix milliseconds.
+    pass_unix_ms: u64,
 }
 
 impl Coordinator {
@@ -188,7 +204,12 @@
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
             average_pace: AveragePace::default(),
-            losses: Vec::new(),
+            recent_crashes: crashes::RecentCrashes::default(),
+            dangerous_queues: Vec::new(),
+            trial_workers: trial_workers::TrialWorkers::default(),
+            contended_services: IndexSet::new(),
+            crash_events: Vec::new(),
+            pass_unix_ms: 0,
         };
         for entry in takeover.roster {
             coordinator.unreported_workers.insert(Rc::clone(&entry.id));
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, Order, job::demand_of, losses::LossEvidence};
+use super::{Coordinator, Order, crash_log::LossEvidence, job::demand_of};
 use crate::{
     ids::TaskId,
     progress::Progress,
@@ -123,6 +123,8 @@
             worker.started_unix_ms != 0 && worker.started_unix_ms != report.started_unix_ms;
         if restarted {
             self.worker_ended(id, now_ms);
+        } else {
+            self.withdraw_blame(id);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -136,7 +138,6 @@
         worker.started_unix_ms = report.started_unix_ms;
         worker.fenced = true;
         worker.unresponsive = false;
-        worker.refused = false;
         worker.clock = Some(ClockReading {
             worker_ms: report.clock_ms,
             received_ms: now_ms,
@@ -160,16 +161,18 @@
             return;
         };
         worker.unresponsive = true;
-        worker.refused |= failure == HoldFailure::Refused;
+        worker.lose_contact(failure == HoldFailure::Refused, now_ms);
         self.end_departed_worker(id, now_ms);
     }
 
     /// Records that a worker process has ended and none of its runs continues.
     pub fn worker_ended(&mut self, id: &str, now_ms: u64) {
-        self.record_loss(id, LossEvidence::ProcessEnded, now_ms);
+        self.judge_lost_worker(id, self.pass_unix_ms);
+        self.record_loss(id, LossEvidence::ProcessEnded);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.contact = None;
         worker.clock = None;
         // The hold that detected the restart may have granted time on the clock of the former
         // process.
@@ -249,7 +252,7 @@
                     known.progress = Progress::unreported(now_ms);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
-                    job.started = true;
+                    job.record_start(task);
                 }
                 return;
             }
@@ -340,7 +343,7 @@
                 run.stopping = Some(StopReason::NotNeeded);
                 return;
             };
-            job.started = true;
+            job.record_start(reported.task);
             if let Some(task) = job.task_mut(reported.task)
                 && !reported.checkpoint.is_empty()
                 && task.checkpoint != reported.checkpoint
@@ -359,8 +362,8 @@
             .and_then(|job| job.step_spec(reported.task.step.step))
             .map_or(unknown_demand, demand_of);
         let task = job.and_then(|job| {
-            job.started = true;
             job.begin_through(reported.task.step.occurrence);
+            job.record_start(reported.task);
             job.task_mut(reported.task)
         });
         let needed = task.is_some_and(|task| {
@@ -381,6 +384,7 @@
             reported.task,
             Run {
                 stopping: (!needed).then_some(StopReason::NotNeeded),
+                survived: true,
                 progress: Progress::first_report(reported.percent, now_ms),
                 measured_value: reported.measured_value,
                 ..Run::new(
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -35,6 +35,8 @@
 pub(super) struct Reservations {
     /// Identifiers of the workers.
     pub(super) workers: Vec<Rc<str>>,
+    /// Workers that are kept free for trials.
+    pub(super) for_trials: Vec<Rc<str>>,
     /// Services that are mostly idle.
     idle_services: Vec<Rc<str>>,
 }
@@ -52,13 +54,14 @@
         let idle = cpu.into_iter().filter(|(_, usage)| is_idle(*usage));
         Self {
             workers: Vec::new(),
+            for_trials: Vec::new(),
             idle_services: idle.map(|(service, _)| Rc::clone(service)).collect(),
         }
     }
 
     /// Whether a worker is reserved.
     pub(super) fn contains(&self, worker: &Rc<str>) -> bool {
-        self.workers.contains(worker)
+        self.workers.contains(worker) || self.for_trials.contains(worker)
     }
 
     /// Whether a service is mostly idle.
@@ -86,7 +89,7 @@
 
     /// Reserves workers for a gang or for long-running tasks that do not fit among smaller steps.
     /// Returns whether any were reserved.
-    pub(super) fn reserve_for(&self, id: StepId, reserved: &mut Vec<Rc<str>>, now_ms: u64) -> bool {
+    pub(super) fn reserve_for(&self, id: StepId, kept: &mut Reservations, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
@@ -113,7 +116,7 @@
             .filter(|worker| worker.is_schedulable(now_ms))
             .filter(|worker| worker.entry.service == service && has_label(worker, spec))
             .filter(|worker| !advised || step.advice.eligible.contains_key(&worker.entry.id))
-            .filter(|worker| !reserved.contains(&worker.entry.id))
+            .filter(|worker| !kept.contains(&worker.entry.id))
             .map(|worker| {
                 let vacated = Candidate {
                     worker: 0,
@@ -143,10 +146,10 @@
         }
         let of_service = |worker: &&Worker| worker.entry.service == service;
         let worker_count = self.workers.values().filter(of_service).count();
-        if missing > 0 || reserved.len() + chosen.len() > worker_count / MAX_RESERVED_DIVISOR {
+        if missing > 0 || kept.workers.len() + chosen.len() > worker_count / MAX_RESERVED_DIVISOR {
             return false;
         }
-        reserved.extend(chosen);
+        kept.workers.extend(chosen);
         true
     }
 }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -8,27 +8,31 @@
     job::{ActiveRun, Job, Step, demand_of},
     patience::Patience,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
+    trial_workers::TrialBudget,
 };
 use crate::{
     admission::MAX_LATENESS_FACTOR,
     ids::{JobId, StepId, TaskId},
     jobs::Outcome,
     placement::Request,
-    workers::{Phase, StopReason},
+    workers::{Phase, StopReason, Trial},
 };
 
+/// Lateness of a job whose result has no value any more.
+pub(super) const MAX_LATENESS: u8 = 2;
+
 /// Urgency of a step; the smallest is scheduled first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Urgency {
+pub(super) struct Urgency {
     /// False for long-running tasks, which come first: they should run from submission until they
     /// are cancelled.
-    finite: bool,
+    pub(super) finite: bool,
     /// 0 while the objective can be met, 1 while a late result still has value, 2 afterwards.
-    lateness: u8,
-    priority: u32,
-    not_started: bool,
-    accepted_unix_ms: u64,
-    step: StepId,
+    pub(super) lateness: u8,
+    pub(super) priority: u32,
+    pub(super) not_started: bool,
+    pub(super) accepted_unix_ms: u64,
+    pub(super) step: StepId,
 }
 
 /// What holds for all steps of a scheduling pass.
@@ -42,13 +46,23 @@
     pub(super) free_cpu: FreeCpuIndex,
     /// Workers that are kept free for more urgent steps.
     pub(super) reservations: Reservations,
+    /// Workers that may still be used for trials.
+    pub(super) trial_budget: TrialBudget,
+    /// Positions of the workers that are kept for trials and may take one now.
+    pub(super) free_trial_workers: Vec<usize>,
+    /// Position of the one on which repeated trials start.
+    pub(super) repeated_trial_worker: Option<usize>,
 }
 
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
+        self.pass_unix_ms = unix_ms;
         self.begin_due_occurrences(unix_ms);
+        self.judge_lost_workers(now_ms, unix_ms);
         self.release_expired_workers(now_ms);
+        self.give_up_convicted_tasks(now_ms, unix_ms);
+        self.put_dangerous_queues_on_trial(unix_ms);
         self.stop_unneeded_runs();
         self.stop_incomplete_gangs(now_ms);
         let mut orders = Vec::new();
@@ -166,16 +180,30 @@
 
     fn start_ready_steps(&mut self, now_ms: u64, unix_ms: u64, orders: &mut Vec<Order>) {
         let ready_steps = self.ready_steps(now_ms, unix_ms);
+        let reservations = Reservations::of(&self.workers, now_ms);
         let mut pass = Pass {
             now_ms,
             unix_ms,
             free_cpu: FreeCpuIndex::of(&self.workers, now_ms),
-            reservations: Reservations::of(&self.workers, now_ms),
+            trial_budget: TrialBudget::of(
+                &self.workers,
+                &reservations,
+                &self.contended_services,
+                now_ms,
+            ),
+            reservations,
+            free_trial_workers: Vec::new(),
+            repeated_trial_worker: None,
         };
+        self.start_trials(&ready_steps, &mut pass, orders);
         let mut reserving = 0;
         let mut attempts = 0;
+        self.contended_services.clear();
         for urgency in &ready_steps {
             let started = self.start_step(urgency.step, &pass, orders);
+            if !started && urgency.lateness < MAX_LATENESS {
+                self.record_contention(urgency.step);
+            }
             if !started
                 && urgency.lateness == 0
                 && reserving < MAX_RESERVING_STEPS
@@ -184,8 +212,7 @@
                 && (!urgency.finite || self.has_waited_long(urgency.step, unix_ms))
             {
                 attempts += 1;
-                let reserved =
-                    self.reserve_for(urgency.step, &mut pass.reservations.workers, now_ms);
+                let reserved = self.reserve_for(urgency.step, &mut pass.reservations, now_ms);
                 reserving += usize::from(reserved);
             }
         }
@@ -257,7 +284,7 @@
         }
         step.waiting_since_ms = None;
         step.passed_over_since_ms = None;
-        self.order_runs(id, &chosen, pass.now_ms, orders);
+        self.order_runs(id, &chosen, &[], pass.now_ms, orders);
         true
     }
 
@@ -281,10 +308,15 @@
         let passed_over = |step: &Step| step.passed_over_since_ms.is_some();
         let stands_still =
             job.step(id).is_some_and(passed_over) && (spec.long_running || !job.has_active_task());
+        let Some((trials, waiting)) = job.step(id).map(|step| job.split_waiting(step)) else {
+            return Vec::new();
+        };
+        if waiting.is_empty() || (spec.gang && !trials.is_empty()) {
+            return Vec::new();
+        }
         let Some(step) = job.step_mut(id) else {
             return Vec::new();
         };
-        let waiting: Vec<u32> = step.waiting().collect();
         if spec.gang && waiting.len() < step.tasks.len() - step.done_count as usize {
             return Vec::new();
         }
@@ -322,10 +354,11 @@
     }
 
     /// Orders runs of a step's tasks, each on the worker at the given position.
-    fn order_runs(
+    pub(super) fn order_runs(
         &mut self,
         id: StepId,
         chosen: &[(u32, usize)],
+        trials: &[(u32, Trial)],
         now_ms: u64,
         orders: &mut Vec<Order>,
     ) {
@@ -364,7 +397,16 @@
                 worker: Rc::clone(name),
                 run,
             });
-            worker.order_run(task_id, run, demand_of(spec), until_worker_ms, now_ms);
+            let trial = trials.iter().find(|(on_trial, _)| *on_trial == index);
+            let trial = trial.map(|&(_, trial)| trial);
+            worker.order_run(
+                task_id,
+                run,
+                trial,
+                demand_of(spec),
+                until_worker_ms,
+                now_ms,
+            );
             let ticket = step.advice.eligible.get(name);
             orders.push(Order::Start {
                 worker: Rc::clone(name),
@@ -375,6 +417,7 @@
                 until_worker_ms,
                 checkpoint: task.checkpoint.clone(),
                 ticket: ticket.map(|ticket| Rc::clone(&ticket.text)),
+                on_trial: trial.is_some(),
             });
         }
         if spec.gang {
@@ -393,6 +436,6 @@
     } else if ends_unix_ms <= since + allowed_ms * MAX_LATENESS_FACTOR {
         1
     } else {
-        2
+        MAX_LATENESS
     }
 }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -137,7 +137,7 @@
     Open = 0,
     /// All tasks have completed.
     Completed = 1,
-    /// A task or gang used up its attempts.
+    /// A task or gang used up its attempts, or a task crashes its workers.
     Failed = 2,
     /// A client cancelled it.
     Cancelled = 3,
@@ -164,6 +164,15 @@
     /// Checkpoint from which a later run can resume; empty for none.
     #[prost(string, tag = "7")]
     pub checkpoint: String,
+    /// Numbers of the runs that are suspected of a crash of their worker.
+    #[prost(uint64, repeated, tag = "8")]
+    pub suspected_runs: Vec<u64>,
+    /// Numbers of the suspected runs beside which no other run was starting.
+    #[prost(uint64, repeated, tag = "9")]
+    pub conclusive_runs: Vec<u64>,
+    /// Numbers of the runs that were starting when a worker crashed under another suspect.
+    #[prost(uint64, repeated, tag = "10")]
+    pub nearby_runs: Vec<u64>,
 }
 
 /// Bitmap of the completed tasks of a step.
@@ -227,7 +236,7 @@
     /// Final outcome, or `Open`.
     #[prost(enumeration = "Outcome", tag = "6")]
     pub outcome: i32,
-    /// Incomplete tasks with a failed run or a checkpoint.
+    /// Incomplete tasks with a failed run, a checkpoint or a crash of their worker.
     #[prost(message, repeated, tag = "7")]
     pub tasks: Vec<TaskRecord>,
     /// Completed tasks, one entry for each step with any.
@@ -254,7 +263,7 @@
     Running,
     /// All tasks have completed.
     Completed,
-    /// A task or gang used up its attempts.
+    /// A task or gang used up its attempts, or a task crashes its workers.
     Failed,
     /// A client cancelled it.
     Cancelled,
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -231,6 +231,49 @@
     Ended,
 }
 
+impl Phase {
+    /// Whether the worker is known to have the run.
+    pub fn is_present(&self) -> bool {
+        matches!(self, Self::Present { .. })
+    }
+}
+
+/// Why a run is on trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Trial {
+    /// Its task is to show whether it crashes its worker, apart from tasks of other jobs.
+    Alone,
+    /// A worker has crashed under the task while no other job's was starting. One more crash settles
+    /// it, together with others of this kind.
+    Repeated,
+}
+
+/// How long before the loss of a worker a run was last started there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastStart {
+    /// All runs had survived their start.
+    Earlier,
+    /// A run was starting.
+    Recently,
+    /// A run had only just started.
+    Just,
+}
+
+/// Lost contact to a worker, and what was concluded from it.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    /// When a poll of the worker first failed, in milliseconds of the local clock.
+    pub lost_ms: u64,
+    /// Whether the worker's address refuses connections.
+    pub refused: bool,
+    /// The latest start on the worker by then.
+    pub last_start: LastStart,
+    /// Whether it was judged which run may be the cause.
+    pub judged: bool,
+    /// Runs that were counted against their tasks.
+    pub counted: Vec<(TaskId, u64)>,
+}
+
 /// A run that occupies resources on a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -239,6 +282,11 @@
     /// When the run was ordered or, if a predecessor ordered it, first reported, in milliseconds of
     /// the local clock.
     pub ordered_ms: u64,
+    /// Set if the task may crash its worker, so that nothing else starts there meanwhile.
+    pub trial: Option<Trial>,
+    /// Whether the run has survived its start, because a predecessor ordered it and the worker still
+    /// has it.
+    pub survived: bool,
     /// Resources that the run occupies.
     pub resources: Resources,
     /// State of the order to start the run.
@@ -270,6 +318,8 @@
         Self {
             run,
             ordered_ms: now_ms,
+            trial: None,
+            survived: false,
             resources: demand.resources,
             phase,
             stopping: None,
@@ -285,6 +335,35 @@
     }
 }
 
+impl Run {
+    /// Time after which a run is no longer starting, in milliseconds: includes the time that the
+    /// loss of its worker takes to become known.
+    const START_MS: u64 = 500;
+
+    /// Time from the start of a run to the loss of its worker within which the run is very likely the
+    /// cause, in milliseconds.
+    const PROMPT_LOSS_MS: u64 = 150;
+
+    /// Whether the run may have started only just before `at_ms`, in milliseconds of the local clock.
+    pub fn has_just_started(&self, at_ms: u64) -> bool {
+        match self.phase {
+            Phase::Ordered { .. } => true,
+            Phase::Present { since_ms } => at_ms <= since_ms + Self::PROMPT_LOSS_MS,
+            Phase::Ended => false,
+        }
+    }
+
+    /// Whether the run had survived its start at `at_ms`, in milliseconds of the local clock.
+    pub fn has_survived_start(&self, at_ms: u64) -> bool {
+        let is_over = match self.phase {
+            Phase::Ordered { .. } => false,
+            Phase::Present { since_ms } => at_ms >= since_ms + Self::START_MS,
+            Phase::Ended => true,
+        };
+        self.survived || is_over
+    }
+}
+
 /// Failure history of a worker, from which other workers are preferred to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerHealth {
@@ -340,8 +419,8 @@
     pub fenced: bool,
     /// Whether the last hold got no response.
     pub unresponsive: bool,
-    /// Whether its address has refused a connection since its last report.
-    pub refused: bool,
+    /// Set while the worker does not answer, if this coordinator has heard it before.
+    pub contact: Option<Contact>,
     /// Last reading of the worker's clock.
     pub clock: Option<ClockReading>,
     /// Latest expiry of all holds and orders granted to the worker, in milliseconds of its clock.
@@ -359,6 +438,8 @@
     pub runs: IndexMap<TaskId, Run>,
     /// Total resources occupied by the runs.
     pub used: Resources,
+    /// Number of runs on trial.
+    trial_runs: usize,
     /// Total CPU requested by best-effort runs, in millicores; it is not part of `used`.
     pub best_effort_millicores: u64,
     /// CPU share of the best-effort runs.
@@ -380,7 +461,7 @@
             in_roster: false,
             fenced: false,
             unresponsive: false,
-            refused: false,
+            contact: None,
             clock: None,
             held_until_worker_ms: 0,
             processed_end: 0,
@@ -388,6 +469,7 @@
             durable_end: 0,
             runs: IndexMap::new(),
             used: Resources::default(),
+            trial_runs: 0,
             best_effort_millicores: 0,
             best_effort_share: BestEffortShare::default(),
             unconfirmed_orders: Vec::new(),
@@ -421,6 +503,61 @@
         probe.is_some_and(|task| self.runs.contains_key(task))
     }
 
+    /// Whether a run on trial is starting on the worker.
+    pub fn has_starting_trial(&self, now_ms: u64) -> bool {
+        let is_starting = |run: &Run| run.trial.is_some() && !run.has_survived_start(now_ms);
+        self.trial_runs > 0 && self.runs.values().any(is_starting)
+    }
+
+    /// Whether the worker may take a trial beside what it runs.
+    pub fn may_take_trial(&self, now_ms: u64) -> bool {
+        let is_out_of_the_way = |run: &Run| {
+            run.phase == Phase::Ended || (run.trial.is_some() && run.has_survived_start(now_ms))
+        };
+        self.runs.values().all(is_out_of_the_way)
+    }
+
+    /// Whether each run on the worker was started on trial and has survived that.
+    pub fn has_only_survived_trials(&self, now_ms: u64) -> bool {
+        let is_over = |run: &Run| run.trial.is_some() && run.has_survived_start(now_ms);
+        self.runs.values().all(is_over)
+    }
+
+    /// Whether the worker has no other runs than repeated trials that were ordered at `now_ms`.
+    pub fn has_only_new_repeated_trials(&self, now_ms: u64) -> bool {
+        let is_new = |run: &Run| run.trial == Some(Trial::Repeated) && run.ordered_ms == now_ms;
+        self.runs.values().all(is_new)
+    }
+
+    /// Whether the worker is used for a trial: one is starting, or was when the worker was lost.
+    pub fn is_used_for_trial(&self, now_ms: u64) -> bool {
+        let until_ms = self.contact.as_ref().map_or(now_ms, |lost| lost.lost_ms);
+        self.has_starting_trial(until_ms)
+    }
+
+    /// Records that a poll of the worker has failed.
+    pub fn lose_contact(&mut self, refused: bool, now_ms: u64) {
+        if !self.fenced {
+            return;
+        }
+        let mut runs = self.runs.values();
+        let last_start = if runs.clone().any(|run| run.has_just_started(now_ms)) {
+            LastStart::Just
+        } else if runs.any(|run| !run.has_survived_start(now_ms)) {
+            LastStart::Recently
+        } else {
+            LastStart::Earlier
+        };
+        let contact = self.contact.get_or_insert_with(|| Contact {
+            lost_ms: now_ms,
+            refused: false,
+            last_start,
+            judged: false,
+            counted: Vec::new(),
+        });
+        contact.refused |= refused;
+    }
+
     /// Whether ends were processed whose effect is not being made durable yet.
     pub fn has_new_ends(&self) -> bool {
         self.processed_end > self.pending_end
@@ -472,6 +609,7 @@
         &mut self,
         task: TaskId,
         run: u64,
+        trial: Option<Trial>,
         demand: Demand,
         until_worker_ms: u64,
         now_ms: u64,
@@ -485,6 +623,7 @@
             in_flight: true,
         };
         let ordered = Run {
+            trial,
             pace_percent: Some(100), // Workers start every run with its full share.
             ..Run::new(run, &demand, phase, now_ms)
         };
@@ -507,13 +646,16 @@
     pub fn add_run(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.resources);
         self.best_effort_millicores += run.best_effort_millicores;
+        self.trial_runs += usize::from(run.trial.is_some());
         self.runs.insert(task, run);
     }
 
     /// Removes a run and releases its resources.
     pub fn remove_run(&mut self, task: TaskId) -> Option<Run> {
         self.vacate_run(task);
-        self.runs.swap_remove(&task)
+        let run = self.runs.swap_remove(&task)?;
+        self.trial_runs -= usize::from(run.trial.is_some());
+        Some(run)
     }
 
     /// Releases the resources of a run that the worker no longer has, and keeps the run until its
--- a/crates/cell/tests/cell/support/worker.rs
+++ b/crates/cell/tests/cell/support/worker.rs
@@ -21,6 +21,8 @@
     Slow(u64),
     /// Calls get no response; runs continue until their hold expires.
     Unreachable,
+    /// Connections are refused; runs continue until their hold expires.
+    Refusing,
     /// Orders to start get no response and are executed after this delay, in milliseconds.
     DelaysStarts(u64),
     /// The process is down and its runs are lost.
@@ -111,6 +113,13 @@
         BASE_TAIL_MS + shares * INTERFERENCE_MS / 100
     }
 
+    pub(super) fn is_reachable(&self) -> bool {
+        !matches!(
+            self.mode,
+            WorkerMode::Unreachable | WorkerMode::Refusing | WorkerMode::Down
+        )
+    }
+
     pub(super) fn new(entry: WorkerEntry, now_ms: u64) -> Self {
         Self {
             entry,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -68,7 +68,13 @@
     /// A worker has more ended runs than it lists.
     ENDS_TRUNCATED = (8137, "ends-truncated", Warn, "A worker has more ended runs than fit into its list, because their ends could not be made durable. Tasks whose ends are not listed wait for them. Check for a store outage.");
     /// Runs were lost with their worker.
-    WORKER_LOST = (8138, "worker-lost", Warn, "Runs were lost with their worker: its process has ended, or its holds have expired. The line names the runs ordered last, with their age. Check what the runs of several such lines have in common.");
+    WORKER_LOST = (8138, "worker-lost", Warn, "Runs were lost with their worker: its process has ended, or its holds have expired. The line names the runs ordered last.");
+    /// The loss of a worker was judged.
+    CRASH_JUDGED = (8139, "crash-judged", Warn, "A worker with runs refuses connections or does not answer. The line names the runs suspected of it; there are none if none was starting, or if other workers were lost at the same time without one.");
+    /// A task crashes its workers.
+    TASK_GIVEN_UP = (8118, "task-given-up", Warn, "A task was given up, and its job has failed, because workers crashed under the runs named. Tell the owner of the job; E8139 names the workers.");
+    /// Which queues are on trial has changed.
+    QUEUES_ON_TRIAL = (8119, "queues-on-trial", Warn, "New jobs of these queues crash the workers that start them, and start on few workers of their own until that is over. An empty list ends it.");
     /// A relaying host does not answer.
     CARRIER_AWAY = (8133, "carrier-away", Warn, "A host does not answer the coordinator, which now reaches the workers near it through other hosts. Check whether the host is running.");
     /// A relaying host answers again.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use cell::{
-    coordinator::{AdviceOutcome, AdviceQuery, Order, StartResponse},
+    coordinator::{AdviceOutcome, AdviceQuery, CrashEvent, Order, StartResponse},
     ids::TaskId,
 };
 use kernel::log_event;
@@ -54,7 +54,7 @@
                 .coordinator
                 .borrow_mut()
                 .schedule(now_ms, clock::unix_ms());
-            leader.log_losses();
+            leader.log_crashes();
             for order in orders {
                 leader.execute(order);
             }
@@ -106,12 +106,24 @@
         }
     }
 
-    /// Logs which runs were lost with their worker.
-    fn log_losses(&self) {
-        let losses = self.coordinator.borrow_mut().take_losses();
-        for loss in losses {
-            self.context.metrics.count("workers_lost");
-            log_event!(events::WORKER_LOST, "{loss}");
+    /// Logs what became known about crashed workers and their runs.
+    fn log_crashes(&self) {
+        let crash_events = self.coordinator.borrow_mut().take_crash_events();
+        for event in crash_events {
+            match event {
+                CrashEvent::Judged(report) => log_event!(events::CRASH_JUDGED, "{report}"),
+                CrashEvent::Lost(loss) => {
+                    self.context.metrics.count("workers_lost");
+                    log_event!(events::WORKER_LOST, "{loss}");
+                }
+                CrashEvent::GivenUp { task, runs } => {
+                    self.context.metrics.count("tasks_given_up");
+                    log_event!(events::TASK_GIVEN_UP, "task={task} crashed_runs={runs:?}");
+                }
+                CrashEvent::QueuesOnTrial { queues } => {
+                    log_event!(events::QUEUES_ON_TRIAL, "queues={queues:?}");
+                }
+            }
         }
     }
 
@@ -146,11 +158,12 @@
                 checkpoint,
                 ticket,
                 payload_host,
+                on_trial,
                 ..
             } => {
                 log_event!(
                     events::RUN_ORDERED,
-                    "task={task} run={run} worker={worker} until={until_worker_ms} resume={}",
+                    "task={task} run={run} worker={worker} until={until_worker_ms} resume={} trial={on_trial}",
                     !checkpoint.is_empty()
                 );
                 self.spawn(async move {
--- a/crates/entry/tests/entry/failures.rs
+++ b/crates/entry/tests/entry/failures.rs
@@ -362,3 +362,31 @@
     let calls = test_cell.platform.store.calls() - before;
     assert!(calls <= 2 * MAX_CALLS_PER_S, "{calls} calls in 2 s");
 }
+
+/// Guards against BUDGET: a task that crashes each worker that starts it was started again without
+/// end.
+#[tokio::test]
+async fn a_task_that_crashes_its_workers_fails_its_job() {
+    let mut test_cell = TestCell::start(3, 6, false).await;
+    let deadly = support::path("batch", 1);
+    let innocent = support::path("batch", 2);
+    let text = "run=400 crash=1";
+    assert_eq!(test_cell.submit(0, &deadly, 1, text).await.status, 200);
+    assert_eq!(
+        test_cell.submit(1, &innocent, 4, "run=400").await.status,
+        200
+    );
+    time::sleep(Duration::from_millis(800)).await;
+    // What is known of the task outlives its coordinator.
+    let leader = test_cell.leader();
+    test_cell.hosts[leader].signal(Signal::KILL);
+    test_cell.hosts[leader].wait();
+    let other = (leader + 1) % 3;
+    test_cell.wait_for_state(other, &deadly, "failed").await;
+    test_cell
+        .wait_for_state(other, &innocent, "completed")
+        .await;
+    let starts = test_cell.platform.cell.starts_of(&format!("{:016x}", 1));
+    assert!((2..=5).contains(&starts), "{starts} starts");
+    test_cell.assert_no_faults();
+}
