--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod answer_loss;
+mod capacity;
 mod crashes;
 mod ends;
 mod gangs;
