cell: what is known of lost workers in a module of its own; histories with tasks that crash workers

A move and two names (lost_contact, LostContact) without a change of behaviour, but that a trial of a late job may share a worker with a run whose end is not listed yet.

--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -99,7 +99,7 @@
     ) -> Vec<Candidate<'w>> {
         let is_free = |worker: &Worker| match room {
             TrialRoom::Empty => worker.runs.values().all(|r| r.phase == Phase::Ended),
-            TrialRoom::SurvivedTrials => worker.has_only_survived_trials(now_ms),
+            TrialRoom::SurvivedTrials => worker.may_take_trial(now_ms),
             TrialRoom::Repeated => worker.has_only_new_repeated_trials(now_ms),
             TrialRoom::Any => !worker.has_starting_trial(now_ms),
         };
--- a/crates/cell/src/coordinator/crash_log.rs
+++ b/crates/cell/src/coordinator/crash_log.rs
@@ -142,7 +142,10 @@
         self.crash_events.push(CrashEvent::Lost(WorkerLoss {
             worker: Rc::clone(&worker.entry.id),
             evidence,
-            refused: worker.contact.as_ref().is_some_and(|lost| lost.refused),
+            refused: worker
+                .lost_contact
+                .as_ref()
+                .is_some_and(|lost| lost.refused),
             draining: worker.entry.draining,
             lost: worker.runs.len(),
             last: NamedRuns(last.into_iter().map(|(_, task, run)| (task, run)).collect()),
--- a/crates/cell/src/coordinator/crashes.rs
+++ b/crates/cell/src/coordinator/crashes.rs
@@ -26,9 +26,10 @@
 };
 use crate::{
     config::Queue,
+    contact::{LastStart, LostContact, Trial},
     ids::{JobId, TaskId},
     jobs::Outcome,
-    workers::{Contact, LastStart, Run, Trial, Worker},
+    workers::{Run, Worker},
 };
 
 /// Time for which the loss of a worker that refuses connections is compared with other losses, in
@@ -190,7 +191,7 @@
 }
 
 impl Verdict {
-    fn of(worker: &Worker, contact: &Contact) -> Self {
+    fn of(worker: &Worker, contact: &LostContact) -> Self {
         let is_starting = |run: &Run| !run.has_survived_start(contact.lost_ms);
         let starting: Vec<(&TaskId, &Run)> = worker
             .runs
@@ -235,7 +236,7 @@
     /// Judges the losses of workers once others with the same cause would be known.
     pub(super) fn judge_lost_workers(&mut self, now_ms: u64, unix_ms: u64) {
         let is_due = |worker: &Worker| {
-            worker.contact.as_ref().is_some_and(|contact| {
+            worker.lost_contact.as_ref().is_some_and(|contact| {
                 !contact.judged && now_ms >= contact.lost_ms + spread_ms(contact)
             })
         };
@@ -256,15 +257,19 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.contact.as_ref().is_none_or(|contact| contact.judged) {
+        if worker
+            .lost_contact
+            .as_ref()
+            .is_none_or(|contact| contact.judged)
+        {
             return;
         }
-        let Some(mut contact) = worker.contact.take() else {
+        let Some(mut contact) = worker.lost_contact.take() else {
             return;
         };
         contact.judged = true;
         if worker.entry.draining || worker.runs.is_empty() {
-            worker.contact = Some(contact);
+            worker.lost_contact = Some(contact);
             return;
         }
         let mut verdict = Verdict::of(worker, &contact);
@@ -290,7 +295,7 @@
             verdict.nearby.len(),
             lost_ms,
         )));
-        worker.contact = Some(contact);
+        worker.lost_contact = Some(contact);
         if refused {
             self.recent_crashes.push(RecentCrash {
                 at_unix_ms: unix_ms,
@@ -326,12 +331,15 @@
     /// do not count.
     fn has_common_cause(&self, id: &str) -> bool {
         let Some((worker, contact)) =
-            (self.workers.get(id)).and_then(|worker| Some((worker, worker.contact.as_ref()?)))
+            (self.workers.get(id)).and_then(|worker| Some((worker, worker.lost_contact.as_ref()?)))
         else {
             return false;
         };
         let is_lost_with_it = |other: &Worker| {
-            let lost = other.contact.as_ref().filter(|_| !other.entry.draining);
+            let lost = other
+                .lost_contact
+                .as_ref()
+                .filter(|_| !other.entry.draining);
             lost.is_some_and(|lost| {
                 let spread_ms = spread_ms(contact).max(spread_ms(lost));
                 lost.lost_ms.abs_diff(contact.lost_ms) <= spread_ms
@@ -340,7 +348,7 @@
         let (mut in_rack, mut lost_in_rack, mut unexplained_in_rack) = (0, 0, 0);
         for (other_id, other) in &self.workers {
             let is_lost = is_lost_with_it(other);
-            let lost = other.contact.as_ref().filter(|_| is_lost);
+            let lost = other.lost_contact.as_ref().filter(|_| is_lost);
             if lost.is_some_and(|lost| lost.last_start == LastStart::Earlier) && **other_id != *id {
                 return true;
             }
@@ -358,7 +366,7 @@
 
     /// Withdraws what was counted when contact to a worker was lost: the same process answers again.
     pub(super) fn withdraw_blame(&mut self, id: &str) {
-        let Some(contact) = self.workers.get_mut(id).and_then(|w| w.contact.take()) else {
+        let Some(contact) = self.workers.get_mut(id).and_then(|w| w.lost_contact.take()) else {
             return;
         };
         for (task, run) in contact.counted {
@@ -438,7 +446,7 @@
     }
 }
 
-fn spread_ms(contact: &Contact) -> u64 {
+fn spread_ms(contact: &LostContact) -> u64 {
     if contact.refused {
         REFUSAL_SPREAD_MS
     } else {
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -172,7 +172,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.contact = None;
+        worker.lost_contact = None;
         worker.clock = None;
         // The hold that detected the restart may have granted time on the clock of the former
         // process.
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -12,10 +12,11 @@
 };
 use crate::{
     admission::MAX_LATENESS_FACTOR,
+    contact::Trial,
     ids::{JobId, StepId, TaskId},
     jobs::Outcome,
     placement::Request,
-    workers::{Phase, StopReason, Trial},
+    workers::{Phase, StopReason},
 };
 
 /// Lateness of a job whose result has no value any more.
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -16,11 +16,7 @@
     schedule::Pass,
     trials::{TrialRank, WaitingTrial},
 };
-use crate::{
-    ids::StepId,
-    jobs::StepSpec,
-    workers::{Trial, Worker},
-};
+use crate::{contact::Trial, ids::StepId, jobs::StepSpec, workers::Worker};
 
 /// Part of a service's workers that may be used for trials at a time, as a divisor.
 const TRIAL_DIVISOR: usize = 4;
@@ -92,7 +88,7 @@
             let is_used = worker.is_used_for_trial(now_ms);
             of_service.listed += usize::from(worker.listed);
             of_service.used += usize::from(is_used);
-            of_service.lost += usize::from(is_used && worker.contact.is_some());
+            of_service.lost += usize::from(is_used && worker.lost_contact.is_some());
         }
         for (service, of_service) in &mut uses {
             of_service.is_idle = reservations.is_idle(service);
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -22,9 +22,9 @@
     schedule::{MAX_LATENESS, Pass, Urgency},
 };
 use crate::{
+    contact::Trial,
     ids::StepId,
     placement::{self, Request},
-    workers::Trial,
 };
 
 /// Time after which a trial no longer waits for a worker without other runs if its service is mostly
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`jobs`]: job specifications and the durable record of a job;
 //! - [`progress`]: progress of runs, and detection of slow workers;
 //! - [`workers`]: the state of a worker, its clock and its resources;
+//! - [`contact`]: runs that start on a worker, and workers to which contact was lost meanwhile;
 //! - [`coordinator`]: the state machine that turns this state into orders;
 //! - [`link_budget`]: whether the network link of the coordinator's host is congested;
 //! - [`outage`]: store health, and whether requests wait or are turned away during an outage;
@@ -22,6 +23,7 @@
 pub mod admission;
 pub mod answer_loss;
 pub mod config;
+pub mod contact;
 pub mod coordinator;
 pub mod ids;
 pub mod jobs;
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -5,7 +5,6 @@
 use hickorychute_cell::{
     admission::Verdict,
     config::Config,
-    ids::{StepId, TaskId},
     jobs::{JobState, StepSpec, TaskRecord},
 };
 
@@ -19,17 +18,6 @@
 /// Objective of a job of one step as used here, in queue `batch`, in milliseconds.
 const OBJECTIVE_MS: u64 = 6_600;
 
-fn first_task(job: u64) -> TaskId {
-    TaskId {
-        step: StepId {
-            job: support::id(job),
-            occurrence: 0,
-            step: 0,
-        },
-        index: 0,
-    }
-}
-
 fn steps_of(count: u32) -> Vec<StepSpec> {
     vec![support::step(count, 1_500, 900)]
 }
@@ -160,7 +148,7 @@
             model.submit(support::job(100 + number, "batch", steps_of(6)));
         }
         for number in 0..case.deadly_jobs {
-            model.deadly.insert(first_task(number));
+            model.deadly.insert(support::first_task(number));
             model.submit(support::job(number, "batch", case.steps.clone()));
         }
         play(&mut model, case.trouble, 60_000);
@@ -171,7 +159,7 @@
                 "{}: job {number}",
                 case.name
             );
-            let crashes = model.crashes[&first_task(number)];
+            let crashes = model.crashes[&support::first_task(number)];
             assert!(
                 (2..=MAX_CRASHES).contains(&crashes),
                 "{}: {crashes} workers crashed under job {number}",
@@ -315,17 +303,21 @@
 #[test]
 fn a_suspected_task_starts_again_only_once_its_history_is_durable() {
     let mut model = Model::new(support::config(), 4);
-    model.deadly.insert(first_task(1));
+    model.deadly.insert(support::first_task(1));
     model.submit(support::job(1, "batch", steps_of(1)));
     model.store_up = false;
     model.run_ms(20_000);
-    assert_eq!(model.crashes[&first_task(1)], 1, "without the store");
+    assert_eq!(
+        model.crashes[&support::first_task(1)],
+        1,
+        "without the store"
+    );
     model.store_up = true;
     model.run_ms(500);
     model.take_over();
     model.run_ms(30_000);
     assert_eq!(model.state(1), Some(JobState::Failed));
-    assert_eq!(model.crashes[&first_task(1)], 2, "in all");
+    assert_eq!(model.crashes[&support::first_task(1)], 2, "in all");
 }
 
 /// Guards against a backlog of trials: new jobs are refused while too many of their queue wait for one.
@@ -341,7 +333,7 @@
     };
     let mut refused = 0;
     for number in 0..JOBS {
-        model.deadly.insert(first_task(number));
+        model.deadly.insert(support::first_task(number));
         model.submit(support::job(number, "batch", steps_of(1)));
         model.run_ms(40);
         refused += u64::from(verdict(&model, "batch") != Verdict::Accept);
@@ -391,7 +383,7 @@
         };
         for number in 0..count {
             if number % case.deadly_divisor == 0 {
-                model.deadly.insert(first_task(number));
+                model.deadly.insert(support::first_task(number));
             } else {
                 innocent += 1;
                 left.push((number, model.now_ms));
--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -40,6 +40,9 @@
             steps.push(step);
         }
         let queue = ["urgent", "gang", "batch"][random.random_range(0..3)];
+        if random.random_bool(0.08) {
+            model.deadly.insert(support::first_task(number));
+        }
         model.submit(support::job(number, queue, steps));
         model.run_ms(random.random_range(1..20) * 10);
         inject_fault(&mut model, &mut random);
@@ -61,7 +64,8 @@
 
 fn inject_fault(model: &mut Model, random: &mut ChaCha8Rng) {
     let worker = random.random_range(0..WORKERS);
-    match random.random_range(0..16) {
+    match random.random_range(0..17) {
+        16 => model.crash_worker(worker),
         0 => model.set_mode(worker, WorkerMode::Unreachable),
         1 => model.set_mode(
             worker,
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -12,7 +12,7 @@
 use hickorychute_cell::{
     config::{AdviceCost, Config, Queue, Service},
     coordinator::{Coordinator, TakeoverState, Tuning},
-    ids::JobId,
+    ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobSpec, StepSpec},
     workers::{Resources, WorkerEntry},
 };
@@ -153,3 +153,15 @@
 pub fn coordinator(config: Rc<Config>) -> Coordinator {
     Coordinator::new(Tuning::default(), config, TakeoverState::default())
 }
+
+/// The first task of a job that runs once.
+pub fn first_task(job: u64) -> TaskId {
+    TaskId {
+        step: StepId {
+            job: id(job),
+            occurrence: 0,
+            step: 0,
+        },
+        index: 0,
+    }
+}
