cell: only a run that certainly started is counted against its task

The order of its first run was in doubt when the worker crashed under another task, and counted as a crash under it too. Now such an order is only remembered as nearby, unless it was alone on its worker, and even then the crash is not conclusive. Runs of a former process, kept until their orders can no longer arrive, are not counted a second time.

Suspected, from the source: the two workers that repeated trials ask about may be denied to all of them by the advice service. They are chosen among those that some repeated trial may use now.

an_order_in_doubt_when_its_worker_crashes_is_not_counted failed before.

--- a/crates/cell/src/coordinator/crashes.rs
+++ b/crates/cell/src/coordinator/crashes.rs
@@ -3,7 +3,7 @@
 //! A worker that crashes reports no ends: all that is left of its runs is that they were there. The
 //! rules below decide what that says about their tasks:
 //!
-//! - only a run that was starting is a suspect. A task that crashes workers does so as it starts, so
+//! - only a run that was starting is a suspect, and not an order that may never have arrived. A task that crashes workers does so as it starts, so
 //!   a run that has survived its start is never blamed for what happens to its worker later;
 //! - if workers without a starting run were lost at the same time, or most workers of a rack, the
 //!   crash has a common cause, and no task is suspected of it. Nor is one of the loss of a worker that
@@ -29,7 +29,7 @@
     contact::{LastStart, LostContact, Trial},
     ids::{JobId, TaskId},
     jobs::Outcome,
-    workers::{Run, Worker},
+    workers::{Run, StopReason, Worker},
 };
 
 /// Time for which the loss of a worker that refuses connections is compared with other losses, in
@@ -192,15 +192,19 @@
 
 impl Verdict {
     fn of(worker: &Worker, contact: &LostContact) -> Self {
-        let is_starting = |run: &Run| !run.has_survived_start(contact.lost_ms);
+        // Runs of a former process are kept until their orders can no longer arrive.
+        let is_starting = |run: &Run| {
+            run.stopping != Some(StopReason::WorkerRestarted)
+                && !run.has_survived_start(contact.lost_ms)
+        };
         let starting: Vec<(&TaskId, &Run)> = worker
             .runs
             .iter()
             .filter(|(_, run)| is_starting(run))
             .collect();
         let has_trial = starting.iter().any(|(_, run)| run.trial.is_some());
-        // The order of the starts tells, where the workers confirmed them: the last one before the
-        // crash is suspected. Orders without an answer may have arrived at any time.
+        // The last confirmed start before the crash is suspected. An order without an answer may never
+        // have arrived, unless nothing else can have been the cause.
         let last_ms = starting
             .iter()
             .filter(|(_, run)| run.phase.is_present())
@@ -208,10 +212,10 @@
             .max();
         let is_suspect = |run: &Run| match run.trial {
             Some(Trial::Alone) => true,
-            // Beside others of its kind, only a run that has certainly started counts.
+            // Beside others of its kind, only a run that has certainly started can be the cause.
             Some(Trial::Repeated) => run.phase.is_present(),
             None if has_trial => false,
-            None => contact.refused && (!run.phase.is_present() || Some(run.ordered_ms) == last_ms),
+            None => contact.refused && run.phase.is_present() && Some(run.ordered_ms) == last_ms,
         };
         let (suspects, nearby): (Vec<_>, Vec<_>) = starting
             .into_iter()
@@ -225,6 +229,7 @@
             is_conclusive: contact.refused
                 && has_trial
                 && nearby.is_empty()
+                && last_ms.is_some()
                 && suspects.iter().all(is_of_first),
             suspects: suspects.into_iter().map(|(run, _)| run).collect(),
             nearby: nearby.into_iter().map(|(run, _)| run).collect(),
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -241,7 +241,8 @@
             .filter(is_repeated)
             .map(|trial| trial.step)
             .collect();
-        self.choose_repeated_trial_workers();
+        let usable: IndexSet<Rc<str>> = self.workers_for_repeated_trials();
+        self.choose_repeated_trial_workers(&usable);
         if pass.now_ms >= self.trial_workers.counted_ms + COUNT_INTERVAL_MS {
             self.trial_workers.counted_ms = pass.now_ms;
             self.count_trial_tickets(trials, pass.now_ms);
@@ -249,9 +250,20 @@
         pass.repeated_trial_worker = self.choose_repeated_trial_worker(pass);
     }
 
-    /// Chooses the workers about which repeated trials ask: a chosen one remains so while it is kept,
-    /// and free ones come first.
-    fn choose_repeated_trial_workers(&mut self) {
+    /// Kept workers that the advice service has not denied to all repeated trials.
+    fn workers_for_repeated_trials(&self) -> IndexSet<Rc<str>> {
+        let steps = self.trial_workers.repeated.iter();
+        let steps: Vec<&Step> = steps
+            .filter_map(|id| self.jobs.get(&id.job)?.step(*id))
+            .collect();
+        let may_be_used = |name: &&Rc<str>| steps.iter().any(|step| !is_ruled_out(step, name));
+        let kept = self.trial_workers.kept.keys();
+        kept.filter(may_be_used).cloned().collect()
+    }
+
+    /// Chooses the workers about which repeated trials ask: free ones of those that they may use. A
+    /// chosen one remains so while it is kept.
+    fn choose_repeated_trial_workers(&mut self, usable: &IndexSet<Rc<str>>) {
         let TrialWorkers {
             kept,
             repeated,
@@ -262,8 +274,8 @@
             return repeated_workers.clear();
         }
         let is_free = |name: &Rc<str>| kept.get(name).is_some_and(|k| k.free_since_ms.is_some());
-        repeated_workers.retain(|name| kept.contains_key(name));
-        for name in kept.keys().filter(|name| is_free(name)) {
+        repeated_workers.retain(|name| usable.contains(name));
+        for name in usable.iter().filter(|name| is_free(name)) {
             if repeated_workers.len() < MAX_REPEATED_WORKERS && !repeated_workers.contains(name) {
                 repeated_workers.push(Rc::clone(name));
             }
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -5,7 +5,9 @@
 use hickorychute_cell::{
     admission::Verdict,
     config::Config,
+    coordinator::{ChangeLimits, HoldFailure, Order, StartResponse},
     jobs::{JobState, StepSpec, TaskRecord},
+    workers::HoldReport,
 };
 
 use crate::support::{self, Model, Rebirth, WorkerMode};
@@ -320,6 +322,51 @@
     assert_eq!(model.crashes[&support::first_task(1)], 2, "in all");
 }
 
+/// Guards against a job that fails after one crash: an order in doubt may never have arrived at the
+/// worker, which then did not crash under its task.
+#[test]
+fn an_order_in_doubt_when_its_worker_crashes_is_not_counted() {
+    let entry = support::entry(0);
+    let mut coordinator = support::coordinator(support::config());
+    coordinator.update_worker(entry.clone());
+    coordinator.roster_durable(&[Rc::clone(&entry.id)]);
+    let report = HoldReport {
+        clock_ms: 1_000,
+        started_unix_ms: support::START_UNIX_MS,
+        ..HoldReport::default()
+    };
+    coordinator.hold_answered(&entry.id, 0, 0, support::START_UNIX_MS, &report);
+    for number in 1..3 {
+        let record = support::job(number, "batch", steps_of(1));
+        coordinator.add_job(&record, false, support::START_UNIX_MS);
+    }
+    let orders = coordinator.schedule(10, support::START_UNIX_MS);
+    assert_eq!(orders.len(), 2, "{orders:?}");
+    for order in orders {
+        let Order::Start { task, run, .. } = order else {
+            panic!("{order:?}");
+        };
+        let answer = if task == support::first_task(1) {
+            StartResponse::Started
+        } else {
+            StartResponse::Unknown
+        };
+        coordinator.start_answered(&entry.id, task, run, answer, 12);
+    }
+    coordinator.hold_failed(&entry.id, HoldFailure::Refused, 30);
+    coordinator.schedule(300, support::START_UNIX_MS);
+    let limits = ChangeLimits {
+        records: 10,
+        open_records: 10,
+    };
+    let changes = coordinator.take_changes(limits);
+    let suspected = |job: u64| {
+        let record = changes.iter().find(|change| change.record.id == job);
+        record.map_or(0, |change| change.record.tasks[0].suspected_runs.len())
+    };
+    assert_eq!((suspected(1), suspected(2)), (1, 0));
+}
+
 /// Guards against a backlog of trials: new jobs are refused while too many of their queue wait for one.
 #[test]
 fn new_jobs_of_a_queue_that_crashes_workers_are_refused_while_many_wait() {
