--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -68,7 +68,7 @@
     /// A worker has more ended runs than it lists.
     ENDS_TRUNCATED = (8137, "ends-truncated", Warn, "A worker has more ended runs than fit into its list, because their ends could not be made durable. Tasks whose ends are not listed wait for them. Check for a store outage.");
     /// Runs were lost with their worker.
-    WORKER_LOST = (8138, "worker-lost", Warn, "Runs were lost with their worker: its process has ended, or its holds have expired. The line names the runs ordered last.");
+    RUNS_LOST = (8138, "runs-lost", Warn, "Runs were lost with their worker: its process has ended, or its holds have expired. The line names the runs ordered last.");
     /// The loss of a worker was judged.
     CRASH_JUDGED = (8139, "crash-judged", Warn, "A worker with runs refuses connections or does not answer. The line names the runs suspected of it; there are none if none was starting, or if other workers were lost at the same time without one.");
     /// A task crashes its workers.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -114,7 +114,7 @@
                 CrashEvent::Judged(report) => log_event!(events::CRASH_JUDGED, "{report}"),
                 CrashEvent::Lost(loss) => {
                     self.context.metrics.count("workers_lost");
-                    log_event!(events::WORKER_LOST, "{loss}");
+                    log_event!(events::RUNS_LOST, "{loss}");
                 }
                 CrashEvent::GivenUp { task, runs } => {
                     self.context.metrics.count("tasks_given_up");
