entry tests: ports of concurrent test processes do not meet

The first port was the process identifier modulo the range, and the two runs' test processes had identifiers that differ by a few, so that each tried the ports that the other had just found free. Successive identifiers now start thousands of ports apart.

--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -103,6 +103,10 @@
 /// Number of ports for hosts; the ephemeral range begins at 32,768.
 const PORT_COUNT: u16 = 20_000;
 
+/// Distance of the first ports of successive process identifiers: the golden section of the range
+/// keeps those of any few neighbours apart.
+const PORT_SPREAD: u64 = 12_361;
+
 /// Offset of the next port to try.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
@@ -117,8 +121,9 @@
 /// An address that no other host of this process uses and no process listens on.
 fn unused_address() -> SocketAddr {
     let _sockets = lock_sockets();
-    // Concurrent test processes start at different ports.
-    let offset = (process::id() % u32::from(PORT_COUNT)) as u16;
+    // Concurrent test processes start at ports far from each other, also if they were started one
+    // after the other.
+    let offset = (u64::from(process::id()) * PORT_SPREAD % u64::from(PORT_COUNT)) as u16;
     loop {
         let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (offset + number % PORT_COUNT) % PORT_COUNT;
