--- a/crates/cell/src/coordinator/crash_log.rs
+++ b/crates/cell/src/coordinator/crash_log.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 
-use super::Coordinator;
+use super::{Coordinator, end_proof::EndProof};
 use crate::{
     ids::TaskId,
     workers::{Phase, Worker},
@@ -13,17 +13,6 @@
 /// Maximum number of runs that one log line names.
 const MAX_NAMED_RUNS: usize = 6;
 
-/// How it became certain that a worker's runs are gone.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum LossEvidence {
-    /// Another process answers at the worker's address, or the worker is gone after draining.
-    #[display("process_ended")]
-    ProcessEnded,
-    /// The worker does not answer, and its holds have expired.
-    #[display("holds_expired")]
-    HoldsExpired,
-}
-
 /// Something that became known about a crashed worker.
 #[derive(Clone, Debug)]
 pub enum CrashEvent {
@@ -95,12 +84,12 @@
 /// Runs that were lost with a worker.
 #[derive(Clone, Debug, Display)]
 #[display(
-    "worker={worker} evidence={evidence} refused={refused} draining={draining} lost={lost} \
+    "worker={worker} proof={proof} refused={refused} draining={draining} lost={lost} \
      last={last}"
 )]
 pub struct WorkerLoss {
     worker: Rc<str>,
-    evidence: LossEvidence,
+    proof: EndProof,
     refused: bool,
     draining: bool,
     lost: usize,
@@ -128,7 +117,7 @@
     }
 
     /// Records that a worker's runs are gone, before they are released.
-    pub(super) fn record_loss(&mut self, id: &str, evidence: LossEvidence) {
+    pub(super) fn record_loss(&mut self, id: &str, proof: EndProof) {
         let Some(worker) = self.workers.get(id).filter(|w| !w.runs.is_empty()) else {
             return;
         };
@@ -141,7 +130,7 @@
         last.truncate(MAX_NAMED_RUNS);
         self.crash_events.push(CrashEvent::Lost(WorkerLoss {
             worker: Rc::clone(&worker.entry.id),
-            evidence,
+            proof,
             refused: worker
                 .lost_contact
                 .as_ref()
--- /dev/null
+++ b/crates/cell/src/coordinator/end_proof.rs
@@ -0,0 +1,141 @@
+//! What shows that a run has ended or will never start, and the log of released runs.
+//!
+//! A run that is not reported as ended is released only for a reason in [`EndProof`].
+
+use std::rc::Rc;
+
+use derive_more::Display;
+
+use super::{Coordinator, reports::StartResponse};
+use crate::{
+    ids::TaskId,
+    workers::{Phase, Worker},
+};
+
+/// Why a run was released although its worker has not reported its end.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum EndProof {
+    /// The order to start it had no effect: it was not sent, or the worker rejected it.
+    #[display("order_refused answer={answer:?}")]
+    OrderRefused {
+        /// The worker's response.
+        answer: StartResponse,
+    },
+    /// A complete report of the worker's process does not contain it.
+    #[display("not_in_report requested_ms_ago={requested_ms_ago}")]
+    NotInReport {
+        /// Time since the report was requested, in milliseconds.
+        requested_ms_ago: u64,
+    },
+    /// The worker reports a later run of the task, next to which this one cannot start any more.
+    #[display("superseded by={by_run}")]
+    Superseded {
+        /// Number of the later run.
+        by_run: u64,
+    },
+    /// Another process of the worker reports itself.
+    #[display("process_replaced started={started_unix_ms} former_started={former_started_unix_ms}")]
+    ProcessReplaced {
+        /// Start of the process that reports itself, in Unix milliseconds.
+        started_unix_ms: u64,
+        /// Start of the process that had the run, in Unix milliseconds.
+        former_started_unix_ms: u64,
+    },
+    /// Another worker answers at the worker's address.
+    #[display("address_taken")]
+    AddressTaken,
+    /// The worker was draining, is not listed any more and does not answer.
+    #[display("departed")]
+    Departed,
+    /// Every hold and order granted to the worker has expired, even on the slowest clock.
+    #[display("holds_expired")]
+    HoldsExpired,
+}
+
+/// A run that was released, with what was known of its worker.
+#[derive(Clone, Debug, Display)]
+#[display(
+    "task={task} run={run} worker={worker} proof={proof} phase={phase} heard_ms_ago={heard_ms_ago:?} \
+     hold_left_ms={hold_left_ms:?} listed={listed} draining={draining} silent={silent}"
+)]
+pub struct ReleasedRun {
+    /// Task of the run.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Worker that may have had the run.
+    pub worker: Rc<str>,
+    /// Why the run was released.
+    pub proof: EndProof,
+    /// State of the order to start the run: `ordered`, `present` or `ended`.
+    pub phase: &'static str,
+    /// Time since the worker's last report, in milliseconds; absent without one.
+    pub heard_ms_ago: Option<u64>,
+    /// Time until all holds have expired on the slowest clock, in milliseconds; absent if unknown.
+    pub hold_left_ms: Option<u64>,
+    /// Whether the worker was listed.
+    pub listed: bool,
+    /// Whether the worker was draining.
+    pub draining: bool,
+    /// Whether the last hold got no response.
+    pub silent: bool,
+}
+
+impl ReleasedRun {
+    fn new(worker: &Worker, task: TaskId, proof: EndProof, now_ms: u64) -> Option<Self> {
+        let run = worker.runs.get(&task)?;
+        let hold_left_ms = worker.clock.map(|clock| {
+            let worker_ms = clock.lower_bound_ms(now_ms);
+            worker.held_until_worker_ms.saturating_sub(worker_ms)
+        });
+        Some(Self {
+            task,
+            run: run.run,
+            worker: Rc::clone(&worker.entry.id),
+            proof,
+            phase: match run.phase {
+                Phase::Ordered { .. } => "ordered",
+                Phase::Present { .. } => "present",
+                Phase::Ended => "ended",
+            },
+            heard_ms_ago: worker
+                .clock
+                .map(|clock| now_ms.saturating_sub(clock.received_ms)),
+            hold_left_ms,
+            listed: worker.listed,
+            draining: worker.entry.draining,
+            silent: worker.unresponsive,
+        })
+    }
+}
+
+impl Coordinator {
+    /// Takes the runs that were released since the last call.
+    pub fn take_released_runs(&mut self) -> Vec<ReleasedRun> {
+        std::mem::take(&mut self.released_runs)
+    }
+
+    /// Releases the resources of a run, and lets its task be scheduled again.
+    pub(super) fn release(&mut self, id: &str, task: TaskId, proof: EndProof, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let released = ReleasedRun::new(worker, task, proof, now_ms);
+        self.released_runs.extend(released);
+        let Some(run) = worker.remove_run(task) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        if let Some(state) = job.task_mut(task)
+            && state
+                .active
+                .as_ref()
+                .is_some_and(|a| &*a.worker == id && a.run == run.run)
+        {
+            state.active = None;
+        }
+        self.stop_gang_of(task, run.run);
+    }
+}
--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, crash_log::LossEvidence};
+use super::{Coordinator, end_proof::EndProof};
 use crate::{ids::TaskId, workers::Worker};
 
 /// Time within which the entries of live workers are back after a store outage, in milliseconds.
@@ -21,14 +21,14 @@
             .collect();
         for id in ids {
             self.judge_lost_worker(&id, self.pass_unix_ms);
-            self.record_loss(&id, LossEvidence::HoldsExpired);
+            self.record_loss(&id, EndProof::HoldsExpired);
             let tasks: Vec<TaskId> = self
                 .workers
                 .get(&id)
                 .map(|w| w.runs.keys().copied().collect())
                 .unwrap_or_default();
             for task in tasks {
-                self.release(&id, task);
+                self.release(&id, task, EndProof::HoldsExpired, now_ms);
             }
             // Ends that it did not list before its hold expired do not count.
             self.unreported_workers.swap_remove(&id);
@@ -67,7 +67,7 @@
             .cloned()
             .collect();
         for id in left {
-            self.worker_ended(&id, now_ms);
+            self.end_process(&id, EndProof::Departed, now_ms);
         }
     }
 }
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -24,6 +24,7 @@
 mod changes;
 mod crash_log;
 mod crashes;
+mod end_proof;
 mod ends;
 mod expiry;
 mod job;
@@ -43,8 +44,9 @@
 
 pub use advice::{AdviceOutcome, AdviceQuery};
 pub use changes::{ChangeLimits, RecordChange};
-pub use crash_log::{CrashEvent, CrashReport, LossEvidence, WorkerLoss};
+pub use crash_log::{CrashEvent, CrashReport, WorkerLoss};
 pub use crashes::CrashHistory;
+pub use end_proof::{EndProof, ReleasedRun};
 pub use job::{Job, Ticket};
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
@@ -180,6 +182,8 @@
     contended_services: IndexSet<Rc<str>>,
     /// Events that have not been taken for the log.
     crash_events: Vec<CrashEvent>,
+    /// Released runs that have not been taken for the log.
+    released_runs: Vec<ReleasedRun>,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
 }
@@ -209,6 +213,7 @@
             trial_workers: trial_workers::TrialWorkers::default(),
             contended_services: IndexSet::new(),
             crash_events: Vec::new(),
+            released_runs: Vec::new(),
             pass_unix_ms: 0,
         };
         for entry in takeover.roster {
@@ -283,7 +288,7 @@
         if self.workers.get(id).is_some_and(Worker::has_departed)
             && !self.unreported_workers.contains(id)
         {
-            self.worker_ended(id, now_ms);
+            self.end_process(id, EndProof::Departed, now_ms);
         }
     }
 
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, Order, crash_log::LossEvidence, job::demand_of};
+use super::{Coordinator, Order, end_proof::EndProof, job::demand_of};
 use crate::{
     ids::TaskId,
     progress::Progress,
@@ -122,7 +122,11 @@
         let restarted =
             worker.started_unix_ms != 0 && worker.started_unix_ms != report.started_unix_ms;
         if restarted {
-            self.worker_ended(id, now_ms);
+            let proof = EndProof::ProcessReplaced {
+                started_unix_ms: report.started_unix_ms,
+                former_started_unix_ms: worker.started_unix_ms,
+            };
+            self.end_process(id, proof, now_ms);
         } else {
             self.withdraw_blame(id);
         }
@@ -151,7 +155,7 @@
         for reported in &report.running {
             self.apply_reported_run(id, reported, now_ms);
         }
-        self.settle_missing_runs(id, sent_ms, report);
+        self.settle_missing_runs(id, sent_ms, now_ms, report);
         self.review_runs(id, now_ms, unix_ms);
     }
 
@@ -165,22 +169,19 @@
         self.end_departed_worker(id, now_ms);
     }
 
+    /// Records that another worker answers at a worker's address.
+    pub fn address_taken(&mut self, id: &str, now_ms: u64) {
+        self.end_process(id, EndProof::AddressTaken, now_ms);
+    }
+
     /// Records that a worker process has ended and none of its runs continues.
-    pub fn worker_ended(&mut self, id: &str, now_ms: u64) {
+    pub(super) fn end_process(&mut self, id: &str, proof: EndProof, now_ms: u64) {
         self.judge_lost_worker(id, self.pass_unix_ms);
-        self.record_loss(id, LossEvidence::ProcessEnded);
+        self.record_loss(id, proof);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.lost_contact = None;
-        worker.clock = None;
-        // The hold that detected the restart may have granted time on the clock of the former
-        // process.
-        worker.fenced = false;
-        worker.processed_end = 0;
-        worker.pending_end = 0;
-        worker.durable_end = 0;
-        worker.held_until_worker_ms = 0;
         let mut released = Vec::new();
         for (&task, run) in &mut worker.runs {
             match run.phase {
@@ -193,7 +194,17 @@
         }
         self.unreported_workers.swap_remove(id);
         for task in released {
-            self.release(id, task);
+            self.release(id, task, proof, now_ms);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.clock = None;
+            // The hold that detected the restart may have granted time on the clock of the former
+            // process.
+            worker.fenced = false;
+            worker.processed_end = 0;
+            worker.pending_end = 0;
+            worker.durable_end = 0;
+            worker.held_until_worker_ms = 0;
         }
         self.reserve_unconfirmed_orders(id, now_ms);
     }
@@ -298,7 +309,7 @@
         {
             ticket.expires_ms = 0;
         }
-        self.release(id, task);
+        self.release(id, task, EndProof::OrderRefused { answer }, now_ms);
         self.stop_gang_of(task, run);
     }
 
@@ -326,7 +337,8 @@
             .is_some_and(|known| known.run < reported.run)
         {
             // The known run is an older order, which can no longer start next to this run.
-            self.release(id, reported.task);
+            let by_run = reported.run;
+            self.release(id, reported.task, EndProof::Superseded { by_run }, now_ms);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -399,7 +411,7 @@
 
     /// Settles runs that the report should contain but does not. They no longer exist; only if the
     /// report lists all ends is it known that they left none, so that their tasks may start again.
-    fn settle_missing_runs(&mut self, id: &str, sent_ms: u64, report: &HoldReport) {
+    fn settle_missing_runs(&mut self, id: &str, sent_ms: u64, now_ms: u64, report: &HoldReport) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -428,33 +440,12 @@
             }
             return;
         }
-        for task in absent {
-            self.release(id, task);
-        }
-    }
-
-    /// Releases the resources of a run that certainly does not exist, and lets its task be
-    /// scheduled again.
-    pub(super) fn release(&mut self, id: &str, task: TaskId) {
-        let Some(run) = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.remove_run(task))
-        else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&task.step.job) else {
-            return;
+        let proof = EndProof::NotInReport {
+            requested_ms_ago: now_ms.saturating_sub(sent_ms),
         };
-        if let Some(state) = job.task_mut(task)
-            && state
-                .active
-                .as_ref()
-                .is_some_and(|a| &*a.worker == id && a.run == run.run)
-        {
-            state.active = None;
+        for task in absent {
+            self.release(id, task, proof, now_ms);
         }
-        self.stop_gang_of(task, run.run);
     }
 
     /// Collects the stops that are due.
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -280,7 +280,7 @@
         self.coordinator.update_worker(entry.clone());
         self.coordinator.roster_durable(&[entry.id]);
         self.coordinator.remove_from_list(&id, self.now_ms);
-        self.coordinator.worker_ended(&id, self.now_ms);
+        self.coordinator.address_taken(&id, self.now_ms);
     }
 
     /// Adds a label to a worker.
--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -170,7 +170,7 @@
                 self.leader
                     .coordinator
                     .borrow_mut()
-                    .worker_ended(&self.id, now_ms);
+                    .address_taken(&self.id, now_ms);
                 self.handle_failure(HoldFailure::Silent, "other_life")
             }
             HoldOutcome::Unusable => self.handle_failure(HoldFailure::Silent, "unhealthy"),
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use cell::{
-    coordinator::{AdviceOutcome, AdviceQuery, CrashEvent, Order, StartResponse},
+    coordinator::{AdviceOutcome, AdviceQuery, CrashEvent, EndProof, Order, StartResponse},
     ids::TaskId,
 };
 use kernel::log_event;
@@ -55,6 +55,7 @@
                 .borrow_mut()
                 .schedule(now_ms, clock::unix_ms());
             leader.log_crashes();
+            leader.log_released_runs();
             for order in orders {
                 leader.execute(order);
             }
@@ -127,6 +128,17 @@
         }
     }
 
+    /// Logs the runs that were released without a reported end. Refused orders have a line already.
+    fn log_released_runs(&self) {
+        let released = self.coordinator.borrow_mut().take_released_runs();
+        for run in released {
+            if !matches!(run.proof, EndProof::OrderRefused { .. }) {
+                self.context.metrics.count("runs_released");
+                log_event!(events::RUN_RELEASED, "{run}");
+            }
+        }
+    }
+
     /// Logs the most urgent steps that have waited for long, and what their workers lack.
     fn log_waiting_steps(&self, now_ms: u64) {
         let coordinator = self.coordinator.borrow();
