cell tests: Workers that look gone while their runs go on (known red)

Reproduces what callers saw: a task runs twice at the same time. 32 of 144 cuts fail, all of a worker that was draining and whose entry lapsed, silent or refusing, under one coordinator and over takeovers, with exact and slow clocks. Two further ways to the same belief fail as well: a run on the new process of a restarted worker, and a report of an earlier process.

--- /dev/null
+++ b/crates/cell/tests/cell/end_proofs.rs
@@ -0,0 +1,210 @@
+//! Workers that look gone while their runs go on.
+
+use std::{
+    panic::{self, AssertUnwindSafe},
+    rc::Rc,
+};
+
+use hickorychute_cell::{
+    coordinator::{Coordinator, Order, StartResponse},
+    jobs::JobState,
+    workers::{HoldReport, ReportedRun},
+};
+
+use crate::support::{self, Model, WorkerMode};
+
+/// When another coordinator takes over, counted from the cut.
+#[derive(Clone, Copy, Debug)]
+enum Takeover {
+    Never,
+    /// Before the entry lapses.
+    Early,
+    /// After the entry has lapsed.
+    Late,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    mode: WorkerMode,
+    draining: bool,
+    lapses: bool,
+    takeover: Takeover,
+    clock_per_mille: u64,
+    lasts_ms: u64,
+}
+
+/// Cuts a worker off while its tasks run. The model asserts that none of them starts elsewhere while
+/// it runs there.
+fn play(cut: Cut) {
+    let mut model = Model::new(support::config(), 3);
+    for number in 0..3 {
+        model.set_clock_rate(number, cut.clock_per_mille);
+    }
+    model.submit(support::job(
+        1,
+        "batch",
+        vec![support::step(10, 3_000, 6_000)],
+    ));
+    model.run_ms(300);
+    if cut.draining {
+        model.drain_worker(0);
+        // The durable roster follows within half a second.
+        model.run_ms(500);
+    }
+    model.set_mode(0, cut.mode);
+    model.run_ms(200);
+    if matches!(cut.takeover, Takeover::Early) {
+        model.take_over();
+    }
+    model.run_ms(1_300);
+    if cut.lapses {
+        model.lapse_entry(0);
+    }
+    model.run_ms(100);
+    if matches!(cut.takeover, Takeover::Late) {
+        model.take_over();
+    }
+    model.run_ms(cut.lasts_ms.saturating_sub(1_600));
+    model.set_mode(0, WorkerMode::Healthy);
+    if cut.lapses {
+        model.restore_entry(0);
+    }
+    model.run_ms(30_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
+/// Guards against two runs of a task at the same time: no answer, a refused connection, a missing
+/// entry and an announced shutdown are no end of a worker's runs, alone or together.
+#[test]
+fn a_worker_that_is_cut_off_keeps_its_tasks() {
+    let mut failed = Vec::new();
+    for mode in [WorkerMode::Unreachable, WorkerMode::Refusing] {
+        for (draining, lapses) in [(false, false), (false, true), (true, false), (true, true)] {
+            for takeover in [Takeover::Never, Takeover::Early, Takeover::Late] {
+                for clock_per_mille in [1_000, 980] {
+                    for lasts_ms in [1_600, 3_000, 7_000] {
+                        let cut = Cut {
+                            mode,
+                            draining,
+                            lapses,
+                            takeover,
+                            clock_per_mille,
+                            lasts_ms,
+                        };
+                        if panic::catch_unwind(AssertUnwindSafe(|| play(cut))).is_err() {
+                            failed.push(cut);
+                        }
+                    }
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} cuts: {failed:#?}", failed.len());
+}
+
+/// A coordinator with one worker, and one task that it has ordered there.
+fn coordinator_with_an_order() -> (Coordinator, Rc<str>) {
+    let mut coordinator = support::coordinator(support::config());
+    let entry = support::entry(0);
+    let worker = Rc::clone(&entry.id);
+    coordinator.update_worker(entry);
+    coordinator.roster_durable(&[Rc::clone(&worker)]);
+    report(&mut coordinator, &worker, 0, 10, 0, &[]);
+    coordinator.add_job(
+        &support::job(1, "batch", vec![support::step(1, 1_000, 5_000)]),
+        false,
+        support::START_UNIX_MS,
+    );
+    assert_eq!(starts(&mut coordinator, 20), 1);
+    (coordinator, worker)
+}
+
+/// Passes a report that was requested at `sent_ms` by a process that started `started_ms` after the
+/// first one.
+fn report(
+    coordinator: &mut Coordinator,
+    worker: &str,
+    sent_ms: u64,
+    now_ms: u64,
+    started_ms: u64,
+    running: &[u64],
+) {
+    let _terms = coordinator.begin_hold(worker, true, sent_ms);
+    let report = HoldReport {
+        clock_ms: 1_000 + now_ms - started_ms,
+        started_unix_ms: support::START_UNIX_MS + started_ms,
+        running: running
+            .iter()
+            .map(|&run| ReportedRun {
+                task: support::first_task(1),
+                run,
+                checkpoint: String::new(),
+                percent: 1,
+                measured_value: 0,
+            })
+            .collect(),
+        ..HoldReport::default()
+    };
+    let unix_ms = support::START_UNIX_MS + now_ms;
+    coordinator.hold_answered(worker, sent_ms, now_ms, unix_ms, &report);
+}
+
+fn starts(coordinator: &mut Coordinator, now_ms: u64) -> usize {
+    let orders = coordinator.schedule(now_ms, support::START_UNIX_MS + now_ms);
+    let is_start = |order: &&Order| matches!(order, Order::Start { .. });
+    orders.iter().filter(is_start).count()
+}
+
+/// Guards against a second run of a task whose order reached the new process of a restarted worker
+/// before the restart became known.
+#[test]
+fn a_run_on_the_new_process_of_a_restarted_worker_is_kept() {
+    struct Case {
+        name: &'static str,
+        /// When the start was confirmed.
+        confirmed_ms: u64,
+        /// When the report was requested that shows the restart; it does not contain the run.
+        requested_ms: u64,
+        /// Whether that shows that the run is gone.
+        released: bool,
+    }
+    let cases = [
+        Case {
+            name: "confirmed while the report was under way",
+            confirmed_ms: 80,
+            requested_ms: 60,
+            released: false,
+        },
+        Case {
+            name: "confirmed before the report was requested",
+            confirmed_ms: 50,
+            requested_ms: 60,
+            released: true,
+        },
+    ];
+    for case in cases {
+        let (mut coordinator, worker) = coordinator_with_an_order();
+        let task = support::first_task(1);
+        coordinator.start_answered(&worker, task, 1, StartResponse::Started, case.confirmed_ms);
+        report(&mut coordinator, &worker, case.requested_ms, 90, 40, &[]);
+        let released = starts(&mut coordinator, 100) == 1;
+        assert_eq!(released, case.released, "{}", case.name);
+        if !released {
+            report(&mut coordinator, &worker, 110, 120, 40, &[1]);
+            assert_eq!(starts(&mut coordinator, 130), 0, "{}: adopted", case.name);
+        }
+    }
+}
+
+/// Guards against a second run of a task after a response of an earlier process of its worker, as a
+/// connection that was open before the restart may deliver it.
+#[test]
+fn a_report_of_an_earlier_process_releases_nothing() {
+    let (mut coordinator, worker) = coordinator_with_an_order();
+    let task = support::first_task(1);
+    report(&mut coordinator, &worker, 30, 40, 25, &[]);
+    coordinator.start_answered(&worker, task, 1, StartResponse::Started, 50);
+    report(&mut coordinator, &worker, 60, 70, 25, &[1]);
+    report(&mut coordinator, &worker, 80, 90, 0, &[]);
+    assert_eq!(starts(&mut coordinator, 100), 0);
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod answer_loss;
 mod capacity;
 mod crashes;
+mod end_proofs;
 mod ends;
 mod gangs;
 mod histories;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -110,7 +110,7 @@
     fn list_workers(&mut self) {
         let names: Vec<Rc<str>> = self.workers.keys().cloned().collect();
         for worker in self.workers.values() {
-            if worker.mode != WorkerMode::Down {
+            if worker.mode != WorkerMode::Down && worker.listed {
                 self.coordinator.update_worker(worker.entry.clone());
             }
         }
@@ -321,6 +321,36 @@
         self.coordinator.update_worker(entry);
     }
 
+    /// Removes a worker's entry from the list, as if its heartbeats had not arrived.
+    pub fn lapse_entry(&mut self, number: usize) {
+        let (id, worker) = self
+            .workers
+            .get_index_mut(number)
+            .expect("the worker is there");
+        worker.listed = false;
+        self.coordinator.remove_from_list(id, self.now_ms);
+    }
+
+    /// Restores the entry of a worker that lapsed.
+    pub fn restore_entry(&mut self, number: usize) {
+        let (_, worker) = self
+            .workers
+            .get_index_mut(number)
+            .expect("the worker is there");
+        worker.listed = true;
+        let entry = worker.entry.clone();
+        self.coordinator.update_worker(entry);
+    }
+
+    /// Sets the rate of a worker's clock, in thousandths.
+    pub fn set_clock_rate(&mut self, number: usize, per_mille: u64) {
+        let (_, worker) = self
+            .workers
+            .get_index_mut(number)
+            .expect("the worker is there");
+        worker.clock_per_mille = per_mille;
+    }
+
     /// Tasks that run on a worker.
     pub fn tasks_on(&self, number: usize) -> Vec<TaskId> {
         let (_, worker) = self.workers.get_index(number).expect("the worker is there");
--- a/crates/cell/tests/cell/support/worker.rs
+++ b/crates/cell/tests/cell/support/worker.rs
@@ -83,6 +83,10 @@
     pub entry: WorkerEntry,
     /// Current behaviour.
     pub mode: WorkerMode,
+    /// Whether the list of workers contains it.
+    pub(super) listed: bool,
+    /// Rate of its clock, in thousandths.
+    pub(super) clock_per_mille: u64,
     /// When the process starts again after a crash, in simulated milliseconds.
     pub(super) revive_ms: Option<u64>,
     pub(super) present: IndexMap<TaskId, PresentRun>,
@@ -124,6 +128,8 @@
         Self {
             entry,
             mode: WorkerMode::Healthy,
+            listed: true,
+            clock_per_mille: 1_000,
             revive_ms: None,
             present: IndexMap::new(),
             ends: Vec::new(),
@@ -152,7 +158,7 @@
     }
 
     pub(super) fn clock_ms(&self, now_ms: u64) -> u64 {
-        now_ms - self.started_ms + 1_000
+        (now_ms - self.started_ms) * self.clock_per_mille / 1_000 + 1_000
     }
 
     pub(super) fn used(&self) -> Resources {
