entry: A stop is confirmed only by the worker that it was sent to

A 421 of another worker at the address confirmed a stop, after which a report without the run released it, while the order to start it could still be on its way to its worker. By reading; no run shows it. The end of a worker whose address is taken is noticed by its next hold.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Whether the run is stopped: the worker confirmed it (200), or another instance of the
-    /// worker answers (421), which does not have the run.
+    /// Whether the worker confirmed the stop. Another worker at the address (421) says nothing about
+    /// orders on their way to this one.
     async fn stop(&self, call: &RunCall) -> bool {
         let headers = workers::instance_header(&call.worker.id);
         let (task, fence) = (call.task.into(), call.worker.fence);
@@ -182,7 +182,7 @@
             return false;
         };
         let answer = self.pool.call(address, &order).await;
-        answer.is_ok_and(|answer| matches!(answer.status, 200 | 421))
+        answer.is_ok_and(|answer| answer.status == 200)
     }
 
     async fn pace(&self, call: &RunCall) -> bool {
