election: the expiry of former leaders' holds is computed in one place

It was split between the election, which notes the replaced leader, and the takeover, which adds the authority and the longest hold. No change in behaviour: Term::inherited_expiry_ms gives the same figures, and tests can call it.

--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -32,6 +32,8 @@
 /// How long a leader may send orders after its key was last confirmed, in milliseconds. Its
 /// successor relies on this limit.
 pub const AUTHORITY_TIMEOUT_MS: u64 = 5_000;
+/// Maximum hold that workers grant, in milliseconds, allowing for slow worker clocks.
+pub const MAX_HOLD_MS: u64 = 6_200;
 /// Interval between two liveness checks of the leader.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time within which a live leader answers the check.
@@ -59,6 +61,17 @@
     pub taken_ms: u64,
 }
 
+impl Term {
+    /// Time by which the holds and orders of all former leaders have expired, in milliseconds of
+    /// [`clock::now_ms`]. `settled_fence` is the fence of the last leader whose takeover was
+    /// complete.
+    pub fn inherited_expiry_ms(&self, settled_fence: u64) -> u64 {
+        let none_left = self.replaced_fence != 0 && self.replaced_fence == settled_fence;
+        let authority_ms = if none_left { 0 } else { AUTHORITY_TIMEOUT_MS };
+        self.taken_ms + authority_ms + MAX_HOLD_MS
+    }
+}
+
 /// Checks the leader for the lifetime of the process, so that it can be replaced before its lease
 /// expires if its process ends. Only the preferred successors check: hosts near the store with the
 /// most CPU.
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -15,7 +15,7 @@
 use super::{CONFIRM_INTERVAL_MS, HostContext, Leader};
 use crate::{
     clock,
-    election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
+    election::{LEADER_RENEWAL_INTERVAL, Term},
     events,
     listing::{Listing, ListingReader},
     records::{JOB_PREFIX, LEADER_KEY, ROSTER_KEY, Roster},
@@ -23,8 +23,6 @@
 
 /// Run numbers reserved per term for each task.
 const RUN_NUMBERS_PER_TERM: u64 = 1_000;
-/// Maximum hold that workers grant, in milliseconds, allowing for slow worker clocks.
-const MAX_HOLD_MS: u64 = 6_200;
 /// A term is abandoned once its reads have failed for this long without progress. Reading as such
 /// may take much longer, depending on the number of records and the link.
 const MAX_READ_STALL_MS: u64 = 8_000;
@@ -46,7 +44,7 @@
     let config = context.operator_config.current()?;
     let takeover = TakeoverState {
         roster: roster.entries(),
-        expiry_ms: term.taken_ms + authority_ms(term, &roster) + MAX_HOLD_MS,
+        expiry_ms: term.inherited_expiry_ms(roster.settled_fence),
         run_floor: term.number * RUN_NUMBERS_PER_TERM,
     };
     let tuning = Leader::tuning(&context.settings.current());
@@ -78,13 +76,6 @@
     Some(Rc::new(leader))
 }
 
-/// How long former leaders may still extend holds, in milliseconds: not at all if the predecessor's
-/// process has ended and its own takeover was complete, since no other leader was left then.
-fn authority_ms(term: Term, roster: &Roster) -> u64 {
-    let none_left = term.replaced_fence != 0 && term.replaced_fence == roster.settled_fence;
-    if none_left { 0 } else { AUTHORITY_TIMEOUT_MS }
-}
-
 fn decode(item: &Item) -> Option<JobRecord> {
     JobRecord::decode(item.value.as_slice()).ok()
 }
