election: a predecessor's authority counts from the commit that replaced it

Cause: the successor counted the predecessor's authority and holds from before it sent the transaction that takes the key. A predecessor that is leaving leads, and confirms its key, until that transaction is committed, which takes long with a slow store; it could then extend holds after the successor believed them expired. Why it works: a confirmation succeeds only before the commit, and the wait counts from when the commit is known, which is later. The successor's own authority still counts from before the commit.

--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -57,8 +57,12 @@
     /// Fencing token of the leader whose process is known to have ended and whose key was replaced;
     /// 0 if there was none.
     pub replaced_fence: u64,
-    /// When the key was acquired, in milliseconds of [`clock::now_ms`].
+    /// When the transaction that acquired the key was sent, in milliseconds of [`clock::now_ms`].
+    /// This leader's own authority counts from then.
     pub taken_ms: u64,
+    /// When that transaction was known to be committed, in milliseconds of [`clock::now_ms`]. Former
+    /// leaders can confirm their keys until it is committed, so their authority counts from then.
+    pub committed_ms: u64,
 }
 
 impl Term {
@@ -68,7 +72,7 @@
     pub fn inherited_expiry_ms(&self, settled_fence: u64) -> u64 {
         let none_left = self.replaced_fence != 0 && self.replaced_fence == settled_fence;
         let authority_ms = if none_left { 0 } else { AUTHORITY_TIMEOUT_MS };
-        self.taken_ms + authority_ms + MAX_HOLD_MS
+        self.committed_ms + authority_ms + MAX_HOLD_MS
     }
 }
 
@@ -224,9 +228,11 @@
         }
         Err(_) => return None,
     };
+    let committed_ms = clock::now_ms();
     log_event!(
         events::LEAD_TAKEN,
-        "fence={fence} term={number} lease={lease}"
+        "fence={fence} term={number} lease={lease} commit_ms={}",
+        committed_ms - taken_ms
     );
     Some(Term {
         fence,
@@ -238,5 +244,6 @@
             0
         },
         taken_ms,
+        committed_ms,
     })
 }
--- /dev/null
+++ b/crates/entry/tests/entry/elections.rs
@@ -0,0 +1,244 @@
+//! What a new leader believes about the holds and orders of its predecessor.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use adapter::{
+    http::ConnectionPool,
+    settings,
+    store::{Committed, Store, Txn},
+};
+use hickorychute_entry::{
+    clock,
+    election::{self, AUTHORITY_TIMEOUT_MS, MAX_HOLD_MS, Term},
+    live::LiveSettings,
+    members::{self, Host, Members},
+    operator_config::{self, OperatorConfig},
+    peers::{self, Body, LeaderInfo},
+    records::{LEADER_KEY, LeaderRecord, TERM_KEY, TermRecord},
+    store::GuardedStore,
+};
+use platform_standin::Platform;
+use prost::Message;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, tcp},
+    task::{self, LocalSet},
+    time,
+};
+
+/// Process identifier of the leader.
+const LEADER_PROCESS: u64 = 11;
+/// Maximum time for anything that a test waits for.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+/// Interval at which conditions are checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+async fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    time::timeout(MAX_WAIT, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("timed out waiting for {what}"));
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback has a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    (listener, address)
+}
+
+fn client(address: SocketAddr) -> GuardedStore {
+    GuardedStore::new(Store::new(ConnectionPool::default(), address))
+}
+
+/// A host that may succeed the leader.
+struct Successor {
+    store: GuardedStore,
+    members: Rc<Members>,
+    operator_config: Rc<OperatorConfig>,
+    live: Rc<LiveSettings>,
+}
+
+impl Successor {
+    /// Starts the watches of a host that reaches the store at `store_address`.
+    async fn start(store_address: SocketAddr) -> Self {
+        let (_, own_address) = listener().await;
+        let text = format!(
+            "node=successor\nzone=a\nregion=r\nip=127.0.0.1\nlisten.front={own_address}\n\
+             listen.ready={own_address}\nport_range={},{}\nplatform.address={store_address}\n",
+            own_address.port(),
+            own_address.port(),
+        );
+        let settings = settings::parse(&text).expect("the settings are valid");
+        let own = Host {
+            address: own_address,
+            zone: settings.zone.clone(),
+            cpu_millicores: settings.cpu_millicores,
+        };
+        let started = Self {
+            store: client(store_address),
+            members: Rc::new(Members::new(settings.region_of_zone.clone())),
+            operator_config: Rc::default(),
+            live: Rc::new(LiveSettings::new(settings)),
+        };
+        let store = || started.store.clone();
+        let members = || Rc::clone(&started.members);
+        let name = || "successor".to_owned();
+        task::spawn_local(members::watch(store(), members(), name()));
+        task::spawn_local(members::register(store(), members(), name(), own));
+        let operator_config = Rc::clone(&started.operator_config);
+        task::spawn_local(operator_config::watch(store(), operator_config));
+        wait_until("registration and configuration", || {
+            started.members.has_most_cpu("successor") && started.operator_config.current().is_some()
+        })
+        .await;
+        started
+    }
+
+    /// Begins to check the leader, as a host does from its start.
+    fn watch_leader(&self) {
+        let members = Rc::clone(&self.members);
+        let name = "successor".to_owned();
+        let watch = election::watch_leader(self.store.clone(), Rc::default(), members, name);
+        task::spawn_local(watch);
+    }
+
+    async fn acquire_term(&self) -> Term {
+        let own = LeaderRecord {
+            host: "successor".to_owned(),
+            process: self.members.own_process_id(),
+            ..LeaderRecord::default()
+        };
+        let (store, config) = (&self.store, &self.operator_config);
+        let acquired = election::acquire_term(store, &self.members, config, &own, &self.live);
+        time::timeout(MAX_WAIT, acquired)
+            .await
+            .expect("the leader is replaced")
+    }
+}
+
+/// Writes the key of a leader as at a takeover, and returns its fence.
+async fn write_leader(store: &GuardedStore, address: SocketAddr, process: u64) -> u64 {
+    let leader = LeaderRecord {
+        host: "predecessor".to_owned(),
+        address: address.to_string(),
+        nonce: process,
+        process,
+    };
+    let txn = Txn::default()
+        .put(LEADER_KEY, &leader.encode_to_vec(), 0)
+        .put(TERM_KEY, &TermRecord { number: 3 }.encode_to_vec(), 0);
+    match store.commit(&txn).await {
+        Ok(Committed::Done { revision }) => revision,
+        other => panic!("the leader key is written: {other:?}"),
+    }
+}
+
+/// Answers calls at the leader's peer address with the content of `info`.
+fn serve_peer(listener: TcpListener, info: &Rc<RefCell<LeaderInfo>>) {
+    let info = Rc::clone(info);
+    task::spawn_local(peers::serve(listener, move |_| {
+        let info = Rc::clone(&info);
+        async move { Body::LeaderInfo(info.borrow().clone()) }
+    }));
+}
+
+fn info(process: u64, leaving: bool) -> LeaderInfo {
+    LeaderInfo {
+        process,
+        leaving,
+        ..LeaderInfo::default()
+    }
+}
+
+async fn platform() -> Platform {
+    let platform = Platform::start(0).await;
+    platform.configure(1, &["batch"], false);
+    platform
+}
+
+/// Passes on all bytes to `target`, requests after a delay that can be changed, in milliseconds.
+async fn serve_delayed(target: SocketAddr, delay_ms: Rc<Cell<u64>>) -> SocketAddr {
+    async fn pass(
+        mut from: tcp::OwnedReadHalf,
+        mut to: tcp::OwnedWriteHalf,
+        delay_ms: Option<Rc<Cell<u64>>>,
+    ) {
+        let mut chunk = [0; 4 << 10];
+        while let Ok(length @ 1..) = from.read(&mut chunk).await {
+            if let Some(delay_ms) = &delay_ms {
+                time::sleep(Duration::from_millis(delay_ms.get())).await;
+            }
+            if to.write_all(&chunk[..length]).await.is_err() {
+                return;
+            }
+        }
+    }
+    let (listener, address) = listener().await;
+    task::spawn_local(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let Ok(far) = TcpStream::connect(target).await else {
+                continue;
+            };
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            task::spawn_local(pass(near_read, far_write, Some(Rc::clone(&delay_ms))));
+            task::spawn_local(pass(far_read, near_write, None));
+        }
+    });
+    address
+}
+
+/// Guards against TWICE: a leader that is leaving confirms its key until its successor's transaction
+/// is committed, and its authority was counted from before that transaction was sent.
+#[tokio::test]
+async fn the_wait_covers_confirmations_during_a_slow_takeover() {
+    /// Shorter than the time-out of a call to the store.
+    const DELAY_MS: u64 = 250;
+    LocalSet::new()
+        .run_until(async {
+            let platform = platform().await;
+            let direct = client(platform.store_address);
+            let delay_ms = Rc::<Cell<u64>>::default();
+            let link = serve_delayed(platform.store_address, Rc::clone(&delay_ms)).await;
+            let (listener, address) = listener().await;
+            serve_peer(listener, &Rc::new(RefCell::new(info(LEADER_PROCESS, true))));
+            let fence = write_leader(&direct, address, LEADER_PROCESS).await;
+            let successor = Successor::start(link).await;
+            delay_ms.set(DELAY_MS);
+            let last_confirmed_ms = Rc::<Cell<u64>>::default();
+            let confirmed_ms = Rc::clone(&last_confirmed_ms);
+            let confirming = task::spawn_local(async move {
+                loop {
+                    let sent_ms = clock::now_ms();
+                    match direct.get(LEADER_KEY).await {
+                        Ok(Some(item)) if item.revision == fence => confirmed_ms.set(sent_ms),
+                        Ok(_) => return,
+                        Err(_) => {}
+                    }
+                    time::sleep(POLL_INTERVAL).await;
+                }
+            });
+            successor.watch_leader();
+            let term = successor.acquire_term().await;
+            confirming.await.expect("the task does not panic");
+            let safe_ms = last_confirmed_ms.get() + AUTHORITY_TIMEOUT_MS + MAX_HOLD_MS;
+            let expiry_ms = term.inherited_expiry_ms(fence);
+            assert!(
+                expiry_ms >= safe_ms,
+                "expires {} ms too early",
+                safe_ms - expiry_ms
+            );
+        })
+        .await;
+}
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Entry host processes against the stand-in platform.
 
 mod cold_start;
+mod elections;
 mod failures;
 mod jobs;
 mod odd_entries;
