election: evidence about a leader applies to the term it was gathered about

Cause: a check of the leader marked whichever key revision was known when the check ended. If the leader's host had started again and was elected meanwhile, the end of its former process condemned its new term, and the successor did not wait for the authority of a leader that was alive. The successor also took the evidence from the members after it had read the revision to replace. Why it works: a check names the fence, address and process that it asks about, and its result is dropped unless exactly that term is still current. An answer without a process identifier, from a host of an older version, no longer counts as another process.

--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock, events,
     live::LiveSettings,
-    members::Members,
+    members::{Departure, KnownLeader, Members},
     operator_config::OperatorConfig,
     peers::{self, Body, Peers},
     records::{LEADER_KEY, LEADER_MIRROR_KEY, LeaderRecord, TERM_KEY, TermRecord},
@@ -90,29 +90,36 @@
         if store.is_far() || !members.has_most_cpu(&own) {
             continue;
         }
-        let Some(address) = members.leader_address() else {
+        let Some(leader) = members.current_leader() else {
             continue;
         };
-        if members.address_of(&own) == Some(address) {
+        if members.address_of(&own) == Some(leader.address) {
             continue;
         }
-        // A missing answer may be a pause. A refused connection, or an answer from another process,
-        // proves that the leader's process has ended.
-        let process = members.leader_process_id();
-        let call = peers.call(address, Body::GetLeader(true), LEADER_CHECK_TIMEOUT);
-        let ended = match call.await {
-            Ok(Body::LeaderInfo(answer)) => {
-                let other_process = process.is_some_and(|process| answer.process != process);
-                if answer.leaving && !other_process {
-                    members.mark_leader_leaving(address);
-                }
-                other_process
+        if let Some(departure) = check_leader(&peers, leader).await {
+            members.record_departure(leader, departure);
+        }
+    }
+}
+
+/// Checks whether a leader has left or is about to. A missing answer may be a pause. A refused
+/// connection, or an answer from another process, proves that the leader's process has ended.
+async fn check_leader(peers: &Peers, leader: KnownLeader) -> Option<Departure> {
+    let call = peers.call(leader.address, Body::GetLeader(true), LEADER_CHECK_TIMEOUT);
+    match call.await {
+        Ok(Body::LeaderInfo(answer)) => {
+            // Either identifier is 0 if its host runs a version without it.
+            let is_other = leader.process != 0 && answer.process != 0;
+            if is_other && answer.process != leader.process {
+                Some(Departure::Ended)
+            } else {
+                answer.leaving.then_some(Departure::Leaving)
             }
-            Ok(_) => false,
-            Err(_) => peers::refuses_connections(address).await,
-        };
-        if ended {
-            members.mark_leader_dead(address);
+        }
+        Ok(_) => None,
+        Err(_) => {
+            let refused = peers::refuses_connections(leader.address).await;
+            refused.then_some(Departure::Ended)
         }
     }
 }
@@ -167,7 +174,7 @@
             leader_revision,
             term_revision: revision,
             number,
-            leader_dead: members.is_leader_dead(),
+            leader_dead: members.departure_of(leader_revision) == Some(Departure::Ended),
         };
         if let Some(term) = try_acquire(store, members, own, lease, snapshot).await {
             return term;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -48,21 +48,41 @@
     pub cpu_millicores: u64,
 }
 
+/// A leader's term as read from the store. Evidence about its process applies to this term alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownLeader {
+    /// Store revision of the leader key, which is the term's fencing token.
+    pub fence: u64,
+    /// Peer address of the leader's host.
+    pub address: SocketAddr,
+    /// Random identifier of the leader's process; 0 if unknown.
+    pub process: u64,
+}
+
+/// Why a leader may be replaced before its lease expires; later variants are stronger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Departure {
+    /// It shuts down and leads until it is replaced.
+    Leaving,
+    /// Its process has ended.
+    Ended,
+}
+
 /// Live hosts and the current leader, last seen in the store.
 #[derive(Debug, Default)]
 pub struct Members {
     hosts: RefCell<IndexMap<String, Host>>,
     leader: RefCell<Option<LeaderRecord>>,
+    /// The latest leader read from the store, also after its key was removed.
+    known_leader: Cell<Option<KnownLeader>>,
+    /// Fence of the latest leader with evidence of its departure, and that evidence.
+    departure: Cell<Option<(u64, Departure)>>,
     /// The leader before the current vacancy.
     previous_leader: RefCell<Option<String>>,
     /// Random identifier that distinguishes this process from other processes of the host.
     own_process_id: u64,
     /// Store revision of the leader key; 0 if unknown.
     leader_revision: Cell<u64>,
-    /// Equal to `leader_revision` if that leader's process is known to have ended.
-    dead_leader_revision: Cell<u64>,
-    /// Equal to `leader_revision` if that leader has announced that it shuts down.
-    leaving_leader_revision: Cell<u64>,
     /// The store has been read and holds no leader key.
     vacant: Cell<bool>,
     /// This host's registration is missing from the store.
@@ -152,41 +172,41 @@
         if self.vacant.get() {
             return Some(0);
         }
-        let revision = self.leader_revision.get();
-        let is_leaving = revision != 0 && revision == self.leaving_leader_revision.get();
-        (is_leaving || self.is_leader_dead()).then_some(revision)
+        let leader = self.current_leader()?;
+        self.departure_of(leader.fence).map(|_| leader.fence)
     }
 
-    /// Whether the process of the current leader is known to have ended.
-    pub fn is_leader_dead(&self) -> bool {
+    /// The leader whose key is in the store, as last read; `None` if it was learned from another
+    /// host or there is none.
+    pub fn current_leader(&self) -> Option<KnownLeader> {
         let revision = self.leader_revision.get();
-        revision != 0 && revision == self.dead_leader_revision.get()
+        let is_current = |leader: &KnownLeader| !self.vacant.get() && leader.fence == revision;
+        self.known_leader.get().filter(is_current)
     }
 
-    /// Records that the leader at `address` shuts down and leads until it is replaced.
-    pub fn mark_leader_leaving(&self, address: SocketAddr) {
-        if self.leader_address() != Some(address) || self.replaceable_revision().is_some() {
-            return;
-        }
-        if let Some(leader) = &*self.leader.borrow() {
-            log_event!(events::LEAD_LEAVING, "lead={}", leader.host);
-            *self.previous_leader.borrow_mut() = Some(leader.host.clone());
-        }
-        self.leaving_leader_revision.set(self.leader_revision.get());
-        self.changed.notify_waiters();
+    /// Evidence that the leader with this fence has left or is about to.
+    pub fn departure_of(&self, fence: u64) -> Option<Departure> {
+        let (of, departure) = self.departure.get()?;
+        (of == fence).then_some(departure)
     }
 
-    /// Records that the process of the leader at `address` has ended. Its key remains until the
-    /// lease expires.
-    pub fn mark_leader_dead(&self, address: SocketAddr) {
-        if self.leader_address() != Some(address) || self.vacant.get() || self.is_leader_dead() {
+    /// Records evidence gathered about `leader`. If another term has begun meanwhile, it does not
+    /// apply, even if the same host leads again.
+    pub fn record_departure(&self, leader: KnownLeader, departure: Departure) {
+        if self.current_leader() != Some(leader)
+            || self.departure_of(leader.fence) >= Some(departure)
+        {
             return;
         }
-        if let Some(leader) = &*self.leader.borrow() {
-            log_event!(events::LEAD_DEAD, "lead={}", leader.host);
-            *self.previous_leader.borrow_mut() = Some(leader.host.clone());
+        if let Some(record) = &*self.leader.borrow() {
+            let event = match departure {
+                Departure::Leaving => events::LEAD_LEAVING,
+                Departure::Ended => events::LEAD_DEAD,
+            };
+            log_event!(event, "lead={} fence={}", record.host, leader.fence);
+            *self.previous_leader.borrow_mut() = Some(record.host.clone());
         }
-        self.dead_leader_revision.set(self.leader_revision.get());
+        self.departure.set(Some((leader.fence, departure)));
         self.changed.notify_waiters();
     }
 
@@ -195,12 +215,6 @@
         self.own_process_id
     }
 
-    /// Identifier of the leader's process; `None` if the leader was learned from another host.
-    pub fn leader_process_id(&self) -> Option<u64> {
-        let process = self.leader.borrow().as_ref().map(|leader| leader.process);
-        process.filter(|process| *process != 0)
-    }
-
     /// Whether no live host has more CPU capacity than this one.
     pub fn has_most_cpu(&self, own_name: &str) -> bool {
         let own_millicores = self.hosts.borrow().get(own_name).map(|h| h.cpu_millicores);
@@ -221,8 +235,7 @@
     /// Records that the leader key is held by another host.
     pub fn mark_leader_present(&self) {
         self.vacant.set(false);
-        self.dead_leader_revision.set(0);
-        self.leaving_leader_revision.set(0);
+        self.departure.set(None);
     }
 
     fn apply_put(&self, item: &Item, own_name: &str) {
@@ -236,6 +249,12 @@
                 leader.host,
                 item.revision
             );
+            let known = leader.address.parse().ok().map(|address| KnownLeader {
+                fence: item.revision,
+                address,
+                process: leader.process,
+            });
+            self.known_leader.set(known);
             *self.leader.borrow_mut() = Some(leader);
             self.leader_revision.set(item.revision);
             self.vacant.set(false);
--- a/crates/entry/tests/entry/elections.rs
+++ b/crates/entry/tests/entry/elections.rs
@@ -18,7 +18,7 @@
     live::LiveSettings,
     members::{self, Host, Members},
     operator_config::{self, OperatorConfig},
-    peers::{self, Body, LeaderInfo},
+    peers::{self, Body, LeaderInfo, Peers},
     records::{LEADER_KEY, LeaderRecord, TERM_KEY, TermRecord},
     store::GuardedStore,
 };
@@ -31,8 +31,9 @@
     time,
 };
 
-/// Process identifier of the leader.
+/// Process identifiers of the leader and of a later process of its host.
 const LEADER_PROCESS: u64 = 11;
+const LATER_PROCESS: u64 = 12;
 /// Maximum time for anything that a test waits for.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 /// Interval at which conditions are checked.
@@ -242,3 +243,46 @@
         })
         .await;
 }
+
+/// Guards against TWICE: evidence about the leader's process was applied to a later term of its
+/// host that began during the check.
+#[tokio::test]
+async fn evidence_about_a_former_process_does_not_end_a_later_term() {
+    LocalSet::new()
+        .run_until(async {
+            let platform = platform().await;
+            let direct = client(platform.store_address);
+            let (listener, address) = listener().await;
+            write_leader(&direct, address, LEADER_PROCESS).await;
+            let successor = Successor::start(platform.store_address).await;
+            let members = Rc::clone(&successor.members);
+            wait_until("the leader", || members.current_leader().is_some()).await;
+            // The check of the first term ends after the second one is known.
+            let (asked, answered) = (Rc::<Cell<bool>>::default(), Rc::<Cell<bool>>::default());
+            let (asking, answering) = (Rc::clone(&asked), Rc::clone(&answered));
+            let known = Rc::clone(&members);
+            task::spawn_local(peers::serve(listener, move |_| {
+                let (asking, answering) = (Rc::clone(&asking), Rc::clone(&answering));
+                let (known, first) = (Rc::clone(&known), known.current_leader());
+                async move {
+                    asking.set(true);
+                    while known.current_leader() == first && !answering.get() {
+                        time::sleep(POLL_INTERVAL).await;
+                    }
+                    answering.set(true);
+                    Body::LeaderInfo(info(LATER_PROCESS, false))
+                }
+            }));
+            successor.watch_leader();
+            wait_until("the check", || asked.get()).await;
+            let fence = write_leader(&direct, address, LATER_PROCESS).await;
+            wait_until("the answer", || answered.get()).await;
+            let checked = Peers::default();
+            let call = checked.call(address, Body::GetLeader(true), MAX_WAIT);
+            assert!(call.await.is_ok());
+            let fence_seen = members.current_leader().map(|leader| leader.fence);
+            assert_eq!(fence_seen, Some(fence));
+            assert_eq!(members.replaceable_revision(), None);
+        })
+        .await;
+}
