election: a refused connection no longer shortens the wait after a takeover

Cause: a connection refused at the leader's address counted as proof that its process has ended, so its successor did not wait for its authority. Evidence: only_an_answer_of_another_process_shortens_the_wait failed in the case "refused" ("left: true, right: false"); all its cases pass now. Why it works: a refusal still lets the key be replaced, which the fence makes safe. The wait is shortened only by an answer of another process at the leader's address, which cannot come while the former one listens there; it is then counted from that answer. The predecessor is identified by the revision of the term counter, which is written together with the key, and so also after a vacancy. E8034 gives the evidence. The proofs stand in the module's documentation.

--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -1,8 +1,24 @@
 //! Leader election: the leader is the host that holds a key in the store, attached to a lease.
 //!
-//! The lease only determines how soon another host may take over. Two concurrent leaders are kept
-//! safe by the fence that every worker compares, and by the rule that a leader stops sending orders
-//! [`AUTHORITY_TIMEOUT_MS`] after its key was last confirmed.
+//! The lease only determines how soon another host may take over, and so does evidence that the
+//! leader has left. Two concurrent leaders are kept safe by the fence that every worker compares, and
+//! by the rule that a leader stops sending orders [`AUTHORITY_TIMEOUT_MS`] after its key was last
+//! confirmed.
+//!
+//! # Expiry of former leaders' holds
+//!
+//! A worker that has not accepted the new fence may run tasks of a former leader until the holds and
+//! orders of all former leaders have expired ([`Term::inherited_expiry_ms`]):
+//!
+//! - A former leader confirms its key only before the commit that replaces it, so it sends nothing
+//!   later than [`AUTHORITY_TIMEOUT_MS`] after the commit is known ([`Term::committed_ms`]).
+//! - What it has sent expires at most [`MAX_HOLD_MS`] later, however late it arrives, because it
+//!   names a time on the clock of the worker's process.
+//! - The predecessor sends nothing after its process has ended. Only an answer of another process at
+//!   its peer address proves that, since two processes cannot listen there at once. A refused
+//!   connection does not: a network may refuse it too. Nor does an announcement that it leaves.
+//! - That proof is of use only if the predecessor's own takeover was complete, so that no earlier
+//!   leader's hold or order was left then ([`Term::last_leader`]).
 
 use std::{rc::Rc, time::Duration};
 
@@ -45,6 +61,16 @@
 /// Extra delay of hosts far from the store, whose latency is part of every commit.
 const FAR_STORE_DELAY: Duration = Duration::from_millis(500);
 
+/// The leader of the term before a term.
+#[derive(Clone, Copy, Debug)]
+pub struct Predecessor {
+    /// Its term, which also identifies its process.
+    pub leader: KnownLeader,
+    /// When its process had certainly ended, in milliseconds of [`clock::now_ms`]; `None` if that is
+    /// not proven.
+    pub ended_by_ms: Option<u64>,
+}
+
 /// A leader's term.
 #[derive(Clone, Copy, Debug)]
 pub struct Term {
@@ -54,9 +80,8 @@
     pub lease: u64,
     /// Number of terms before this one.
     pub number: u64,
-    /// Fencing token of the leader whose process is known to have ended and whose key was replaced;
-    /// 0 if there was none.
-    pub replaced_fence: u64,
+    /// The leader of the term before, if its process is known.
+    pub predecessor: Option<Predecessor>,
     /// When the transaction that acquired the key was sent, in milliseconds of [`clock::now_ms`].
     /// This leader's own authority counts from then.
     pub taken_ms: u64,
@@ -70,9 +95,17 @@
     /// [`clock::now_ms`]. `settled_fence` is the fence of the last leader whose takeover was
     /// complete.
     pub fn inherited_expiry_ms(&self, settled_fence: u64) -> u64 {
-        let none_left = self.replaced_fence != 0 && self.replaced_fence == settled_fence;
-        let authority_ms = if none_left { 0 } else { AUTHORITY_TIMEOUT_MS };
-        self.committed_ms + authority_ms + MAX_HOLD_MS
+        let authority_expiry_ms = self.committed_ms + AUTHORITY_TIMEOUT_MS;
+        let last_leader = self.last_leader(settled_fence);
+        let ended_by_ms = last_leader.and_then(|predecessor| predecessor.ended_by_ms);
+        ended_by_ms.unwrap_or(u64::MAX).min(authority_expiry_ms) + MAX_HOLD_MS
+    }
+
+    /// The predecessor, if it was the only former leader that could still send holds and orders
+    /// when it was replaced.
+    pub fn last_leader(&self, settled_fence: u64) -> Option<Predecessor> {
+        self.predecessor
+            .filter(|predecessor| predecessor.leader.fence == settled_fence)
     }
 }
 
@@ -102,8 +135,7 @@
     }
 }
 
-/// Checks whether a leader has left or is about to. A missing answer may be a pause. A refused
-/// connection, or an answer from another process, proves that the leader's process has ended.
+/// Checks whether a leader has left or is about to. A missing answer may be a pause.
 async fn check_leader(peers: &Peers, leader: KnownLeader) -> Option<Departure> {
     let call = peers.call(leader.address, Body::GetLeader(true), LEADER_CHECK_TIMEOUT);
     match call.await {
@@ -111,7 +143,8 @@
             // Either identifier is 0 if its host runs a version without it.
             let is_other = leader.process != 0 && answer.process != 0;
             if is_other && answer.process != leader.process {
-                Some(Departure::Ended)
+                let by_ms = clock::now_ms();
+                Some(Departure::Ended { by_ms })
             } else {
                 answer.leaving.then_some(Departure::Leaving)
             }
@@ -119,7 +152,7 @@
         Ok(_) => None,
         Err(_) => {
             let refused = peers::refuses_connections(leader.address).await;
-            refused.then_some(Departure::Ended)
+            refused.then_some(Departure::Refusing)
         }
     }
 }
@@ -174,7 +207,6 @@
             leader_revision,
             term_revision: revision,
             number,
-            leader_dead: members.departure_of(leader_revision) == Some(Departure::Ended),
         };
         if let Some(term) = try_acquire(store, members, own, lease, snapshot).await {
             return term;
@@ -188,9 +220,8 @@
 struct StoreSnapshot {
     /// Revision of the key of a leader that is dead or leaving, or 0 for none.
     leader_revision: u64,
-    /// Whether that leader's process is known to have ended.
-    leader_dead: bool,
-    /// Revision of the term counter, or 0 for none.
+    /// Revision of the term counter, or 0 for none. It is written together with the leader key, so
+    /// this is the fence of the term before, also if its key was removed.
     term_revision: u64,
     /// The number of the next term.
     number: u64,
@@ -215,6 +246,15 @@
         .put(LEADER_KEY, &value, lease)
         .put(LEADER_MIRROR_KEY, &value, lease)
         .put(TERM_KEY, &TermRecord { number }.encode_to_vec(), 0);
+    // Looked up before the commit, after which the members know only the new term.
+    let predecessor = members.leader_with_fence(snapshot.term_revision);
+    let predecessor = predecessor.map(|leader| Predecessor {
+        leader,
+        ended_by_ms: match members.departure_of(leader.fence) {
+            Some(Departure::Ended { by_ms }) => Some(by_ms),
+            _ => None,
+        },
+    });
     let taken_ms = clock::now_ms();
     let fence = match store.commit(&txn).await {
         Ok(Committed::Done { revision }) => revision,
@@ -245,11 +285,7 @@
         fence,
         lease,
         number,
-        replaced_fence: if snapshot.leader_dead {
-            snapshot.leader_revision
-        } else {
-            0
-        },
+        predecessor,
         taken_ms,
         committed_ms,
     })
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -25,8 +25,8 @@
     LEAD_LOST = (8031, "lead-lost", Warn, "This host is no longer the coordinator of the cell. Check the reason if this recurs.");
     /// The leader key was read.
     LEAD_SEEN = (8032, "lead-seen", Info, "The host has read which host is the coordinator of the cell. Nothing to do.");
-    /// The leader's process has ended.
-    LEAD_DEAD = (8034, "lead-dead", Warn, "The host has detected that the coordinator's process ended, so that the coordinator can be replaced before its lease expires. Check why the process ended.");
+    /// The leader's process has ended, or connections to it are refused.
+    LEAD_DEAD = (8034, "lead-dead", Warn, "The coordinator's address refuses connections, or another process answers there, so that the coordinator can be replaced before its lease expires. The line gives the evidence. Check whether its process ended or is cut off.");
     /// All inherited work is accounted for.
     LEAD_SETTLED = (8033, "lead-settled", Info, "The coordinator has determined which runs its predecessor left, and schedules inherited work again. Nothing to do.");
     /// The leader shuts down.
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -64,8 +64,13 @@
 pub enum Departure {
     /// It shuts down and leads until it is replaced.
     Leaving,
-    /// Its process has ended.
-    Ended,
+    /// Its address refuses connections, as it also does if a network between refuses them.
+    Refusing,
+    /// Another process answers at its address, so that its process has ended.
+    Ended {
+        /// When the answer was received, in milliseconds of [`crate::clock::now_ms`].
+        by_ms: u64,
+    },
 }
 
 /// Live hosts and the current leader, last seen in the store.
@@ -167,7 +172,7 @@
     }
 
     /// Store revision of the leader key that a successor replaces: 0 if there is no key, the key's
-    /// revision if the leader's process has ended or is about to, `None` otherwise.
+    /// revision if there is evidence that the leader has left or is about to, `None` otherwise.
     pub fn replaceable_revision(&self) -> Option<u64> {
         if self.vacant.get() {
             return Some(0);
@@ -184,6 +189,12 @@
         self.known_leader.get().filter(is_current)
     }
 
+    /// The leader with this fence, if it is the latest one that was read from the store.
+    pub fn leader_with_fence(&self, fence: u64) -> Option<KnownLeader> {
+        let leader = self.known_leader.get()?;
+        (leader.fence == fence).then_some(leader)
+    }
+
     /// Evidence that the leader with this fence has left or is about to.
     pub fn departure_of(&self, fence: u64) -> Option<Departure> {
         let (of, departure) = self.departure.get()?;
@@ -193,17 +204,23 @@
     /// Records evidence gathered about `leader`. If another term has begun meanwhile, it does not
     /// apply, even if the same host leads again.
     pub fn record_departure(&self, leader: KnownLeader, departure: Departure) {
-        if self.current_leader() != Some(leader)
-            || self.departure_of(leader.fence) >= Some(departure)
-        {
+        let known = self.departure_of(leader.fence);
+        let has_ended = matches!(known, Some(Departure::Ended { .. }));
+        if self.current_leader() != Some(leader) || has_ended || known >= Some(departure) {
             return;
         }
         if let Some(record) = &*self.leader.borrow() {
             let event = match departure {
                 Departure::Leaving => events::LEAD_LEAVING,
-                Departure::Ended => events::LEAD_DEAD,
+                Departure::Refusing | Departure::Ended { .. } => events::LEAD_DEAD,
             };
-            log_event!(event, "lead={} fence={}", record.host, leader.fence);
+            log_event!(
+                event,
+                "lead={} fence={} process={:016x} evidence={departure:?}",
+                record.host,
+                leader.fence,
+                leader.process
+            );
             *self.previous_leader.borrow_mut() = Some(record.host.clone());
         }
         self.departure.set(Some((leader.fence, departure)));
--- a/crates/entry/tests/entry/elections.rs
+++ b/crates/entry/tests/entry/elections.rs
@@ -244,6 +244,79 @@
         .await;
 }
 
+/// Guards against TWICE: a refused connection was taken for the end of the leader's process, and a
+/// cut may refuse as well.
+#[tokio::test]
+async fn only_an_answer_of_another_process_shortens_the_wait() {
+    struct Case {
+        name: &'static str,
+        /// What answers at the leader's address; nothing listens there if absent.
+        answers: Option<LeaderInfo>,
+        leader_process: u64,
+        predecessor_settled: bool,
+        shortens: bool,
+    }
+    let case = Case {
+        name: "another process",
+        answers: Some(info(LATER_PROCESS, false)),
+        leader_process: LEADER_PROCESS,
+        predecessor_settled: true,
+        shortens: true,
+    };
+    let cases = [
+        Case {
+            name: "another process, takeover incomplete",
+            answers: Some(info(LATER_PROCESS, false)),
+            predecessor_settled: false,
+            shortens: false,
+            ..case
+        },
+        Case {
+            name: "leaving",
+            answers: Some(info(LEADER_PROCESS, true)),
+            shortens: false,
+            ..case
+        },
+        Case {
+            name: "leaving, process unknown",
+            answers: Some(info(LATER_PROCESS, true)),
+            leader_process: 0,
+            shortens: false,
+            ..case
+        },
+        Case {
+            name: "refused",
+            answers: None,
+            shortens: false,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        LocalSet::new()
+            .run_until(async {
+                let platform = platform().await;
+                let (listener, address) = listener().await;
+                match case.answers {
+                    Some(info) => serve_peer(listener, &Rc::new(RefCell::new(info))),
+                    None => drop(listener),
+                }
+                let direct = client(platform.store_address);
+                let fence = write_leader(&direct, address, case.leader_process).await;
+                let successor = Successor::start(platform.store_address).await;
+                let began_ms = clock::now_ms();
+                successor.watch_leader();
+                let term = successor.acquire_term().await;
+                let settled_fence = if case.predecessor_settled { fence } else { 1 };
+                let expiry_ms = term.inherited_expiry_ms(settled_fence);
+                let whole_ms = began_ms + AUTHORITY_TIMEOUT_MS + MAX_HOLD_MS;
+                assert_eq!(expiry_ms < whole_ms, case.shortens, "{}", case.name);
+                assert!(expiry_ms >= began_ms + MAX_HOLD_MS, "{}", case.name);
+            })
+            .await;
+    }
+}
+
 /// Guards against TWICE: evidence about the leader's process was applied to a later term of its
 /// host that began during the check.
 #[tokio::test]
