takeover: the end of the predecessor's process is proven after the takeover too

Since a refused connection is no proof, inherited work of a silent worker waited for the authority of a predecessor that was killed. The new leader now goes on asking the predecessor's address until another process answers there, and lowers the wait, also if the predecessor's lease had expired before the takeover. E8037 gives the proof, its age and the time left, also for a proof from before the takeover.

--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -9,6 +9,12 @@
 const ENTRY_RETURN_MS: u64 = 2_000;
 
 impl Coordinator {
+    /// Lowers the time by which the predecessor's holds and orders have expired, in milliseconds of
+    /// the local clock; never raises it.
+    pub fn lower_inherited_expiry(&mut self, expiry_ms: u64) {
+        self.inherited_expiry_ms = self.inherited_expiry_ms.min(expiry_ms);
+    }
+
     /// Releases the runs of unresponsive workers whose holds and orders have all expired.
     pub(super) fn release_expired_workers(&mut self, now_ms: u64) {
         self.settle_departed_workers(now_ms);
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -16,7 +16,8 @@
 //!   names a time on the clock of the worker's process.
 //! - The predecessor sends nothing after its process has ended. Only an answer of another process at
 //!   its peer address proves that, since two processes cannot listen there at once. A refused
-//!   connection does not: a network may refuse it too. Nor does an announcement that it leaves.
+//!   connection does not: a network may refuse it too. Nor does an announcement that it leaves. If
+//!   the proof is missing at the takeover, the new leader goes on asking.
 //! - That proof is of use only if the predecessor's own takeover was complete, so that no earlier
 //!   leader's hold or order was left then ([`Term::last_leader`]).
 
@@ -50,8 +51,8 @@
 pub const AUTHORITY_TIMEOUT_MS: u64 = 5_000;
 /// Maximum hold that workers grant, in milliseconds, allowing for slow worker clocks.
 pub const MAX_HOLD_MS: u64 = 6_200;
-/// Interval between two liveness checks of the leader.
-const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between two liveness checks of the leader, or of a former leader.
+pub(crate) const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time within which a live leader answers the check.
 const LEADER_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum random delay before an election attempt, in milliseconds, to avoid collisions.
@@ -101,6 +102,19 @@
         ended_by_ms.unwrap_or(u64::MAX).min(authority_expiry_ms) + MAX_HOLD_MS
     }
 
+    /// The same term, with a proof that the predecessor's process had ended by `ended_by_ms`.
+    #[must_use]
+    pub fn with_predecessor_ended(self, ended_by_ms: u64) -> Self {
+        let ended = |predecessor: Predecessor| Predecessor {
+            ended_by_ms: Some(ended_by_ms),
+            ..predecessor
+        };
+        Self {
+            predecessor: self.predecessor.map(ended),
+            ..self
+        }
+    }
+
     /// The predecessor, if it was the only former leader that could still send holds and orders
     /// when it was replaced.
     pub fn last_leader(&self, settled_fence: u64) -> Option<Predecessor> {
@@ -136,7 +150,7 @@
 }
 
 /// Checks whether a leader has left or is about to. A missing answer may be a pause.
-async fn check_leader(peers: &Peers, leader: KnownLeader) -> Option<Departure> {
+pub(crate) async fn check_leader(peers: &Peers, leader: KnownLeader) -> Option<Departure> {
     let call = peers.call(leader.address, Body::GetLeader(true), LEADER_CHECK_TIMEOUT);
     match call.await {
         Ok(Body::LeaderInfo(answer)) => {
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -15,9 +15,10 @@
 use super::{CONFIRM_INTERVAL_MS, HostContext, Leader};
 use crate::{
     clock,
-    election::{LEADER_RENEWAL_INTERVAL, Term},
+    election::{self, LEADER_CHECK_INTERVAL, LEADER_RENEWAL_INTERVAL, Predecessor, Term},
     events,
     listing::{Listing, ListingReader},
+    members::Departure,
     records::{JOB_PREFIX, LEADER_KEY, ROSTER_KEY, Roster},
 };
 
@@ -69,11 +70,58 @@
         roster.workers.len(),
         clock::now_ms() - term.taken_ms
     );
-    let leader = Leader::new(context, term, coordinator);
+    let leader = Rc::new(Leader::new(context, term, coordinator));
     leader.last_confirmed_ms.set(confirmed_ms);
     leader.revisions.borrow_mut().extend(job_revisions);
+    if let Some(predecessor) = term.last_leader(roster.settled_fence) {
+        leader.spawn(lower_expiry(
+            Rc::clone(&leader),
+            predecessor,
+            roster.settled_fence,
+        ));
+    }
     *leader.durable_roster.borrow_mut() = roster;
-    Some(Rc::new(leader))
+    Some(leader)
+}
+
+/// Waits for the proof that the predecessor's process has ended, unless the election has found it,
+/// and lowers the wait for its holds and orders.
+async fn lower_expiry(leader: Rc<Leader>, predecessor: Predecessor, settled_fence: u64) {
+    let ended_by_ms = loop {
+        if let Some(ended_by_ms) = predecessor.ended_by_ms {
+            break ended_by_ms;
+        }
+        if leader
+            .coordinator
+            .borrow()
+            .takeover_complete(clock::now_ms())
+        {
+            return;
+        }
+        let check = election::check_leader(&leader.context.peers, predecessor.leader);
+        if let Some(Departure::Ended { by_ms }) = check.await {
+            break by_ms;
+        }
+        time::sleep(LEADER_CHECK_INTERVAL).await;
+    };
+    let term = leader.term.with_predecessor_ended(ended_by_ms);
+    let expiry_ms = term.inherited_expiry_ms(settled_fence);
+    leader
+        .coordinator
+        .borrow_mut()
+        .lower_inherited_expiry(expiry_ms);
+    leader.schedule.notify_one();
+    let now_ms = clock::now_ms();
+    log_event!(
+        events::PREDECESSOR_ENDED,
+        "fence={} predecessor={} process={:016x} address={} proof=other_process age_ms={} expires_in_ms={}",
+        term.fence,
+        predecessor.leader.fence,
+        predecessor.leader.process,
+        predecessor.leader.address,
+        now_ms - ended_by_ms,
+        expiry_ms.saturating_sub(now_ms)
+    );
 }
 
 fn decode(item: &Item) -> Option<JobRecord> {
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -9,3 +9,4 @@
 mod relays;
 mod reload;
 mod support;
+mod takeovers;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -229,17 +229,22 @@
 
     /// Kills a host, starts it again, and waits until it has a configuration.
     pub async fn kill_and_restart(&mut self, host: usize) {
-        let killed = &mut self.hosts[host];
-        killed.signal(Signal::KILL);
-        killed.wait();
-        killed.log.set_extension("restarted.log");
-        killed.process = start_process(&killed.settings, &killed.log);
+        self.hosts[host].signal(Signal::KILL);
+        self.hosts[host].wait();
+        self.restart(host);
         self.wait_until("configuration of the restarted host", |test_cell| {
             test_cell.hosts[host].log().contains("config-applied")
         })
         .await;
     }
 
+    /// Starts a host again whose process has ended; its log goes to a new file.
+    pub fn restart(&mut self, host: usize) {
+        let ended = &mut self.hosts[host];
+        ended.log.set_extension("restarted.log");
+        ended.process = start_process(&ended.settings, &ended.log);
+    }
+
     /// Index of the leader: the host that logged the highest fence.
     pub fn leader(&self) -> usize {
         let taken = |host: &Host| {
