entry: cancellations no longer wait for the reads of earlier arrivals

Cause: a leader applied arrivals one after another and read the record of each job that was not in memory before it went on to the next. After a takeover there are 60 to 160 such jobs. A cancellation behind them was not seen until all records had been read, and a read without a response was repeated for ever. A job could thus be accepted, scheduled and run while its cancellation was already in the same batch of events.

In the new test, on the old code: "many reads: starts of a cancelled job", left 4, right 0, and with the other case alone "reads without a response: starts of a cancelled job", left 5, right 0.

Change: arrivals are applied without waiting. Records that are not in memory are read concurrently. A cancellation that is read before its job's record is kept and applied in the same step in which the record is accepted, so no scheduling pass sees the job open. A listing that shows another leader's key is no longer applied at all: it was applied first, and tasks could start between two of its items.

--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -5,7 +5,7 @@
 
 use adapter::{
     entries,
-    store::{Event, WORKERS_PREFIX},
+    store::{Event, Item, WORKERS_PREFIX},
 };
 use cell::{ids::JobId, jobs::JobRecord};
 use indexmap::IndexSet;
@@ -46,16 +46,7 @@
 impl WatchHandler for ArrivalsHandler {
     async fn handle_listing(&mut self, listing: &Listing) -> ControlFlow<()> {
         let Self(leader) = self;
-        let mut holds_key = false;
-        for item in &listing.items {
-            holds_key |= item.key == LEADER_MIRROR_KEY && item.revision == leader.term.fence;
-            leader.apply_arrival(&item.key).await;
-        }
-        if holds_key {
-            return ControlFlow::Continue(());
-        }
-        leader.end_term("key_taken");
-        ControlFlow::Break(())
+        leader.apply_arrivals(listing)
     }
 
     async fn handle_events(&mut self, events: &[Event]) -> ControlFlow<()> {
@@ -68,7 +59,7 @@
                         return ControlFlow::Break(());
                     }
                 }
-                Event::Put(item) => leader.apply_arrival(&item.key).await,
+                Event::Put(item) => leader.apply_arrival(&item.key),
                 Event::Removed { key } if key == LEADER_MIRROR_KEY => {
                     leader.end_term("key_removed");
                     return ControlFlow::Break(());
@@ -93,27 +84,56 @@
 }
 
 impl Leader {
-    async fn apply_arrival(&self, key: &str) {
-        let job = if let Some(id) = key
-            .strip_prefix(ACCEPTED_PREFIX)
-            .and_then(|id| id.parse().ok())
-        {
-            self.load_job(id).await;
-            id
-        } else if let Some(id) = key
-            .strip_prefix(CANCEL_PREFIX)
-            .and_then(|id| id.parse().ok())
-        {
-            self.load_job(id).await;
-            self.coordinator
-                .borrow_mut()
-                .cancellation_durable(id, clock::unix_ms());
-            self.schedule.notify_one();
-            id
-        } else {
+    /// Applies all arrivals in a listing, unless it shows that another leader has the key.
+    fn apply_arrivals(self: &Rc<Self>, listing: &Listing) -> ControlFlow<()> {
+        let is_own_key =
+            |item: &Item| item.key == LEADER_MIRROR_KEY && item.revision == self.term.fence;
+        if !listing.items.iter().any(is_own_key) {
+            self.end_term("key_taken");
+            return ControlFlow::Break(());
+        }
+        for item in &listing.items {
+            self.apply_arrival(&item.key);
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Applies an arrival. Records that are not in memory are read concurrently: a cancellation
+    /// must not wait for the arrivals before it.
+    fn apply_arrival(self: &Rc<Self>, key: &str) {
+        let accepted = key.strip_prefix(ACCEPTED_PREFIX);
+        let cancelled = key.strip_prefix(CANCEL_PREFIX);
+        let Some(id) = accepted.or(cancelled).and_then(|id| id.parse().ok()) else {
             return;
         };
+        if cancelled.is_some() {
+            self.apply_cancellation(id);
+        }
         let key = key.to_owned();
+        if self.coordinator.borrow().contains_job(id) {
+            return self.finish_arrival(id, key);
+        }
+        let loading = Rc::clone(self);
+        self.spawn(async move {
+            loading.load_job(id).await;
+            loading.finish_arrival(id, key);
+        });
+    }
+
+    /// Applies a durable cancellation; that of a job not in memory once its record is accepted.
+    fn apply_cancellation(&self, id: JobId) {
+        if !self.coordinator.borrow().contains_job(id) {
+            self.early_cancellations.borrow_mut().insert(id);
+            return;
+        }
+        self.coordinator
+            .borrow_mut()
+            .cancellation_durable(id, clock::unix_ms());
+        self.schedule.notify_one();
+    }
+
+    /// Lets the key of an applied arrival be deleted once its effect is durable.
+    fn finish_arrival(&self, job: JobId, key: String) {
         self.applied_arrivals
             .borrow_mut()
             .push(AppliedArrival { job, key });
@@ -122,20 +142,36 @@
 
     /// Loads and accepts the record of a job that is not in memory.
     async fn load_job(&self, id: JobId) {
+        let Ok(_slot) = self.record_reads.acquire().await else {
+            return;
+        };
         while !self.coordinator.borrow().contains_job(id) {
             match self.context.store.get(&records::job_key(id)).await {
-                Ok(Some(item)) => {
-                    self.revisions.borrow_mut().insert(id, item.revision);
-                    if let Ok(record) = JobRecord::decode(item.value.as_slice()) {
-                        self.accept_record(&record);
-                    }
-                    return;
+                Ok(item) => {
+                    let record = item.as_ref().and_then(|item| {
+                        let record = JobRecord::decode(item.value.as_slice()).ok()?;
+                        Some((record, item.revision))
+                    });
+                    return self.accept_loaded(id, record);
                 }
-                Ok(None) => return,
                 Err(_) => time::sleep(RETRY_DELAY).await,
             }
         }
     }
+
+    /// Accepts a loaded record and its revision, unless the job has become known meanwhile.
+    fn accept_loaded(&self, id: JobId, record: Option<(JobRecord, u64)>) {
+        if self.coordinator.borrow().contains_job(id) {
+            return;
+        }
+        let Some((record, revision)) = record else {
+            // The record was removed after the retention period.
+            self.early_cancellations.borrow_mut().swap_remove(&id);
+            return;
+        };
+        self.revisions.borrow_mut().insert(id, revision);
+        self.accept_record(&record);
+    }
 }
 
 /// Applies the workers' own entries.
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -373,9 +373,12 @@
 
     /// Passes a durable record that is not yet known to the coordinator.
     pub(super) fn accept_record(&self, record: &JobRecord) {
-        self.coordinator
-            .borrow_mut()
-            .add_job(record, false, clock::unix_ms());
+        let (id, unix_ms) = (JobId(record.id), clock::unix_ms());
+        let mut coordinator = self.coordinator.borrow_mut();
+        coordinator.add_job(record, false, unix_ms);
+        if self.early_cancellations.borrow_mut().swap_remove(&id) {
+            coordinator.cancellation_durable(id, unix_ms);
+        }
         self.schedule.notify_one();
     }
 
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -34,7 +34,7 @@
 use indexmap::{IndexMap, IndexSet};
 use kernel::log_event;
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, Semaphore, oneshot},
     task, time,
 };
 use tokio_util::sync::CancellationToken;
@@ -67,6 +67,9 @@
 /// client's deadline leaves the job in doubt.
 const RESPONSE_MARGIN_MS: u64 = 150;
 
+/// Maximum concurrent reads of records of jobs that arrived through the store.
+const MAX_RECORD_READS: usize = 8;
+
 /// The leader key is read if no commit has confirmed it for this long, in milliseconds.
 const CONFIRM_INTERVAL_MS: u64 = 900;
 
@@ -136,6 +139,10 @@
     answer_loss: Cell<AnswerLoss>,
     /// Reachability of the relaying hosts.
     relays: relays::Relays,
+    /// Jobs whose cancellation was read before their record.
+    early_cancellations: RefCell<IndexSet<JobId>>,
+    /// Limits concurrent reads of records.
+    record_reads: Semaphore,
     /// Keys of arrivals that were applied; deleted once their effect is durable.
     applied_arrivals: RefCell<Vec<AppliedArrival>>,
     /// The roster as last read from the store or written to it.
@@ -202,6 +209,8 @@
             link_budget: Cell::default(),
             answer_loss: Cell::default(),
             relays: relays::Relays::new(context.members.previous_leader()),
+            early_cancellations: RefCell::default(),
+            record_reads: Semaphore::new(MAX_RECORD_READS),
             applied_arrivals: RefCell::default(),
             durable_roster: RefCell::default(),
             schedule: Notify::new(),
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Entry host processes against the stand-in platform.
 
+mod cancellations;
 mod cold_start;
 mod failures;
 mod jobs;
