entry: a leader reads arrivals before it makes decisions

What callers saw: hosts acknowledge a cancellation while no leader answers, once its marker is in the store. A successor began to schedule as soon as it had the records and the roster; it read the markers beside that, and could start tasks of cancelled jobs for as long as the listing took.

Evidence: in the new test the successor's listings of hc/a/ get no response in time.

Change: the takeover reads the arrivals together with records and roster, after the key has been acquired, and applies them before the first scheduling pass; the watch continues from the revision of that listing. Whatever was acknowledged before the listing is applied by then, since a former leader deletes a marker only after its effect is durable, and can write no record once the key is taken. The store is listed once, as before.

--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -71,21 +71,21 @@
     }
 }
 
-/// Watches for jobs accepted or cancelled directly in the store, and for a successor's leader key.
-pub(super) async fn watch_arrivals(leader: Rc<Leader>) {
+/// Watches for jobs accepted or cancelled directly in the store after the revision `after`, and for
+/// a successor's leader key.
+pub(super) async fn watch_arrivals(leader: Rc<Leader>, after: u64) {
     let store = leader.context.store.clone();
-    prefix_watch::watch_prefix(
-        &store,
-        ARRIVALS_PREFIX,
-        WATCH_CONFIG,
-        &mut ArrivalsHandler(leader),
-    )
-    .await;
+    let mut handler = ArrivalsHandler(leader);
+    let watched =
+        prefix_watch::watch_from(&store, ARRIVALS_PREFIX, after, WATCH_CONFIG, &mut handler);
+    if watched.await.is_continue() {
+        prefix_watch::watch_prefix(&store, ARRIVALS_PREFIX, WATCH_CONFIG, &mut handler).await;
+    }
 }
 
 impl Leader {
     /// Applies all arrivals in a listing, unless it shows that another leader has the key.
-    fn apply_arrivals(self: &Rc<Self>, listing: &Listing) -> ControlFlow<()> {
+    pub(super) fn apply_arrivals(self: &Rc<Self>, listing: &Listing) -> ControlFlow<()> {
         let is_own_key =
             |item: &Item| item.key == LEADER_MIRROR_KEY && item.revision == self.term.fence;
         if !listing.items.iter().any(is_own_key) {
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -39,7 +39,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use self::arrivals::AppliedArrival;
+use self::{arrivals::AppliedArrival, takeover::Takeover};
 use crate::{
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
@@ -166,7 +166,11 @@
 
 /// Leads until the term ends.
 pub async fn run(context: &HostContext, term: Term, slot: &LeaderSlot) {
-    let Some(leader) = takeover::load(context, term).await else {
+    let Some(Takeover {
+        leader,
+        arrivals_as_of,
+    }) = takeover::load(context, term).await
+    else {
         log_event!(
             events::LEAD_LOST,
             "fence={} reason=takeover_failed",
@@ -178,7 +182,7 @@
     *slot.borrow_mut() = Some(Rc::clone(&leader));
     leader.spawn(commits::accept(Rc::clone(&leader)));
     leader.spawn(commits::run(Rc::clone(&leader)));
-    leader.spawn(arrivals::watch_arrivals(Rc::clone(&leader)));
+    leader.spawn(arrivals::watch_arrivals(Rc::clone(&leader), arrivals_as_of));
     leader.spawn(arrivals::watch_workers(Rc::clone(&leader)));
     leader.spawn(maintain_lease(Rc::clone(&leader)));
     leader.spawn(watch_config(Rc::clone(&leader)));
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -1,4 +1,5 @@
-//! State that a new leader loads before it makes decisions: job records and the roster of workers.
+//! State that a new leader loads before it makes decisions: job records, the roster of workers, and
+//! the jobs that hosts accepted or cancelled directly in the store.
 
 use std::{rc::Rc, time::Duration};
 
@@ -18,7 +19,7 @@
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
     events,
     listing::{Listing, ListingReader},
-    records::{JOB_PREFIX, LEADER_KEY, ROSTER_KEY, Roster},
+    records::{ARRIVALS_PREFIX, JOB_PREFIX, LEADER_KEY, ROSTER_KEY, Roster},
 };
 
 /// Run numbers reserved per term for each task.
@@ -31,15 +32,31 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Loads records and roster; `None` if the lease ends or the store does not return them in time.
-pub(super) async fn load(context: &HostContext, term: Term) -> Option<Rc<Leader>> {
+/// A leader with all that was acknowledged before its term, but for jobs whose records it still
+/// reads.
+#[derive(Debug)]
+pub(super) struct Takeover {
+    /// The leader.
+    pub(super) leader: Rc<Leader>,
+    /// Store revision after which arrivals have to be watched.
+    pub(super) arrivals_as_of: u64,
+}
+
+/// Loads records, roster and arrivals; `None` if the lease ends or the store does not return them
+/// in time.
+pub(super) async fn load(context: &HostContext, term: Term) -> Option<Takeover> {
     let renewal = renew_lease_until_ended(context, term);
     // Concurrent: with a slow store, sequential calls would delay the takeover.
     let read = async {
-        let (jobs, roster) = tokio::join!(read_jobs(context), read_roster(context));
-        Some((jobs?, roster?, confirm_term(context, term).await?))
+        let (jobs, roster, arrivals) = tokio::join!(
+            read_listing(context, JOB_PREFIX),
+            read_roster(context),
+            read_listing(context, ARRIVALS_PREFIX)
+        );
+        let confirmed_ms = confirm_term(context, term).await?;
+        Some((jobs?, roster?, arrivals?, confirmed_ms))
     };
-    let (jobs, roster, confirmed_ms) = tokio::select! {
+    let (jobs, roster, arrivals, confirmed_ms) = tokio::select! {
         () = renewal => return None,
         read = read => read?,
     };
@@ -75,7 +92,14 @@
     leader.last_confirmed_ms.set(confirmed_ms);
     leader.revisions.borrow_mut().extend(job_revisions);
     *leader.durable_roster.borrow_mut() = roster;
-    Some(Rc::new(leader))
+    let leader = Rc::new(leader);
+    if leader.apply_arrivals(&arrivals).is_break() {
+        return None;
+    }
+    Some(Takeover {
+        leader,
+        arrivals_as_of: arrivals.as_of,
+    })
 }
 
 /// How long former leaders may still extend holds, in milliseconds: not at all if the predecessor's
@@ -100,9 +124,9 @@
     }
 }
 
-/// Reads all job records; `None` once reads have failed for [`MAX_READ_STALL_MS`].
-async fn read_jobs(context: &HostContext) -> Option<Listing> {
-    let mut reader = ListingReader::new(&context.store, JOB_PREFIX);
+/// Reads all items under a prefix; `None` once reads have failed for [`MAX_READ_STALL_MS`].
+async fn read_listing(context: &HostContext, prefix: &str) -> Option<Listing> {
+    let mut reader = ListingReader::new(&context.store, prefix);
     let mut pages = 0;
     let mut failing_since_ms = None;
     loop {
--- a/crates/entry/src/prefix_watch.rs
+++ b/crates/entry/src/prefix_watch.rs
@@ -45,18 +45,32 @@
     loop {
         if let Ok(listing) = reader.read().await {
             reader = ListingReader::new(store, prefix);
-            if handler.handle_listing(&listing).await.is_break() {
+            if handler.handle_listing(&listing).await.is_break()
+                || watch_from(store, prefix, listing.as_of, config, handler)
+                    .await
+                    .is_break()
+            {
                 return;
             }
-            let mut after = listing.as_of;
-            while let Ok(watched) = store.watch(prefix, after, config.watch_timeout).await {
-                after = watched.as_of;
-                if handler.handle_events(&watched.events).await.is_break() {
-                    return;
-                }
-                time::sleep(config.watch_interval).await;
-            }
+        } else {
+            time::sleep(config.retry_delay).await;
         }
-        time::sleep(config.retry_delay).await;
     }
 }
+
+/// Watches `prefix` after the revision `after` until a watch fails or the handler breaks.
+pub(crate) async fn watch_from(
+    store: &GuardedStore,
+    prefix: &str,
+    mut after: u64,
+    config: WatchConfig,
+    handler: &mut impl WatchHandler,
+) -> ControlFlow<()> {
+    while let Ok(watched) = store.watch(prefix, after, config.watch_timeout).await {
+        after = watched.as_of;
+        handler.handle_events(&watched.events).await?;
+        time::sleep(config.watch_interval).await;
+    }
+    time::sleep(config.retry_delay).await;
+    ControlFlow::Continue(())
+}
--- a/crates/entry/tests/entry/cancellations.rs
+++ b/crates/entry/tests/entry/cancellations.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::time;
 
@@ -69,3 +70,30 @@
         test_cell.assert_no_faults();
     }
 }
+
+/// Guards against UNASKED: a successor began to schedule before it had read the cancellations that
+/// hosts had acknowledged before its term.
+#[tokio::test]
+async fn a_successor_starts_no_task_of_a_job_cancelled_before_its_term() {
+    let mut test_cell = TestCell::start(3, 1, false).await;
+    let path = support::path("batch", 1);
+    let job = format!("{:016x}", 1);
+    let leader = test_cell.leader();
+    let other = (leader + 1) % 3;
+    let reply = submit_sequential(&test_cell, other, &path).await;
+    assert_eq!(reply.status, 200);
+    test_cell.wait_for_state(other, &path, "running").await;
+    test_cell.hosts[leader].signal(Signal::KILL);
+    test_cell.hosts[leader].wait();
+    cancel_in_store(&test_cell, &job);
+    // A listing gets no response in time until the delay ends.
+    let store = &test_cell.platform.store;
+    store.delay_reads("hc/a/", Duration::from_secs(2));
+    let starts = test_cell.platform.cell.starts_of(&job);
+    time::sleep(Duration::from_secs(6)).await;
+    store.delay_reads("hc/a/", Duration::ZERO);
+    test_cell.wait_for_state(other, &path, "cancelled").await;
+    let later = test_cell.platform.cell.starts_of(&job) - starts;
+    assert_eq!(later, 0, "starts of a cancelled job");
+    test_cell.assert_no_faults();
+}
