entry: a job cancelled before it is accepted cannot be accepted later

Cause: 410 was given once the store held no record. A write that accepts the job may be waiting, in flight or in doubt at the leader or at any other host, and nothing ordered it after the cancellation.

Evidence: the new test loses the first write, lets the client leave after 200 ms and cancel.

Change: a cancellation that finds no record writes one, ended and never accepted, on condition that there is none. Every write that accepts a job is conditional on the absence of its record already, so the store decides which came first, whichever host and term the writes come from. If the job was accepted in the meantime, the cancellation goes on as for any accepted job. Such a record is not shown to clients: GET and DELETE are answered with 410 as before, a late copy of the submission with 429. It is removed with other ended records.

Looked at and left: remembering in memory which jobs are in doubt covers only the host that does, and not a successor. Cost: one write for a DELETE of an unknown job, which was a read alone.

--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -188,7 +188,7 @@
     pub queue: Rc<str>,
     /// Service of that queue at the time of submission.
     pub service: Rc<str>,
-    /// Time of acceptance, in Unix milliseconds.
+    /// Time of acceptance, in Unix milliseconds; 0 if it was cancelled before that.
     pub accepted_unix_ms: u64,
     /// Specification; absent once the job has ended.
     pub spec: Option<Rc<JobSpec>>,
@@ -460,15 +460,22 @@
             .sum()
     }
 
-    /// The job state to report to clients; only durable outcomes are reported.
-    pub fn state(&self) -> JobState {
-        match self.durable_outcome {
+    /// The job state to report to clients; only durable outcomes are reported. `None` if the job was
+    /// never accepted.
+    pub fn state(&self) -> Option<JobState> {
+        let state = match self.durable_outcome {
             Outcome::Completed => JobState::Completed,
             Outcome::Failed => JobState::Failed,
             Outcome::Cancelled => JobState::Cancelled,
             Outcome::Open if self.started => JobState::Running,
             Outcome::Open => JobState::Queued,
-        }
+        };
+        self.was_accepted().then_some(state)
+    }
+
+    /// Whether the job was accepted before it ended.
+    pub fn was_accepted(&self) -> bool {
+        self.accepted_unix_ms != 0
     }
 
     /// Closes completed occurrences, and the job after the last one.
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -323,10 +323,10 @@
     }
 
     /// Cancels a job on request of a client; the cancellation is reported to clients once it is
-    /// durable. Returns whether the job is known.
+    /// durable. Returns whether the job is known and was accepted.
     pub fn request_cancel(&mut self, id: JobId, unix_ms: u64) -> bool {
         self.end_job(id, Outcome::Cancelled, unix_ms);
-        self.jobs.contains_key(&id)
+        self.jobs.get(&id).is_some_and(Job::was_accepted)
     }
 
     /// Workers that a successor must hear before it schedules inherited tasks: all but those that
@@ -370,12 +370,13 @@
         }
     }
 
-    /// Returns the job state to report to clients, or `None` if the job is unknown.
+    /// Returns the job state to report to clients, or `None` if the job is unknown or was never
+    /// accepted.
     pub fn job_state(&self, id: JobId) -> Option<JobState> {
-        self.jobs.get(&id).map(Job::state)
+        self.jobs.get(&id).and_then(Job::state)
     }
 
-    /// Whether the job has been accepted and not been forgotten.
+    /// Whether the job has a record and has not been forgotten.
     pub fn contains_job(&self, id: JobId) -> bool {
         self.jobs.contains_key(&id)
     }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -4,6 +4,8 @@
 //! the time of acceptance, and the completed and failed runs of its tasks. Active runs are not
 //! recorded; a new coordinator learns them from the workers' reports.
 
+use crate::ids::JobId;
+
 /// Specification of a step, as submitted by the client.
 #[expect(
     clippy::struct_excessive_bools,
@@ -227,7 +229,7 @@
     /// Service of that queue at the time of submission.
     #[prost(string, tag = "3")]
     pub service: String,
-    /// When it was accepted, in Unix milliseconds.
+    /// When it was accepted, in Unix milliseconds; 0 if it was cancelled before that.
     #[prost(uint64, tag = "4")]
     pub accepted_unix_ms: u64,
     /// Specification; absent once the job has ended.
@@ -270,6 +272,22 @@
 }
 
 impl JobRecord {
+    /// Creates the record of a job that was cancelled before it was accepted. It prevents the job
+    /// from being accepted, and is not shown to clients.
+    pub fn cancelled_unaccepted(id: JobId, unix_ms: u64) -> Self {
+        Self {
+            id: id.0,
+            outcome: Outcome::Cancelled.into(),
+            ended_unix_ms: unix_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the job was accepted before it ended.
+    pub fn was_accepted(&self) -> bool {
+        self.accepted_unix_ms != 0
+    }
+
     /// Whether the record shows that a task has started. A run that has neither completed, failed
     /// nor saved a checkpoint is not recorded.
     pub fn has_started(&self) -> bool {
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -166,7 +166,7 @@
             SubmitOutcome::StoreAway {
                 retry_after_ms: None,
             } => plain(503, ""),
-            SubmitOutcome::NeverFits => plain(429, ""),
+            SubmitOutcome::NeverFits | SubmitOutcome::Cancelled => plain(429, ""),
             SubmitOutcome::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
             SubmitOutcome::InDoubt => plain(504, ""),
         }
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -367,7 +367,7 @@
         self.in_doubt.borrow_mut().swap_remove(&write.id);
         if let Some(accepted) = write.accepted {
             // If the receiver is gone, the host has timed out and uses the store directly.
-            let _receiver_dropped = accepted.send(true);
+            let _receiver_dropped = accepted.send(write.record.was_accepted());
         }
     }
 
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -308,10 +308,11 @@
             accepted: true,
             retry_after_ms: 0,
         });
-        if self.coordinator.borrow().contains_job(id) {
+        if self.coordinator.borrow().job_state(id).is_some() {
             return accepted;
         }
-        if self.in_doubt.borrow().contains(&id) {
+        // The store decides about a job that is in doubt or was cancelled before it was accepted.
+        if self.in_doubt.borrow().contains(&id) || self.coordinator.borrow().contains_job(id) {
             return Body::NotHandled(false);
         }
         let verdict = self.admit(&record);
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use adapter::store::{Committed, StoreError, Txn};
+use adapter::store::{Committed, Item, StoreError, Txn};
 use cell::{
     ids::JobId,
     jobs::{JobRecord, JobState},
@@ -22,6 +22,7 @@
 use tokio::time;
 
 use crate::{
+    clock,
     leader::LeaderSlot,
     members::Members,
     payloads::PayloadCache,
@@ -43,6 +44,9 @@
 /// Delay before the leader is called again during a store outage.
 const LEADER_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Delay before a cancellation that got no answer from the store is repeated.
+const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(120);
+
 /// Minimum remaining time for an attempt; with less, the client leaves before the response.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(150);
 
@@ -65,6 +69,8 @@
     },
     /// The job is not accepted, because no worker could ever run it.
     NeverFits,
+    /// The job was cancelled before it was accepted, and never will be.
+    Cancelled,
     /// Neither the leader nor the store processed the request.
     Unavailable,
     /// The store is unavailable and nothing was written; the caller may retry.
@@ -112,6 +118,23 @@
     (record, txn)
 }
 
+/// Builds the transaction that cancels a job which has not been accepted. Its record takes the
+/// job's key, so that no write that accepts the job can succeed after it.
+fn cancel_unaccepted_txn(id: JobId) -> Txn {
+    let key = records::job_key(id);
+    let record = JobRecord::cancelled_unaccepted(id, clock::unix_ms());
+    Txn::default()
+        .expect(&key, 0)
+        .put(&key, &record.encode_to_vec(), 0)
+        .put(&format!("{ACCEPTED_PREFIX}{id}"), &[], 0)
+}
+
+/// Whether the item is the record of a job that was cancelled before it was accepted.
+fn is_cancelled_unaccepted(item: &Item) -> bool {
+    let record = JobRecord::decode(item.value.as_slice());
+    record.is_ok_and(|record| !record.was_accepted())
+}
+
 /// Sends client requests to the leader or the store.
 #[derive(Debug)]
 pub struct LeaderClient {
@@ -197,7 +220,7 @@
                     in_doubt.shift_remove_index(0);
                 }
             }
-            SubmitOutcome::Accepted => {
+            SubmitOutcome::Accepted | SubmitOutcome::Cancelled => {
                 in_doubt.shift_remove(&id);
             }
             SubmitOutcome::Refused { .. }
@@ -308,7 +331,8 @@
             }
             Ok(Committed::Conflict { items }) => {
                 let key = records::job_key(JobId(record.id));
-                Some(items.iter().any(|item| item.key == key))
+                let is_accepted = |item: &Item| item.key == key && !is_cancelled_unaccepted(item);
+                Some(items.iter().any(is_accepted))
             }
             Err(StoreError::Unavailable) => Some(false),
             Err(_) => None,
@@ -326,14 +350,21 @@
         let attempts = async {
             loop {
                 if self.store.health() != Health::Serving && !in_doubt {
-                    return false;
+                    return SubmitOutcome::Unavailable;
                 }
                 // The caller's time may run out during the call.
                 let before = std::mem::replace(&mut in_doubt, true);
                 match self.store.commit(&txn).await {
-                    Ok(Committed::Done { .. }) => return true,
+                    Ok(Committed::Done { .. }) => return SubmitOutcome::Accepted,
+                    Ok(Committed::Conflict { items })
+                        if items.iter().any(is_cancelled_unaccepted) =>
+                    {
+                        return SubmitOutcome::Cancelled;
+                    }
                     // The job was accepted before, by this or another attempt.
-                    Ok(Committed::Conflict { items }) if !items.is_empty() => return true,
+                    Ok(Committed::Conflict { items }) if !items.is_empty() => {
+                        return SubmitOutcome::Accepted;
+                    }
                     Ok(Committed::Conflict { .. }) | Err(StoreError::Unavailable) => {
                         in_doubt = before;
                     }
@@ -343,10 +374,10 @@
             }
         };
         match time::timeout(client_timeout, attempts).await {
-            Ok(true) => SubmitOutcome::Accepted,
+            Ok(outcome) => outcome,
             // A call that timed out may still be applied.
             Err(_) if in_doubt => SubmitOutcome::InDoubt,
-            Ok(false) | Err(_) => SubmitOutcome::Unavailable,
+            Err(_) => SubmitOutcome::Unavailable,
         }
     }
 
@@ -362,6 +393,7 @@
         }
         match self.store.get(&records::job_key(id)).await {
             Ok(Some(item)) => match JobRecord::decode(item.value.as_slice()) {
+                Ok(record) if !record.was_accepted() => Lookup::Missing,
                 Ok(record) => Lookup::Is(record.state()),
                 Err(_) => Lookup::Unavailable,
             },
@@ -370,7 +402,9 @@
         }
     }
 
-    /// Cancels a job; returns once the cancellation is durable.
+    /// Cancels a job; returns once the cancellation is durable. A job that has not been accepted is
+    /// [`Lookup::Missing`] only once it cannot be accepted any more: a write that accepts it may be
+    /// in progress at any host.
     pub async fn cancel(&self, id: JobId, client_timeout: Duration) -> Lookup<()> {
         let first = LEADER_TIMEOUT.min(client_timeout / 2);
         if let Ok(Body::Cancelled(true)) = self.call_leader(Body::Cancel(id.0), first).await {
@@ -378,17 +412,25 @@
         }
         let cancel_in_store = async {
             loop {
-                match self.store.get(&records::job_key(id)).await {
-                    Ok(None) => return Lookup::Missing,
-                    Ok(Some(_)) => break,
-                    Err(_) => time::sleep(Duration::from_millis(120)).await,
+                let (txn, outcome) = match self.store.get(&records::job_key(id)).await {
+                    Ok(Some(item)) if is_cancelled_unaccepted(&item) => return Lookup::Missing,
+                    Ok(Some(_)) => {
+                        let marker = format!("{CANCEL_PREFIX}{id}");
+                        (Txn::default().put(&marker, &[], 0), Lookup::Is(()))
+                    }
+                    Ok(None) => (cancel_unaccepted_txn(id), Lookup::Missing),
+                    Err(_) => {
+                        time::sleep(CANCEL_RETRY_DELAY).await;
+                        continue;
+                    }
+                };
+                match self.store.commit(&txn).await {
+                    Ok(Committed::Done { .. }) => return outcome,
+                    // The job was accepted in the meantime.
+                    Ok(Committed::Conflict { .. }) => {}
+                    Err(_) => time::sleep(CANCEL_RETRY_DELAY).await,
                 }
             }
-            let txn = Txn::default().put(&format!("{CANCEL_PREFIX}{id}"), &[], 0);
-            while !matches!(self.store.commit(&txn).await, Ok(Committed::Done { .. })) {
-                time::sleep(Duration::from_millis(120)).await;
-            }
-            Lookup::Is(())
         };
         time::timeout(client_timeout.saturating_sub(first), cancel_in_store)
             .await
--- a/crates/entry/tests/entry/cancellations.rs
+++ b/crates/entry/tests/entry/cancellations.rs
@@ -97,3 +97,59 @@
     assert_eq!(later, 0, "starts of a cancelled job");
     test_cell.assert_no_faults();
 }
+
+/// Guards against UNASKED: a cancellation was answered with 410 while the write that accepts the job
+/// was repeated after a lost response, and the job then ran.
+#[tokio::test]
+async fn a_job_cancelled_before_it_is_accepted_never_runs() {
+    struct Case {
+        name: &'static str,
+        through_leader: bool,
+    }
+    let cases = [
+        Case {
+            name: "through the leader",
+            through_leader: true,
+        },
+        Case {
+            name: "through another host",
+            through_leader: false,
+        },
+    ];
+    for case in cases {
+        let test_cell = TestCell::start(3, 2, false).await;
+        let host = if case.through_leader {
+            test_cell.leader()
+        } else {
+            test_cell.follower()
+        };
+        let path = support::path("batch", 1);
+        let store = &test_cell.platform.store;
+        store.lose_next_write("hc/j/");
+        let submission = test_cell.submit(host, &path, 2, "run=300");
+        // The client disconnects without a response, and cancels its job.
+        let left = time::timeout(Duration::from_millis(200), submission).await;
+        assert!(left.is_err(), "{}: {left:?}", case.name);
+        assert!(store.has_lost_write(), "{}", case.name);
+        let reply = test_cell.call(host, "DELETE", &path, None).await;
+        assert!(
+            [200, 410].contains(&reply.status),
+            "{}: {reply:?}",
+            case.name
+        );
+        time::sleep(MAX_CANCEL_DELAY).await;
+        let job = format!("{:016x}", 1);
+        let starts = test_cell.platform.cell.starts_of(&job);
+        assert_eq!(starts, 0, "{}: starts of a cancelled job", case.name);
+        // A late copy of the submission is the same job.
+        let reply = test_cell.submit(host, &path, 2, "run=300").await;
+        assert_eq!(reply.status, 429, "{}: {reply:?}", case.name);
+        for method in ["GET", "DELETE"] {
+            let reply = test_cell.call(host, method, &path, None).await;
+            assert_eq!(reply.status, 410, "{}: {method}", case.name);
+        }
+        time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(test_cell.platform.cell.starts_of(&job), 0, "{}", case.name);
+        test_cell.assert_no_faults();
+    }
+}
