--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -5,7 +5,7 @@
 //! | `hc/m/lead` | the leader; attached to a lease | the leader, at takeover |
 //! | `hc/m/host/NAME` | peer address of a host; attached to a lease | each host |
 //! | `hc/a/lead` | as `hc/m/lead`, in the same transaction | the leader |
-//! | `hc/a/new/ID` | empty: a job was accepted directly in the store | any host |
+//! | `hc/a/new/ID` | empty: the record was written directly in the store | any host |
 //! | `hc/a/cancel/ID` | empty: a job was cancelled directly in the store | any host |
 //! | `hc/j/ID` | a job's record | the accepting host, then the leader |
 //! | `hc/p/ID` | payload passed to the job's tasks, until the job ends | the accepting host |
