--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -367,15 +367,18 @@
         self.in_doubt.borrow_mut().swap_remove(&write.id);
         if let Some(accepted) = write.accepted {
             // If the receiver is gone, the host has timed out and uses the store directly.
-            let _receiver_dropped = accepted.send(true);
+            let _receiver_dropped = accepted.send(write.record.was_accepted());
         }
     }
 
     /// Passes a durable record that is not yet known to the coordinator.
     pub(super) fn accept_record(&self, record: &JobRecord) {
-        self.coordinator
-            .borrow_mut()
-            .add_job(record, false, clock::unix_ms());
+        let (id, unix_ms) = (JobId(record.id), clock::unix_ms());
+        let mut coordinator = self.coordinator.borrow_mut();
+        coordinator.add_job(record, false, unix_ms);
+        if self.early_cancellations.borrow_mut().swap_remove(&id) {
+            coordinator.cancellation_durable(id, unix_ms);
+        }
         self.schedule.notify_one();
     }
 
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -34,12 +34,12 @@
 use indexmap::{IndexMap, IndexSet};
 use kernel::log_event;
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, Semaphore, oneshot},
     task, time,
 };
 use tokio_util::sync::CancellationToken;
 
-use self::arrivals::AppliedArrival;
+use self::{arrivals::AppliedArrival, takeover::Takeover};
 use crate::{
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
@@ -67,6 +67,9 @@
 /// client's deadline leaves the job in doubt.
 const RESPONSE_MARGIN_MS: u64 = 150;
 
+/// Maximum concurrent reads of records of jobs that arrived through the store.
+const MAX_RECORD_READS: usize = 8;
+
 /// The leader key is read if no commit has confirmed it for this long, in milliseconds.
 const CONFIRM_INTERVAL_MS: u64 = 900;
 
@@ -136,6 +139,10 @@
     answer_loss: Cell<AnswerLoss>,
     /// Reachability of the relaying hosts.
     relays: relays::Relays,
+    /// Jobs whose cancellation was read before their record.
+    early_cancellations: RefCell<IndexSet<JobId>>,
+    /// Limits concurrent reads of records.
+    record_reads: Semaphore,
     /// Keys of arrivals that were applied; deleted once their effect is durable.
     applied_arrivals: RefCell<Vec<AppliedArrival>>,
     /// The roster as last read from the store or written to it.
@@ -159,7 +166,11 @@
 
 /// Leads until the term ends.
 pub async fn run(context: &HostContext, term: Term, slot: &LeaderSlot) {
-    let Some(leader) = takeover::load(context, term).await else {
+    let Some(Takeover {
+        leader,
+        arrivals_position,
+    }) = takeover::load(context, term).await
+    else {
         log_event!(
             events::LEAD_LOST,
             "fence={} reason=takeover_failed",
@@ -171,7 +182,10 @@
     *slot.borrow_mut() = Some(Rc::clone(&leader));
     leader.spawn(commits::accept(Rc::clone(&leader)));
     leader.spawn(commits::run(Rc::clone(&leader)));
-    leader.spawn(arrivals::watch_arrivals(Rc::clone(&leader)));
+    leader.spawn(arrivals::watch_arrivals(
+        Rc::clone(&leader),
+        arrivals_position,
+    ));
     leader.spawn(arrivals::watch_workers(Rc::clone(&leader)));
     leader.spawn(maintain_lease(Rc::clone(&leader)));
     leader.spawn(watch_config(Rc::clone(&leader)));
@@ -202,6 +216,8 @@
             link_budget: Cell::default(),
             answer_loss: Cell::default(),
             relays: relays::Relays::new(context.members.previous_leader()),
+            early_cancellations: RefCell::default(),
+            record_reads: Semaphore::new(MAX_RECORD_READS),
             applied_arrivals: RefCell::default(),
             durable_roster: RefCell::default(),
             schedule: Notify::new(),
@@ -297,10 +313,11 @@
             accepted: true,
             retry_after_ms: 0,
         });
-        if self.coordinator.borrow().contains_job(id) {
+        if self.coordinator.borrow().job_state(id).is_some() {
             return accepted;
         }
-        if self.in_doubt.borrow().contains(&id) {
+        // The store decides about a job that is in doubt or was cancelled before it was accepted.
+        if self.in_doubt.borrow().contains(&id) || self.coordinator.borrow().contains_job(id) {
             return Body::NotHandled(false);
         }
         let verdict = self.admit(&record);
--- a/crates/entry/src/listing.rs
+++ b/crates/entry/src/listing.rs
@@ -7,7 +7,7 @@
 use adapter::store::{Item, StoreError};
 use kernel::log_event;
 
-use crate::{clock, events, store::GuardedStore};
+use crate::{clock, events, prefix_watch::WatchPosition, store::GuardedStore};
 
 /// Failures of one listing are logged at most once in this time, in milliseconds.
 const FAILURE_LOG_INTERVAL_MS: u64 = 2_000;
@@ -19,6 +19,18 @@
     pub items: Vec<Item>,
     /// Revision of the first page; a watch from here reports every change that the listing lacks.
     pub as_of: u64,
+    /// When the listing was begun, in milliseconds of [`clock::now_ms`].
+    pub began_ms: u64,
+}
+
+impl Listing {
+    /// Position from which a watch reports every change that the listing lacks.
+    pub(crate) fn position(&self) -> WatchPosition {
+        WatchPosition {
+            after: self.as_of,
+            covered_ms: self.began_ms,
+        }
+    }
 }
 
 /// A listing in progress.
@@ -76,7 +88,11 @@
             if !page.more {
                 self.log_completion();
                 let items = std::mem::take(&mut self.items);
-                return Ok(Listing { items, as_of });
+                return Ok(Listing {
+                    items,
+                    as_of,
+                    began_ms: self.began_ms,
+                });
             }
         }
     }
--- a/crates/entry/src/prefix_watch.rs
+++ b/crates/entry/src/prefix_watch.rs
@@ -30,6 +30,15 @@
     pub(crate) retry_delay: Duration,
 }
 
+/// From where a watch continues.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WatchPosition {
+    /// Revision up to which all changes are known.
+    pub(crate) after: u64,
+    /// Time before which no later change was made, in milliseconds of [`clock::now_ms`].
+    pub(crate) covered_ms: u64,
+}
+
 /// Receives the items and changes of a prefix. Returning [`ControlFlow::Break`] ends the watch.
 pub(crate) trait WatchHandler {
     /// Handles a complete listing of the prefix.
@@ -47,33 +56,45 @@
     handler: &mut impl WatchHandler,
 ) {
     let mut reader = ListingReader::new(store, prefix);
-    let mut began_ms = clock::now_ms();
     loop {
-        if let Ok(listing) = reader.read().await {
-            reader = ListingReader::new(store, prefix);
-            if handler.handle_listing(&listing).await.is_break() {
-                return;
-            }
-            let mut after = listing.as_of;
-            // A response covers all changes before its request, so the next one has only later ones.
-            let mut covered_ms = began_ms;
-            let mut sent_ms = clock::now_ms();
-            while let Ok(watched) = store.watch(prefix, after, config.watch_timeout).await {
-                after = watched.as_of;
-                let handled = handler.handle_events(&watched.events, covered_ms).await;
-                if handled.is_break() {
-                    return;
-                }
-                if watched.events.len() < MAX_COMPLETE_EVENTS {
-                    covered_ms = sent_ms;
-                }
-                time::sleep(config.watch_interval).await;
-                sent_ms = clock::now_ms();
-            }
+        let Ok(listing) = reader.read().await else {
+            time::sleep(config.retry_delay).await;
+            continue;
+        };
+        reader = ListingReader::new(store, prefix);
+        if handler.handle_listing(&listing).await.is_break()
+            || watch_from(store, prefix, listing.position(), config, handler)
+                .await
+                .is_break()
+        {
+            return;
         }
-        time::sleep(config.retry_delay).await;
-        if reader.pages() == 0 {
-            began_ms = clock::now_ms();
+    }
+}
+
+/// Watches `prefix` from a position until a watch fails or the handler breaks.
+pub(crate) async fn watch_from(
+    store: &GuardedStore,
+    prefix: &str,
+    position: WatchPosition,
+    config: WatchConfig,
+    handler: &mut impl WatchHandler,
+) -> ControlFlow<()> {
+    let WatchPosition {
+        mut after,
+        mut covered_ms,
+    } = position;
+    let mut sent_ms = clock::now_ms();
+    while let Ok(watched) = store.watch(prefix, after, config.watch_timeout).await {
+        after = watched.as_of;
+        handler.handle_events(&watched.events, covered_ms).await?;
+        if watched.events.len() < MAX_COMPLETE_EVENTS {
+            // The response covers all changes before its request, so the next one has later ones.
+            covered_ms = sent_ms;
         }
+        time::sleep(config.watch_interval).await;
+        sent_ms = clock::now_ms();
     }
+    time::sleep(config.retry_delay).await;
+    ControlFlow::Continue(())
 }
