--- /dev/null
+++ b/crates/entry/tests/soak/rig.rs
@@ -0,0 +1,425 @@
+//! Starts a cell of processes and disturbs it.
+
+use std::{
+    env, fs,
+    net::{SocketAddr, TcpListener},
+    ops::Range,
+    path::{Path, PathBuf},
+    process::{self, Child, Command, Stdio},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::{
+    Platform,
+    process::{CONFIG_ENV_VAR, ProcessConfig},
+    registry::Registry,
+    run_log,
+};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time;
+
+use crate::{
+    checker::{History, Life},
+    clients::Clients,
+    proxy::{LinkState, Proxy},
+};
+
+/// Interval between a worker's heartbeats.
+const HEARTBEAT_MS: u64 = 1_500;
+/// Minimum time for which a worker serves after it has said that it drains.
+const DRAIN_MS: u64 = 3_000;
+/// Time within which all jobs complete once the last fault is over.
+const COMPLETION_LIMIT: Duration = Duration::from_secs(40);
+/// Violations shown in the report of a failure; the kept logs have all of them.
+const MAX_SHOWN: usize = 3;
+/// First port of hosts, workers and proxies, below the ephemeral range.
+const FIRST_PORT: u16 = 12_000;
+/// Number of these ports.
+const PORT_COUNT: u16 = 20_000;
+/// Distance of the first ports of successive process identifiers.
+const PORT_SPREAD: u64 = 12_361;
+
+/// Offset of the next port to try.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Held while a port is tried and while a process is started, since a process that is being started
+/// holds all open sockets until it executes its program.
+static SOCKETS: Mutex<()> = Mutex::new(());
+
+fn lock_sockets() -> MutexGuard<'static, ()> {
+    SOCKETS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn unused_address() -> SocketAddr {
+    let _sockets = lock_sockets();
+    let offset = (u64::from(process::id()) * PORT_SPREAD % u64::from(PORT_COUNT)) as u16;
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (offset + number % PORT_COUNT) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn spawn(command: &mut Command, log: &Path) -> Child {
+    let out = fs::File::create(log).expect("the log file is created");
+    let _sockets = lock_sockets();
+    command
+        .stdout(Stdio::from(out))
+        .spawn()
+        .expect("the process starts")
+}
+
+fn signal(process: &Child, signal: Signal) {
+    kill_process(Pid::from_child(process), signal).expect("the process has not been reaped");
+}
+
+/// A process that a test runs, and its log.
+#[derive(Debug)]
+struct Process {
+    child: Child,
+    log: PathBuf,
+    killed_ms: Option<u64>,
+}
+
+impl Process {
+    fn kill(&mut self) {
+        if self.killed_ms.is_none() {
+            self.killed_ms = Some(run_log::machine_ms());
+            // It may have exited by itself.
+            let _killed = self.child.kill();
+            let _reaped = self.child.wait();
+        }
+    }
+
+    fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+/// A worker: its links, and its processes up to the current one.
+#[derive(Debug)]
+pub struct Worker {
+    /// Calls from hosts.
+    pub calls: Proxy,
+    /// Heartbeats.
+    pub heartbeats: Proxy,
+    config: ProcessConfig,
+    lives: Vec<Process>,
+}
+
+/// A host: its links, and its processes up to the current one.
+#[derive(Debug)]
+pub struct Host {
+    /// Calls from other hosts.
+    pub calls: Proxy,
+    /// Calls to the store.
+    pub store: Proxy,
+    settings: PathBuf,
+    lives: Vec<Process>,
+}
+
+/// Size of a cell, and what its workers do.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Number of workers.
+    pub workers: usize,
+    /// Time for which a worker serves beyond the minimum after it has said that it drains.
+    pub linger_ms: u64,
+}
+
+/// A cell of processes. Dropping it kills them.
+#[derive(Debug)]
+pub struct Rig {
+    /// Its clients.
+    pub clients: Arc<Clients>,
+    /// Its workers.
+    pub workers: Vec<Worker>,
+    /// Its hosts.
+    pub hosts: Vec<Host>,
+    /// Name of the scenario and its seed, for the report of a failure.
+    name: String,
+    faults: Vec<Range<u64>>,
+    folder: PathBuf,
+    platform: Platform,
+    registry: Registry,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let workers = self.workers.iter_mut().flat_map(|worker| &mut worker.lives);
+        let hosts = self.hosts.iter_mut().flat_map(|host| &mut host.lives);
+        workers.chain(hosts).for_each(Process::kill);
+        if thread::panicking() || env::var_os("HICKORY_SOAK_KEEP").is_some() {
+            eprintln!("{}: logs are kept in {}", self.name, self.folder.display());
+        } else {
+            // A folder that is left behind does no harm.
+            let _removed = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Rig {
+    /// Starts a cell and waits until its coordinator has heard all workers.
+    pub async fn start(name: &str, size: Size) -> Self {
+        let folder = tempfile::Builder::new().prefix("hickory-soak-").tempdir();
+        let folder = folder.expect("a temporary directory is created").keep();
+        let platform = Platform::start(0).await;
+        platform.configure(1, &["batch"], false);
+        let heartbeat = Duration::from_millis(HEARTBEAT_MS);
+        let registry = Registry::start(Arc::clone(&platform.store), heartbeat).await;
+        let addresses: Vec<SocketAddr> = (0..size.hosts).map(|_| unused_address()).collect();
+        let mut rig = Self {
+            clients: Arc::new(Clients::new(addresses.clone())),
+            workers: Vec::new(),
+            hosts: Vec::new(),
+            name: name.to_owned(),
+            faults: Vec::new(),
+            folder,
+            platform,
+            registry,
+        };
+        for number in 0..size.workers {
+            rig.add_worker(number, size.linger_ms);
+        }
+        for (number, address) in addresses.into_iter().enumerate() {
+            rig.add_host(number, address);
+        }
+        rig.wait_until("a coordinator that has heard all workers", |rig| {
+            let logs = rig.hosts.iter().map(Host::log).collect::<String>();
+            let heard = logs.matches("worker-heard").count();
+            logs.contains("lead-settled") && heard >= size.workers
+        })
+        .await;
+        rig
+    }
+
+    fn add_worker(&mut self, number: usize, linger_ms: u64) {
+        let listen = unused_address();
+        let calls = Proxy::start(unused_address(), listen);
+        let heartbeats = Proxy::start(unused_address(), self.registry.address);
+        let config = ProcessConfig {
+            id: format!("i-{number}"),
+            number,
+            listen,
+            advertised: calls.address,
+            registry: heartbeats.address,
+            heartbeat_ms: HEARTBEAT_MS,
+            drain_ms: DRAIN_MS,
+            linger_ms,
+            clock_permille: [1_000, 980][number % 2],
+        };
+        self.workers.push(Worker {
+            calls,
+            heartbeats,
+            config,
+            lives: Vec::new(),
+        });
+        self.start_worker(number);
+    }
+
+    /// Starts a worker's next process, which knows nothing of the last one.
+    pub fn start_worker(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        let life = worker.lives.len();
+        let log = self.folder.join(format!("worker-{number}.{life}.log"));
+        let program = env::current_exe().expect("the test program has a path");
+        let config =
+            serde_json::to_string(&worker.config).expect("the configuration is plain data");
+        let mut command = Command::new(program);
+        // With two test threads, the test program's own output consists of whole lines.
+        command
+            .args(["worker_process", "--exact", "--ignored", "--nocapture"])
+            .args(["--test-threads", "2"])
+            .env(CONFIG_ENV_VAR, config);
+        worker.lives.push(Process {
+            child: spawn(&mut command, &log),
+            log,
+            killed_ms: None,
+        });
+        worker.calls.set(LinkState::OPEN);
+    }
+
+    /// Starts another worker, with a new id, at the address of one whose process has ended.
+    pub fn replace_worker(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        worker.config.id = format!("i-{number}-{}", worker.lives.len());
+        self.start_worker(number);
+    }
+
+    fn add_host(&mut self, number: usize, clients: SocketAddr) {
+        let (readiness, peers) = (unused_address(), unused_address());
+        let calls = Proxy::start(unused_address(), peers);
+        let store = Proxy::start(unused_address(), self.platform.store_address);
+        self.platform.store.alias(peers, calls.address);
+        let settings = self.folder.join(format!("edge-{number}.conf"));
+        let text = format!(
+            "node=edge-{number}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.front={clients}\n\
+             listen.ready={readiness}\nport_range={},{}\nplatform.address={}\nbounds.grace_s=6\n",
+            peers.port(),
+            peers.port() + 1,
+            store.address,
+        );
+        fs::write(&settings, text).expect("the settings file is written");
+        self.hosts.push(Host {
+            calls,
+            store,
+            settings,
+            lives: Vec::new(),
+        });
+        self.start_host(number);
+    }
+
+    /// Starts a host's next process.
+    pub fn start_host(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        let life = host.lives.len();
+        let log = self.folder.join(format!("host-{number}.{life}.log"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hickory-entry"));
+        command.env("HICKORYCHUTE_BOOT", &host.settings);
+        host.lives.push(Process {
+            child: spawn(&mut command, &log),
+            log,
+            killed_ms: None,
+        });
+        host.calls.set(LinkState::OPEN);
+    }
+
+    /// Records that a fault is in effect from now on, for this long.
+    pub fn note_fault(&mut self, lasts_ms: u64) {
+        let now_ms = run_log::machine_ms();
+        self.faults.push(now_ms..now_ms + lasts_ms);
+    }
+
+    /// Index of the coordinator: the host that logged the highest fence.
+    pub fn leader(&self) -> usize {
+        let fence = |line: &str| -> Option<u64> {
+            let rest = line.split("fence=").nth(1)?;
+            rest.split(' ').next()?.parse().ok()
+        };
+        let highest = |host: &Host| {
+            let log = host.log();
+            let taken = log.lines().filter(|line| line.contains("lead-taken"));
+            taken.filter_map(fence).max().unwrap_or(0)
+        };
+        let hosts = self.hosts.iter().enumerate();
+        let leader = hosts.max_by_key(|(_, host)| highest(host));
+        leader.expect("the cell has at least one host").0
+    }
+
+    /// Index of a worker that runs tasks.
+    pub fn busy_worker(&self) -> usize {
+        let starts = |worker: &Worker| worker.log().matches("\"started\"").count();
+        let workers = self.workers.iter().enumerate();
+        let busiest = workers.max_by_key(|(_, worker)| starts(worker));
+        busiest.expect("the cell has at least one worker").0
+    }
+
+    /// Waits until a condition holds; panics after 30 s.
+    pub async fn wait_until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let until = Instant::now() + Duration::from_secs(30);
+        while !holds(self) {
+            assert!(Instant::now() < until, "timed out waiting for {what}");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Waits until the jobs are completed, and asserts that no rule was broken.
+    pub async fn finish(mut self) {
+        let open = self.clients.wait_for_completion(COMPLETION_LIMIT).await;
+        let mut violations = self.history().violations();
+        violations.extend(
+            open.into_iter()
+                .map(|id| format!("LOST not completed: {id}")),
+        );
+        // The logs name the violations, if they are kept.
+        let _written = fs::write(self.folder.join("violations.txt"), violations.join("\n"));
+        assert!(
+            violations.is_empty(),
+            "{}: {} violations, among them\n{}",
+            self.name,
+            violations.len(),
+            violations[..violations.len().min(MAX_SHOWN)].join("\n")
+        );
+    }
+
+    fn history(&mut self) -> History {
+        let ended_ms = run_log::machine_ms();
+        let mut lives = Vec::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            for (life, process) in worker.lives.iter().enumerate() {
+                let log = process.log();
+                // The test program writes lines of its own.
+                let events = log
+                    .lines()
+                    .filter_map(|line| serde_json::from_str(line).ok());
+                lives.push(Life {
+                    name: format!("worker-{number}.{life}"),
+                    events: events.collect(),
+                    killed_ms: process.killed_ms,
+                });
+            }
+        }
+        History {
+            lives,
+            jobs: self.clients.jobs(),
+            faults: self.faults.clone(),
+            ended_ms,
+        }
+    }
+}
+
+impl Worker {
+    fn process(&mut self) -> &mut Process {
+        self.lives.last_mut().expect("a worker has a process")
+    }
+
+    /// Sends a signal to the current process.
+    pub fn signal(&mut self, number: Signal) {
+        signal(&self.process().child, number);
+    }
+
+    /// Kills the current process; calls in transit reach the next one.
+    pub fn kill_in_transit(&mut self) {
+        self.process().kill();
+    }
+
+    /// Treats the links to hosts and registry like this from now on.
+    pub fn cut(&self, state: LinkState) {
+        self.calls.set(state);
+        self.heartbeats.set(state);
+    }
+
+    /// The current process's log.
+    pub fn log(&self) -> String {
+        self.lives.last().map(Process::log).unwrap_or_default()
+    }
+}
+
+impl Host {
+    /// Sends a signal to the current process.
+    pub fn signal(&mut self, number: Signal) {
+        let process = self.lives.last_mut().expect("a host has a process");
+        signal(&process.child, number);
+    }
+
+    /// Kills the current process; its address refuses connections.
+    pub fn kill(&mut self) {
+        self.lives.last_mut().expect("a host has a process").kill();
+        self.calls.set(LinkState::REFUSED);
+    }
+
+    /// The logs of all its processes.
+    pub fn log(&self) -> String {
+        self.lives.iter().map(Process::log).collect()
+    }
+}
