soak: a partition that refuses connections reproduces TWICE over a takeover

Each host now sees the store through a view of its own, in which the addresses of workers and hosts are those of its links to them, so that a link between any two processes can be cut alone. A coordinator and one worker are cut off from all else. Cause shown: with refused connections the hosts conclude at once that the coordinator has ended, and the successor does not wait for its authority; it goes on extending its worker's hold for up to 5 s.

--- a/crates/entry/tests/soak/rig.rs
+++ b/crates/entry/tests/soak/rig.rs
@@ -19,6 +19,7 @@
     process::{CONFIG_ENV_VAR, ProcessConfig},
     registry::Registry,
     run_log,
+    view::View,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::time;
@@ -81,6 +82,16 @@
     kill_process(Pid::from_child(process), signal).expect("the process has not been reaped");
 }
 
+/// Links to an address, one for each host's view of it.
+fn open_links(address: SocketAddr, views: &[View]) -> Vec<Proxy> {
+    let open = |view: &View| {
+        let link = Proxy::start(unused_address(), address);
+        view.add_link(address, link.address);
+        link
+    };
+    views.iter().map(open).collect()
+}
+
 /// A process that a test runs, and its log.
 #[derive(Debug)]
 struct Process {
@@ -107,8 +118,8 @@
 /// A worker: its links, and its processes up to the current one.
 #[derive(Debug)]
 pub struct Worker {
-    /// Calls from hosts.
-    pub calls: Proxy,
+    /// Calls ordered by hosts, one link for each.
+    pub calls: Vec<Proxy>,
     /// Heartbeats.
     pub heartbeats: Proxy,
     config: ProcessConfig,
@@ -118,8 +129,8 @@
 /// A host: its links, and its processes up to the current one.
 #[derive(Debug)]
 pub struct Host {
-    /// Calls from other hosts.
-    pub calls: Proxy,
+    /// Calls from hosts, one link for each; that from itself is not used.
+    pub calls: Vec<Proxy>,
     /// Calls to the store.
     pub store: Proxy,
     settings: PathBuf,
@@ -188,11 +199,17 @@
             platform,
             registry,
         };
+        let views: Vec<View> = (0..size.hosts)
+            .map(|_| View::new(Arc::clone(&rig.platform.store)))
+            .collect();
         for number in 0..size.workers {
-            rig.add_worker(number, size.linger_ms);
+            rig.add_worker(number, size.linger_ms, &views);
         }
         for (number, address) in addresses.into_iter().enumerate() {
-            rig.add_host(number, address);
+            rig.add_host(number, address, &views).await;
+        }
+        for number in 0..size.hosts {
+            rig.start_host(number);
         }
         rig.wait_until("a coordinator that has heard all workers", |rig| {
             let logs = rig.hosts.iter().map(Host::log).collect::<String>();
@@ -203,15 +220,14 @@
         rig
     }
 
-    fn add_worker(&mut self, number: usize, linger_ms: u64) {
+    fn add_worker(&mut self, number: usize, linger_ms: u64, views: &[View]) {
         let listen = unused_address();
-        let calls = Proxy::start(unused_address(), listen);
+        let calls = open_links(listen, views);
         let heartbeats = Proxy::start(unused_address(), self.registry.address);
         let config = ProcessConfig {
             id: format!("i-{number}"),
             number,
-            listen,
-            advertised: calls.address,
+            address: listen,
             registry: heartbeats.address,
             heartbeat_ms: HEARTBEAT_MS,
             drain_ms: DRAIN_MS,
@@ -246,7 +262,6 @@
             log,
             killed_ms: None,
         });
-        worker.calls.set(LinkState::OPEN);
     }
 
     /// Starts another worker, with a new id, at the address of one whose process has ended.
@@ -256,11 +271,11 @@
         self.start_worker(number);
     }
 
-    fn add_host(&mut self, number: usize, clients: SocketAddr) {
+    async fn add_host(&mut self, number: usize, clients: SocketAddr, views: &[View]) {
         let (readiness, peers) = (unused_address(), unused_address());
-        let calls = Proxy::start(unused_address(), peers);
-        let store = Proxy::start(unused_address(), self.platform.store_address);
-        self.platform.store.alias(peers, calls.address);
+        let store_address = self.platform.open_store_view(&views[number]).await;
+        let store = Proxy::start(unused_address(), store_address);
+        let calls = open_links(peers, views);
         let settings = self.folder.join(format!("edge-{number}.conf"));
         let text = format!(
             "node=edge-{number}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.front={clients}\n\
@@ -276,7 +291,6 @@
             settings,
             lives: Vec::new(),
         });
-        self.start_host(number);
     }
 
     /// Starts a host's next process.
@@ -291,7 +305,7 @@
             log,
             killed_ms: None,
         });
-        host.calls.set(LinkState::OPEN);
+        host.set_calls(LinkState::OPEN);
     }
 
     /// Records that a fault is in effect from now on, for this long.
@@ -300,6 +314,15 @@
         self.faults.push(now_ms..now_ms + lasts_ms);
     }
 
+    /// Treats the links of a host to and from the other hosts and the store like this from now on.
+    pub fn cut_host(&self, number: usize, state: LinkState) {
+        self.hosts[number].store.set(state);
+        self.hosts[number].set_calls(state);
+        for host in &self.hosts {
+            host.calls[number].set(state);
+        }
+    }
+
     /// Index of the coordinator: the host that logged the highest fence.
     pub fn leader(&self) -> usize {
         let fence = |line: &str| -> Option<u64> {
@@ -395,10 +418,15 @@
 
     /// Treats the links to hosts and registry like this from now on.
     pub fn cut(&self, state: LinkState) {
-        self.calls.set(state);
+        self.set_calls(state);
         self.heartbeats.set(state);
     }
 
+    /// Treats the links to hosts like this from now on.
+    pub fn set_calls(&self, state: LinkState) {
+        self.calls.iter().for_each(|link| link.set(state));
+    }
+
     /// The current process's log.
     pub fn log(&self) -> String {
         self.lives.last().map(Process::log).unwrap_or_default()
@@ -415,7 +443,12 @@
     /// Kills the current process; its address refuses connections.
     pub fn kill(&mut self) {
         self.lives.last_mut().expect("a host has a process").kill();
-        self.calls.set(LinkState::REFUSED);
+        self.set_calls(LinkState::REFUSED);
+    }
+
+    /// Treats the links from other hosts like this from now on.
+    pub fn set_calls(&self, state: LinkState) {
+        self.calls.iter().for_each(|link| link.set(state));
     }
 
     /// The logs of all its processes.
--- a/crates/entry/tests/soak/scenarios.rs
+++ b/crates/entry/tests/soak/scenarios.rs
@@ -19,6 +19,8 @@
 };
 /// Duration of a cut, in milliseconds: longer than an entry and a hold last.
 const CUT_MS: u64 = 7_000;
+/// Duration of a partition, in milliseconds: longer than a coordinator's authority and a hold.
+const PARTITION_MS: u64 = 12_000;
 
 async fn sleep_ms(duration_ms: u64) {
     time::sleep(Duration::from_millis(duration_ms)).await;
@@ -144,13 +146,13 @@
     for delay_ms in [2_000, 5_000, 8_000] {
         rig.note_fault(2_500 + delay_ms);
         let late = LinkState::flows(Flow::Delayed(delay_ms), Flow::Open);
-        rig.workers[0].calls.set(late);
+        rig.workers[0].set_calls(late);
         rig.clients.submit(delay_ms, 12, 1_500).await;
         rig.clients.submit(delay_ms + 1, 6, 1_500).await;
         sleep_ms(1_000).await;
         rig.clients.cancel(delay_ms + 1).await;
         sleep_ms(1_500).await;
-        rig.workers[0].calls.set(LinkState::OPEN);
+        rig.workers[0].set_calls(LinkState::OPEN);
         sleep_ms(1_500).await;
     }
     sleep_ms(8_000).await;
@@ -170,7 +172,7 @@
     for delay_ms in [600, 1_500, 2_500] {
         rig.note_fault(delay_ms);
         let late = LinkState::flows(Flow::Delayed(delay_ms), Flow::Open);
-        rig.workers[0].calls.set(late);
+        rig.workers[0].set_calls(late);
         rig.clients.submit(delay_ms, 30, 4_000).await;
         sleep_ms(300).await;
         rig.workers[0].kill_in_transit();
@@ -213,6 +215,43 @@
     rig.finish().await;
 }
 
+/// A partition: the coordinator and one worker on one side, all else on the other.
+async fn cut_leader_and_worker_off(name: &str, state: LinkState) {
+    let mut rig = Rig::start(name, SIZE).await;
+    rig.clients.submit(1, 30, 15_000).await;
+    sleep_ms(1_000).await;
+    let leader = rig.leader();
+    let its_worker = rig.busy_worker();
+    rig.note_fault(PARTITION_MS);
+    rig.cut_host(leader, state);
+    for (number, worker) in rig.workers.iter().enumerate() {
+        for (host, link) in worker.calls.iter().enumerate() {
+            if (host == leader) != (number == its_worker) {
+                link.set(state);
+            }
+        }
+    }
+    sleep_ms(PARTITION_MS).await;
+    rig.cut_host(leader, LinkState::OPEN);
+    for worker in &rig.workers {
+        worker.set_calls(LinkState::OPEN);
+    }
+    rig.finish().await;
+}
+
+/// Guards against taking refused connections to a coordinator for its end: it goes on extending
+/// the hold of a worker that its successor does not reach.
+#[tokio::test]
+async fn a_coordinator_that_is_refused_with_one_worker_runs_no_task_twice() {
+    cut_leader_and_worker_off("leader refused", LinkState::REFUSED).await;
+}
+
+/// The same with a coordinator that is silent, whose authority a successor has to wait for.
+#[tokio::test]
+async fn a_coordinator_that_is_silent_with_one_worker_runs_no_task_twice() {
+    cut_leader_and_worker_off("leader silent", LinkState::SILENT).await;
+}
+
 /// A wave of cancellations while the coordinator is stopped.
 async fn cancel_beside_a_stopped_leader(stopped_ms: u64) {
     const JOBS: u64 = 30;
