--- a/crates/entry/tests/soak/main.rs
+++ b/crates/entry/tests/soak/main.rs
@@ -3,9 +3,12 @@
 mod checker;
 mod clients;
 mod proxy;
+mod random;
 mod rig;
 mod scenarios;
 
+use std::{hint, os::unix::process as unix};
+
 use platform_standin::process::{self, ProcessConfig};
 
 /// Entry point of worker processes: the rig executes this test program again.
@@ -15,3 +18,15 @@
     let config = ProcessConfig::from_env().expect("the rig sets the configuration");
     process::run(config).await;
 }
+
+/// Entry point of processes that only use processor time.
+#[test]
+#[ignore = "runs until it is killed; the rig starts it"]
+fn spinning_process() {
+    let parent = unix::parent_id();
+    while unix::parent_id() == parent {
+        for _ in 0..1_000_000 {
+            hint::spin_loop();
+        }
+    }
+}
--- a/crates/entry/tests/soak/rig.rs
+++ b/crates/entry/tests/soak/rig.rs
@@ -78,8 +78,15 @@
         .expect("the process starts")
 }
 
-fn signal(process: &Child, signal: Signal) {
-    kill_process(Pid::from_child(process), signal).expect("the process has not been reaped");
+/// This test program, to run one of its entry points of processes. With two test threads, its own
+/// output consists of whole lines.
+fn own_program(entry_point: &str) -> Command {
+    let program = env::current_exe().expect("the test program has a path");
+    let mut command = Command::new(program);
+    command
+        .args([entry_point, "--exact", "--ignored", "--nocapture"])
+        .args(["--test-threads", "2"]);
+    command
 }
 
 /// Links to an address, one for each host's view of it.
@@ -101,6 +108,31 @@
 }
 
 impl Process {
+    fn start(command: &mut Command, log: PathBuf) -> Self {
+        Self {
+            child: spawn(command, &log),
+            log,
+            killed_ms: None,
+        }
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        if signal == Signal::KILL {
+            self.kill();
+        } else if self.killed_ms.is_none() {
+            kill_process(Pid::from_child(&self.child), signal)
+                .expect("the process has not been reaped");
+        }
+    }
+
+    fn has_ended(&mut self) -> bool {
+        let ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if ended && self.killed_ms.is_none() {
+            self.killed_ms = Some(run_log::machine_ms());
+        }
+        ended
+    }
+
     fn kill(&mut self) {
         if self.killed_ms.is_none() {
             self.killed_ms = Some(run_log::machine_ms());
@@ -159,6 +191,9 @@
     pub hosts: Vec<Host>,
     /// Name of the scenario and its seed, for the report of a failure.
     name: String,
+    /// Whether the logs are kept.
+    keeps_logs: bool,
+    spinners: Vec<Process>,
     faults: Vec<Range<u64>>,
     folder: PathBuf,
     platform: Platform,
@@ -169,8 +204,9 @@
     fn drop(&mut self) {
         let workers = self.workers.iter_mut().flat_map(|worker| &mut worker.lives);
         let hosts = self.hosts.iter_mut().flat_map(|host| &mut host.lives);
-        workers.chain(hosts).for_each(Process::kill);
-        if thread::panicking() || env::var_os("HICKORY_SOAK_KEEP").is_some() {
+        let spinners = self.spinners.iter_mut();
+        workers.chain(hosts).chain(spinners).for_each(Process::kill);
+        if self.keeps_logs || thread::panicking() {
             eprintln!("{}: logs are kept in {}", self.name, self.folder.display());
         } else {
             // A folder that is left behind does no harm.
@@ -194,6 +230,8 @@
             workers: Vec::new(),
             hosts: Vec::new(),
             name: name.to_owned(),
+            keeps_logs: env::var_os("HICKORY_SOAK_KEEP").is_some(),
+            spinners: Vec::new(),
             faults: Vec::new(),
             folder,
             platform,
@@ -246,22 +284,14 @@
     /// Starts a worker's next process, which knows nothing of the last one.
     pub fn start_worker(&mut self, number: usize) {
         let worker = &mut self.workers[number];
+        worker.lives.iter_mut().for_each(Process::kill);
         let life = worker.lives.len();
         let log = self.folder.join(format!("worker-{number}.{life}.log"));
-        let program = env::current_exe().expect("the test program has a path");
         let config =
             serde_json::to_string(&worker.config).expect("the configuration is plain data");
-        let mut command = Command::new(program);
-        // With two test threads, the test program's own output consists of whole lines.
-        command
-            .args(["worker_process", "--exact", "--ignored", "--nocapture"])
-            .args(["--test-threads", "2"])
-            .env(CONFIG_ENV_VAR, config);
-        worker.lives.push(Process {
-            child: spawn(&mut command, &log),
-            log,
-            killed_ms: None,
-        });
+        let mut command = own_program("worker_process");
+        command.env(CONFIG_ENV_VAR, config);
+        worker.lives.push(Process::start(&mut command, log));
     }
 
     /// Starts another worker, with a new id, at the address of one whose process has ended.
@@ -296,15 +326,12 @@
     /// Starts a host's next process.
     pub fn start_host(&mut self, number: usize) {
         let host = &mut self.hosts[number];
+        host.lives.iter_mut().for_each(Process::kill);
         let life = host.lives.len();
         let log = self.folder.join(format!("host-{number}.{life}.log"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_hickory-entry"));
         command.env("HICKORYCHUTE_BOOT", &host.settings);
-        host.lives.push(Process {
-            child: spawn(&mut command, &log),
-            log,
-            killed_ms: None,
-        });
+        host.lives.push(Process::start(&mut command, log));
         host.set_calls(LinkState::OPEN);
     }
 
@@ -323,6 +350,50 @@
         }
     }
 
+    /// Treats the links between these two and all else like this from now on.
+    pub fn cut_off(&self, host: usize, worker: usize, state: LinkState) {
+        self.cut_host(host, state);
+        for (number, other) in self.workers.iter().enumerate() {
+            for (caller, link) in other.calls.iter().enumerate() {
+                if (caller == host) != (number == worker) {
+                    link.set(state);
+                }
+            }
+        }
+    }
+
+    /// Opens all links, resumes all processes, and starts those that have ended.
+    pub fn heal(&mut self) {
+        for number in 0..self.hosts.len() {
+            self.cut_host(number, LinkState::OPEN);
+            self.hosts[number].signal(Signal::CONT);
+            if self.hosts[number].has_ended() {
+                self.start_host(number);
+            }
+        }
+        for number in 0..self.workers.len() {
+            self.workers[number].cut(LinkState::OPEN);
+            self.workers[number].signal(Signal::CONT);
+            if self.workers[number].has_ended() {
+                self.replace_worker(number);
+            }
+        }
+    }
+
+    /// Keeps a text with the logs.
+    pub fn note(&self, text: &str) {
+        fs::write(self.folder.join("plan.txt"), text).expect("the folder is writable");
+    }
+
+    /// Starts processes that only use processor time.
+    pub fn start_spinners(&mut self, count: usize) {
+        for number in 0..count {
+            let log = self.folder.join(format!("spinner-{number}.log"));
+            let mut command = own_program("spinning_process");
+            self.spinners.push(Process::start(&mut command, log));
+        }
+    }
+
     /// Index of the coordinator: the host that logged the highest fence.
     pub fn leader(&self) -> usize {
         let fence = |line: &str| -> Option<u64> {
@@ -357,22 +428,29 @@
     }
 
     /// Waits until the jobs are completed, and asserts that no rule was broken.
-    pub async fn finish(mut self) {
+    pub async fn finish(self) {
+        let name = self.name.clone();
+        let violations = self.judge().await;
+        assert!(
+            violations.is_empty(),
+            "{name}: {} violations, among them\n{}",
+            violations.len(),
+            violations[..violations.len().min(MAX_SHOWN)].join("\n")
+        );
+    }
+
+    /// Waits until the jobs are completed, and returns the rules that were broken.
+    pub async fn judge(mut self) -> Vec<String> {
         let open = self.clients.wait_for_completion(COMPLETION_LIMIT).await;
         let mut violations = self.history().violations();
         violations.extend(
             open.into_iter()
                 .map(|id| format!("LOST not completed: {id}")),
         );
-        // The logs name the violations, if they are kept.
-        let _written = fs::write(self.folder.join("violations.txt"), violations.join("\n"));
-        assert!(
-            violations.is_empty(),
-            "{}: {} violations, among them\n{}",
-            self.name,
-            violations.len(),
-            violations[..violations.len().min(MAX_SHOWN)].join("\n")
-        );
+        self.keeps_logs |= !violations.is_empty();
+        let path = self.folder.join("violations.txt");
+        fs::write(path, violations.join("\n")).expect("the folder is writable");
+        violations
     }
 
     fn history(&mut self) -> History {
@@ -407,13 +485,12 @@
     }
 
     /// Sends a signal to the current process.
-    pub fn signal(&mut self, number: Signal) {
-        signal(&self.process().child, number);
+    pub fn signal(&mut self, signal: Signal) {
+        self.process().signal(signal);
     }
 
-    /// Kills the current process; calls in transit reach the next one.
-    pub fn kill_in_transit(&mut self) {
-        self.process().kill();
+    fn has_ended(&mut self) -> bool {
+        self.process().has_ended()
     }
 
     /// Treats the links to hosts and registry like this from now on.
@@ -434,16 +511,20 @@
 }
 
 impl Host {
-    /// Sends a signal to the current process.
-    pub fn signal(&mut self, number: Signal) {
-        let process = self.lives.last_mut().expect("a host has a process");
-        signal(&process.child, number);
+    fn process(&mut self) -> &mut Process {
+        self.lives.last_mut().expect("a host has a process")
+    }
+
+    /// Sends a signal to the current process; after a kill its address refuses connections.
+    pub fn signal(&mut self, signal: Signal) {
+        self.process().signal(signal);
+        if signal == Signal::KILL {
+            self.set_calls(LinkState::REFUSED);
+        }
     }
 
-    /// Kills the current process; its address refuses connections.
-    pub fn kill(&mut self) {
-        self.lives.last_mut().expect("a host has a process").kill();
-        self.set_calls(LinkState::REFUSED);
+    fn has_ended(&mut self) -> bool {
+        self.process().has_ended()
     }
 
     /// Treats the links from other hosts like this from now on.
--- a/crates/entry/tests/soak/scenarios.rs
+++ b/crates/entry/tests/soak/scenarios.rs
@@ -63,7 +63,7 @@
     sleep_ms(500).await;
     if case.kills_leader {
         let leader = rig.leader();
-        rig.hosts[leader].kill();
+        rig.hosts[leader].signal(Signal::KILL);
     }
     sleep_ms(CUT_MS - 500).await;
     rig.workers[worker].cut(LinkState::OPEN);
@@ -175,7 +175,7 @@
         rig.workers[0].set_calls(late);
         rig.clients.submit(delay_ms, 30, 4_000).await;
         sleep_ms(300).await;
-        rig.workers[0].kill_in_transit();
+        rig.workers[0].signal(Signal::KILL);
         match successor {
             Successor::SameId => rig.start_worker(0),
             Successor::NewId => rig.replace_worker(0),
@@ -223,19 +223,9 @@
     let leader = rig.leader();
     let its_worker = rig.busy_worker();
     rig.note_fault(PARTITION_MS);
-    rig.cut_host(leader, state);
-    for (number, worker) in rig.workers.iter().enumerate() {
-        for (host, link) in worker.calls.iter().enumerate() {
-            if (host == leader) != (number == its_worker) {
-                link.set(state);
-            }
-        }
-    }
+    rig.cut_off(leader, its_worker, state);
     sleep_ms(PARTITION_MS).await;
-    rig.cut_host(leader, LinkState::OPEN);
-    for worker in &rig.workers {
-        worker.set_calls(LinkState::OPEN);
-    }
+    rig.cut_off(leader, its_worker, LinkState::OPEN);
     rig.finish().await;
 }
 
