leader: nothing is sent after a stall before the key is confirmed again

Cause: a leader's authority lasts 5 s after its last confirmation. A leader whose process stood still for less, and was replaced meanwhile, acted on the answers that had arrived before it read of its successor: it started tasks of jobs cancelled through the successor, on workers that the successor had not reached yet. The lease, the watch of the key and the fence end such a term only once their answers are read. Why it works: the leader compares its clock whenever it is about to send. After a gap of more than 750 ms, the time that a lease of 1 s renewed every 250 ms leaves, only a confirmation sent after the gap gives authority again. E8038 gives the length of the stall and the age of the confirmation.

--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -3,7 +3,8 @@
 //! The lease only determines how soon another host may take over, and so does evidence that the
 //! leader has left. Two concurrent leaders are kept safe by the fence that every worker compares, and
 //! by the rule that a leader stops sending orders [`AUTHORITY_TIMEOUT_MS`] after its key was last
-//! confirmed.
+//! confirmed. A leader whose process stood still ([`StallDetector`]) sends nothing until it has
+//! confirmed its key again: it may have been replaced, and jobs been cancelled, meanwhile.
 //!
 //! # Expiry of former leaders' holds
 //!
@@ -21,7 +22,7 @@
 //! - That proof is of use only if the predecessor's own takeover was complete, so that no earlier
 //!   leader's hold or order was left then ([`Term::last_leader`]).
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use adapter::store::{Committed, StoreError, Txn};
 use kernel::log_event;
@@ -51,6 +52,8 @@
 pub const AUTHORITY_TIMEOUT_MS: u64 = 5_000;
 /// Maximum hold that workers grant, in milliseconds, allowing for slow worker clocks.
 pub const MAX_HOLD_MS: u64 = 6_200;
+/// How long a leader's process may stand still without losing its lease unnoticed, in milliseconds.
+pub const MAX_STALL_MS: u64 = 750;
 /// Interval between two liveness checks of the leader, or of a former leader.
 pub(crate) const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time within which a live leader answers the check.
@@ -123,6 +126,42 @@
     }
 }
 
+/// Detects that the process stood still, because it was stopped or its machine was overloaded. It
+/// then acts on what it knew before, and may have been replaced.
+#[derive(Debug)]
+pub struct StallDetector {
+    /// When the process was last seen to run.
+    running_ms: Cell<u64>,
+    /// When it ran again after its last stall.
+    resumed_ms: Cell<u64>,
+}
+
+impl StallDetector {
+    /// Starts to observe a process that runs at `now_ms`.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            running_ms: Cell::new(now_ms),
+            resumed_ms: Cell::default(),
+        }
+    }
+
+    /// Records that the process runs. Returns the length of a stall that has just ended, in
+    /// milliseconds.
+    pub fn record_running(&self, now_ms: u64) -> Option<u64> {
+        let stalled_ms = now_ms.saturating_sub(self.running_ms.replace(now_ms));
+        if stalled_ms <= MAX_STALL_MS {
+            return None;
+        }
+        self.resumed_ms.set(now_ms);
+        Some(stalled_ms)
+    }
+
+    /// Whether something sent at `sent_ms` was sent after the last stall.
+    pub fn has_run_since(&self, sent_ms: u64) -> bool {
+        sent_ms >= self.resumed_ms.get()
+    }
+}
+
 /// Checks the leader for the lifetime of the process, so that it can be replaced before its lease
 /// expires if its process ends. Only the preferred successors check: hosts near the store with the
 /// most CPU.
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -33,6 +33,8 @@
     LEAD_LEAVING = (8036, "lead-leaving", Info, "The coordinator's host shuts down, and this host may replace the coordinator, which leads until then. Nothing to do.");
     /// The predecessor's process has ended.
     PREDECESSOR_ENDED = (8037, "predecessor-ended", Info, "The former coordinator's process has ended, as another process answers at its address, so that its holds and orders expire sooner. The line names the proof, its age and the time left. Nothing to do.");
+    /// The leader's process stood still.
+    LEAD_STALLED = (8038, "lead-stalled", Warn, "The coordinator's process stood still, and sends nothing until it has confirmed that it was not replaced. Check the load of the machine if this recurs.");
     /// Inherited work waits for workers of the predecessor.
     LEAD_WAITING = (8035, "lead-waiting", Warn, "Workers that the predecessor used have not returned their lists, or not all ends; inherited tasks wait for them, for silent ones at most until all holds have expired. Check whether the workers named have left or are cut off.");
     /// A submission was answered, or its caller disconnected.
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -42,7 +42,7 @@
 use self::arrivals::AppliedArrival;
 use crate::{
     clock,
-    election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, Term},
+    election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, StallDetector, Term},
     events,
     live::LiveSettings,
     members::Members,
@@ -119,6 +119,8 @@
     coordinator: RefCell<Coordinator>,
     /// When the leader key was last confirmed as ours, in milliseconds of [`clock::now_ms`].
     last_confirmed_ms: Cell<u64>,
+    /// Stalls of this process, after which the key must be confirmed again.
+    stalls: StallDetector,
     /// Failed commits since the last log line about them.
     failed_commits: Cell<u32>,
     /// When that line was logged, in milliseconds of [`clock::now_ms`].
@@ -192,6 +194,7 @@
             term,
             coordinator: RefCell::new(coordinator),
             last_confirmed_ms: Cell::new(term.taken_ms),
+            stalls: StallDetector::new(clock::now_ms()),
             failed_commits: Cell::default(),
             failure_logged_ms: Cell::default(),
             ended: CancellationToken::new(),
@@ -236,10 +239,26 @@
         });
     }
 
-    /// Whether the leader may send orders: its key was confirmed within [`AUTHORITY_TIMEOUT_MS`].
+    /// Whether the leader may send orders: its key was confirmed within [`AUTHORITY_TIMEOUT_MS`] and
+    /// since the process last stood still.
     fn has_authority(&self) -> bool {
+        let now_ms = clock::now_ms();
+        let confirmed_ms = self.last_confirmed_ms.get();
+        if let Some(stalled_ms) = self.stalls.record_running(now_ms) {
+            log_event!(
+                events::LEAD_STALLED,
+                "fence={} stalled_ms={stalled_ms} unconfirmed_ms={}",
+                self.term.fence,
+                now_ms - confirmed_ms
+            );
+        }
         !self.ended.is_cancelled()
-            && clock::now_ms() < self.last_confirmed_ms.get() + AUTHORITY_TIMEOUT_MS
+            && !self.is_confirmation_expired(now_ms)
+            && self.stalls.has_run_since(confirmed_ms)
+    }
+
+    fn is_confirmation_expired(&self, now_ms: u64) -> bool {
+        now_ms >= self.last_confirmed_ms.get() + AUTHORITY_TIMEOUT_MS
     }
 
     fn end_term(&self, reason: &str) {
@@ -428,7 +447,8 @@
     }
 }
 
-/// Renews the lease, and reads the leader key if no commit has confirmed it recently.
+/// Renews the lease, and reads the leader key if no commit has confirmed it recently or since a
+/// stall.
 async fn maintain_lease(leader: Rc<Leader>) {
     loop {
         let sent_ms = clock::now_ms();
@@ -444,13 +464,14 @@
                 renewing.end_term("lease_ended");
             }
         });
-        if sent_ms > leader.last_confirmed_ms.get() + CONFIRM_INTERVAL_MS {
+        let is_due = sent_ms > leader.last_confirmed_ms.get() + CONFIRM_INTERVAL_MS;
+        if is_due || !leader.has_authority() {
             // This runs concurrently too: an unresponsive store may recover before the call times
             // out.
             let confirming = Rc::clone(&leader);
             leader.spawn(async move { confirming.confirm_key(sent_ms).await });
         }
-        if !leader.has_authority() {
+        if leader.is_confirmation_expired(clock::now_ms()) {
             return leader.end_term("not_confirmed");
         }
         time::sleep(LEADER_RENEWAL_INTERVAL).await;
--- a/crates/entry/tests/entry/elections.rs
+++ b/crates/entry/tests/entry/elections.rs
@@ -14,7 +14,7 @@
 };
 use hickorychute_entry::{
     clock,
-    election::{self, AUTHORITY_TIMEOUT_MS, MAX_HOLD_MS, Term},
+    election::{self, AUTHORITY_TIMEOUT_MS, MAX_HOLD_MS, MAX_STALL_MS, StallDetector, Term},
     live::LiveSettings,
     members::{self, Host, Members},
     operator_config::{self, OperatorConfig},
@@ -25,12 +25,13 @@
 use platform_standin::Platform;
 use prost::Message;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream, tcp},
+    net::TcpListener,
     task::{self, LocalSet},
     time,
 };
 
+use crate::support::DelayedLink;
+
 /// Process identifiers of the leader and of a later process of its host.
 const LEADER_PROCESS: u64 = 11;
 const LATER_PROCESS: u64 = 12;
@@ -168,38 +169,6 @@
     platform
 }
 
-/// Passes on all bytes to `target`, requests after a delay that can be changed, in milliseconds.
-async fn serve_delayed(target: SocketAddr, delay_ms: Rc<Cell<u64>>) -> SocketAddr {
-    async fn pass(
-        mut from: tcp::OwnedReadHalf,
-        mut to: tcp::OwnedWriteHalf,
-        delay_ms: Option<Rc<Cell<u64>>>,
-    ) {
-        let mut chunk = [0; 4 << 10];
-        while let Ok(length @ 1..) = from.read(&mut chunk).await {
-            if let Some(delay_ms) = &delay_ms {
-                time::sleep(Duration::from_millis(delay_ms.get())).await;
-            }
-            if to.write_all(&chunk[..length]).await.is_err() {
-                return;
-            }
-        }
-    }
-    let (listener, address) = listener().await;
-    task::spawn_local(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            let Ok(far) = TcpStream::connect(target).await else {
-                continue;
-            };
-            let (near_read, near_write) = near.into_split();
-            let (far_read, far_write) = far.into_split();
-            task::spawn_local(pass(near_read, far_write, Some(Rc::clone(&delay_ms))));
-            task::spawn_local(pass(far_read, near_write, None));
-        }
-    });
-    address
-}
-
 /// Guards against TWICE: a leader that is leaving confirms its key until its successor's transaction
 /// is committed, and its authority was counted from before that transaction was sent.
 #[tokio::test]
@@ -210,13 +179,12 @@
         .run_until(async {
             let platform = platform().await;
             let direct = client(platform.store_address);
-            let delay_ms = Rc::<Cell<u64>>::default();
-            let link = serve_delayed(platform.store_address, Rc::clone(&delay_ms)).await;
+            let link = DelayedLink::start(platform.store_address).await;
             let (listener, address) = listener().await;
             serve_peer(listener, &Rc::new(RefCell::new(info(LEADER_PROCESS, true))));
             let fence = write_leader(&direct, address, LEADER_PROCESS).await;
-            let successor = Successor::start(link).await;
-            delay_ms.set(DELAY_MS);
+            let successor = Successor::start(link.address).await;
+            link.set_delays(DELAY_MS, 0);
             let last_confirmed_ms = Rc::<Cell<u64>>::default();
             let confirmed_ms = Rc::clone(&last_confirmed_ms);
             let confirming = task::spawn_local(async move {
@@ -359,3 +327,59 @@
         })
         .await;
 }
+
+#[test]
+fn a_confirmation_counts_only_if_it_was_sent_after_the_last_stall() {
+    struct Case {
+        name: &'static str,
+        /// Pauses between successive times at which the process is seen to run, in milliseconds.
+        pauses_ms: &'static [u64],
+        stalls_ms: &'static [u64],
+        /// When the confirmation was sent, in milliseconds since the start.
+        sent_ms: u64,
+        counts: bool,
+    }
+    let cases = [
+        Case {
+            name: "no stall",
+            pauses_ms: &[60, MAX_STALL_MS, 60],
+            stalls_ms: &[],
+            sent_ms: 0,
+            counts: true,
+        },
+        Case {
+            name: "sent before the stall",
+            pauses_ms: &[60, MAX_STALL_MS + 1, 60],
+            stalls_ms: &[MAX_STALL_MS + 1],
+            sent_ms: 60,
+            counts: false,
+        },
+        Case {
+            name: "sent after the stall",
+            pauses_ms: &[60, 2_000, 60],
+            stalls_ms: &[2_000],
+            sent_ms: 2_060,
+            counts: true,
+        },
+        Case {
+            name: "second stall",
+            pauses_ms: &[2_000, 60, 3_000],
+            stalls_ms: &[2_000, 3_000],
+            sent_ms: 2_060,
+            counts: false,
+        },
+    ];
+    for case in cases {
+        let start_ms = 1_000;
+        let mut now_ms = start_ms;
+        let detector = StallDetector::new(now_ms);
+        let mut stalls_ms = Vec::new();
+        for pause_ms in case.pauses_ms {
+            now_ms += pause_ms;
+            stalls_ms.extend(detector.record_running(now_ms));
+        }
+        assert_eq!(stalls_ms, case.stalls_ms, "{}", case.name);
+        let counts = detector.has_run_since(start_ms + case.sent_ms);
+        assert_eq!(counts, case.counts, "{}", case.name);
+    }
+}
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -6,8 +6,8 @@
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
     sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU16, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -22,7 +22,11 @@
 use platform_standin::Platform;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use tokio::time;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{self, TcpStream, tcp},
+    time,
+};
 
 /// An entry host process.
 #[derive(Debug)]
@@ -399,3 +403,57 @@
 pub fn path(queue: &str, number: u64) -> String {
     format!("/{queue}/{number:016x}")
 }
+
+/// A link that passes all bytes on to an address, after delays that can be changed.
+#[derive(Debug)]
+pub struct DelayedLink {
+    /// Address at which the link accepts connections.
+    pub address: SocketAddr,
+    request_delay_ms: Arc<AtomicU64>,
+    response_delay_ms: Arc<AtomicU64>,
+}
+
+impl DelayedLink {
+    /// Starts a link to `target` without delays.
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback has a free port");
+        let link = Self {
+            address: listener.local_addr().expect("the listener has an address"),
+            request_delay_ms: Arc::default(),
+            response_delay_ms: Arc::default(),
+        };
+        let request_delay_ms = Arc::clone(&link.request_delay_ms);
+        let response_delay_ms = Arc::clone(&link.response_delay_ms);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let Ok(far) = TcpStream::connect(target).await else {
+                    continue;
+                };
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::spawn(pass(near_read, far_write, Arc::clone(&request_delay_ms)));
+                tokio::spawn(pass(far_read, near_write, Arc::clone(&response_delay_ms)));
+            }
+        });
+        link
+    }
+
+    /// Sets the delays of what is read from now on.
+    pub fn set_delays(&self, request_ms: u64, response_ms: u64) {
+        self.request_delay_ms.store(request_ms, Ordering::Relaxed);
+        self.response_delay_ms.store(response_ms, Ordering::Relaxed);
+    }
+}
+
+/// Passes bytes on until either connection is closed.
+async fn pass(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, delay_ms: Arc<AtomicU64>) {
+    let mut chunk = [0; 4 << 10];
+    while let Ok(length @ 1..) = from.read(&mut chunk).await {
+        time::sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed))).await;
+        if to.write_all(&chunk[..length]).await.is_err() {
+            return;
+        }
+    }
+}
