node: recovery waits for the leases that the new owner granted itself

What callers saw: a replica of a service started on a second worker while its first run went on for another half second (desk/5@2 beside desk/5@1).

Cause: after a takeover the new owner syncs with every worker of the roster. Such a request extends the leases of the worker even if its reply is lost.

Ruled out: leases extended by the previous owner after the takeover (the worker had adopted the new epoch at the first request).

The owner already tracked the end of all leases of each worker, and waits for it before it declares a worker lost. Recovery now rests on the same value. A worker that was lost before recovery is not waited for again under its new link.

--- a/crates/node/src/group/link.rs
+++ b/crates/node/src/group/link.rs
@@ -184,6 +184,11 @@
         self.probe_state == ProbeState::Failed
     }
 
+    /// Whether every lease on the worker has expired, those that this owner granted included.
+    pub const fn leases_expired(&self, now_ms: u64) -> bool {
+        now_ms >= self.leases_end_at_ms
+    }
+
     /// Whether the last exchange failed.
     pub fn is_failing(&self) -> bool {
         self.failures > 0
--- a/crates/node/src/group/recovery.rs
+++ b/crates/node/src/group/recovery.rs
@@ -4,7 +4,8 @@
 //! or may have run, on a worker that has not. Such tasks are deferred. Once all workers have
 //! answered, a task that none of them runs or reports as ended was never started. If a worker
 //! does not answer until every lease must have expired, deferred tasks may have run there with
-//! an unknown end.
+//! an unknown end. The leases that this owner granted count too: a worker applies a request even
+//! if its reply is lost.
 
 use kernel::ids;
 use platform::workers;
@@ -12,17 +13,17 @@
 use super::{GroupOwner, assign, state};
 
 impl GroupOwner {
-    /// Finishes the recovery when every worker has answered, or every lease granted before
-    /// this owner must have expired.
+    /// Finishes the recovery when every worker has answered, or every lease granted by this
+    /// owner or an earlier one must have expired on those that have not.
     pub(super) fn try_finish_recovery(&self, state: &mut state::GroupState, now_ms: u64) {
         if state.recovered {
             return;
         }
         let all_confirmed = state.roster.is_loaded()
             && state.list_received
-            && state.worker_lost_before_recovery.is_none()
+            && state.lost_before_recovery.is_empty()
             && state.links.values().all(|link| link.confirmed);
-        if !all_confirmed && now_ms < state.recovery_deadline_ms {
+        if !all_confirmed && !all_leases_expired(state, now_ms) {
             return;
         }
         state.recovered = true;
@@ -62,7 +63,8 @@
     ) {
         let unconfirmed = state.links.iter().find(|(_, link)| !link.confirmed);
         let unconfirmed = unconfirmed.map(|(worker, _)| worker.clone());
-        let Some(worker) = unconfirmed.or_else(|| state.worker_lost_before_recovery.clone()) else {
+        let Some(worker) = unconfirmed.or_else(|| state.lost_before_recovery.first().cloned())
+        else {
             return;
         };
         for assignment in deferred {
@@ -84,6 +86,18 @@
     }
 }
 
+/// Whether no task of an earlier owner can run any more on a worker that has not answered.
+///
+/// The group's deadline covers workers that are unknown while the roster cannot be read. A worker
+/// that was lost and is listed again has a new link, whose leases cover no earlier run.
+fn all_leases_expired(state: &state::GroupState, now_ms: u64) -> bool {
+    let mut unconfirmed = state
+        .links
+        .iter()
+        .filter(|(worker, link)| !link.confirmed && !state.lost_before_recovery.contains(*worker));
+    now_ms >= state.recovery_deadline_ms && unconfirmed.all(|(_, link)| link.leases_expired(now_ms))
+}
+
 fn take_deferred_ends(
     state: &mut state::GroupState,
 ) -> Vec<(ids::WorkerId, Vec<workers::FinishedRun>)> {
--- a/crates/node/src/group/state.rs
+++ b/crates/node/src/group/state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use calls::{CallId, Dispatch, Dispatcher, DispatcherConfig};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kernel::errors;
 use kernel::ids;
 use kernel::work;
@@ -60,8 +60,8 @@
     /// The group's workers in the platform's latest list.
     pub listed: IndexMap<ids::WorkerId, platform::workers::WorkerInfo>,
     pub roster: roster::Roster,
-    /// A worker that was lost before recovery finished.
-    pub worker_lost_before_recovery: Option<ids::WorkerId>,
+    /// Workers that were lost before recovery finished; no run of an earlier owner is on them.
+    pub lost_before_recovery: IndexSet<ids::WorkerId>,
     pub list_received: bool,
     pub list_in_flight: bool,
     pub list_due_at_ms: u64,
@@ -87,7 +87,7 @@
             links: IndexMap::new(),
             listed: IndexMap::new(),
             roster: roster::Roster::default(),
-            worker_lost_before_recovery: None,
+            lost_before_recovery: IndexSet::new(),
             list_received: false,
             list_in_flight: false,
             list_due_at_ms: now_ms,
--- a/crates/node/src/group/workers.rs
+++ b/crates/node/src/group/workers.rs
@@ -151,7 +151,7 @@
             link.runs.len()
         );
         if !state.recovered {
-            state.worker_lost_before_recovery = Some(worker.clone());
+            state.lost_before_recovery.insert(worker.clone());
         }
         for (_, run) in link.runs {
             let finished = workers::FinishedRun {
