node: count a worker's leases from the end of the exchange

A replica starts on a second worker while its first run goes on.

Cause: a worker counts a lease from the receipt of the request, the owner counted it from the sending. A request that arrives late extends the lease past the end that the owner waits for: with requests that take 0.5 s and lost replies, a worker that then cannot be reached is declared lost while it still holds its runs.

Ruled out: clock drift, which the expiry delay covers, and the transit of a few milliseconds, which the failing probe outlasts.

The leases now count from the end of the exchange, which is after the receipt if the request was applied at all. A request that was certainly not sent no longer extends them, so a takeover does not wait longer for a worker that is down. A request that its sender abandoned after the exchange timeout may still arrive later than that; only a deadline on the worker's clock can rule it out.

--- a/crates/node/src/group/exchange.rs
+++ b/crates/node/src/group/exchange.rs
@@ -278,12 +278,18 @@
             }
             workers::WorkerError::Unreachable { .. } => {
                 requeue_request(state, worker, request, now_ms);
+                if let Some(link) = state.links.get_mut(worker) {
+                    link.record_not_sent(now_ms);
+                }
             }
             workers::WorkerError::ReplyLost { .. } | workers::WorkerError::OutOfOrder => {
                 for order in &request.starts {
                     state.placement.start_unknown(&order.run, now_ms);
                 }
                 requeue_stops(state, worker, request);
+                if let Some(link) = state.links.get_mut(worker) {
+                    link.record_reply_lost(now_ms);
+                }
             }
         }
         let Some(link) = state.links.get_mut(worker) else {
@@ -293,7 +299,6 @@
         // The failed exchange may have changed the worker's runs, so the next reply must
         // contain the complete list.
         link.known_digest = None;
-        link.record_failure(now_ms);
     }
 }
 
--- a/crates/node/src/group/link.rs
+++ b/crates/node/src/group/link.rs
@@ -15,7 +15,7 @@
 pub(super) struct LeaseDuration {
     /// Lease duration on the worker's clock, from receipt of the request.
     pub granted_ms: u64,
-    /// Time until expiry on the owner's clock, from sending the request, including clock
+    /// Time until expiry on the owner's clock, from the end of the exchange, including clock
     /// drift.
     pub expiry_ms: u64,
 }
@@ -67,6 +67,8 @@
     failures: u32,
     probe_state: ProbeState,
     leases_end_at_ms: u64,
+    /// Lease granted by the request in flight.
+    lease_in_flight: Option<LeaseDuration>,
     sequence: u64,
 }
 
@@ -97,6 +99,7 @@
             failures: 0,
             probe_state: ProbeState::Idle,
             leases_end_at_ms,
+            lease_in_flight: None,
             sequence: now_ms,
         }
     }
@@ -112,10 +115,8 @@
 
     /// Builds the next request and marks it as in flight.
     ///
-    /// The leases count as extended from now on, because the worker may have extended them
-    /// even if the reply is lost. A worker that got no requests until its leases expired is
-    /// probed: the request extends no lease and starts nothing, but the worker can still
-    /// report how its runs ended.
+    /// A worker that got no requests until its leases expired is probed: the request extends
+    /// no lease and starts nothing, but the worker can still report how its runs ended.
     pub fn take_request(
         &mut self,
         epoch: ids::Epoch,
@@ -141,7 +142,7 @@
         if probing {
             return request;
         }
-        self.leases_end_at_ms = self.leases_end_at_ms.max(now_ms + lease.expiry_ms);
+        self.lease_in_flight = Some(lease);
         let starts = std::mem::take(&mut self.starts);
         for order in &starts {
             let linked = LinkedRun {
@@ -159,14 +160,37 @@
 
     /// Records a reply and schedules the next exchange.
     pub fn record_success(&mut self, now_ms: u64, interval_ms: u64) {
+        self.extend_leases(now_ms);
         self.in_flight = false;
         self.failures = 0;
         self.due_at_ms = now_ms + interval_ms;
     }
 
-    /// Records a failed exchange. After `MAX_CONSECUTIVE_FAILURES` no requests are sent until
-    /// the worker's leases have expired, because every further request might extend them.
-    pub fn record_failure(&mut self, now_ms: u64) {
+    /// Records that a request was certainly not applied, so that it extended no lease.
+    pub fn record_not_sent(&mut self, now_ms: u64) {
+        self.lease_in_flight = None;
+        self.record_failure(now_ms);
+    }
+
+    /// Records a failed exchange whose request may have been applied.
+    pub fn record_reply_lost(&mut self, now_ms: u64) {
+        self.extend_leases(now_ms);
+        self.record_failure(now_ms);
+    }
+
+    /// Counts the leases granted by a finished exchange.
+    ///
+    /// The worker counts them from the receipt of the request, which may be any time before the
+    /// exchange ended.
+    fn extend_leases(&mut self, now_ms: u64) {
+        if let Some(lease) = self.lease_in_flight.take() {
+            self.leases_end_at_ms = self.leases_end_at_ms.max(now_ms + lease.expiry_ms);
+        }
+    }
+
+    /// After `MAX_CONSECUTIVE_FAILURES` no requests are sent until the worker's leases have
+    /// expired, because every further request might extend them.
+    fn record_failure(&mut self, now_ms: u64) {
         self.in_flight = false;
         self.failures += 1;
         if self.probe_state == ProbeState::InFlight {
@@ -186,7 +210,7 @@
 
     /// Whether every lease on the worker has expired, those that this owner granted included.
     pub const fn leases_expired(&self, now_ms: u64) -> bool {
-        now_ms >= self.leases_end_at_ms
+        self.lease_in_flight.is_none() && now_ms >= self.leases_end_at_ms
     }
 
     /// Whether the last exchange failed.
