soak: cases for the checker, a wave of 150 cancelled jobs, a leader that leaves

The cancellations are of 450 tasks, for which the workers have not enough room, so that starts go on while they are cancelled.

--- a/crates/entry/tests/soak/main.rs
+++ b/crates/entry/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! A cell of real processes under faults: hosts and workers are processes, links are proxies.
 
 mod checker;
+mod checker_cases;
 mod clients;
 mod proxy;
 mod random;
--- a/crates/entry/tests/soak/rig.rs
+++ b/crates/entry/tests/soak/rig.rs
@@ -218,7 +218,9 @@
 impl Rig {
     /// Starts a cell and waits until its coordinator has heard all workers.
     pub async fn start(name: &str, size: Size) -> Self {
-        let folder = tempfile::Builder::new().prefix("hickory-soak-").tempdir();
+        let folder = tempfile::Builder::new()
+            .prefix("soak-")
+            .tempdir_in(env!("CARGO_TARGET_TMPDIR"));
         let folder = folder.expect("a temporary directory is created").keep();
         let platform = Platform::start(0).await;
         platform.configure(1, &["batch"], false);
--- a/crates/entry/tests/soak/scenarios.rs
+++ b/crates/entry/tests/soak/scenarios.rs
@@ -242,12 +242,39 @@
     cut_leader_and_worker_off("leader silent", LinkState::SILENT).await;
 }
 
-/// A wave of cancellations while the coordinator is stopped.
+/// Guards against a predecessor that leaves, and extends holds after its successor believes that all
+/// of them have expired: the write of its key has taken long.
+#[tokio::test]
+async fn a_coordinator_that_leaves_with_a_slow_store_runs_no_task_twice() {
+    let mut rig = Rig::start("leader leaves", SIZE).await;
+    rig.clients.submit(1, 30, 15_000).await;
+    sleep_ms(1_000).await;
+    let leader = rig.leader();
+    let its_worker = rig.busy_worker();
+    rig.note_fault(PARTITION_MS);
+    for host in &rig.hosts {
+        host.store
+            .set(LinkState::flows(Flow::Open, Flow::Delayed(700)));
+    }
+    rig.hosts[leader].signal(Signal::TERM);
+    sleep_ms(300).await;
+    for (host, link) in rig.workers[its_worker].calls.iter().enumerate() {
+        if host != leader {
+            link.set(LinkState::SILENT);
+        }
+    }
+    sleep_ms(PARTITION_MS).await;
+    rig.heal();
+    rig.finish().await;
+}
+
+/// A wave of cancellations while the coordinator is stopped, of more jobs than the workers have
+/// room for.
 async fn cancel_beside_a_stopped_leader(stopped_ms: u64) {
-    const JOBS: u64 = 30;
+    const JOBS: u64 = 150;
     let mut rig = Rig::start(&format!("cancels, {stopped_ms} ms"), SIZE).await;
     for number in 0..JOBS {
-        rig.clients.submit(number, 2, 12_000).await;
+        rig.clients.submit(number, 3, 1_500).await;
     }
     let leader = rig.leader();
     rig.note_fault(stopped_ms);
