--- a/crates/cell/tests/cell/records.rs
+++ b/crates/cell/tests/cell/records.rs
@@ -2,7 +2,7 @@
 
 use hickorychute_cell::{
     coordinator::{ChangeLimits, Coordinator},
-    ids::TaskId,
+    ids::{JobId, TaskId},
     jobs::{DoneTasks, JobRecord, JobState},
 };
 use prost::Message;
@@ -147,3 +147,25 @@
     assert_eq!(durable_end(coordinator), (2, 2));
     assert!(coordinator.is_durable(support::id(1)));
 }
+
+/// A record that only prevents its job from being accepted is kept until the retention period has
+/// passed, without being shown, and a submission of the same job does not open it.
+#[test]
+fn a_job_cancelled_before_it_is_accepted_is_not_shown_and_does_not_open() {
+    let id = support::id(1);
+    for inherited in [false, true] {
+        let mut coordinator = Model::new(support::config(), 1).coordinator;
+        let ended_unix_ms = support::START_UNIX_MS;
+        let cancelled = JobRecord::cancelled_unaccepted(id, ended_unix_ms);
+        coordinator.add_job(&cancelled, inherited, ended_unix_ms);
+        let submitted = support::job(1, "batch", vec![support::step(1, 1_000, 400)]);
+        coordinator.add_job(&submitted, false, ended_unix_ms);
+        assert!(coordinator.contains_job(id));
+        assert_eq!(coordinator.job_state(id), None);
+        assert!(!coordinator.request_cancel(id, ended_unix_ms));
+        assert_eq!(coordinator.open_jobs().count(), 0);
+        assert!(!coordinator.has_changes());
+        assert_eq!(coordinator.expired_jobs(ended_unix_ms), Vec::<JobId>::new());
+        assert_eq!(coordinator.expired_jobs(ended_unix_ms + 600_000), [id]);
+    }
+}
