leader: a late write of the roster no longer undoes a newer one

Cause: the roster, from which a successor learns which workers may have been given work, was written on the condition that the leader holds its key, but not on the roster's revision. A write without an answer may be executed seconds later; it then replaced a newer roster, and removed workers that had been given work since. The leader did not notice, and a successor did not wait for these workers' runs. Evidence: a_late_write_of_the_roster_removes_no_worker holds one such write back in a link to the store, kills the coordinator, and makes the worker silent that is missing from the roster. Why it works: each write expects the revision of the roster before it, read at the takeover or returned by the last write, so of several writes with one expectation at most one is executed.

--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -429,12 +429,27 @@
         }
         let value = roster.encode_to_vec();
         loop {
+            // The condition on the roster keeps a write that is executed late from undoing this one.
             let txn = Txn::default()
                 .expect(LEADER_KEY, self.term.fence)
+                .expect(ROSTER_KEY, self.roster_revision.get())
                 .put(ROSTER_KEY, &value, 0);
             match self.context.store.commit(&txn).await {
-                Ok(Committed::Done { .. }) => break,
-                Ok(Committed::Conflict { .. }) => return self.end_term("key_taken"),
+                Ok(Committed::Done { revision }) => {
+                    self.roster_revision.set(revision);
+                    break;
+                }
+                Ok(Committed::Conflict { items }) => {
+                    let revision_of = |key| {
+                        let item = items.iter().find(|item| item.key == key);
+                        item.map_or(0, |item| item.revision)
+                    };
+                    if revision_of(LEADER_KEY) != self.term.fence {
+                        return self.end_term("key_taken");
+                    }
+                    // An earlier write of this leader was applied without an answer.
+                    self.roster_revision.set(revision_of(ROSTER_KEY));
+                }
                 Err(_) => time::sleep(RETRY_DELAY).await,
             }
         }
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -142,6 +142,8 @@
     applied_arrivals: RefCell<Vec<AppliedArrival>>,
     /// The roster as last read from the store or written to it.
     durable_roster: RefCell<Roster>,
+    /// Store revision of the durable roster; 0 if there is none.
+    roster_revision: Cell<u64>,
     /// Requests a scheduling pass.
     schedule: Notify,
     /// Notified when a submission is queued.
@@ -207,6 +209,7 @@
             relays: relays::Relays::new(context.members.previous_leader()),
             applied_arrivals: RefCell::default(),
             durable_roster: RefCell::default(),
+            roster_revision: Cell::default(),
             schedule: Notify::new(),
             submitted: Notify::new(),
             commit: Notify::new(),
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -38,7 +38,7 @@
         let (jobs, roster) = tokio::join!(read_jobs(context), read_roster(context));
         Some((jobs?, roster?, confirm_term(context, term).await?))
     };
-    let (jobs, roster, confirmed_ms) = tokio::select! {
+    let (jobs, (roster, roster_revision), confirmed_ms) = tokio::select! {
         () = renewal => return None,
         read = read => read?,
     };
@@ -81,6 +81,7 @@
         ));
     }
     *leader.durable_roster.borrow_mut() = roster;
+    leader.roster_revision.set(roster_revision);
     Some(leader)
 }
 
@@ -156,13 +157,17 @@
     }
 }
 
-/// Reads the roster; `None` once reads have failed for [`MAX_READ_STALL_MS`].
-async fn read_roster(context: &HostContext) -> Option<Roster> {
+/// Reads the roster and its store revision; `None` once reads have failed for
+/// [`MAX_READ_STALL_MS`].
+async fn read_roster(context: &HostContext) -> Option<(Roster, u64)> {
     let mut failing_since_ms = None;
     loop {
         if let Ok(item) = context.store.get(ROSTER_KEY).await {
-            let decode = |item: Item| Roster::decode(item.value.as_slice()).ok();
-            return Some(item.and_then(decode).unwrap_or_default());
+            let decode = |item: Item| {
+                let roster = Roster::decode(item.value.as_slice()).unwrap_or_default();
+                (roster, item.revision)
+            };
+            return Some(item.map(decode).unwrap_or_default());
         }
         wait_to_retry(&mut failing_since_ms).await?;
     }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -8,5 +8,6 @@
 mod peers;
 mod relays;
 mod reload;
+mod rosters;
 mod support;
 mod takeovers;
