--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -149,6 +149,8 @@
     applied_arrivals: RefCell<Vec<AppliedArrival>>,
     /// The roster as last read from the store or written to it.
     durable_roster: RefCell<Roster>,
+    /// Store revision of the durable roster; 0 if there is none.
+    roster_revision: Cell<u64>,
     /// Requests a scheduling pass.
     schedule: Notify,
     /// Notified when a submission is queued.
@@ -223,6 +225,7 @@
             record_reads: Semaphore::new(MAX_RECORD_READS),
             applied_arrivals: RefCell::default(),
             durable_roster: RefCell::default(),
+            roster_revision: Cell::default(),
             schedule: Notify::new(),
             submitted: Notify::new(),
             commit: Notify::new(),
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -56,7 +56,7 @@
         let confirmed_ms = confirm_term(context, term).await?;
         Some((jobs?, roster?, arrivals?, confirmed_ms))
     };
-    let (jobs, roster, arrivals, confirmed_ms) = tokio::select! {
+    let (jobs, (roster, roster_revision), arrivals, confirmed_ms) = tokio::select! {
         () = renewal => return None,
         read = read => read?,
     };
@@ -99,6 +99,7 @@
         ));
     }
     *leader.durable_roster.borrow_mut() = roster;
+    leader.roster_revision.set(roster_revision);
     if leader.apply_arrivals(&arrivals).is_break() {
         return None;
     }
@@ -180,13 +181,17 @@
     }
 }
 
-/// Reads the roster; `None` once reads have failed for [`MAX_READ_STALL_MS`].
-async fn read_roster(context: &HostContext) -> Option<Roster> {
+/// Reads the roster and its store revision; `None` once reads have failed for
+/// [`MAX_READ_STALL_MS`].
+async fn read_roster(context: &HostContext) -> Option<(Roster, u64)> {
     let mut failing_since_ms = None;
     loop {
         if let Ok(item) = context.store.get(ROSTER_KEY).await {
-            let decode = |item: Item| Roster::decode(item.value.as_slice()).ok();
-            return Some(item.and_then(decode).unwrap_or_default());
+            let decode = |item: Item| {
+                let roster = Roster::decode(item.value.as_slice()).unwrap_or_default();
+                (roster, item.revision)
+            };
+            return Some(item.map(decode).unwrap_or_default());
         }
         wait_to_retry(&mut failing_since_ms).await?;
     }
