cell tests: three ways in which a run that goes on is still released (red)

- a_worker_that_answers_after_its_entry_was_withdrawn_has_not_left: the proof Departed stays valid after an answer that was requested later than the removal of the entry; the next silence releases all runs at once (left: 1 start, right: 0).
- a_report_of_a_former_process_does_not_fence_the_later_one: a report settles a worker for the takeover, but a process that starts after it has seen no fence and accepts orders of the predecessor ("runs on w1 and on w0").

--- /dev/null
+++ b/crates/cell/tests/cell/end_proofs_review.rs
@@ -0,0 +1,119 @@
+//! Ways in which a run that goes on is still released.
+
+use std::rc::Rc;
+
+use hickorychute_cell::{
+    coordinator::{Coordinator, HoldFailure, Order, StartResponse},
+    jobs::JobState,
+    workers::{HoldReport, ReportedRun, WorkerEntry},
+};
+
+use crate::support::{self, DelayedStarts, Model, WorkerMode};
+
+fn report(coordinator: &mut Coordinator, worker: &str, sent_ms: u64, now_ms: u64, running: &[u64]) {
+    let _terms = coordinator.begin_hold(worker, true, sent_ms);
+    let report = HoldReport {
+        clock_ms: 1_000 + now_ms,
+        started_unix_ms: support::START_UNIX_MS,
+        running: running
+            .iter()
+            .map(|&run| ReportedRun {
+                task: support::first_task(1),
+                run,
+                checkpoint: String::new(),
+                percent: 1,
+                measured_value: 0,
+            })
+            .collect(),
+        ..HoldReport::default()
+    };
+    let unix_ms = support::START_UNIX_MS + now_ms;
+    assert!(coordinator.hold_answered(worker, sent_ms, now_ms, unix_ms, &report));
+}
+
+fn starts(coordinator: &mut Coordinator, now_ms: u64) -> usize {
+    let orders = coordinator.schedule(now_ms, support::START_UNIX_MS + now_ms);
+    let is_start = |order: &&Order| matches!(order, Order::Start { .. });
+    orders.iter().filter(is_start).count()
+}
+
+/// Guards against TWICE: a draining worker answers after its entry was withdrawn, so that the removal
+/// was not its exit, and is cut off afterwards.
+#[test]
+fn a_worker_that_answers_after_its_entry_was_withdrawn_has_not_left() {
+    let mut coordinator = support::coordinator(support::config());
+    let workers = [support::entry(0), support::entry(1)];
+    for entry in &workers {
+        coordinator.update_worker(entry.clone());
+        coordinator.roster_durable(&[Rc::clone(&entry.id)]);
+    }
+    let [draining, other] = [0, 1].map(|number: usize| Rc::clone(&workers[number].id));
+    report(&mut coordinator, &draining, 0, 10, &[]);
+    coordinator.add_job(
+        &support::job(1, "batch", vec![support::step(1, 1_000, 5_000)]),
+        false,
+        support::START_UNIX_MS,
+    );
+    assert_eq!(starts(&mut coordinator, 20), 1);
+    let task = support::first_task(1);
+    coordinator.start_answered(&draining, task, 1, StartResponse::Started, 120);
+    coordinator.update_worker(WorkerEntry {
+        draining: true,
+        ..support::entry(0)
+    });
+    coordinator.entry_written(&draining, 1_000);
+    report(&mut coordinator, &draining, 4_000, 4_000, &[1]);
+    coordinator.entry_removed(&draining, 4_500);
+    report(&mut coordinator, &draining, 5_000, 5_500, &[1]);
+    report(&mut coordinator, &other, 5_500, 5_500, &[]);
+    coordinator.hold_failed(&draining, HoldFailure::Silent, 6_000);
+    assert_eq!(starts(&mut coordinator, 6_010), 0);
+}
+
+/// A task that only worker 0 may run, ordered there by an order that is in transit for `transit_ms`.
+/// From then on only worker 1 may run it.
+fn model_with_an_order_in_transit(transit_ms: u64) -> Model {
+    let mut model = Model::new(support::config(), 2);
+    // The clock of a later process starts anew, so that the order's deadline lies in its future.
+    model.run_ms(30_000);
+    model.add_label(0, support::LABEL);
+    model.set_mode(0, WorkerMode::DelaysStarts(transit_ms));
+    let step = support::labelled(support::step(1, 3_000, 20_000));
+    model.submit(support::job(1, "batch", vec![step]));
+    model.run_ms(100);
+    model.workers[0].entry.labels.pop();
+    let entry = model.workers[0].entry.clone();
+    model.coordinator.update_worker(entry);
+    model.add_label(1, support::LABEL);
+    model
+}
+
+/// Guards against TWICE: the hold of a crashed worker expires while an order to it may still reach the
+/// process that starts later under its identifier.
+#[test]
+fn an_order_that_may_reach_a_later_process_outlasts_the_hold_of_the_former() {
+    let mut model = model_with_an_order_in_transit(8_000);
+    model.set_mode(0, WorkerMode::Unreachable);
+    model.run_ms(1_000);
+    model.restart_worker(0, DelayedStarts::InTransit);
+    model.set_mode(0, WorkerMode::Unreachable);
+    // The model asserts that no task runs twice at the same time.
+    model.run_ms(8_000);
+    model.set_mode(0, WorkerMode::Healthy);
+    model.run_ms(60_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
+/// Guards against TWICE: a worker that has accepted the successor's fence restarts, and its new process
+/// accepts an order of the predecessor.
+#[test]
+fn a_report_of_a_former_process_does_not_fence_the_later_one() {
+    let mut model = model_with_an_order_in_transit(2_000);
+    model.set_mode(0, WorkerMode::Healthy);
+    model.take_over();
+    model.run_ms(1_900);
+    model.restart_worker(0, DelayedStarts::InTransit);
+    // The model asserts that no task runs twice at the same time.
+    model.run_ms(60_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod crashes;
 mod end_proofs;
+mod end_proofs_review;
 mod ends;
 mod gangs;
 mod histories;
