entry tests: a late write of the roster hides a worker from the successor (red)

The store may execute a transaction that it has not answered seconds later, if its condition still holds then. The roster's transaction is conditional on the leader key alone, so that an unanswered write that is executed after the next one restores the old roster, until the next change of it. A successor then does not wait for the workers that it lacks.

--- a/crates/entry/tests/entry/late_writes.rs
+++ b/crates/entry/tests/entry/late_writes.rs
@@ -2,14 +2,15 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use platform_standin::Platform;
 use rustix::process::Signal;
+use serde_json::json;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{self, AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     time,
 };
@@ -24,7 +25,7 @@
 struct Recorder {
     address: SocketAddr,
     store: SocketAddr,
-    last_roster_write: Arc<Mutex<Vec<u8>>>,
+    roster_write: Arc<Mutex<Vec<u8>>>,
 }
 
 impl Recorder {
@@ -35,7 +36,7 @@
         let recorder = Self {
             address: listener.local_addr().expect("the listener has an address"),
             store,
-            last_roster_write: Arc::default(),
+            roster_write: Arc::default(),
         };
         let serving = recorder.clone();
         tokio::spawn(async move {
@@ -50,21 +51,74 @@
         let server = TcpStream::connect(self.store).await.ok()?;
         let (mut requests, mut to_caller) = caller.into_split();
         let (mut responses, mut to_server) = server.into_split();
-        tokio::spawn(async move {
-            // Ends with either side.
-            let _ended = tokio::io::copy(&mut responses, &mut to_caller).await;
-        });
+        tokio::spawn(async move { io::copy(&mut responses, &mut to_caller).await });
         let mut buffer = vec![0; 64 << 10];
         loop {
             let length = requests.read(&mut buffer).await.ok().filter(|&n| n > 0)?;
             let request = &buffer[..length];
             let text = String::from_utf8_lossy(request);
             if text.starts_with("POST /hickorychute/kv-txn") && text.contains("hc/roster") {
-                let mut last = self.last_roster_write.lock();
-                let last = last.as_mut().unwrap_or_else(PoisonError::into_inner_mut);
-                request.clone_into(last);
+                *self.roster_write.lock().expect("no thread has panicked") = request.to_vec();
             }
             to_server.write_all(request).await.ok()?;
         }
     }
+
+    /// The last transaction that wrote the roster.
+    fn roster_write(&self) -> Vec<u8> {
+        let write = self.roster_write.lock().expect("no thread has panicked");
+        write.clone()
+    }
+
+    /// Sends a transaction to the store once more.
+    async fn send_late(&self, write: &[u8]) -> String {
+        let mut store = TcpStream::connect(self.store)
+            .await
+            .expect("the store accepts connections");
+        store.write_all(write).await.expect("the store reads");
+        let mut answer = vec![0; 4 << 10];
+        let length = store.read(&mut answer).await.expect("the store answers");
+        String::from_utf8_lossy(&answer[..length]).into_owned()
+    }
+}
+
+/// Guards against TWICE: the store executes a write of the roster that it has not answered after the
+/// next one, so that the successor does not know all workers that may have runs.
+#[tokio::test]
+async fn a_late_write_of_the_roster_hides_no_worker_from_the_successor() {
+    let platform = Platform::start(1).await;
+    platform.configure(1, &["urgent", "batch"], false);
+    let recorder = Recorder::start(platform.store_address).await;
+    let store = format!("platform.address={}\n", recorder.address);
+    let mut test_cell = TestCell::start_on(platform, 3, &store).await;
+    time::sleep(ROSTER_DELAY).await;
+    let first_write = recorder.roster_write();
+    assert!(!first_write.is_empty(), "no roster was written");
+    test_cell.platform.add_worker(1).await;
+    time::sleep(ROSTER_DELAY).await;
+    assert_ne!(recorder.roster_write(), first_write, "the roster changes");
+
+    // Worker 0 has room for one of the tasks.
+    let path = support::path("batch", 1);
+    let body = json!({
+        "spec": "run=12000 cpu=9000",
+        "steps": [{"count": 2, "cpu": 9_000, "mem_mb": 10, "estimate_ms": 12_000}],
+    });
+    let reply = test_cell.call(0, "POST", &path, Some(body)).await;
+    assert_eq!(reply.status, 200);
+    time::sleep(Duration::from_secs(1)).await;
+
+    let answer = recorder.send_late(&first_write).await;
+    let leader = test_cell.leader();
+    test_cell.platform.workers[1].set_unresponsive(true);
+    test_cell.hosts[leader].signal(Signal::KILL);
+    test_cell.hosts[leader].wait();
+    test_cell.platform.add_worker(2).await;
+    time::sleep(Duration::from_secs(10)).await;
+    let status = answer.lines().next();
+    assert_eq!(
+        test_cell.platform.cell.faults(),
+        Vec::<String>::new(),
+        "answer to the late write: {status:?}"
+    );
 }
