cell tests: two lists of closed runs with one task (red)

The list of a draining worker is renewed only once half of its runs have ended, so it may contain a run of a task that has a later run on another draining worker, for instance a long-running task that was moved. The successor restores the run that comes first in the roster. If that is the earlier one, the report of its worker releases the task, and nothing waits for the later run, whose worker has not answered.

--- a/crates/cell/tests/cell/end_proofs_review.rs
+++ b/crates/cell/tests/cell/end_proofs_review.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 
 use hickorychute_cell::{
-    coordinator::{Coordinator, HoldFailure, Order, StartResponse},
+    coordinator::{
+        Coordinator, HoldFailure, InheritedWorker, Order, StartResponse, TakeoverState, Tuning,
+    },
     jobs::JobState,
     workers::{HoldReport, ReportedRun, WorkerEntry},
 };
@@ -117,3 +119,50 @@
     model.run_ms(60_000);
     assert_eq!(model.state(1), Some(JobState::Completed));
 }
+
+/// Guards against TWICE: the lists of two draining workers contain a task, since that of the first is
+/// renewed only later. The successor took the first list's run for the active one, whichever is later.
+#[test]
+fn the_latest_listed_run_of_a_task_is_inherited() {
+    struct Case {
+        name: &'static str,
+        /// Runs that workers 0 and 1 may have, in the order of the roster.
+        listed: [u64; 2],
+    }
+    let cases = [
+        Case {
+            name: "later run listed last",
+            listed: [1, 2],
+        },
+        Case {
+            name: "later run listed first",
+            listed: [2, 1],
+        },
+    ];
+    for case in cases {
+        let task = support::first_task(1);
+        let inherited = |number: usize| InheritedWorker {
+            entry: WorkerEntry {
+                draining: true,
+                ..support::entry(number)
+            },
+            closed_runs: Some(vec![(task, case.listed[number])]),
+        };
+        let takeover = TakeoverState {
+            roster: vec![inherited(0), inherited(1)],
+            expiry_ms: 11_200,
+            run_floor: 1_000,
+        };
+        let mut coordinator = Coordinator::new(Tuning::default(), support::config(), takeover);
+        let job = support::job(1, "batch", vec![support::step(1, 1_000, 5_000)]);
+        coordinator.add_job(&job, true, support::START_UNIX_MS);
+        let ready = support::entry(2);
+        coordinator.update_worker(ready.clone());
+        coordinator.roster_durable(&[Rc::clone(&ready.id)]);
+        report(&mut coordinator, &ready.id, 10, 20, &[]);
+        // The worker with the earlier run answers, the one with the later run does not.
+        let earlier = usize::from(case.listed[1] == 1);
+        report(&mut coordinator, &support::entry(earlier).id, 10, 20, &[]);
+        assert_eq!(starts(&mut coordinator, 30), 0, "{}", case.name);
+    }
+}
