cell tests: a late report of an earlier run confirms the later one (red)

apply_reported_run compares run numbers only if the known run is the earlier one. A report that lists run 1 therefore marks the order of run 2 as started; the next report lacks run 2, whose order is still on its way, and releases it as NotInReport.

It needs two holds of one worker whose responses overtake each other: one poll loop does not produce that, two do, and a worker that is removed and listed again while its loop sleeps has two (by reading, not reproduced).

--- a/crates/cell/tests/cell/end_proofs_review.rs
+++ b/crates/cell/tests/cell/end_proofs_review.rs
@@ -7,7 +7,7 @@
         Coordinator, HoldFailure, InheritedWorker, Order, StartResponse, TakeoverState, Tuning,
     },
     jobs::JobState,
-    workers::{HoldReport, ReportedRun, WorkerEntry},
+    workers::{EndKind, HoldReport, ReportedEnd, ReportedRun, WorkerEntry},
 };
 
 use crate::support::{self, DelayedStarts, Model, WorkerMode};
@@ -166,3 +166,40 @@
         assert_eq!(starts(&mut coordinator, 30), 0, "{}", case.name);
     }
 }
+
+/// Guards against TWICE: a report that was requested before a run ended and is received after it, as on
+/// another connection, lists the earlier run and says nothing about the later one.
+#[test]
+fn a_report_of_an_earlier_run_does_not_confirm_the_start_of_a_later_one() {
+    let mut coordinator = support::coordinator(support::config());
+    let entry = support::entry(0);
+    let worker = Rc::clone(&entry.id);
+    coordinator.update_worker(entry);
+    coordinator.roster_durable(&[Rc::clone(&worker)]);
+    report(&mut coordinator, &worker, 0, 10, &[]);
+    let job = support::job(1, "batch", vec![support::step(1, 1_000, 5_000)]);
+    coordinator.add_job(&job, false, support::START_UNIX_MS);
+    assert_eq!(starts(&mut coordinator, 20), 1);
+    let task = support::first_task(1);
+    coordinator.start_answered(&worker, task, 1, StartResponse::Started, 30);
+    let ended = HoldReport {
+        clock_ms: 1_100,
+        started_unix_ms: support::START_UNIX_MS,
+        ended: vec![ReportedEnd {
+            number: 1,
+            task,
+            run: 1,
+            kind: EndKind::Stopped,
+            checkpoint: String::new(),
+        }],
+        ..HoldReport::default()
+    };
+    let _terms = coordinator.begin_hold(&worker, true, 90);
+    let unix_ms = support::START_UNIX_MS + 100;
+    assert!(coordinator.hold_answered(&worker, 90, 100, unix_ms, &ended));
+    assert_eq!(starts(&mut coordinator, 110), 1, "run 2 is ordered");
+    // The answer of an earlier hold, while the order of run 2 is on its way.
+    report(&mut coordinator, &worker, 60, 120, &[1]);
+    report(&mut coordinator, &worker, 130, 140, &[]);
+    assert_eq!(starts(&mut coordinator, 150), 0);
+}
