entry tests: a worker that is listed again just after its hold expired (red)

release_expired_workers removes an unlisted worker once its hold has expired. If its entry comes back before the next comparison of the roster (at most 500 ms) and before its poll loop notices:

- the roster equals the durable one, write_roster returns early, and the new state of the worker never becomes in_roster: it is given no work for the rest of the term unless the roster changes otherwise.
On the only worker of the cell: "timed out waiting for a second run, missing for 0ns", step-waiting with workers=1 schedulable=0 for 19,106 ms.
- update_worker reports an unknown worker, so a second poll loop starts beside the first: worker-heard 3 times (left: 3, right: 2), in another run 4 times.

The first case of both tests, with an entry that is missing for 4 s, passes.

--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod late_writes;
 mod odd_entries;
 mod peers;
+mod polls;
 mod relays;
 mod reload;
 mod support;
