cell: A successor inherits the latest listed run of a task

What callers would see: a task runs twice after a takeover. Two draining workers may both be listed with a run of the same task, as a list is renewed only once half of its runs have ended. The one that came first in the roster counted; if that was the earlier run, the report of its worker released the task while the later run went on on a worker that had not answered.

Evidence: the_latest_listed_run_of_a_task_is_inherited failed in the case "later run listed last" (1 start, expected 0). A later run is ordered only after the earlier ones have ended, so the latest is the one to wait for.

--- a/crates/cell/src/coordinator/inherited.rs
+++ b/crates/cell/src/coordinator/inherited.rs
@@ -49,10 +49,15 @@
         job.begin_through(id.step.occurrence);
         let demand = demand_of(job.step_spec(id.step.step)?);
         let task = job.task_mut(id)?;
-        // A later run was ordered only after this one had ended.
-        if task.done || task.last_run > active.run || task.active.is_some() {
+        // A later run was ordered only after the earlier ones had ended.
+        if task.done || task.last_run > active.run {
             return None;
         }
+        if let Some(earlier) = task.active.take()
+            && let Some(worker) = self.workers.get_mut(&earlier.worker)
+        {
+            worker.remove_run(id);
+        }
         let worker = self.workers.get_mut(&active.worker)?;
         let run = Run {
             survived: true,
