cell: A report of an earlier run does not confirm the start of a later one

A report that was requested before a run ended and received after it, as on another connection, marked the order of the next run on that worker as started; the following report, without that run, released it while its order could still be on its way.

Evidence: a_report_of_an_earlier_run_does_not_confirm_the_start_of_a_later_one failed (1 start, expected 0).

--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -400,6 +400,10 @@
         };
         let job = self.jobs.get_mut(&reported.task.step.job);
         if let Some(run) = worker.runs.get_mut(&reported.task) {
+            if run.run != reported.run {
+                // A later run has been ordered since: the report is older than the earlier one's end.
+                return;
+            }
             if matches!(run.phase, Phase::Ordered { .. }) {
                 run.phase = Phase::Present { since_ms: now_ms };
                 run.progress = Progress::first_report(reported.percent, now_ms);
