cell: An answer refutes a withdrawal, and orders outlast the holds of their process

Two proofs said more than they prove. A worker that answers after its entry was removed has not left, yet its next silence released its runs. And once a silent worker's holds had expired, orders without a response were released as well, though a process that starts later under the same identifier may execute them; they now stay until they cannot be delivered any more. A successor need not wait for a worker whose holds have expired, so the roster leaves it out, and it gets no work until it is listed there again. Holds that reach a restarted worker are counted with the longest time that workers grant, since they name times on the clock of the former process.

--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -18,29 +18,27 @@
     /// Releases the runs of unresponsive workers whose holds and orders have all expired.
     pub(super) fn release_expired_workers(&mut self, now_ms: u64) {
         self.release_undeliverable_orders(now_ms);
-        let lapsed = |worker: &&Worker| worker.unresponsive && worker.has_certainly_expired(now_ms);
-        let ids: Vec<Rc<str>> = self
+        let lapsed: Vec<Rc<str>> = self
             .workers
             .values()
-            .filter(lapsed)
+            .filter(|worker| worker.has_lapsed(now_ms))
             .map(|w| Rc::clone(&w.entry.id))
             .collect();
-        for id in ids {
-            self.account_for_loss(&id, EndProof::HoldsExpired);
+        for id in lapsed {
             let tasks: Vec<TaskId> = self
                 .workers
                 .get(&id)
-                .map(|w| w.runs.keys().copied().collect())
+                .map(|worker| expired_tasks(worker, now_ms).collect())
                 .unwrap_or_default();
+            if !tasks.is_empty() {
+                self.account_for_loss(&id, EndProof::HoldsExpired);
+            }
             for task in tasks {
                 self.release(&id, task, EndProof::HoldsExpired, now_ms);
             }
             // Ends that it did not list before its hold expired do not count.
             self.unreported_workers.swap_remove(&id);
             self.unheard_workers.swap_remove(&id);
-            if self.workers.get(&id).is_some_and(|worker| !worker.listed) {
-                self.workers.swap_remove(&id);
-            }
         }
         let unreported = &self.unreported_workers;
         self.workers
@@ -96,3 +94,14 @@
         }
     }
 }
+
+/// Tasks of a worker whose holds have expired that may start elsewhere. A later process under the same
+/// identifier may still execute an order that had no response.
+fn expired_tasks(worker: &Worker, now_ms: u64) -> impl Iterator<Item = TaskId> {
+    let may_arrive = move |task: TaskId, run: &Run| {
+        !run.phase.is_present() && worker.has_pending_order(task, now_ms)
+    };
+    let runs = worker.runs.iter();
+    runs.filter(move |(task, run)| !may_arrive(**task, run))
+        .map(|(&task, _)| task)
+}
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -57,7 +57,7 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
-    workers::{StopReason, Worker, WorkerEntry},
+    workers::{StopReason, Withdrawal, Worker, WorkerEntry},
 };
 
 /// Time limits of the coordinator.
@@ -76,6 +76,8 @@
     /// Minimum time between the last write of a worker's entry and its lapse, in milliseconds. An
     /// entry that is removed sooner was removed by its worker.
     pub entry_lapse_ms: u64,
+    /// Maximum hold that workers grant, in milliseconds; they shorten longer ones.
+    pub max_hold_ms: u64,
 }
 
 impl Default for Tuning {
@@ -86,6 +88,7 @@
             gang_patience_ms: 1_600,
             retention_ms: 120_000,
             entry_lapse_ms: 4_000,
+            max_hold_ms: 6_000,
         }
     }
 }
@@ -272,7 +275,7 @@
         if let Some(worker) = self.workers.get_mut(&entry.id) {
             worker.listed = true;
             worker.entry_written_ms = None;
-            worker.withdrawn_after_ms = None;
+            worker.withdrawal = None;
             if !entry.draining && worker.closed_runs.take().is_some() {
                 // The durable roster still tells a successor that no further run is placed on it.
                 worker.in_roster = false;
@@ -307,10 +310,14 @@
             return;
         };
         worker.listed = false;
-        worker.withdrawn_after_ms = worker
+        let entry_age_ms = worker
             .entry_written_ms
             .map(|written_ms| now_ms.saturating_sub(written_ms))
             .filter(|age_ms| *age_ms < lapse_ms);
+        worker.withdrawal = entry_age_ms.map(|entry_age_ms| Withdrawal {
+            entry_age_ms,
+            seen_ms: now_ms,
+        });
         self.end_departed_worker(id, now_ms);
     }
 
@@ -358,7 +365,7 @@
     }
 
     /// Workers about which a successor must know: all but those that are draining and have nothing to
-    /// report. It waits for the report of each before it schedules inherited tasks, except for those
+    /// report, and those whose holds have expired. It waits for the report of each before it schedules inherited tasks, except for those
     /// whose possible runs are listed. A worker left out receives no tasks until it is in the durable
     /// roster again.
     pub fn roster(&mut self, now_ms: u64) -> impl Iterator<Item = &Worker> {
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -8,7 +8,7 @@
     progress::Progress,
     workers::{
         ClockReading, Demand, HoldReport, Phase, ReportedRun, Resources, Run, StopReason,
-        UnconfirmedOrder, Worker,
+        UnconfirmedOrder, Withdrawal, Worker,
     },
 };
 
@@ -21,8 +21,8 @@
 
 /// Maximum time after which a call without a response can still take effect, in milliseconds.
 const MAX_DELIVERY_DELAY_MS: u64 = 13_000;
-/// Maximum duration of a hold, in milliseconds; workers truncate longer ones.
-const MAX_HOLD_MS: u64 = 6_000;
+/// Maximum time for which a predecessor's calls extend a hold, in milliseconds.
+const MAX_INHERITED_HOLD_MS: u64 = 6_000;
 
 /// Terms of a hold: the periodic call that extends the time for which a worker may continue its
 /// runs.
@@ -153,15 +153,21 @@
             return true;
         };
         if !worker.fenced {
-            // The predecessor's holds are unknown, except that workers truncate them to this
-            // duration.
-            let granted_ms = report.clock_ms + MAX_HOLD_MS;
+            let granted_ms = report.clock_ms
+                + if restarted {
+                    // Calls to the former process name times on its clock. Workers shorten them.
+                    self.tuning.max_hold_ms
+                } else {
+                    MAX_INHERITED_HOLD_MS
+                };
             worker.held_until_worker_ms = worker.held_until_worker_ms.max(granted_ms);
         }
         worker.started_unix_ms = report.started_unix_ms;
         worker.fenced = true;
         worker.unresponsive = false;
         worker.known_address = worker.polled_address.clone();
+        // It has answered since, so the removal of its entry was not its exit.
+        worker.withdrawal = worker.withdrawal.filter(|seen| sent_ms < seen.seen_ms);
         worker.clock = Some(ClockReading {
             worker_ms: report.clock_ms,
             received_ms: now_ms,
@@ -207,8 +213,14 @@
 
     /// Ends a worker that has left.
     pub(super) fn end_departed_worker(&mut self, id: &str, now_ms: u64) {
-        let departed = self.workers.get(id).and_then(Worker::departed_after_ms);
-        if let Some(entry_age_ms) = departed {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        // Nothing more is known of a process that has been ended before.
+        let is_known = worker.fenced
+            || self.unheard_workers.contains(id)
+            || self.unreported_workers.contains(id);
+        if let Some(Withdrawal { entry_age_ms, .. }) = worker.departure().filter(|_| is_known) {
             self.end_process(id, EndProof::Departed { entry_age_ms }, now_ms);
         }
     }
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -337,6 +337,15 @@
     pub expires_ms: u64,
 }
 
+/// Removal of a worker's entry sooner after its last write than it could have lapsed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Withdrawal {
+    /// Longest time that can have passed between the last write and the removal, in milliseconds.
+    pub entry_age_ms: u64,
+    /// When the removal was seen, in milliseconds of the local clock.
+    pub seen_ms: u64,
+}
+
 /// The coordinator's state of a worker.
 #[derive(Debug)]
 #[expect(
@@ -351,10 +360,8 @@
     /// Time at or after which the entry was last written, in milliseconds of the local clock; absent
     /// if unknown.
     pub entry_written_ms: Option<u64>,
-    /// Longest time that can have passed between the last write of the entry and its removal, in
-    /// milliseconds, if that is less than the time after which the entry would have lapsed: the
-    /// worker has removed it itself.
-    pub withdrawn_after_ms: Option<u64>,
+    /// Set if the worker has removed its entry itself, and has not answered since.
+    pub withdrawal: Option<Withdrawal>,
     /// Whether the worker is in the durable roster as one that may be given any task, so that a
     /// successor waits for its report.
     pub in_roster: bool,
@@ -409,7 +416,7 @@
             entry,
             listed: true,
             entry_written_ms: None,
-            withdrawn_after_ms: None,
+            withdrawal: None,
             in_roster: false,
             closed_runs: None,
             polled_address: None,
@@ -463,21 +470,27 @@
         self.processed_end > self.pending_end
     }
 
-    /// Whether the worker is draining and has nothing that a successor must learn from it: no run,
-    /// no order that may still arrive, and no end that is not durable.
+    /// Whether a successor need not know of the worker: it has no run, no order that may still arrive,
+    /// and no end that is not durable, and it is draining, or all of that has expired.
     pub fn is_vacated(&self, now_ms: u64) -> bool {
-        self.entry.draining
+        let is_drained = self.entry.draining
             && self.fenced
             && self.runs.is_empty()
             && self.processed_end == self.durable_end
-            && !self.has_pending_orders(now_ms)
+            && !self.has_pending_orders(now_ms);
+        is_drained || self.has_lapsed(now_ms)
+    }
+
+    /// Whether the worker does not answer and every hold and order granted to it has expired. Only an
+    /// order without a response is left, which a later process may execute.
+    pub fn has_lapsed(&self, now_ms: u64) -> bool {
+        self.unresponsive && self.has_certainly_expired(now_ms)
     }
 
-    /// If the worker has left, the longest time between the last write of its entry and the entry's
-    /// removal, in milliseconds.
-    pub fn departed_after_ms(&self) -> Option<u64> {
+    /// The withdrawal of the worker's entry, if that shows that the worker has left.
+    pub fn departure(&self) -> Option<Withdrawal> {
         let has_departed = self.entry.draining && !self.listed && self.unresponsive;
-        self.withdrawn_after_ms.filter(|_| has_departed)
+        self.withdrawal.filter(|_| has_departed)
     }
 
     /// Whether no further run is placed on the worker, and the effects of all its processed ends are
@@ -498,12 +511,12 @@
         }
     }
 
-    /// Whether the process has ended and the worker is no longer listed, so that nothing is left of
-    /// it but orders that may still reach a process started later under the same identifier.
+    /// Whether the worker is no longer listed and nothing is left of it, not even an order that may
+    /// still reach a process started later under the same identifier.
     pub fn is_gone(&self, now_ms: u64) -> bool {
         !self.listed
-            && !self.fenced
             && self.unresponsive
+            && (!self.fenced || self.has_certainly_expired(now_ms))
             && self.runs.is_empty()
             && !self.has_pending_orders(now_ms)
     }
--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -266,13 +266,11 @@
     fn remove_entry(&self, id: &str) {
         let mut coordinator = self.coordinator.borrow_mut();
         coordinator.entry_removed(id, clock::now_ms());
-        let withdrawn_after_ms = coordinator
-            .workers()
-            .get(id)
-            .and_then(|worker| worker.withdrawn_after_ms);
+        let withdrawal = coordinator.workers().get(id).and_then(|w| w.withdrawal);
         log_event!(
             events::WORKER_CHANGED,
-            "worker={id} listed=false withdrawn_after_ms={withdrawn_after_ms:?}"
+            "worker={id} listed=false withdrawn_after_ms={:?}",
+            withdrawal.map(|withdrawal| withdrawal.entry_age_ms)
         );
     }
 
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -243,6 +243,7 @@
                 .min(settings.longest_hold_ms.saturating_sub(500)),
             gang_patience_ms: base.gang_patience_ms.min(settings.gang_timeout_ms / 2),
             retention_ms: settings.retention_ms + RETENTION_MARGIN_MS,
+            max_hold_ms: settings.longest_hold_ms,
             // The platform's clock may run fast.
             entry_lapse_ms: settings.worker_lapse_ms * 9 / 10,
             ..base
