--- a/crates/entry/tests/soak/random.rs
+++ b/crates/entry/tests/soak/random.rs
@@ -18,6 +18,8 @@
 const FAULTS: usize = 10;
 /// Mean time between two jobs, in milliseconds.
 const JOB_INTERVAL_MS: u64 = 250;
+/// Duration of the cut of a draining worker, in milliseconds: longer than its entry lasts.
+const CUT_MS: u64 = 6_500;
 /// Number of processes that only use processor time, unless the environment says otherwise.
 const SPINNERS: usize = 4;
 /// Time after the last fault for runs of cancelled jobs to be seen, in milliseconds.
@@ -88,9 +90,9 @@
 
 /// A way in which a link is cut.
 fn cut(rng: &mut ChaCha8Rng) -> LinkState {
-    match rng.random_range(0..6) {
-        0 => LinkState::REFUSED,
-        1 => LinkState::RESET,
+    match rng.random_range(0..9) {
+        0 | 1 => LinkState::REFUSED,
+        5 => LinkState::RESET,
         2 => LinkState::flows(Flow::Silent, Flow::Open),
         3 => LinkState::flows(Flow::Open, Flow::Silent),
         4 => LinkState::flows(Flow::Delayed(rng.random_range(500..8_000)), Flow::Open),
@@ -98,12 +100,18 @@
     }
 }
 
-/// The steps of one fault: its beginning and its end.
-fn fault(rng: &mut ChaCha8Rng, size: Size) -> [Step; 2] {
+/// The steps of one fault: its beginning, what it adds to, and its end.
+///
+/// Half of the faults meet worker 0, and half of them host 0, so that faults of one machine overlap.
+fn fault(rng: &mut ChaCha8Rng, size: Size) -> Vec<Step> {
     let at_ms = rng.random_range(1_500..PLAN_MS - 4_000);
     let lasts_ms = rng.random_range(1_000..8_000);
-    let worker = rng.random_range(0..size.workers);
-    let host = rng.random_range(0..size.hosts);
+    let worker = rng
+        .random_range(0..2 * size.workers)
+        .saturating_sub(size.workers);
+    let host = rng
+        .random_range(0..2 * size.hosts)
+        .saturating_sub(size.hosts);
     let (cut, open) = (cut(rng), LinkState::OPEN);
     let (stop, resume) = (Signal::STOP, Signal::CONT);
     let term = Signal::TERM;
@@ -119,7 +127,13 @@
     let replace = Action::ReplaceWorker { worker };
     // A worker that drains leaves by itself before its successor comes.
     let drain_ms = size.linger_ms + 4_500;
-    let (begin, end, lasts_ms) = match rng.random_range(0..13) {
+    let step = |at_ms, lasts_ms, action| Step {
+        at_ms,
+        lasts_ms,
+        action,
+    };
+    let mut steps = Vec::new();
+    let (begin, end, lasts_ms) = match rng.random_range(0..16) {
         0 | 1 => (set_worker(cut), set_worker(open), lasts_ms),
         2 => (
             Action::SetCalls { worker, state: cut },
@@ -145,16 +159,22 @@
             lasts_ms / 10,
         ),
         7 => (signal_worker(kill), replace, lasts_ms / 4),
-        8 | 9 => (signal_worker(term), replace, drain_ms),
-        10 => {
+        8..=10 => (signal_worker(term), replace, drain_ms),
+        11 => {
             let signal = if rng.random_bool(0.5) { kill } else { term };
             (signal_host(signal), Action::RestartHost { host }, 7_000)
         }
-        11 => (
+        12 => (
             Action::SetStore { host, state: cut },
             Action::SetStore { host, state: open },
             lasts_ms,
         ),
+        13 | 14 => {
+            let drains_ms = at_ms - rng.random_range(500..1_500);
+            steps.push(step(drains_ms, drain_ms, signal_worker(term)));
+            steps.push(step(drains_ms + drain_ms, 0, replace));
+            (set_worker(cut), set_worker(open), CUT_MS)
+        }
         _ if rng.random_bool(0.5) => (
             Action::SetHost { host, state: cut },
             Action::SetHost { host, state: open },
@@ -162,12 +182,9 @@
         ),
         _ => (partition(cut), partition(open), lasts_ms),
     };
-    let step = |at_ms, lasts_ms, action| Step {
-        at_ms,
-        lasts_ms,
-        action,
-    };
-    [step(at_ms, lasts_ms, begin), step(at_ms + lasts_ms, 0, end)]
+    steps.push(step(at_ms, lasts_ms, begin));
+    steps.push(step(at_ms + lasts_ms, 0, end));
+    steps
 }
 
 /// The plan of a seed, in the order of time.
@@ -183,7 +200,7 @@
     while at_ms < PLAN_MS {
         job += 1;
         let tasks = rng.random_range(1..7);
-        let run_ms = rng.random_range(300..6_000) / rng.random_range(1..4);
+        let run_ms = rng.random_range(300..8_000) / rng.random_range(1..4);
         steps.push(step(at_ms, Action::Submit { job, tasks, run_ms }));
         if rng.random_bool(0.2) {
             let cancel_ms = at_ms + rng.random_range(0..3_000);
@@ -228,7 +245,7 @@
     let size = Size {
         hosts: 3,
         workers: 4,
-        linger_ms: rng.random_range(500..9_000),
+        linger_ms: rng.random_range(2_000..9_000),
     };
     let steps = plan(&mut rng, size);
     let mut rig = Rig::start(&format!("seed {seed}"), size).await;
