cell: A worker that has not reported all its ends stays in the roster

A successor did not wait for a draining worker that had nothing known left, although its list of ends had been cut off; if another coordinator took over then, a task that was done on it started again.

--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -369,15 +369,22 @@
     /// whose possible runs are listed. A worker left out receives no tasks until it is in the durable
     /// roster again.
     pub fn roster(&mut self, now_ms: u64) -> impl Iterator<Item = &Worker> {
+        let unreported = &self.unreported_workers;
+        // A worker that has not reported all its ends may have runs that are not known yet.
+        let is_known = move |id: &str, worker: &Worker| {
+            let is_drained = worker.is_drained(now_ms) && !unreported.contains(id);
+            !is_drained && !worker.has_lapsed(now_ms)
+        };
         for (id, worker) in &mut self.workers {
-            if !self.unreported_workers.contains(id) {
+            if !unreported.contains(id) {
                 worker.close_runs();
             }
-            worker.in_roster &= !worker.is_vacated(now_ms);
+            worker.in_roster &= is_known(id, worker);
         }
         self.workers
-            .values()
-            .filter(move |worker| !worker.is_vacated(now_ms))
+            .iter()
+            .filter(move |(id, worker)| is_known(id, worker))
+            .map(|(_, worker)| worker)
     }
 
     /// Records that workers are in the durable roster without a list of their runs, so that they may
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -470,15 +470,14 @@
         self.processed_end > self.pending_end
     }
 
-    /// Whether a successor need not know of the worker: it has no run, no order that may still arrive,
-    /// and no end that is not durable, and it is draining, or all of that has expired.
-    pub fn is_vacated(&self, now_ms: u64) -> bool {
-        let is_drained = self.entry.draining
+    /// Whether the worker is draining and has no run, no order that may still arrive, and no end that
+    /// is not durable, provided that it has reported all its ends.
+    pub fn is_drained(&self, now_ms: u64) -> bool {
+        self.entry.draining
             && self.fenced
             && self.runs.is_empty()
             && self.processed_end == self.durable_end
-            && !self.has_pending_orders(now_ms);
-        is_drained || self.has_lapsed(now_ms)
+            && !self.has_pending_orders(now_ms)
     }
 
     /// Whether the worker does not answer and every hold and order granted to it has expired. Only an
