cell: A restart does not make a list of ends complete

A successor no longer waited for a worker that had restarted, though the list of ends of its new process was cut off as well, so that a task that was done there could start again.

--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -243,6 +243,8 @@
         for task in released {
             self.release(id, task, proof, now_ms);
         }
+        self.unreported_workers.swap_remove(id);
+        self.unheard_workers.swap_remove(id);
         self.forget_process(id, now_ms);
     }
 
@@ -255,8 +257,6 @@
     /// Forgets what is known of a worker's process, because it has ended or a later one answers. Its
     /// runs are left to the caller; orders on their way may still reach a later process.
     fn forget_process(&mut self, id: &str, now_ms: u64) {
-        self.unreported_workers.swap_remove(id);
-        self.unheard_workers.swap_remove(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
