shard: ignore reports of an owner that a later owner has replaced

Tasks of a job that must not run twice ran a second time in another zone.

Cause: an owner of a rack group was paused while tasks waited there for room. Its successor got the same assignments and started the tasks. The paused owner took its own inability to place them as "not started", and its hand-back reached the shard when it woke. The shard accepted it, although the report names the owner's epoch, and assigned the next attempts to another group: nightly/16@1 started at 6,510 ms under epoch 2, was handed back under epoch 1 at 7,962 ms, and @2 started at 8,021 ms. That @1 had ended 11 ms before was luck.

Ruled out: an end lost by the successor (it reported @1 as completed at 8,056 ms).

A check against the epoch that the shard sent to last would not hold over a takeover of the shard, nor against a report that is being journaled while the successor gets its assignments. Nothing is lost: a worker reports an end until it is acknowledged, so the successor reports it too.

--- a/crates/histories/tests/found.rs
+++ b/crates/histories/tests/found.rs
@@ -19,6 +19,12 @@
     check(330);
 }
 
+// Guards against a hand-back by a paused owner of runs that its successor has started.
+#[test]
+fn found_seed_1573_completes_no_task_twice() {
+    check(1573);
+}
+
 #[test]
 fn found_seed_1360_runs_no_task_twice() {
     check(1360);
--- a/crates/journal/src/record/codec.rs
+++ b/crates/journal/src/record/codec.rs
@@ -159,6 +159,19 @@
             Record::HandedBack { work, runs } => {
                 Self::HandedBack(runs_message(work, runs, String::new()))
             }
+            Record::GroupEpoch { group, epoch } => Self::GroupEpoch(message::GroupEpochMessage {
+                group: group.to_string(),
+                epoch: epoch.0,
+            }),
+            Record::Reported {
+                group,
+                epoch,
+                records,
+            } => Self::Reported(message::ReportedMessage {
+                group: group.to_string(),
+                epoch: epoch.0,
+                records: records.iter().map(RecordMessage::from).collect(),
+            }),
             Record::Ended { run, end } => Self::Ended(message::EndedMessage {
                 work: run.task.work.to_string(),
                 index: run.task.index,
@@ -230,6 +243,19 @@
                 runs: runs_from(&back)?,
                 work: ids::WorkId::from(back.work),
             },
+            RecordBody::GroupEpoch(owned) => Self::GroupEpoch {
+                group: group_from_text(&owned.group)?,
+                epoch: ids::Epoch(owned.epoch),
+            },
+            RecordBody::Reported(reported) => Self::Reported {
+                group: group_from_text(&reported.group)?,
+                epoch: ids::Epoch(reported.epoch),
+                records: reported
+                    .records
+                    .into_iter()
+                    .map(Self::try_from)
+                    .collect::<errors::Result<_>>()?,
+            },
             RecordBody::Ended(ended) => Self::Ended {
                 run: ids::TaskAttempt {
                     task: ids::TaskId::new(&ids::WorkId::from(ended.work), ended.index),
--- a/crates/journal/src/record/message.rs
+++ b/crates/journal/src/record/message.rs
@@ -25,7 +25,7 @@
 pub(crate) struct RecordMessage {
     #[prost(
         oneof = "RecordBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub body: Option<RecordBody>,
 }
@@ -60,6 +60,10 @@
     /// The work as JSON.
     #[prost(bytes, tag = "13")]
     Changed(Vec<u8>),
+    #[prost(message, tag = "14")]
+    GroupEpoch(GroupEpochMessage),
+    #[prost(message, tag = "15")]
+    Reported(ReportedMessage),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -92,6 +96,24 @@
     pub group: String,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct GroupEpochMessage {
+    #[prost(string, tag = "1")]
+    pub group: String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct ReportedMessage {
+    #[prost(string, tag = "1")]
+    pub group: String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub records: Vec<RecordMessage>,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct EndedMessage {
     #[prost(string, tag = "1")]
--- a/crates/journal/src/record/mod.rs
+++ b/crates/journal/src/record/mod.rs
@@ -73,6 +73,23 @@
         /// The runs.
         runs: Vec<Run>,
     },
+    /// The owner of a group under this epoch gets assignments from now on.
+    GroupEpoch {
+        /// The group of racks.
+        group: ids::GroupId,
+        /// The owner's epoch.
+        epoch: ids::Epoch,
+    },
+    /// The owner of a group reported how its runs ended; ignored as a whole after a
+    /// [`Record::GroupEpoch`] with a higher epoch.
+    Reported {
+        /// The group of racks.
+        group: ids::GroupId,
+        /// The owner's epoch.
+        epoch: ids::Epoch,
+        /// The reported changes.
+        records: Vec<Record>,
+    },
     /// A run ended.
     Ended {
         /// The run that ended.
--- a/crates/journal/src/state/mod.rs
+++ b/crates/journal/src/state/mod.rs
@@ -107,6 +107,9 @@
     /// The key is already claimed.
     #[display("the key is already claimed")]
     KnownClaim,
+    /// A later owner of the group gets assignments, or already did.
+    #[display("not from the owner of the group")]
+    StaleGroup,
     /// There is no open claim with this key and attempt.
     #[display("no such claim")]
     NoSuchClaim,
@@ -136,6 +139,8 @@
     waiting: BTreeMap<u64, ids::WorkId>,
     finished: VecDeque<(u64, ids::WorkId)>,
     groups: IndexSet<ids::GroupId>,
+    /// Highest epoch of each group whose owner gets assignments.
+    group_epochs: IndexMap<ids::GroupId, ids::Epoch>,
     claims: claims::Claims,
     seals: VecDeque<u64>,
     followed: ids::ReleaseVersion,
@@ -200,6 +205,12 @@
                 self.assign(work, runs, group, Job::may_restart)
             }
             Record::HandedBack { work, runs } => self.hand_back(work, runs),
+            Record::GroupEpoch { group, epoch } => self.raise_group_epoch(group, *epoch),
+            Record::Reported {
+                group,
+                epoch,
+                records,
+            } => self.apply_report(group, *epoch, records),
             Record::Ended { run, end } => self.change_live(&run.task.work, |job| {
                 job.note_attempt(run);
                 if !job.is_live(run.task.index, run.attempt) {
@@ -288,6 +299,34 @@
         })
     }
 
+    fn raise_group_epoch(
+        &mut self,
+        group: &ids::GroupId,
+        epoch: ids::Epoch,
+    ) -> Result<(), IgnoredReason> {
+        if epoch <= self.group_epoch(group) {
+            return Err(IgnoredReason::StaleGroup);
+        }
+        self.group_epochs.insert(group.clone(), epoch);
+        Ok(())
+    }
+
+    /// Applies a report unless a later owner may have got, and started, the same runs.
+    fn apply_report(
+        &mut self,
+        group: &ids::GroupId,
+        epoch: ids::Epoch,
+        records: &[Record],
+    ) -> Result<(), IgnoredReason> {
+        if epoch < self.group_epoch(group) {
+            return Err(IgnoredReason::StaleGroup);
+        }
+        for record in records {
+            self.apply(record);
+        }
+        Ok(())
+    }
+
     /// Returns the live ones of the runs to waiting; the others have ended.
     fn hand_back(&mut self, work: &ids::WorkId, runs: &[Run]) -> Result<(), IgnoredReason> {
         self.change_live(work, |job| {
--- a/crates/journal/src/state/query.rs
+++ b/crates/journal/src/state/query.rs
@@ -124,6 +124,11 @@
         is_live.then(|| self.groups.get_index(usize::from(progress.group)))?
     }
 
+    /// Highest epoch of a group whose owner gets assignments; zero before the first.
+    pub fn group_epoch(&self, group: &ids::GroupId) -> ids::Epoch {
+        self.group_epochs.get(group).copied().unwrap_or_default()
+    }
+
     /// Cancelled work with live attempts, which are to be stopped.
     pub fn cancelled_work(&self) -> impl Iterator<Item = &ids::WorkId> {
         let open = self.open.values().filter_map(|work| self.jobs.get(work));
--- a/crates/journal/src/state/snapshot.rs
+++ b/crates/journal/src/state/snapshot.rs
@@ -46,6 +46,16 @@
     stripped_answers: u64,
     #[prost(uint64, tag = "13")]
     followed: u64,
+    #[prost(message, repeated, tag = "14")]
+    group_epochs: Vec<GroupEpochMessage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct GroupEpochMessage {
+    #[prost(string, tag = "1")]
+    group: String,
+    #[prost(uint64, tag = "2")]
+    epoch: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -143,6 +153,7 @@
                 .collect(),
             stripped_answers: self.claims.stripped() as u64,
             followed: self.followed.0,
+            group_epochs: self.group_epochs.iter().map(group_epoch_message).collect(),
         };
         record::compress(&message.encode_to_vec())
     }
@@ -158,6 +169,7 @@
             .map_err(|error| corrupt(&error.to_string()))?;
         let groups = message.groups.iter();
         let groups: errors::Result<_> = groups.map(|text| record::group_from_text(text)).collect();
+        let group_epochs = message.group_epochs.iter().map(restore_group_epoch);
         let mut state = Self {
             seq: message.seq,
             epoch: ids::Epoch(message.epoch),
@@ -166,6 +178,7 @@
             time_ms: message.time_ms,
             next_order: message.next_order,
             groups: groups?,
+            group_epochs: group_epochs.collect::<errors::Result<_>>()?,
             seals: message.seals.into(),
             followed: ids::ReleaseVersion(message.followed),
             claims: restore_claims(message.claims, message.stripped_answers)?,
@@ -204,6 +217,18 @@
     }
 }
 
+fn group_epoch_message((group, epoch): (&ids::GroupId, &ids::Epoch)) -> GroupEpochMessage {
+    GroupEpochMessage {
+        group: group.to_string(),
+        epoch: epoch.0,
+    }
+}
+
+fn restore_group_epoch(message: &GroupEpochMessage) -> errors::Result<(ids::GroupId, ids::Epoch)> {
+    let group = record::group_from_text(&message.group)?;
+    Ok((group, ids::Epoch(message.epoch)))
+}
+
 fn job_message(job: &Job) -> JobMessage {
     let spans = job.task_table.spans().iter();
     JobMessage {
--- a/crates/journal/tests/journal/state.rs
+++ b/crates/journal/tests/journal/state.rs
@@ -11,12 +11,13 @@
 use proptest::test_runner::{Config as Runs, FileFailurePersistence};
 use proptest::{prop_assert, prop_assert_eq, proptest};
 
+use crate::group_reports;
 use crate::support::batch_run;
 
-const WORKS: u32 = 3;
-const TASKS: u32 = 4;
+pub(crate) const WORKS: u32 = 3;
+pub(crate) const TASKS: u32 = 4;
 
-fn name(index: u32) -> ids::WorkId {
+pub(crate) fn name(index: u32) -> ids::WorkId {
     ids::WorkId::new(format!("w{index}"))
 }
 
@@ -24,12 +25,12 @@
     ids::IdempotencyKey::new(format!("k{index}"))
 }
 
-fn run_of(index: u32, attempt: u32) -> Run {
+pub(crate) fn run_of(index: u32, attempt: u32) -> Run {
     let attempt = ids::Attempt(attempt);
     Run { index, attempt }
 }
 
-fn ends() -> impl Strategy<Value = workers::RunEnd> {
+pub(crate) fn ends() -> impl Strategy<Value = workers::RunEnd> {
     prop_oneof![
         Just(workers::RunEnd::Completed),
         Just(workers::RunEnd::Failed),
@@ -79,6 +80,14 @@
             };
             Record::Ended { run, end }
         }),
+        1 => (0..2_u16, 0..3_u64).prop_map(|(group, epoch)| Record::GroupEpoch {
+            group: ids::GroupId::new(&"muc-ost".into(), group),
+            epoch: ids::Epoch(epoch),
+        }),
+        2 => (0..2_u16, 0..3_u64, vec(group_reports::reported(), 0..3)).prop_map(|(group, epoch, records)| {
+            let group = ids::GroupId::new(&"muc-ost".into(), group);
+            Record::Reported { group, epoch: ids::Epoch(epoch), records }
+        }),
         1 => work.clone().prop_map(|work| Record::Cancelled { work: name(work) }),
         1 => work.prop_map(|work| Record::Withdrawn { work: name(work) }),
         1 => (0..9_u64).prop_map(|version| Record::Followed { version: ids::ReleaseVersion(version) }),
@@ -93,7 +102,7 @@
     ]
 }
 
-fn entry(batch: u64, records: Vec<Record>) -> Entry {
+pub(crate) fn entry(batch: u64, records: Vec<Record>) -> Entry {
     Entry {
         epoch: ids::Epoch(1),
         writer: ids::HostId::new("h"),
@@ -105,7 +114,7 @@
 }
 
 /// A state with retention short enough that jobs and claims are evicted within a test.
-fn opened() -> ShardState {
+pub(crate) fn opened() -> ShardState {
     let mut state = ShardState::new(journal::Limits {
         claim_retention_ms: 8_000,
         claim_body_bytes: 30,
@@ -163,6 +172,19 @@
                 let task = (run.task.work.clone(), run.task.index);
                 self.live.remove(&task) == Some(run.attempt.0)
             }
+            Record::Reported { records, .. } => {
+                for record in records {
+                    let Record::Ended { run, .. } = record else {
+                        self.apply(record);
+                        continue;
+                    };
+                    let task = (run.task.work.clone(), run.task.index);
+                    if self.live.get(&task) == Some(&run.attempt.0) {
+                        self.live.remove(&task);
+                    }
+                }
+                true
+            }
             _ => true,
         }
     }
@@ -325,7 +347,7 @@
 }
 
 /// Accepts work of the release `since`.
-fn released(name: &str, tasks: u32, since: u64) -> Record {
+pub(crate) fn released(name: &str, tasks: u32, since: u64) -> Record {
     let mut work = batch_run(name, tasks);
     work.since = ids::ReleaseVersion(since);
     Record::Accepted {
@@ -334,7 +356,7 @@
     }
 }
 
-fn assigned(runs: Vec<Run>) -> Record {
+pub(crate) fn assigned(runs: Vec<Run>) -> Record {
     Record::Assigned {
         work: "w".into(),
         runs,
@@ -342,7 +364,7 @@
     }
 }
 
-fn ended(index: u32, attempt: u32, end: workers::RunEnd) -> Record {
+pub(crate) fn ended(index: u32, attempt: u32, end: workers::RunEnd) -> Record {
     let task = ids::TaskId::new(&"w".into(), index);
     let attempt = ids::Attempt(attempt);
     let run = ids::TaskAttempt { task, attempt };
@@ -350,7 +372,7 @@
 }
 
 /// Applies records one by one and compares the state with a restored snapshot after each.
-fn apply_all(state: &mut ShardState, records: Vec<Record>) -> Vec<Applied> {
+pub(crate) fn apply_all(state: &mut ShardState, records: Vec<Record>) -> Vec<Applied> {
     let mut applied = Vec::new();
     for record in records {
         let batch = state.seq();
@@ -445,29 +467,6 @@
     }
 }
 
-#[test]
-fn a_group_that_restarts_cancelled_work_keeps_the_job_open() {
-    let mut state = opened();
-    let restarted = Record::Restarted {
-        work: "w".into(),
-        runs: vec![run_of(0, 2)],
-        group: ids::GroupId::new(&"z".into(), 0),
-    };
-    let records = vec![
-        released("w", 1, 1),
-        assigned(vec![run_of(0, 1)]),
-        released("w", 1, 2),
-    ];
-    apply_all(&mut state, records);
-    // Both records are in one entry, as when a group's report is journaled.
-    let report = vec![ended(0, 1, workers::RunEnd::Failed), restarted];
-    let batch = state.seq();
-    state.apply_entry(&entry(batch, report)).unwrap();
-    assert!(state.tasks_to_assign(10).is_empty());
-    apply_all(&mut state, vec![ended(0, 2, workers::RunEnd::Stopped)]);
-    assert_eq!(state.tasks_to_assign(10)[0].runs, [run_of(0, 3)]);
-}
-
 #[test]
 fn a_changed_number_of_tasks_decides_what_is_assigned() {
     struct Case {
--- a/crates/node/src/shard/assign.rs
+++ b/crates/node/src/shard/assign.rs
@@ -101,6 +101,30 @@
         reported >= groups || now_ms >= self.started_at_ms + GROUP_LOAD_TIMEOUT_MS
     }
 
+    /// Journals the epochs under which groups are owned, before their owners get assignments.
+    ///
+    /// Reports of earlier owners are ignored from then on, also under a later owner of this
+    /// shard.
+    pub(super) async fn record_group_epochs(&self) -> errors::Result<()> {
+        let journal = self.journal()?;
+        let directory = self.shared.directory();
+        let records: Vec<Record> = {
+            let state = journal.state();
+            let groups = self.shared.config.topology.groups();
+            let raised = groups.filter_map(|group| {
+                let epoch = directory.group(&group)?.epoch;
+                (epoch > state.group_epoch(&group)).then_some((group, epoch))
+            });
+            raised
+                .map(|(group, epoch)| Record::GroupEpoch { group, epoch })
+                .collect()
+        };
+        if !records.is_empty() {
+            self.append(records).await?;
+        }
+        Ok(())
+    }
+
     /// Starts sending a message to every group that has queued changes and none in flight.
     pub(super) fn send_assignments(self: &Arc<Self>) {
         let Ok(journal) = self.journal() else { return };
@@ -116,6 +140,9 @@
             let Some(location) = directory.group(&group) else {
                 continue;
             };
+            if state.group_epoch(&group) != location.epoch {
+                continue;
+            }
             let entry = outbox.group(&group);
             if entry.in_flight || now_ms < entry.due_at_ms {
                 continue;
--- a/crates/node/src/shard/mod.rs
+++ b/crates/node/src/shard/mod.rs
@@ -135,8 +135,9 @@
     async fn step(self: &Arc<Self>) -> errors::Result<()> {
         self.apply_release().await?;
         self.assign().await?;
+        let recorded = self.record_group_epochs().await;
         self.send_assignments();
-        Ok(())
+        recorded
     }
 
     /// The journal; fails if it is not open or this host no longer owns the shard.
--- a/crates/node/src/shard/reports.rs
+++ b/crates/node/src/shard/reports.rs
@@ -16,9 +16,14 @@
 impl ShardOwner {
     /// Journals the ends in a report; returns once they are durable.
     ///
+    /// What a later owner of the group knows of the runs is not known to an earlier one, so only
+    /// the latest owner that got assignments may report. A worker reports an end until it is
+    /// acknowledged, and thus to the latest owner too.
+    ///
     /// # Errors
     ///
-    /// If the report does not decode or the journal refuses it; the group then reports again.
+    /// [`errors::ErrorKind::StaleEpoch`] if a later owner of the group got assignments; otherwise
+    /// if the report does not decode or the journal refuses it, and the group reports again.
     pub async fn report(
         &self,
         request: &messages::ReportRequest,
@@ -28,7 +33,18 @@
         for report in &request.reports {
             self.add_records(&mut records, report, &from)?;
         }
-        self.append(records).await?;
+        let report = Record::Reported {
+            group: from,
+            epoch: ids::Epoch(request.group_epoch),
+            records,
+        };
+        let applied = self.append(vec![report]).await?;
+        if !applied.iter().all(|applied| applied.is_changed()) {
+            return Err(errors::Error::new(
+                errors::ErrorKind::StaleEpoch,
+                "the report is from an earlier owner of the group",
+            ));
+        }
         self.wake.notify_one();
         Ok(messages::ReportReply {
             shard_epoch: self.epoch.0,
