node: recovery rests on a roster that no earlier owner can change any more

A task that had completed ran a second time, though its job must not run twice.

Cause: the host that took over a group was cut off from the store before it had read the roster. Recovery ended at its deadline all the same: a group of which no worker is known was taken for a group without workers. The tasks counted as never started, were handed back for lack of room, and got a second attempt elsewhere. charge-5/1@1 completed at 11,240 ms, @2 started at 23,927 ms.

From reading only: an earlier owner that was paused could add a worker to the roster, and start tasks there, after its successor had read it, because the successor wrote the roster only when its set of workers changed.

A new owner now writes the roster under its own epoch first (one conditional write per takeover), and recovery needs that write. The deadline of the group is gone: the leases of the known workers decide. A group that cannot read its roster knows no worker and could start nothing anyway.

--- a/crates/histories/tests/found.rs
+++ b/crates/histories/tests/found.rs
@@ -25,6 +25,12 @@
     check(1573);
 }
 
+// Guards against taking a roster that could not be read for a group without workers.
+#[test]
+fn found_seed_3171_completes_no_task_twice() {
+    check(3171);
+}
+
 #[test]
 fn found_seed_1360_runs_no_task_twice() {
     check(1360);
--- a/crates/node/src/group/recovery.rs
+++ b/crates/node/src/group/recovery.rs
@@ -19,7 +19,7 @@
         if state.recovered {
             return;
         }
-        let all_confirmed = state.roster.is_loaded()
+        let all_confirmed = state.roster.is_sealed()
             && state.list_received
             && state.lost_before_recovery.is_empty()
             && state.links.values().all(|link| link.confirmed);
@@ -88,14 +88,14 @@
 
 /// Whether no task of an earlier owner can run any more on a worker that has not answered.
 ///
-/// The group's deadline covers workers that are unknown while the roster cannot be read. A worker
-/// that was lost and is listed again has a new link, whose leases cover no earlier run.
+/// Without the roster it is not known which workers there are. A worker that was lost and is
+/// listed again has a new link, whose leases cover no earlier run.
 fn all_leases_expired(state: &state::GroupState, now_ms: u64) -> bool {
     let mut unconfirmed = state
         .links
         .iter()
         .filter(|(worker, link)| !link.confirmed && !state.lost_before_recovery.contains(*worker));
-    now_ms >= state.recovery_deadline_ms && unconfirmed.all(|(_, link)| link.leases_expired(now_ms))
+    state.roster.is_sealed() && unconfirmed.all(|(_, link)| link.leases_expired(now_ms))
 }
 
 fn take_deferred_ends(
--- a/crates/node/src/group/roster.rs
+++ b/crates/node/src/group/roster.rs
@@ -4,7 +4,8 @@
 //! may still run, or may have completed without a report. An owner therefore adds a worker to
 //! the roster, one value in the store for each group, before it starts anything there, and
 //! removes it when nothing of it is open any more. The next owner syncs with every worker of
-//! the roster.
+//! the roster, after it has written the roster under its own epoch: from then on an earlier
+//! owner can add no worker to it, because its write is conditional.
 
 use std::sync::Arc;
 use std::time;
@@ -38,6 +39,8 @@
     /// Condition for the next write; `None` if the roster has to be read first.
     write_condition: Option<Condition>,
     workers: IndexMap<ids::WorkerId, workers::WorkerInfo>,
+    /// Whether the stored roster was written under this owner's epoch.
+    sealed: bool,
     in_flight: bool,
     due_at_ms: u64,
 }
@@ -46,9 +49,9 @@
 type Condition = store::Condition;
 
 impl Roster {
-    /// Whether the copy is current.
-    pub const fn is_loaded(&self) -> bool {
-        self.write_condition.is_some()
+    /// Whether the copy contains every worker on which an earlier owner may have started tasks.
+    pub const fn is_sealed(&self) -> bool {
+        self.sealed
     }
 
     /// Whether the roster contains a worker.
@@ -106,7 +109,7 @@
         });
     }
 
-    /// The roster that should be stored; `None` if it equals the stored one.
+    /// The roster that should be stored; `None` if it is stored under this owner's epoch.
     fn updated_roster(&self, state: &state::GroupState) -> Option<RosterValue> {
         let mut workers = state.roster.workers.clone();
         if state.recovered {
@@ -117,7 +120,7 @@
         }
         let is_unchanged = workers.len() == state.roster.workers.len()
             && workers.keys().all(|id| state.roster.contains(id));
-        if is_unchanged {
+        if is_unchanged && state.roster.sealed {
             return None;
         }
         Some(RosterValue {
@@ -176,6 +179,7 @@
             return;
         }
         state.roster.write_condition = Some(condition);
+        state.roster.sealed = value.epoch == self.epoch;
         state.roster.workers = value
             .workers
             .into_iter()
