leader: a worker that is listed again with the same roster gets work

Cause: the worker counts as one in the durable roster only once the coordinator is told so, which happened only after a write of the roster. If the worker is listed again before the next comparison, the roster is the same as the durable one and was not written, so the new state of the worker was never marked. Why it works: the names in the durable roster are told to the coordinator whenever the roster has been compared. They are told only when both are equal, after the write if there is one, so that a worker which the next roster omits is not marked meanwhile.

--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -3,7 +3,7 @@
 //! Each transaction is conditional on our leader key and on the last known revision of each record,
 //! so that a transaction applied late, after its retry, changes nothing.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{ops::ControlFlow, rc::Rc, sync::Arc, time::Duration};
 
 use adapter::store::{Committed, Item, MAX_TXN_ENTRIES, StoreError, Txn};
 use cell::{
@@ -415,7 +415,8 @@
         remaining
     }
 
-    /// Writes the roster, which must be durable before any of its workers is given work.
+    /// Writes the roster if it has changed. It must be durable before any of its workers is given
+    /// work.
     async fn write_roster(&self) {
         let now_ms = clock::now_ms();
         let roster = {
@@ -427,9 +428,18 @@
             };
             Roster::of(coordinator.roster(now_ms), settled_fence)
         };
-        if *self.durable_roster.borrow() == roster {
-            return;
+        if *self.durable_roster.borrow() != roster {
+            if self.commit_roster(&roster).await.is_break() {
+                return;
+            }
+            *self.durable_roster.borrow_mut() = roster;
         }
+        // A worker that was removed and is listed again may need this although the roster is the same.
+        self.confirm_roster();
+    }
+
+    /// Commits a roster, retrying until it succeeds; breaks if the term has ended.
+    async fn commit_roster(&self, roster: &Roster) -> ControlFlow<()> {
         let value = roster.encode_to_vec();
         loop {
             // The condition on the roster keeps a write that is executed late from undoing this one.
@@ -440,7 +450,7 @@
             match self.context.store.commit(&txn).await {
                 Ok(Committed::Done { revision }) => {
                     self.roster_revision.set(revision);
-                    break;
+                    return ControlFlow::Continue(());
                 }
                 Ok(Committed::Conflict { items }) => {
                     let revision_of = |key| {
@@ -448,7 +458,8 @@
                         item.map_or(0, |item| item.revision)
                     };
                     if revision_of(LEADER_KEY) != self.term.fence {
-                        return self.end_term("key_taken");
+                        self.end_term("key_taken");
+                        return ControlFlow::Break(());
                     }
                     // An earlier write of this leader was applied without an answer.
                     self.roster_revision.set(revision_of(ROSTER_KEY));
@@ -456,13 +467,15 @@
                 Err(_) => time::sleep(RETRY_DELAY).await,
             }
         }
-        let names: Vec<Rc<str>> = roster
-            .workers
-            .iter()
-            .filter(|worker| !worker.closed)
-            .map(|worker| worker.id.as_str().into())
-            .collect();
-        *self.durable_roster.borrow_mut() = roster;
+    }
+
+    /// Tells the coordinator which workers the durable roster allows to be given work.
+    fn confirm_roster(&self) {
+        let names: Vec<Rc<str>> = {
+            let roster = self.durable_roster.borrow();
+            let open = roster.workers.iter().filter(|worker| !worker.closed);
+            open.map(|worker| worker.id.as_str().into()).collect()
+        };
         self.coordinator.borrow_mut().roster_durable(&names);
         self.schedule.notify_one();
     }
