leader: a worker has one poll loop, also if it is listed again soon

Cause: a poll loop ends when it next finds that its worker is gone, and a listed worker that the coordinator does not know got a new loop. If the old loop still waited for a response, or for its retry, when the worker was listed again, both went on. Why it works: the leader keeps the set of workers with a loop. A loop takes itself out in the same step in which it finds the worker gone, so a worker that is listed later gets a new one, and one that is listed sooner keeps the old one.

--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 use tokio::time;
 
-use super::{Leader, holds};
+use super::Leader;
 use crate::{
     clock, events,
     listing::Listing,
@@ -257,7 +257,7 @@
             );
         }
         if self.coordinator.borrow_mut().update_worker(entry) {
-            self.spawn(holds::run(Rc::clone(self), id));
+            self.spawn_hold(id);
         }
         true
     }
--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -45,6 +45,14 @@
             .cloned()
             .collect();
         for id in known {
+            self.spawn_hold(id);
+        }
+    }
+
+    /// Starts a long poll for a worker unless it has one: responses to concurrent polls may overtake
+    /// each other.
+    pub(super) fn spawn_hold(self: &Rc<Self>, id: Rc<str>) {
+        if self.polled_workers.borrow_mut().insert(Rc::clone(&id)) {
             self.spawn(run(Rc::clone(self), id));
         }
     }
@@ -79,8 +87,9 @@
     End,
 }
 
-/// Polls a worker until the worker is removed or the term ends.
-pub(super) async fn run(leader: Rc<Leader>, id: Rc<str>) {
+/// Polls a worker until the worker is removed or the term ends. If the worker is listed again before
+/// the poll has noticed its removal, the poll continues.
+async fn run(leader: Rc<Leader>, id: Rc<str>) {
     let mut poll = Poll {
         leader,
         id,
@@ -95,9 +104,13 @@
         match poll.poll_once().await {
             NextStep::Again => {}
             NextStep::After(pause) => time::sleep(pause).await,
-            NextStep::End => return,
+            NextStep::End => break,
         }
     }
+    poll.leader
+        .polled_workers
+        .borrow_mut()
+        .swap_remove(&poll.id);
 }
 
 impl Poll {
