leader: stops and other orders use the route that extends a worker's runs

Cause: a worker's poll moves to another host when one cannot reach the worker, but stops and paces were always sent over the first route, and starts began there. A host that the coordinator reaches and that does not reach the worker is no reason to leave the route, so that runs were extended through one host while their stops got lost at another, with no end. Evidence: a_cancelled_run_is_stopped_through_the_host_that_extends_it puts a link in front of a worker, drops what the polling host sends over it, waits for the poll to move, and cancels the job. Why it works: the poll publishes the route over which the worker has last answered, and orders use it first. An order that is not answered is repeated, so it moves together with the poll. Either both get through, or the hold expires. Tests: the address of a worker is read from the log in one place, TestCell::worker_address.

--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -52,10 +52,18 @@
     /// Starts a long poll for a worker unless it has one: responses to concurrent polls may overtake
     /// each other.
     pub(super) fn spawn_hold(self: &Rc<Self>, id: Rc<str>) {
-        if self.polled_workers.borrow_mut().insert(Rc::clone(&id)) {
+        let mut routes = self.poll_routes.borrow_mut();
+        if !routes.contains_key(&id) {
+            routes.insert(Rc::clone(&id), 0);
             self.spawn(run(Rc::clone(self), id));
         }
     }
+
+    /// Route over which a worker has last answered its poll. Orders use it first, so that runs that
+    /// are extended can also be stopped.
+    pub(super) fn poll_route(&self, id: &str) -> usize {
+        self.poll_routes.borrow().get(id).copied().unwrap_or(0)
+    }
 }
 
 /// State of one worker's long poll.
@@ -107,10 +115,7 @@
             NextStep::End => break,
         }
     }
-    poll.leader
-        .polled_workers
-        .borrow_mut()
-        .swap_remove(&poll.id);
+    poll.leader.poll_routes.borrow_mut().swap_remove(&poll.id);
 }
 
 impl Poll {
@@ -167,6 +172,10 @@
             HoldOutcome::Listed => {
                 self.connection = reply.connection;
                 self.failed_routes = 0;
+                self.leader
+                    .poll_routes
+                    .borrow_mut()
+                    .insert(Rc::clone(&self.id), self.route_index);
                 if self.unanswered > 0 && !self.was_silent {
                     self.leader.record_lost_answer();
                 }
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -139,8 +139,8 @@
     link_budget: Cell<LinkBudget>,
     /// Recently lost answers of workers.
     answer_loss: Cell<AnswerLoss>,
-    /// Workers with a long poll.
-    polled_workers: RefCell<IndexSet<Rc<str>>>,
+    /// Workers with a long poll, and the route over which each has last answered it.
+    poll_routes: RefCell<IndexMap<Rc<str>, usize>>,
     /// Reachability of the relaying hosts.
     relays: relays::Relays,
     /// Jobs whose cancellation was read before their record.
@@ -222,7 +222,7 @@
             revisions: RefCell::default(),
             link_budget: Cell::default(),
             answer_loss: Cell::default(),
-            polled_workers: RefCell::default(),
+            poll_routes: RefCell::default(),
             relays: relays::Relays::new(context.members.previous_leader()),
             early_cancellations: RefCell::default(),
             record_reads: Semaphore::new(MAX_RECORD_READS),
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -227,14 +227,14 @@
         }
     }
 
-    /// Sends a start order, again if the worker does not answer, and over another route if the first
-    /// host cannot be reached or dies. A worker executes the same order only once, however often it
-    /// arrives.
+    /// Sends a start order over the route of the worker's poll, again if the worker does not answer,
+    /// and over another route if the host cannot be reached or dies. A worker executes the same order
+    /// only once, however often it arrives.
     async fn start(&self, worker: &str, call: StartCall) -> StartResponse {
         self.context.metrics.count("starts");
         let began_ms = clock::now_ms();
         let mut sent_before = false;
-        let mut route_index = 0;
+        let mut route_index = self.poll_route(worker);
         for _ in 0..MAX_START_ATTEMPTS {
             if !self.has_authority() || clock::now_ms() > began_ms + START_RETRY_WINDOW_MS {
                 break;
@@ -295,13 +295,20 @@
         })
     }
 
+    /// Sends an order over the route over which the worker has last answered its poll.
+    async fn relay_order(&self, worker: &str, body: Body) -> Result<Body, PeerError> {
+        let route_index = self.poll_route(worker);
+        self.relay(worker, route_index, body, relay::MAX_ORDER_OVERHEAD)
+            .await
+    }
+
     async fn stop(&self, worker: &str, task: TaskId, run: u64) {
         let Some(call) = self.run_call(worker, task, run, 0) else {
             return;
         };
         // An unconfirmed stop is sent again as long as the run exists.
         let body = Body::Stop(call);
-        let answer = self.relay(worker, 0, body, relay::MAX_ORDER_OVERHEAD).await;
+        let answer = self.relay_order(worker, body).await;
         if answer == Ok(Body::Confirmed(true)) {
             let now_ms = clock::now_ms();
             self.coordinator
@@ -316,7 +323,7 @@
         };
         // An unconfirmed order is sent again as long as the run exists.
         let body = Body::Pace(call);
-        let answer = self.relay(worker, 0, body, relay::MAX_ORDER_OVERHEAD).await;
+        let answer = self.relay_order(worker, body).await;
         if answer == Ok(Body::Confirmed(true)) {
             self.coordinator
                 .borrow_mut()
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -12,5 +12,6 @@
 mod relays;
 mod reload;
 mod rosters;
+mod routes;
 mod support;
 mod takeovers;
--- a/crates/entry/tests/entry/polls.rs
+++ b/crates/entry/tests/entry/polls.rs
@@ -20,10 +20,7 @@
     let leader = test_cell.leader();
     let worker = &test_cell.platform.workers[0];
     let key = format!("servers/{}", worker.id);
-    let log = test_cell.hosts[leader].log();
-    let address = log.split(" address=").nth(1);
-    let address = address.and_then(|rest| rest.split(' ').next()?.parse().ok());
-    let entry = worker.entry(address.expect("the log names the address"), "ready");
+    let entry = worker.entry(test_cell.worker_address(&worker.id), "ready");
     worker.set_unresponsive(true);
     test_cell.platform.store.remove(&key);
     test_cell
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -49,6 +49,11 @@
         kill_process(pid, signal).expect("the process has not been reaped");
     }
 
+    /// Identifier of the process.
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Waits for the process to exit.
     pub fn wait(&mut self) {
         self.process
@@ -69,6 +74,33 @@
     }
 }
 
+/// Whether a process has the connection that comes from this address on loopback.
+pub fn has_connection(process: u32, from: SocketAddr) -> bool {
+    let Some(inode) = connection_inode(from) else {
+        return false;
+    };
+    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
+    let socket = format!("socket:[{inode}]");
+    descriptors
+        .filter_map(|entry| fs::read_link(entry.ok()?.path()).ok())
+        .any(|target| target.as_os_str() == socket.as_str())
+}
+
+/// Inode of the socket with this local address on loopback.
+fn connection_inode(local: SocketAddr) -> Option<String> {
+    let connections = fs::read_to_string("/proc/net/tcp").ok()?;
+    let local_port = format!(":{:04X}", local.port());
+    // Columns: number, local address, remote address; the inode is the tenth.
+    connections.lines().find_map(|line| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let is_local = columns.get(1)?.ends_with(&local_port);
+        let inode = columns.get(9).filter(|_| is_local)?;
+        Some((*inode).to_owned())
+    })
+}
+
 /// A cell: the stand-in platform and its entry hosts. Dropping it kills the hosts.
 #[derive(Debug)]
 pub struct TestCell {
@@ -273,6 +305,17 @@
         (self.leader() + 1) % self.hosts.len()
     }
 
+    /// Address of a worker when the leader first read its entry.
+    pub fn worker_address(&self, worker: &str) -> SocketAddr {
+        let log = self.hosts[self.leader()].log();
+        let listed = format!("worker={worker} listed=true ");
+        let line = log.lines().find(|line| line.contains(&listed));
+        let address = line.and_then(|line| line.split(" address=").nth(1));
+        address
+            .and_then(|rest| rest.split(' ').next()?.parse().ok())
+            .expect("the log names the address")
+    }
+
     /// Sends a client request to a host.
     pub async fn call(&self, host: usize, method: &str, path: &str, body: Option<Value>) -> Reply {
         self.call_address(self.hosts[host].clients, method, path, body)
