leader: deadlines are computed from the time at which the authority was checked

Cause: the poll of a worker and the scheduling pass checked the leader's authority and read the clock again afterwards. A process that is stopped between the two computed holds and deadlines of starts from a time at which its authority may have ended, and a successor counts on none beyond it. Why it works: the check returns the time that it was made for, and both callers use that time. Holds and starts that leave after a stop carry deadlines from before it.

--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -123,10 +123,9 @@
         let Some(worker) = self.leader.worker_ref(&self.id) else {
             return NextStep::End;
         };
-        if !self.leader.has_authority() {
+        let Some(sent_ms) = self.leader.authorized_now_ms() else {
             return NextStep::After(RETRY_DELAY);
-        }
-        let sent_ms = clock::now_ms();
+        };
         let has_connection = self.connection != 0;
         let terms =
             self.leader
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -266,6 +266,12 @@
     /// Whether the leader may send orders: its key was confirmed within [`AUTHORITY_TIMEOUT_MS`] and
     /// since the process last stood still.
     fn has_authority(&self) -> bool {
+        self.authorized_now_ms().is_some()
+    }
+
+    /// The current time, if the leader may send orders now. Deadlines must be computed from this time:
+    /// the process may be stopped at any point after the check, and its authority may end meanwhile.
+    fn authorized_now_ms(&self) -> Option<u64> {
         let now_ms = clock::now_ms();
         let confirmed_ms = self.last_confirmed_ms.get();
         if let Some(stalled_ms) = self.stalls.record_running(now_ms) {
@@ -276,9 +282,10 @@
                 now_ms - confirmed_ms
             );
         }
-        !self.ended.is_cancelled()
+        let has_authority = !self.ended.is_cancelled()
             && !self.is_confirmation_expired(now_ms)
-            && self.stalls.has_run_since(confirmed_ms)
+            && self.stalls.has_run_since(confirmed_ms);
+        has_authority.then_some(now_ms)
     }
 
     fn is_confirmation_expired(&self, now_ms: u64) -> bool {
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -48,8 +48,7 @@
     loop {
         let _tick = time::timeout(MAX_PASS_INTERVAL, leader.schedule.notified()).await;
         let pass_began = time::Instant::now();
-        if leader.has_authority() {
-            let now_ms = clock::now_ms();
+        if let Some(now_ms) = leader.authorized_now_ms() {
             let orders = leader
                 .coordinator
                 .borrow_mut()
