--- a/crates/entry/tests/entry/routes.rs
+++ b/crates/entry/tests/entry/routes.rs
@@ -1,6 +1,7 @@
 //! Workers that some of the relaying hosts cannot reach.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -28,8 +29,8 @@
 /// Connections to a link, by the addresses that they come from.
 #[derive(Debug, Default)]
 struct Connections {
-    /// The connection on which data came last.
-    last_used: Option<SocketAddr>,
+    /// The connection on which the last poll came.
+    polling: Option<SocketAddr>,
     /// Process whose data the link drops.
     blocked_process: Option<u32>,
 }
@@ -68,21 +69,28 @@
         let mut buffer = vec![0; 64 << 10];
         loop {
             let length = requests.read(&mut buffer).await.ok().filter(|&n| n > 0)?;
+            let request = &buffer[..length];
             let blocked_process = {
                 let mut connections = self.connections();
-                connections.last_used = Some(from);
+                if request.starts_with(b"POST /hickorychute/hold") {
+                    connections.polling = Some(from);
+                }
                 connections.blocked_process
             };
-            if !blocked_process.is_some_and(|process| support::has_connection(process, from)) {
-                to_server.write_all(&buffer[..length]).await.ok()?;
+            if !blocked_process.is_some_and(|process| self.is_from(process, from)) {
+                to_server.write_all(request).await.ok()?;
             }
         }
     }
 
-    /// Whether a host was the last to send data.
-    fn was_used_by(&self, host: &Host) -> bool {
-        let last_used = self.connections().last_used;
-        last_used.is_some_and(|from| support::has_connection(host.process_id(), from))
+    fn is_from(&self, process: u32, from: SocketAddr) -> bool {
+        support::has_connection(process, from, self.address)
+    }
+
+    /// Whether a host sent the last poll.
+    fn was_polled_by(&self, host: &Host) -> bool {
+        let polling = self.connections().polling;
+        polling.is_some_and(|from| self.is_from(host.process_id(), from))
     }
 
     /// Drops from now on what a host sends.
@@ -102,21 +110,20 @@
     let entry = worker.entry(link.address, "ready").to_string();
     let key = format!("servers/{}", worker.id);
     test_cell.platform.store.put(&key, &entry);
-    let relaying = || {
-        let followers = (0..3).filter(|host| *host != leader);
-        followers
-            .into_iter()
-            .find(|host| link.was_used_by(&test_cell.hosts[*host]))
-    };
-    test_cell
-        .wait_until("a poll through a follower", |_| relaying().is_some())
-        .await;
     let path = support::path("batch", 1);
     let reply = test_cell.submit(leader, &path, 1, "run=60000").await;
     assert_eq!(reply.status, 200);
     test_cell.wait_for_state(leader, &path, "running").await;
 
-    let relaying = relaying().expect("a follower relays the polls");
+    let relaying = Cell::new(None);
+    test_cell
+        .wait_until("a poll through a follower", |test_cell| {
+            let mut followers = (0..3).filter(|host| *host != leader);
+            relaying.set(followers.find(|host| link.was_polled_by(&test_cell.hosts[*host])));
+            relaying.get().is_some()
+        })
+        .await;
+    let relaying = relaying.get().expect("a follower polls");
     link.block(&test_cell.hosts[relaying]);
     let count = |text: &str| test_cell.hosts[leader].log().matches(text).count();
     test_cell
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -74,9 +74,9 @@
     }
 }
 
-/// Whether a process has the connection that comes from this address on loopback.
-pub fn has_connection(process: u32, from: SocketAddr) -> bool {
-    let Some(inode) = connection_inode(from) else {
+/// Whether a process has the open connection between two addresses, the first of which is its own.
+pub fn has_connection(process: u32, from: SocketAddr, to: SocketAddr) -> bool {
+    let Some(inode) = connection_inode(from, to) else {
         return false;
     };
     let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else {
@@ -88,16 +88,24 @@
         .any(|target| target.as_os_str() == socket.as_str())
 }
 
-/// Inode of the socket with this local address on loopback.
-fn connection_inode(local: SocketAddr) -> Option<String> {
+/// Inode of the socket of an open connection on loopback. Its local port alone may also be that of other
+/// connections.
+fn connection_inode(local: SocketAddr, remote: SocketAddr) -> Option<String> {
+    /// State of an open connection.
+    const ESTABLISHED: &str = "01";
     let connections = fs::read_to_string("/proc/net/tcp").ok()?;
-    let local_port = format!(":{:04X}", local.port());
-    // Columns: number, local address, remote address; the inode is the tenth.
+    let (local_port, remote_port) = (
+        format!(":{:04X}", local.port()),
+        format!(":{:04X}", remote.port()),
+    );
+    // Columns: number, local address, remote address, state; the inode is the tenth.
     connections.lines().find_map(|line| {
         let columns: Vec<&str> = line.split_whitespace().collect();
-        let is_local = columns.get(1)?.ends_with(&local_port);
-        let inode = columns.get(9).filter(|_| is_local)?;
-        Some((*inode).to_owned())
+        let &[_, from, to, state, _, _, _, _, _, inode, ..] = columns.as_slice() else {
+            return None;
+        };
+        let is_meant = from.ends_with(&local_port) && to.ends_with(&remote_port);
+        (is_meant && state == ESTABLISHED).then(|| inode.to_owned())
     })
 }
 
