--- a/crates/entry/src/leader/holds.rs
+++ b/crates/entry/src/leader/holds.rs
@@ -45,9 +45,25 @@
             .cloned()
             .collect();
         for id in known {
+            self.spawn_hold(id);
+        }
+    }
+
+    /// Starts a long poll for a worker unless it has one: responses to concurrent polls may overtake
+    /// each other.
+    pub(super) fn spawn_hold(self: &Rc<Self>, id: Rc<str>) {
+        let mut routes = self.poll_routes.borrow_mut();
+        if !routes.contains_key(&id) {
+            routes.insert(Rc::clone(&id), 0);
             self.spawn(run(Rc::clone(self), id));
         }
     }
+
+    /// Route over which a worker has last answered its poll. Orders use it first, so that runs that
+    /// are extended can also be stopped.
+    pub(super) fn poll_route(&self, id: &str) -> usize {
+        self.poll_routes.borrow().get(id).copied().unwrap_or(0)
+    }
 }
 
 /// State of one worker's long poll.
@@ -79,8 +95,9 @@
     End,
 }
 
-/// Polls a worker until the worker is removed or the term ends.
-pub(super) async fn run(leader: Rc<Leader>, id: Rc<str>) {
+/// Polls a worker until the worker is removed or the term ends. If the worker is listed again before
+/// the poll has noticed its removal, the poll continues.
+async fn run(leader: Rc<Leader>, id: Rc<str>) {
     let mut poll = Poll {
         leader,
         id,
@@ -95,9 +112,10 @@
         match poll.poll_once().await {
             NextStep::Again => {}
             NextStep::After(pause) => time::sleep(pause).await,
-            NextStep::End => return,
+            NextStep::End => break,
         }
     }
+    poll.leader.poll_routes.borrow_mut().swap_remove(&poll.id);
 }
 
 impl Poll {
@@ -105,10 +123,9 @@
         let Some(worker) = self.leader.worker_ref(&self.id) else {
             return NextStep::End;
         };
-        if !self.leader.has_authority() {
+        let Some(sent_ms) = self.leader.authorized_now_ms() else {
             return NextStep::After(RETRY_DELAY);
-        }
-        let sent_ms = clock::now_ms();
+        };
         let has_connection = self.connection != 0;
         let terms =
             self.leader
@@ -154,6 +171,10 @@
             HoldOutcome::Listed => {
                 self.connection = reply.connection;
                 self.failed_routes = 0;
+                self.leader
+                    .poll_routes
+                    .borrow_mut()
+                    .insert(Rc::clone(&self.id), self.route_index);
                 if self.unanswered > 0 && !self.was_silent {
                     self.leader.record_lost_answer();
                 }
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -139,6 +139,8 @@
     link_budget: Cell<LinkBudget>,
     /// Recently lost answers of workers.
     answer_loss: Cell<AnswerLoss>,
+    /// Workers with a long poll, and the route over which each has last answered it.
+    poll_routes: RefCell<IndexMap<Rc<str>, usize>>,
     /// Reachability of the relaying hosts.
     relays: relays::Relays,
     /// Jobs whose cancellation was read before their record.
@@ -220,6 +222,7 @@
             revisions: RefCell::default(),
             link_budget: Cell::default(),
             answer_loss: Cell::default(),
+            poll_routes: RefCell::default(),
             relays: relays::Relays::new(context.members.previous_leader()),
             early_cancellations: RefCell::default(),
             record_reads: Semaphore::new(MAX_RECORD_READS),
@@ -264,6 +267,12 @@
     /// Whether the leader may send orders: its key was confirmed within [`AUTHORITY_TIMEOUT_MS`] and
     /// since the process last stood still.
     fn has_authority(&self) -> bool {
+        self.authorized_now_ms().is_some()
+    }
+
+    /// The current time, if the leader may send orders now. Deadlines must be computed from this time:
+    /// the process may be stopped at any point after the check, and its authority may end meanwhile.
+    fn authorized_now_ms(&self) -> Option<u64> {
         let now_ms = clock::now_ms();
         let confirmed_ms = self.last_confirmed_ms.get();
         if let Some(stalled_ms) = self.stalls.record_running(now_ms) {
@@ -274,9 +283,10 @@
                 now_ms - confirmed_ms
             );
         }
-        !self.ended.is_cancelled()
+        let has_authority = !self.ended.is_cancelled()
             && !self.is_confirmation_expired(now_ms)
-            && self.stalls.has_run_since(confirmed_ms)
+            && self.stalls.has_run_since(confirmed_ms);
+        has_authority.then_some(now_ms)
     }
 
     fn is_confirmation_expired(&self, now_ms: u64) -> bool {
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -49,6 +49,11 @@
         kill_process(pid, signal).expect("the process has not been reaped");
     }
 
+    /// Identifier of the process.
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Waits for the process to exit.
     pub fn wait(&mut self) {
         self.process
@@ -69,6 +74,41 @@
     }
 }
 
+/// Whether a process has the open connection between two addresses, the first of which is its own.
+pub fn has_connection(process: u32, from: SocketAddr, to: SocketAddr) -> bool {
+    let Some(inode) = connection_inode(from, to) else {
+        return false;
+    };
+    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
+    let socket = format!("socket:[{inode}]");
+    descriptors
+        .filter_map(|entry| fs::read_link(entry.ok()?.path()).ok())
+        .any(|target| target.as_os_str() == socket.as_str())
+}
+
+/// Inode of the socket of an open connection on loopback. Its local port alone may also be that of other
+/// connections.
+fn connection_inode(local: SocketAddr, remote: SocketAddr) -> Option<String> {
+    /// State of an open connection.
+    const ESTABLISHED: &str = "01";
+    let connections = fs::read_to_string("/proc/net/tcp").ok()?;
+    let (local_port, remote_port) = (
+        format!(":{:04X}", local.port()),
+        format!(":{:04X}", remote.port()),
+    );
+    // Columns: number, local address, remote address, state; the inode is the tenth.
+    connections.lines().find_map(|line| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let &[_, from, to, state, _, _, _, _, _, inode, ..] = columns.as_slice() else {
+            return None;
+        };
+        let is_meant = from.ends_with(&local_port) && to.ends_with(&remote_port);
+        (is_meant && state == ESTABLISHED).then(|| inode.to_owned())
+    })
+}
+
 /// A cell: the stand-in platform and its entry hosts. Dropping it kills the hosts.
 #[derive(Debug)]
 pub struct TestCell {
@@ -273,6 +313,17 @@
         (self.leader() + 1) % self.hosts.len()
     }
 
+    /// Address of a worker when the leader first read its entry.
+    pub fn worker_address(&self, worker: &str) -> SocketAddr {
+        let log = self.hosts[self.leader()].log();
+        let listed = format!("worker={worker} listed=true ");
+        let line = log.lines().find(|line| line.contains(&listed));
+        let address = line.and_then(|line| line.split(" address=").nth(1));
+        address
+            .and_then(|rest| rest.split(' ').next()?.parse().ok())
+            .expect("the log names the address")
+    }
+
     /// Sends a client request to a host.
     pub async fn call(&self, host: usize, method: &str, path: &str, body: Option<Value>) -> Reply {
         self.call_address(self.hosts[host].clients, method, path, body)
