--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -54,10 +54,11 @@
 
 use crate::{
     config::Config,
+    departure::Withdrawal,
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
-    workers::{StopReason, Withdrawal, Worker, WorkerEntry},
+    workers::{StopReason, Worker, WorkerEntry},
 };
 
 /// Time limits of the coordinator.
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -4,11 +4,12 @@
 
 use super::{Coordinator, Order, end_proof::EndProof, job::demand_of};
 use crate::{
+    departure::Withdrawal,
     ids::TaskId,
     progress::Progress,
     workers::{
         ClockReading, Demand, HoldReport, Phase, ReportedRun, Resources, Run, StopReason,
-        UnconfirmedOrder, Withdrawal, Worker,
+        UnconfirmedOrder, Worker,
     },
 };
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`progress`]: progress of runs, and detection of slow workers;
 //! - [`workers`]: the state of a worker, its clock and its resources;
 //! - [`contact`]: runs that start on a worker, and workers to which contact was lost meanwhile;
+//! - [`departure`]: workers that leave, and what a successor needs to know of them;
 //! - [`coordinator`]: the state machine that turns this state into orders;
 //! - [`link_budget`]: whether the network link of the coordinator's host is congested;
 //! - [`outage`]: store health, and whether requests wait or are turned away during an outage;
@@ -25,6 +26,7 @@
 pub mod config;
 pub mod contact;
 pub mod coordinator;
+pub mod departure;
 pub mod ids;
 pub mod jobs;
 pub mod link_budget;
