cell: A successor knows of orders that may reach a later process

What callers would see: a task runs twice after a takeover. A worker whose holds had expired left the roster while its coordinator still kept the task of an order without a response; the successor started it elsewhere, and the order reached the process that had started under the same identifier. The roster now lists such runs as it does those of draining workers, and a worker that answers again gets work once it is listed without. Also by reading: a start that was repeated may reach a later process although the run was seen, so it outlasts the holds too; an address that changes during a poll proves nothing and is in the roster before the worker gets work there.

--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -98,10 +98,15 @@
 /// Tasks of a worker whose holds have expired that may start elsewhere. A later process under the same
 /// identifier may still execute an order that had no response.
 fn expired_tasks(worker: &Worker, now_ms: u64) -> impl Iterator<Item = TaskId> {
-    let may_arrive = move |task: TaskId, run: &Run| match run.phase {
-        Phase::Ordered { in_flight, .. } => in_flight || worker.has_pending_order(task, now_ms),
-        Phase::Present { .. } => false,
-        Phase::Ended => worker.has_pending_order(task, now_ms),
+    let may_arrive = move |task: TaskId, run: &Run| {
+        let in_flight = matches!(
+            run.phase,
+            Phase::Ordered {
+                in_flight: true,
+                ..
+            }
+        );
+        in_flight || worker.has_pending_order(task, now_ms)
     };
     let runs = worker.runs.iter();
     runs.filter(move |(task, run)| !may_arrive(**task, run))
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -277,10 +277,11 @@
             worker.listed = true;
             worker.entry_written_ms = None;
             worker.withdrawal = None;
-            if !entry.draining && worker.closed_runs.take().is_some() {
-                // The durable roster still tells a successor that no further run is placed on it.
-                worker.in_roster = false;
+            if !entry.draining {
+                worker.reopen();
             }
+            // A successor has to ask for its runs at the address in the durable roster.
+            worker.in_roster &= worker.entry.address == entry.address;
             worker.entry = entry;
             return false;
         }
@@ -374,11 +375,11 @@
         // A worker that has not reported all its ends may have runs that are not known yet.
         let is_known = move |id: &str, worker: &Worker| {
             let is_drained = worker.is_drained(now_ms) && !unreported.contains(id);
-            !is_drained && !worker.has_lapsed(now_ms)
+            !is_drained && !worker.is_spent(now_ms)
         };
         for (id, worker) in &mut self.workers {
             if !unreported.contains(id) {
-                worker.close_runs();
+                worker.close_runs(now_ms);
             }
             worker.in_roster &= is_known(id, worker);
         }
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -167,6 +167,9 @@
         worker.fenced = true;
         worker.unresponsive = false;
         worker.known_address = worker.polled_address.clone();
+        if !worker.entry.draining {
+            worker.reopen();
+        }
         // It has answered since, so the removal of its entry was not its exit.
         worker.withdrawal = worker.withdrawal.filter(|seen| sent_ms < seen.seen_ms);
         worker.clock = Some(ClockReading {
@@ -201,7 +204,10 @@
     /// Records that another worker answers at the address to which the last hold was sent. Returns
     /// whether that proves the end of the worker's process, which has to have answered there.
     pub fn address_taken(&mut self, id: &str, now_ms: u64) -> bool {
-        let is_known = |worker: &Worker| worker.known_address == worker.polled_address;
+        let is_known = |worker: &Worker| {
+            worker.known_address == worker.polled_address
+                && worker.polled_address.as_ref() == Some(&worker.entry.address)
+        };
         if !self.workers.get(id).is_some_and(is_known) {
             return false;
         }
--- a/crates/cell/tests/cell/end_proofs_review.rs
+++ b/crates/cell/tests/cell/end_proofs_review.rs
@@ -106,6 +106,24 @@
     assert_eq!(model.state(1), Some(JobState::Completed));
 }
 
+/// Guards against TWICE: a coordinator keeps the task of an order that may still reach a later process,
+/// and its successor does not know of it, since the worker's holds have expired.
+#[test]
+fn a_successor_knows_of_an_order_that_may_reach_a_later_process() {
+    let mut model = model_with_an_order_in_transit(9_500);
+    model.set_mode(0, WorkerMode::Unreachable);
+    model.run_ms(6_500);
+    model.take_over();
+    model.run_ms(500);
+    model.restart_worker(0, DelayedStarts::InTransit);
+    model.set_mode(0, WorkerMode::Unreachable);
+    // The model asserts that no task runs twice at the same time.
+    model.run_ms(3_500);
+    model.set_mode(0, WorkerMode::Healthy);
+    model.run_ms(60_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
 /// Guards against TWICE: a worker that has accepted the successor's fence restarts, and its new process
 /// accepts an order of the predecessor.
 #[test]
