--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -190,8 +190,8 @@
 }
 
 impl TestCell {
-    /// Starts `hosts` hosts and `workers` workers, and waits until a leader has settled and all
-    /// workers have answered.
+    /// Starts `hosts` hosts and `workers` workers, and waits until all hosts have a configuration, a
+    /// leader has settled and all workers have answered.
     pub async fn start(hosts: usize, workers: usize, advised: bool) -> Self {
         Self::start_with(hosts, workers, advised, "").await
     }
@@ -220,9 +220,12 @@
             test_cell.add_host(number, lines);
         }
         test_cell
-            .wait_until("start of every host", |test_cell| {
-                let started = |host: &Host| host.log().contains("entry-started");
-                test_cell.hosts.iter().all(started)
+            .wait_until("start and configuration of every host", |test_cell| {
+                let configured = |host: &Host| {
+                    let log = host.log();
+                    log.contains("entry-started") && log.contains("config-applied")
+                };
+                test_cell.hosts.iter().all(configured)
             })
             .await;
         test_cell
