--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,7 +6,6 @@
 mod capacity;
 mod crashes;
 mod end_proofs;
-mod end_proofs_review;
 mod ends;
 mod gangs;
 mod histories;
