--- a/crates/cell/src/coordinator/end_proof.rs
+++ b/crates/cell/src/coordinator/end_proof.rs
@@ -37,8 +37,8 @@
         /// Number of the later run.
         by_run: u64,
     },
-    /// A later process of the worker reports itself. The run was known to be on the former one: its
-    /// start was confirmed before the report was requested.
+    /// A later process of the worker reports itself. The run was on the former one: its start was
+    /// confirmed, or its end missed, before the report was requested.
     #[display(
         "process_replaced started={started_unix_ms} former_started={former_started_unix_ms} requested_ms_ago={requested_ms_ago}"
     )]
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -367,9 +367,9 @@
     }
 
     /// Workers about which a successor must know: all but those that are draining and have nothing to
-    /// report, and those whose holds have expired. It waits for the report of each before it schedules inherited tasks, except for those
-    /// whose possible runs are listed. A worker left out receives no tasks until it is in the durable
-    /// roster again.
+    /// report, and those of which nothing is left. It waits for the report of each before it schedules
+    /// inherited tasks, except for those whose possible runs are listed. A worker left out receives no
+    /// tasks until it is in the durable roster again.
     pub fn roster(&mut self, now_ms: u64) -> impl Iterator<Item = &Worker> {
         let unreported = &self.unreported_workers;
         // A worker that has not reported all its ends may have runs that are not known yet.
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -198,7 +198,8 @@
 }
 
 /// Confirms that the leader key is still ours; `None` if it is not, or once reads have failed for
-/// [`MAX_READ_STALL_MS`]. Returns the time from which the confirmation counts. Reading can outlast the authority that the election gave.
+/// [`MAX_READ_STALL_MS`]. Returns the time from which the confirmation counts. Reading can outlast
+/// the authority that the election gave.
 async fn confirm_term(context: &HostContext, term: Term) -> Option<u64> {
     if clock::now_ms() < term.taken_ms + CONFIRM_INTERVAL_MS {
         return Some(term.taken_ms);
