--- /dev/null
+++ b/review/rig-2/worker.rs
@@ -0,0 +1,232 @@
+//! A minion that is a process of its own: runs under a lease, ends until they are taken note of,
+//! fencing tokens. It follows the section "Running tasks" of the protocol page.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Condvar, Mutex},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    http::{self, Request},
+    json::{Json, quote},
+};
+
+pub const CPU: u64 = 16_000;
+const FIRST_CLOCK_MS: u64 = 1_000;
+const MAX_LISTED_ENDS: usize = 500;
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |passed| passed.as_millis() as u64)
+}
+
+struct Run {
+    number: u64,
+    began: Instant,
+    work_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    until_ms: u64,
+    runs: BTreeMap<String, Run>,
+    ends: Vec<(u64, String, u64, &'static str)>,
+    next_end: u64,
+    /// Highest run of each task that was stopped or has ended here.
+    over: BTreeMap<String, u64>,
+}
+
+pub struct Worker {
+    id: String,
+    address: SocketAddr,
+    rack: String,
+    hold_max_ms: u64,
+    born_unix_ms: u64,
+    born: Instant,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// Value of a word `name=NUMBER` of a job's spec.
+fn number_of(spec: &str, name: &str) -> Option<u64> {
+    let word = spec.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    word?.parse().ok()
+}
+
+impl Worker {
+    fn clock_ms(&self) -> u64 {
+        FIRST_CLOCK_MS + self.born.elapsed().as_millis() as u64
+    }
+
+    /// Writes one line of the record to standard output.
+    fn record(&self, what: &str) {
+        println!("{} {} {what}", unix_ms(), self.id);
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(run) = state.runs.remove(task) else {
+            return;
+        };
+        state.next_end += 1;
+        state.ends.push((state.next_end, task.to_owned(), run.number, how));
+        let over = state.over.entry(task.to_owned()).or_default();
+        *over = run.number.max(*over);
+        self.record(&format!("ended {task} {} {how}", run.number));
+        self.changed.notify_all();
+    }
+
+    fn enforce_lease(&self, state: &mut State) {
+        if self.clock_ms() >= state.until_ms {
+            for task in state.runs.keys().cloned().collect::<Vec<_>>() {
+                self.end(state, &task, "lapsed");
+            }
+        }
+    }
+
+    fn extend(&self, state: &mut State, until_ms: u64) {
+        let until_ms = until_ms.min(self.clock_ms() + self.hold_max_ms);
+        state.until_ms = state.until_ms.max(until_ms);
+    }
+
+    fn drive(&self) {
+        loop {
+            thread::sleep(Duration::from_millis(5));
+            let mut state = self.state.lock().expect("no panic with the lock");
+            self.enforce_lease(&mut state);
+            let done = state.runs.iter();
+            let done = done.filter(|(_, run)| run.began.elapsed().as_millis() as u64 >= run.work_ms);
+            for task in done.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
+                self.end(&mut state, &task, "done");
+            }
+        }
+    }
+
+    fn answer(&self, request: &Request) -> (u16, String) {
+        let expected = request.header("x-expect-instance");
+        if !expected.is_empty() && expected != self.id {
+            return (421, "{}".to_owned());
+        }
+        let Some(body) = Json::parse(&request.body) else {
+            return (400, "{}".to_owned());
+        };
+        let mut state = self.state.lock().expect("no panic with the lock");
+        self.enforce_lease(&mut state);
+        let refuse = |reason: &str| {
+            (409, format!("{{\"clock_ms\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
+        };
+        let accept = || (200, format!("{{\"clock_ms\":{}}}", self.clock_ms()));
+        let fence = body.get("fence_token").number();
+        if fence < state.fence {
+            return refuse("fence");
+        }
+        state.fence = fence;
+        let (task, run) = (body.get("task").text(), body.get("run").number());
+        match request.route() {
+            "/hickorychute/run-start" => {
+                if state.runs.get(task).is_some_and(|known| known.number == run) {
+                    return accept();
+                }
+                let until_ms = body.get("until_ms").number();
+                if state.over.get(task).is_some_and(|over| run <= *over) {
+                    self.extend(&mut state, until_ms);
+                    return refuse("old");
+                }
+                if until_ms <= self.clock_ms() {
+                    return refuse("late");
+                }
+                self.extend(&mut state, until_ms);
+                let work_ms = number_of(body.get("spec").text(), "run").unwrap_or(200);
+                self.record(&format!("started {task} {run}"));
+                let began = Instant::now();
+                state.runs.insert(task.to_owned(), Run { number: run, began, work_ms });
+                accept()
+            }
+            "/hickorychute/run-stop" => {
+                let over = state.over.entry(task.to_owned()).or_default();
+                *over = run.max(*over);
+                if state.runs.get(task).is_some_and(|known| known.number <= run) {
+                    self.end(&mut state, task, "stopped");
+                }
+                accept()
+            }
+            "/hickorychute/pace" => accept(),
+            "/hickorychute/hold" => {
+                self.extend(&mut state, body.get("until_ms").number());
+                let last_seen = body.get("last_seen").number();
+                state.ends.retain(|(number, ..)| *number > last_seen);
+                let wait_ms = body.get("wait_ms").number().min(2_000);
+                let until = Instant::now() + Duration::from_millis(wait_ms);
+                while state.ends.is_empty() && Instant::now() < until {
+                    let left = until.saturating_duration_since(Instant::now());
+                    let waited = self.changed.wait_timeout(state, left);
+                    state = waited.expect("no panic with the lock").0;
+                }
+                self.enforce_lease(&mut state);
+                let running = state.runs.iter().map(|(task, run)| {
+                    let worked_ms = run.began.elapsed().as_millis() as u64;
+                    let percent = (worked_ms * 100 / run.work_ms.max(1)).min(100);
+                    format!("[{},{},\"\",{percent},1000]", quote(task), run.number)
+                });
+                let running = running.collect::<Vec<_>>().join(",");
+                let ends = state.ends.iter().take(MAX_LISTED_ENDS);
+                let finished = ends.map(|(number, task, run, how)| {
+                    format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+                });
+                let finished = finished.collect::<Vec<_>>().join(",");
+                let (clock_ms, born) = (self.clock_ms(), self.born_unix_ms);
+                let body = format!(
+                    "{{\"clock_ms\":{clock_ms},\"born\":{born},\"running\":[{running}],\"finished\":[{finished}]}}"
+                );
+                (200, body)
+            }
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn entry(&self, seq: u64) -> String {
+        format!(
+            "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{CPU},\"mem_mb\":32768,\"gpu\":0}},\
+             \"labels\":[\"a\",\"{}\"],\"clock_ms\":{},\"born\":{},\"seq\":{seq}}}",
+            self.address, self.rack, self.clock_ms(), self.born_unix_ms
+        )
+    }
+}
+
+/// Serves as a minion until the process is killed or its parent has ended.
+pub fn run(id: &str, address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64) -> ! {
+    let worker = Arc::new(Worker {
+        id: id.to_owned(),
+        address,
+        rack: rack.to_owned(),
+        hold_max_ms,
+        born_unix_ms: unix_ms(),
+        born: Instant::now(),
+        state: Mutex::default(),
+        changed: Condvar::new(),
+    });
+    let listener = TcpListener::bind(address).expect("the address is free");
+    worker.record("up");
+    let serving = Arc::clone(&worker);
+    http::serve(listener, move |request| serving.answer(request));
+    let driving = Arc::clone(&worker);
+    thread::spawn(move || driving.drive());
+    let parent = std::os::unix::process::parent_id();
+    let mut seq = 0;
+    loop {
+        seq += 1;
+        let entry = worker.entry(seq);
+        let path = format!("/minion/{id}");
+        let _heard = http::call(store, "PUT", &path, "", &entry, Duration::from_secs(1));
+        let next = Instant::now() + Duration::from_millis(1_500);
+        while Instant::now() < next {
+            thread::sleep(Duration::from_millis(20));
+            if std::os::unix::process::parent_id() != parent {
+                std::process::exit(1);
+            }
+        }
+    }
+}
