--- a/review/rig-2/flap.rs
+++ b/review/rig-2/flap.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use crate::rig::{self, Record, Rig, client_call};
+use crate::rig::{self, Record, Rig, Shape, client_call};
 
 const HOSTS: usize = 3;
 const MINIONS: usize = 8;
@@ -33,7 +33,8 @@
         record.line("the program is not built");
         return 2;
     }
-    let Some(mut rig) = Rig::start(program, Arc::clone(&record), HOSTS, MINIONS, ATTEMPTS) else {
+    let shape = Shape { hosts: HOSTS, minions: MINIONS, attempts: ATTEMPTS, advice: false };
+    let Some(mut rig) = Rig::start(program, Arc::clone(&record), shape) else {
         record.line("the deployment did not become ready");
         return 2;
     };
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -11,10 +11,65 @@
     time::{Duration, Instant},
 };
 
-use crate::{http, store::Store, worker};
+use crate::{http, json::Json, store::Store, worker};
 
+/// Capacity of a minion, in thousandths of a core.
+pub const CPU: u64 = 16_000;
 pub const HOLD_MAX_MS: u64 = 10_000;
 const DEADLINE_MS: u64 = 3_000;
+/// How long a ticket of the advice service is valid.
+const TICKET_VALID_MS: u64 = 2_500;
+
+/// What the deployment of a case looks like.
+#[derive(Clone, Copy)]
+pub struct Shape {
+    pub hosts: usize,
+    pub minions: usize,
+    /// Attempts of the queue `/batch/`.
+    pub attempts: u32,
+    /// Whether that queue has advice, so that minions want a ticket.
+    pub advice: bool,
+}
+
+/// A configuration with the queue `/other/` and, if it is to be there, `/batch/`.
+fn configuration(version: u64, shape: Shape, has_batch: bool) -> String {
+    let route = |name: &str, advice: &str| {
+        format!(
+            "{{\"name\":\"r-{name}\",\"host\":\"jobs.example\",\"prefix\":\"/{name}/\",\
+             \"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"service\":\"pool\",\"priority\":1,\
+             \"attempts\":{},\"stretch\":2.2,\"target_duration_ms\":3000{advice}}}",
+            shape.attempts
+        )
+    };
+    let advice = format!(",\"advice\":{{\"decide_ms\":20,\"each_ms\":0.5,\"valid_ms\":{TICKET_VALID_MS}}}");
+    let mut routes = vec![route("other", "")];
+    if has_batch {
+        routes.push(route("batch", if shape.advice { &advice } else { "" }));
+    }
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\
+         \"services\":[{{\"name\":\"pool\",\"admission_control\":false,\"standby\":false}}],\
+         \"limits\":{{\"max_body_bytes\":262144}}}}",
+        routes.join(",")
+    )
+}
+
+/// The advice service: all minions may run each step. A ticket names the step, the minion and the time
+/// until which it is valid.
+fn advise(request: &http::Request) -> (u16, String) {
+    let Some(body) = Json::parse(&request.body) else {
+        return (400, "{}".to_owned());
+    };
+    let (step, workers) = (body.get("step").text(), body.get("workers").list());
+    thread::sleep(Duration::from_millis(20 + workers.len() as u64 / 2));
+    let until_ms = worker::unix_ms() + TICKET_VALID_MS;
+    let rows = workers.iter().map(|id| {
+        let id = id.text();
+        format!("[\"{id}\",\"{step}/{id}/{until_ms}\"]")
+    });
+    let rows = rows.collect::<Vec<_>>().join(",");
+    (200, format!("{{\"good\":[{rows}],\"valid_ms\":{TICKET_VALID_MS}}}"))
+}
 
 /// Writes what was sent, answered and run.
 pub struct Record(Mutex<File>);
@@ -34,17 +89,21 @@
     TcpListener::bind("127.0.0.1:0").expect("loopback has a free port")
 }
 
-/// Free ports; all listeners are held until all ports are known, so that they differ.
+/// Free ports below the range of ephemeral ports, from one that depends on this process.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count).map(|_| free_listener()).collect();
-    listeners.iter().map(|l| l.local_addr().expect("a local address")).collect()
+    const PORTS: std::ops::Range<u32> = 12_000..32_000;
+    let span = PORTS.end - PORTS.start;
+    let first = std::process::id().wrapping_mul(397) % span;
+    let port = |n: u32| (PORTS.start + (first + n) % span) as u16;
+    let addresses = (0..span).map(|n| SocketAddr::from(([127, 0, 0, 1], port(n))));
+    addresses.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect()
 }
 
 pub struct Minion {
     pub address: SocketAddr,
+    pub id: String,
     rack: String,
     lives: usize,
-    number: usize,
     child: Option<Child>,
     log: PathBuf,
 }
@@ -56,7 +115,9 @@
     hosts: Vec<Child>,
     pub folder: PathBuf,
     store_address: SocketAddr,
-    _store: Arc<Store>,
+    advice_address: SocketAddr,
+    shape: Shape,
+    store: Arc<Store>,
     logs: Vec<PathBuf>,
 }
 
@@ -75,22 +136,17 @@
 
 impl Rig {
     /// Starts a deployment; `None` if it doesn't become ready.
-    pub fn start(program: &str, record: Arc<Record>, hosts: usize, minions: usize, attempts: u32) -> Option<Self> {
+    pub fn start(program: &str, record: Arc<Record>, shape: Shape) -> Option<Self> {
+        let Shape { hosts, minions, .. } = shape;
         let folder = std::env::temp_dir().join(format!("review-rig-2-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let listener = free_listener();
         let store_address = listener.local_addr().ok()?;
         let store = Store::start(listener);
-        store.write(
-            "op/config",
-            &format!(
-                "{{\"version\":3,\"routes\":[{{\"name\":\"r-batch\",\"host\":\"jobs.example\",\"prefix\":\"/batch/\",\
-                 \"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"service\":\"pool\",\"priority\":1,\
-                 \"attempts\":{attempts},\"stretch\":2.2,\"target_duration_ms\":3000}}],\
-                 \"services\":[{{\"name\":\"pool\",\"admission_control\":false,\"standby\":false}}],\
-                 \"limits\":{{\"max_body_bytes\":262144}}}}"
-            ),
-        );
+        store.write("op/config", &configuration(3, shape, true));
+        let listener = free_listener();
+        let advice_address = listener.local_addr().ok()?;
+        http::serve(listener, advise);
         let mut rig = Self {
             record,
             minions: Vec::new(),
@@ -98,7 +154,9 @@
             hosts: Vec::new(),
             folder,
             store_address,
-            _store: store,
+            advice_address,
+            shape,
+            store,
             logs: Vec::new(),
         };
         let addresses = free_addresses(minions + 4 * hosts);
@@ -106,9 +164,9 @@
         for (number, &address) in of_minions.iter().enumerate() {
             rig.minions.push(Minion {
                 address,
+                id: String::new(),
                 rack: format!("r1-{}", number / 8),
                 lives: 0,
-                number,
                 child: None,
                 log: PathBuf::new(),
             });
@@ -147,11 +205,12 @@
              bootstrap=true\nlimits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
              limits.link_mbps=1000.0\ndiscovery=platform\nentry=vip\nheartbeat_ms=1500\nbounds.drain_ms=3000\n\
              bounds.grace_s=6\nbounds.hold_max_ms={HOLD_MAX_MS}\nbounds.stop_timeout_ms=900\n\
-             bounds.gang_timeout_ms=3000\nbounds.status_s=120\norders=call\nplatform.address={}\nplatform.form=kv\n\
+             bounds.gang_timeout_ms=3000\nbounds.status_s=120\norders=call\nadvice={}\nplatform.address={}\nplatform.form=kv\n\
              platform.writes_per_s=400\nplatform.reads_per_s=2000\nplatform.history_s=20\n\
              platform.value_bytes=1048576\nplatform.ttl_min_ms=1000\ncloud.duties=\n",
             peers.port(),
             peers.port(),
+            self.advice_address,
             self.store_address
         );
         fs::write(&settings, text).ok()?;
@@ -170,14 +229,22 @@
 
     /// Starts a minion's next life, under an id of its own at the same address.
     pub fn start_minion(&mut self, number: usize) {
+        let id = format!("i-{number:04x}{:04x}", self.minions[number].lives + 1);
+        self.start_life(number, &id, CPU);
+    }
+
+    /// Starts a minion's next life at the same address.
+    pub fn start_life(&mut self, number: usize, id: &str, cpu: u64) {
         let minion = &mut self.minions[number];
         minion.lives += 1;
-        let id = format!("i-{:04x}{:04x}", minion.number, minion.lives);
-        minion.log = self.folder.join(format!("minion-{id}.log"));
+        minion.id = id.to_owned();
+        minion.log = self.folder.join(format!("minion-{id}-{}.log", minion.lives));
         let program = std::env::current_exe().expect("this program has a path");
         let child = Command::new(program)
-            .args(["worker", &id, &minion.address.to_string(), &minion.rack])
+            .args(["worker", id, &minion.address.to_string(), &minion.rack])
             .args([self.store_address.to_string(), HOLD_MAX_MS.to_string()])
+            .arg(if self.shape.advice { "ticket" } else { "free" })
+            .arg(cpu.to_string())
             .stdout(Stdio::from(File::create(&minion.log).expect("the log can be written")))
             .spawn()
             .expect("the process starts");
@@ -195,6 +262,25 @@
         }
     }
 
+    /// Writes a configuration without the queue `/batch/`, as the operator does.
+    pub fn drop_queue(&self) {
+        self.store.write("op/config", &configuration(5, self.shape, false));
+        self.record.line("operator: version 5 is acknowledged, without the route of /batch/");
+    }
+
+    /// Takes the platform's store down, or up again.
+    pub fn set_store_down(&self, down: bool) {
+        self.store.set_down(down);
+        self.record.line(if down { "the store is down" } else { "the store is back" });
+    }
+
+    /// The lines that each life of a minion has recorded.
+    pub fn lives(&self) -> Vec<Vec<String>> {
+        let logs = self.logs.iter().filter(|log| log.to_string_lossy().contains("minion-"));
+        let lines = |log: &PathBuf| fs::read_to_string(log).unwrap_or_default().lines().map(str::to_owned).collect();
+        logs.map(lines).collect()
+    }
+
     /// The lines that all minions have recorded.
     pub fn minion_lines(&self) -> Vec<String> {
         let minions = self.logs.iter().filter(|log| log.to_string_lossy().contains("minion-"));
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -33,6 +33,8 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
     heard: BTreeMap<String, Instant>,
+    /// Set while the store is down: it does nothing and answers 503. Its leases pause.
+    down_since: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -92,6 +94,9 @@
     }
 
     fn expire(&mut self) {
+        if self.down_since.is_some() {
+            return;
+        }
         let now = Instant::now();
         let ended = self.leases.iter().filter(|(_, (until, _))| *until <= now);
         for lease in ended.map(|(&id, _)| id).collect::<Vec<_>>() {
@@ -127,6 +132,19 @@
         self.state.lock().expect("no thread panics with the lock")
     }
 
+    /// Takes the store down, or up again.
+    pub fn set_down(&self, down: bool) {
+        let mut state = self.lock();
+        if down {
+            state.down_since = Some(Instant::now());
+        } else if let Some(since) = state.down_since.take() {
+            let paused = since.elapsed();
+            state.leases.values_mut().for_each(|(until, _)| *until += paused);
+            state.heard.values_mut().for_each(|at| *at += paused);
+        }
+        self.changed.notify_all();
+    }
+
     /// Writes a value as the operator does.
     pub fn write(&self, key: &str, value: &str) {
         let mut state = self.lock();
@@ -137,6 +155,9 @@
 
     fn answer(&self, request: &Request) -> (u16, String) {
         let route = request.route();
+        if self.lock().down_since.is_some() {
+            return (503, "{}".to_owned());
+        }
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         if let Some(id) = route.strip_prefix("/minion/") {
             return self.hear_minion(id, request);
@@ -232,6 +253,9 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
+            if state.down_since.is_some() {
+                return (503, "{}".to_owned());
+            }
             if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
                 return (200, format!("{{\"events\":[{events}],\"as_of\":{}}}", state.revision));
--- a/review/rig-2/worker.rs
+++ b/review/rig-2/worker.rs
@@ -14,7 +14,6 @@
     json::{Json, quote},
 };
 
-pub const CPU: u64 = 16_000;
 const FIRST_CLOCK_MS: u64 = 1_000;
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -26,6 +25,7 @@
     number: u64,
     began: Instant,
     work_ms: u64,
+    fails: bool,
 }
 
 #[derive(Default)]
@@ -43,7 +43,10 @@
     id: String,
     address: SocketAddr,
     rack: String,
+    cpu: u64,
     hold_max_ms: u64,
+    /// Whether it wants a ticket with each start.
+    wants_ticket: bool,
     born_unix_ms: u64,
     born: Instant,
     state: Mutex<State>,
@@ -91,6 +94,16 @@
         state.until_ms = state.until_ms.max(until_ms);
     }
 
+    /// Whether a ticket is for this step and this life, and has not expired.
+    fn is_valid(&self, ticket: &str, task: &str) -> bool {
+        let step = task.rsplit_once('.').map_or("", |(step, _)| step);
+        let parts: Vec<&str> = ticket.split('/').collect();
+        let [of_step, id, until_ms] = parts.as_slice() else {
+            return false;
+        };
+        *of_step == step && *id == self.id && until_ms.parse().is_ok_and(|until: u64| unix_ms() < until)
+    }
+
     fn drive(&self) {
         loop {
             thread::sleep(Duration::from_millis(5));
@@ -98,8 +111,9 @@
             self.enforce_lease(&mut state);
             let done = state.runs.iter();
             let done = done.filter(|(_, run)| run.began.elapsed().as_millis() as u64 >= run.work_ms);
-            for task in done.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
-                self.end(&mut state, &task, "done");
+            let done = done.map(|(task, run)| (task.clone(), run.fails));
+            for (task, fails) in done.collect::<Vec<_>>() {
+                self.end(&mut state, &task, if fails { "failed" } else { "done" });
             }
         }
     }
@@ -137,11 +151,17 @@
                 if until_ms <= self.clock_ms() {
                     return refuse("late");
                 }
+                if self.wants_ticket && !self.is_valid(body.get("ticket").text(), task) {
+                    self.record(&format!("rejected {task} {run} ticket={:?}", body.get("ticket").text()));
+                    return refuse("ticket");
+                }
                 self.extend(&mut state, until_ms);
-                let work_ms = number_of(body.get("spec").text(), "run").unwrap_or(200);
+                let spec = body.get("spec").text();
+                let work_ms = number_of(spec, "run").unwrap_or(200);
+                let fails = number_of(spec, "fail").is_some();
                 self.record(&format!("started {task} {run}"));
                 let began = Instant::now();
-                state.runs.insert(task.to_owned(), Run { number: run, began, work_ms });
+                state.runs.insert(task.to_owned(), Run { number: run, began, work_ms, fails });
                 accept()
             }
             "/hickorychute/run-stop" => {
@@ -156,6 +176,9 @@
             "/hickorychute/hold" => {
                 self.extend(&mut state, body.get("until_ms").number());
                 let last_seen = body.get("last_seen").number();
+                for (number, task, run, how) in state.ends.iter().filter(|(n, ..)| *n <= last_seen) {
+                    self.record(&format!("taken note of {number} {task} {run} {how}"));
+                }
                 state.ends.retain(|(number, ..)| *number > last_seen);
                 let wait_ms = body.get("wait_ms").number().min(2_000);
                 let until = Instant::now() + Duration::from_millis(wait_ms);
@@ -189,27 +212,29 @@
     fn entry(&self, seq: u64) -> String {
         format!(
             "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{CPU},\"mem_mb\":32768,\"gpu\":0}},\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":32768,\"gpu\":0}},\
              \"labels\":[\"a\",\"{}\"],\"clock_ms\":{},\"born\":{},\"seq\":{seq}}}",
-            self.address, self.rack, self.clock_ms(), self.born_unix_ms
+            self.address, self.cpu, self.rack, self.clock_ms(), self.born_unix_ms
         )
     }
 }
 
 /// Serves as a minion until the process is killed or its parent has ended.
-pub fn run(id: &str, address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64) -> ! {
+pub fn run(id: &str, address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64, wants_ticket: bool, cpu: u64) -> ! {
     let worker = Arc::new(Worker {
         id: id.to_owned(),
         address,
         rack: rack.to_owned(),
+        cpu,
         hold_max_ms,
+        wants_ticket,
         born_unix_ms: unix_ms(),
         born: Instant::now(),
         state: Mutex::default(),
         changed: Condvar::new(),
     });
     let listener = TcpListener::bind(address).expect("the address is free");
-    worker.record("up");
+    worker.record(&format!("up cpu={cpu} born={}", worker.born_unix_ms));
     let serving = Arc::clone(&worker);
     http::serve(listener, move |request| serving.answer(request));
     let driving = Arc::clone(&worker);
