--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -2,9 +2,9 @@
 
 mod drop;
 mod flap;
+mod gang;
 mod http;
 mod json;
-mod rebirth;
 mod rig;
 mod store;
 mod worker;
@@ -13,7 +13,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let code = match words.as_slice() {
-        ["worker", id, address, rack, store, hold_max_ms, ticket, cpu] => worker::run(
+        ["worker", id, address, rack, store, hold_max_ms, ticket, cpu, kind] => worker::run(
             id,
             address.parse().expect("an address"),
             rack,
@@ -21,8 +21,9 @@
             hold_max_ms.parse().expect("a number"),
             *ticket == "ticket",
             cpu.parse().expect("a number"),
+            kind,
         ),
-        ["rebirth", program, record] => rebirth::run(program, record),
+        ["gang", program, record] => gang::run(program, record),
         ["flap", program, record] => flap::run(program, record),
         ["drop-attempts", program, record] => drop::attempts(program, record),
         ["drop-ticket", program, record] => drop::ticket(program, record),
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -29,6 +29,8 @@
     pub attempts: u32,
     /// Whether that queue has advice, so that minions want a ticket.
     pub advice: bool,
+    /// Number of minions of the kind `b`; the others are of the kind `a`.
+    pub kind_b: usize,
 }
 
 /// A configuration with the queue `/other/` and, if it is to be there, `/batch/`.
@@ -103,6 +105,7 @@
     pub address: SocketAddr,
     pub id: String,
     rack: String,
+    kind: String,
     lives: usize,
     child: Option<Child>,
     log: PathBuf,
@@ -166,6 +169,7 @@
                 address,
                 id: String::new(),
                 rack: format!("r1-{}", number / 8),
+                kind: if number < shape.kind_b { "b" } else { "a" }.to_owned(),
                 lives: 0,
                 child: None,
                 log: PathBuf::new(),
@@ -244,7 +248,7 @@
             .args(["worker", id, &minion.address.to_string(), &minion.rack])
             .args([self.store_address.to_string(), HOLD_MAX_MS.to_string()])
             .arg(if self.shape.advice { "ticket" } else { "free" })
-            .arg(cpu.to_string())
+            .args([cpu.to_string(), minion.kind.clone()])
             .stdout(Stdio::from(File::create(&minion.log).expect("the log can be written")))
             .spawn()
             .expect("the process starts");
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -15,6 +15,8 @@
 
 /// Silence after which a minion's entry is removed: three heartbeats.
 const ENTRY_SILENCE: Duration = Duration::from_millis(4_500);
+/// Silence after which a member of a gang counts as gone.
+const MEMBER_SILENCE: Duration = Duration::from_millis(400);
 const PAGE_ITEMS: usize = 500;
 
 #[derive(Clone)]
@@ -33,6 +35,8 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
     heard: BTreeMap<String, Instant>,
+    /// When the members of each gang's run were last seen, by step and run, then by index.
+    gangs: BTreeMap<String, BTreeMap<String, Instant>>,
     /// Set while the store is down: it does nothing and answers 503. Its leases pause.
     down_since: Option<Instant>,
 }
@@ -155,6 +159,9 @@
 
     fn answer(&self, request: &Request) -> (u16, String) {
         let route = request.route();
+        if let Some(member) = route.strip_prefix("/gang/") {
+            return self.count_gang(member);
+        }
         if self.lock().down_since.is_some() {
             return (503, "{}".to_owned());
         }
@@ -217,6 +224,19 @@
         }
     }
 
+    /// How minions learn which members of a gang's run are present: each tells of its own ones, as
+    /// `STEP/RUN/INDEX`, again and again.
+    fn count_gang(&self, member: &str) -> (u16, String) {
+        let Some((run, index)) = member.rsplit_once('/') else {
+            return (400, String::new());
+        };
+        let mut state = self.lock();
+        let members = state.gangs.entry(run.to_owned()).or_default();
+        members.insert(index.to_owned(), Instant::now());
+        let present = members.values().filter(|at| at.elapsed() < MEMBER_SILENCE).count();
+        (200, format!("{{\"present\":{present}}}"))
+    }
+
     /// A minion's heartbeat, or its departure.
     fn hear_minion(&self, id: &str, request: &Request) -> (u16, String) {
         let mut state = self.lock();
--- a/review/rig-2/worker.rs
+++ b/review/rig-2/worker.rs
@@ -14,6 +14,8 @@
     json::{Json, quote},
 };
 
+/// Time that a member of a gang waits for the others (`gang_timeout_ms`).
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 const FIRST_CLOCK_MS: u64 = 1_000;
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -26,6 +28,17 @@
     began: Instant,
     work_ms: u64,
     fails: bool,
+    /// Members of its gang; 0 for a task without one.
+    gang: usize,
+    /// Since when all members have been present.
+    complete_since: Option<Instant>,
+}
+
+impl Run {
+    fn worked_ms(&self) -> u64 {
+        let since = if self.gang > 0 { self.complete_since } else { Some(self.began) };
+        since.map_or(0, |since| since.elapsed().as_millis() as u64)
+    }
 }
 
 #[derive(Default)]
@@ -43,6 +56,8 @@
     id: String,
     address: SocketAddr,
     rack: String,
+    kind: String,
+    store: SocketAddr,
     cpu: u64,
     hold_max_ms: u64,
     /// Whether it wants a ticket with each start.
@@ -104,13 +119,45 @@
         *of_step == step && *id == self.id && until_ms.parse().is_ok_and(|until: u64| unix_ms() < until)
     }
 
+    /// Tells of this minion's members of gangs, and ends them when others are missing.
+    fn watch_gangs(&self) {
+        loop {
+            thread::sleep(Duration::from_millis(50));
+            let members: Vec<(String, u64, usize)> = {
+                let state = self.state.lock().expect("no panic with the lock");
+                let members = state.runs.iter().filter(|(_, run)| run.gang > 0);
+                members.map(|(task, run)| (task.clone(), run.number, run.gang)).collect()
+            };
+            for (task, number, gang) in members {
+                let (step, index) = task.rsplit_once('.').unwrap_or_default();
+                let path = format!("/gang/{step}/{number}/{index}");
+                let answer = http::call(self.store, "POST", &path, "", "", Duration::from_secs(1));
+                let answer = answer.and_then(|(_, body)| Json::parse(&body));
+                let Some(present) = answer.map(|body| body.get("present").number() as usize) else {
+                    continue;
+                };
+                let mut state = self.state.lock().expect("no panic with the lock");
+                let Some(run) = state.runs.get_mut(&task).filter(|run| run.number == number) else {
+                    continue;
+                };
+                if present >= gang {
+                    run.complete_since.get_or_insert_with(Instant::now);
+                } else if run.complete_since.is_some() {
+                    self.end(&mut state, &task, "broken");
+                } else if run.began.elapsed() > GANG_TIMEOUT {
+                    self.end(&mut state, &task, "alone");
+                }
+            }
+        }
+    }
+
     fn drive(&self) {
         loop {
             thread::sleep(Duration::from_millis(5));
             let mut state = self.state.lock().expect("no panic with the lock");
             self.enforce_lease(&mut state);
             let done = state.runs.iter();
-            let done = done.filter(|(_, run)| run.began.elapsed().as_millis() as u64 >= run.work_ms);
+            let done = done.filter(|(_, run)| run.worked_ms() >= run.work_ms);
             let done = done.map(|(task, run)| (task.clone(), run.fails));
             for (task, fails) in done.collect::<Vec<_>>() {
                 self.end(&mut state, &task, if fails { "failed" } else { "done" });
@@ -161,7 +208,9 @@
                 let fails = number_of(spec, "fail").is_some();
                 self.record(&format!("started {task} {run}"));
                 let began = Instant::now();
-                state.runs.insert(task.to_owned(), Run { number: run, began, work_ms, fails });
+                let gang = number_of(spec, "gang").unwrap_or(0) as usize;
+                let started = Run { number: run, began, work_ms, fails, gang, complete_since: None };
+                state.runs.insert(task.to_owned(), started);
                 accept()
             }
             "/hickorychute/run-stop" => {
@@ -189,7 +238,7 @@
                 }
                 self.enforce_lease(&mut state);
                 let running = state.runs.iter().map(|(task, run)| {
-                    let worked_ms = run.began.elapsed().as_millis() as u64;
+                    let worked_ms = run.worked_ms();
                     let percent = (worked_ms * 100 / run.work_ms.max(1)).min(100);
                     format!("[{},{},\"\",{percent},1000]", quote(task), run.number)
                 });
@@ -213,18 +262,20 @@
         format!(
             "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\
              \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":32768,\"gpu\":0}},\
-             \"labels\":[\"a\",\"{}\"],\"clock_ms\":{},\"born\":{},\"seq\":{seq}}}",
-            self.address, self.cpu, self.rack, self.clock_ms(), self.born_unix_ms
+             \"labels\":[\"{}\",\"{}\"],\"clock_ms\":{},\"born\":{},\"seq\":{seq}}}",
+            self.address, self.cpu, self.kind, self.rack, self.clock_ms(), self.born_unix_ms
         )
     }
 }
 
 /// Serves as a minion until the process is killed or its parent has ended.
-pub fn run(id: &str, address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64, wants_ticket: bool, cpu: u64) -> ! {
+pub fn run(id: &str, address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64, wants_ticket: bool, cpu: u64, kind: &str) -> ! {
     let worker = Arc::new(Worker {
         id: id.to_owned(),
         address,
         rack: rack.to_owned(),
+        kind: kind.to_owned(),
+        store,
         cpu,
         hold_max_ms,
         wants_ticket,
@@ -237,6 +288,8 @@
     worker.record(&format!("up cpu={cpu} born={}", worker.born_unix_ms));
     let serving = Arc::clone(&worker);
     http::serve(listener, move |request| serving.answer(request));
+    let watching = Arc::clone(&worker);
+    thread::spawn(move || watching.watch_gangs());
     let driving = Arc::clone(&worker);
     thread::spawn(move || driving.drive());
     let parent = std::os::unix::process::parent_id();
