--- a/review/rig-2/drop.rs
+++ b/review/rig-2/drop.rs
@@ -19,7 +19,7 @@
         record.line("the program is not built");
         return None;
     }
-    let shape = Shape { hosts: 3, minions: 6, attempts: ATTEMPTS, advice, kind_b: 0 };
+    let shape = Shape { hosts: 3, minions: 6, attempts: ATTEMPTS, advice, kind_b: 0, has_proxies: false };
     let rig = Rig::start(program, Arc::clone(&record), shape);
     if rig.is_none() {
         record.line("the deployment did not become ready");
--- a/review/rig-2/flap.rs
+++ b/review/rig-2/flap.rs
@@ -33,7 +33,7 @@
         record.line("the program is not built");
         return 2;
     }
-    let shape = Shape { hosts: HOSTS, minions: MINIONS, attempts: ATTEMPTS, advice: false, kind_b: 0 };
+    let shape = Shape { hosts: HOSTS, minions: MINIONS, attempts: ATTEMPTS, advice: false, kind_b: 0, has_proxies: false };
     let Some(mut rig) = Rig::start(program, Arc::clone(&record), shape) else {
         record.line("the deployment did not become ready");
         return 2;
--- a/review/rig-2/gang.rs
+++ b/review/rig-2/gang.rs
@@ -25,7 +25,7 @@
         record.line("the program is not built");
         return 2;
     }
-    let shape = Shape { hosts: 3, minions: 8, attempts: 4, advice: false, kind_b: 2 };
+    let shape = Shape { hosts: 3, minions: 8, attempts: 4, advice: false, kind_b: 2, has_proxies: false };
     let Some(mut rig) = Rig::start(program, Arc::clone(&record), shape) else {
         record.line("the deployment did not become ready");
         return 2;
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -49,8 +49,19 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
+/// A start line, headers and a body.
+pub type Message = (String, Vec<(String, String)>, Vec<u8>);
+
+/// The bytes of a message.
+pub fn write_message((first, headers, body): &Message) -> Vec<u8> {
+    let headers = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+    let mut bytes = format!("{first}\r\n{}\r\n", headers.collect::<String>()).into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
 /// Reads a start line, headers and a body of the given length.
-fn read_message(reader: &mut impl BufRead) -> io::Result<Option<(String, Vec<(String, String)>, Vec<u8>)>> {
+pub fn read_message(reader: &mut impl BufRead) -> io::Result<Option<Message>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,9 @@
 mod gang;
 mod http;
 mod json;
+mod late;
+mod proxy;
+mod rebirth;
 mod rig;
 mod store;
 mod worker;
@@ -13,9 +16,10 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let code = match words.as_slice() {
-        ["worker", id, address, rack, store, hold_max_ms, ticket, cpu, kind] => worker::run(
+        ["worker", id, address, entry_address, rack, store, hold_max_ms, ticket, cpu, kind] => worker::run(
             id,
             address.parse().expect("an address"),
+            entry_address.parse().expect("an address"),
             rack,
             store.parse().expect("an address"),
             hold_max_ms.parse().expect("a number"),
@@ -23,6 +27,8 @@
             cpu.parse().expect("a number"),
             kind,
         ),
+        ["late", program, record] => late::run(program, record),
+        ["rebirth", program, record] => rebirth::run(program, record),
         ["gang", program, record] => gang::run(program, record),
         ["flap", program, record] => flap::run(program, record),
         ["drop-attempts", program, record] => drop::attempts(program, record),
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -11,7 +11,13 @@
     time::{Duration, Instant},
 };
 
-use crate::{http, json::Json, store::Store, worker};
+use crate::{
+    http,
+    json::Json,
+    proxy::{self, Held},
+    store::Store,
+    worker,
+};
 
 /// Capacity of a minion, in thousandths of a core.
 pub const CPU: u64 = 16_000;
@@ -31,6 +37,8 @@
     pub advice: bool,
     /// Number of minions of the kind `b`; the others are of the kind `a`.
     pub kind_b: usize,
+    /// Whether hosts reach the minions through proxies.
+    pub has_proxies: bool,
 }
 
 /// A configuration with the queue `/other/` and, if it is to be there, `/batch/`.
@@ -103,6 +111,8 @@
 
 pub struct Minion {
     pub address: SocketAddr,
+    /// Address in its entry: that of the proxy before it.
+    entry_address: SocketAddr,
     pub id: String,
     rack: String,
     kind: String,
@@ -117,6 +127,8 @@
     pub fronts: Vec<SocketAddr>,
     hosts: Vec<Child>,
     pub folder: PathBuf,
+    /// Orders that the proxies hold back.
+    pub held: Arc<Held>,
     store_address: SocketAddr,
     advice_address: SocketAddr,
     shape: Shape,
@@ -156,6 +168,7 @@
             fronts: Vec::new(),
             hosts: Vec::new(),
             folder,
+            held: Arc::default(),
             store_address,
             advice_address,
             shape,
@@ -165,8 +178,14 @@
         let addresses = free_addresses(minions + 4 * hosts);
         let (of_minions, of_hosts) = addresses.split_at(minions);
         for (number, &address) in of_minions.iter().enumerate() {
+            let listener = free_listener();
+            let entry_address = listener.local_addr().ok()?;
+            if shape.has_proxies {
+                proxy::start(listener, address, Arc::clone(&rig.held));
+            }
             rig.minions.push(Minion {
                 address,
+                entry_address: if shape.has_proxies { entry_address } else { address },
                 id: String::new(),
                 rack: format!("r1-{}", number / 8),
                 kind: if number < shape.kind_b { "b" } else { "a" }.to_owned(),
@@ -245,7 +264,7 @@
         minion.log = self.folder.join(format!("minion-{id}-{}.log", minion.lives));
         let program = std::env::current_exe().expect("this program has a path");
         let child = Command::new(program)
-            .args(["worker", id, &minion.address.to_string(), &minion.rack])
+            .args(["worker", id, &minion.address.to_string(), &minion.entry_address.to_string(), &minion.rack])
             .args([self.store_address.to_string(), HOLD_MAX_MS.to_string()])
             .arg(if self.shape.advice { "ticket" } else { "free" })
             .args([cpu.to_string(), minion.kind.clone()])
--- a/review/rig-2/worker.rs
+++ b/review/rig-2/worker.rs
@@ -54,6 +54,7 @@
 
 pub struct Worker {
     id: String,
+    /// Address in its entry.
     address: SocketAddr,
     rack: String,
     kind: String,
@@ -269,10 +270,10 @@
 }
 
 /// Serves as a minion until the process is killed or its parent has ended.
-pub fn run(id: &str, address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64, wants_ticket: bool, cpu: u64, kind: &str) -> ! {
+pub fn run(id: &str, address: SocketAddr, entry_address: SocketAddr, rack: &str, store: SocketAddr, hold_max_ms: u64, wants_ticket: bool, cpu: u64, kind: &str) -> ! {
     let worker = Arc::new(Worker {
         id: id.to_owned(),
-        address,
+        address: entry_address,
         rack: rack.to_owned(),
         kind: kind.to_owned(),
         store,
