A task stays with a worker while an order may take effect there

An order got no response; the worker's process showed that it had not started the run by the order's deadline; the task was started elsewhere; the worker crashed, and the next process under its identifier executed the order as its first call.

Cause: the release of the order rested on what one process had shown. Its deadline, its fence and its stops mean nothing to a later process, whose clock starts anew. Only time ends what that may execute: 13 s from the last copy without a response, or the expiry of the ticket that the order carries. The same held for the first copy of an order whose second copy was answered, which nothing remembered, and for a run that ended or was lost after that.

Change: crates/cell/src/late_orders.rs states how late and where an order can take effect. A task with such an order is bound to the worker: it starts there, under the same number while its run was not stopped, or nowhere. A run that a later process reports before a stop was sent is adopted. A worker that never answers a task's orders comes last for it. Another worker at the address no longer clears such orders: the former one may come back there. E8121 tells for how long the task is bound.

Why it works: the process that the order was sent to rejects it after its deadline, and nobody else executes it, since it names the worker's identifier; so all runs of the task until then are on one worker.

The model now starts a repeated order once, as workers do.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -15,7 +15,7 @@
 use crate::{
     config::AdviceCost,
     ids::StepId,
-    workers::{Resources, Worker},
+    workers::{ClockReading, Resources, Worker},
 };
 
 /// Maximum number of workers named in one query.
@@ -249,10 +249,13 @@
                 for worker in &query.workers {
                     step.advice.queried.insert(Rc::clone(worker), ());
                 }
+                // The service issued them before its answer arrived.
+                let void_ms = now_ms + ClockReading::max_local_ms(*valid_ms);
                 for (worker, text) in tickets {
                     let ticket = Ticket {
                         text: Rc::clone(text),
                         expires_ms: now_ms + valid_ms,
+                        void_ms,
                     };
                     step.advice.eligible.insert(Rc::clone(worker), ticket);
                 }
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -15,7 +15,7 @@
     ids::{StepId, TaskId},
     jobs::StepSpec,
     placement::{self, Candidate, Request},
-    workers::{Phase, Run, Worker},
+    workers::{Demand, Phase, Run, Worker},
 };
 
 /// The waiting tasks of a step that are to be placed.
@@ -175,6 +175,21 @@
 }
 
 impl Candidates<'_> {
+    /// Reserves room for one task on the worker at a position. Returns whether it has any.
+    pub(super) fn take(&mut self, position: usize, demand: &Demand) -> bool {
+        let classes = [
+            &mut self.preferred,
+            &mut self.failed,
+            &mut self.reserved,
+            &mut self.suspect,
+        ];
+        let candidate = classes
+            .into_iter()
+            .flatten()
+            .find(|candidate| candidate.worker == position);
+        candidate.is_some_and(|candidate| candidate.take(demand))
+    }
+
     /// Chooses a worker for each task of the request, as far as possible; see
     /// [`placement::place`]. Workers that are not preferred are chosen once the step has been
     /// passed over for as long as its patience allows.
--- a/crates/cell/src/coordinator/end_proof.rs
+++ b/crates/cell/src/coordinator/end_proof.rs
@@ -4,6 +4,9 @@
 //! not in it proves nothing, alone or together: no response, a refused connection, a missing entry, a
 //! lapsed entry, an announced shutdown. A worker that is cut off from the hosts and from the store
 //! shows all of them, while its runs go on until its hold expires.
+//!
+//! A proof holds for the process that had the run. Where the task may start next depends besides on
+//! orders that a later process may still receive (see [`super::late_orders`]).
 
 use std::rc::Rc;
 
@@ -12,6 +15,7 @@
 use super::{Coordinator, reports::StartResponse};
 use crate::{
     ids::TaskId,
+    late_orders::UnconfirmedOrder,
     workers::{Phase, Worker},
 };
 
@@ -51,7 +55,7 @@
         requested_ms_ago: u64,
     },
     /// Another worker answers at the address at which the worker has answered. Only one process can
-    /// listen at an address, so the worker's has ended, and no order on its way can reach it.
+    /// listen at an address, so the worker's has ended.
     #[display("address_taken")]
     AddressTaken,
     /// The worker was draining, has removed its entry itself, as a worker does when it exits, and does
@@ -79,7 +83,7 @@
 #[derive(Clone, Debug, Display)]
 #[display(
     "task={task} run={run} worker={worker} proof={proof} phase={phase} heard_ms_ago={heard_ms_ago:?} \
-     hold_left_ms={hold_left_ms:?} listed={listed} draining={draining} silent={silent}"
+     hold_left_ms={hold_left_ms:?} listed={listed} draining={draining} silent={silent} bound_ms={bound_ms:?}"
 )]
 pub struct ReleasedRun {
     /// Task of the run.
@@ -90,7 +94,8 @@
     pub worker: Rc<str>,
     /// Why the run was released.
     pub proof: EndProof,
-    /// State of the order to start the run: `ordered`, `present` or `ended`.
+    /// State of the order to start the run: `ordered`, `present`, `ended`, or `expired` if it can no
+    /// longer take effect.
     pub phase: &'static str,
     /// Time since the worker's last report, in milliseconds; absent without one.
     pub heard_ms_ago: Option<u64>,
@@ -102,25 +107,46 @@
     pub draining: bool,
     /// Whether the last hold got no response.
     pub silent: bool,
+    /// Time for which the task may start on this worker only, in milliseconds; absent if it may start
+    /// anywhere.
+    pub bound_ms: Option<u64>,
 }
 
 impl ReleasedRun {
     fn new(worker: &Worker, task: TaskId, proof: EndProof, now_ms: u64) -> Option<Self> {
         let run = worker.runs.get(&task)?;
+        let phase = match run.phase {
+            Phase::Ordered { .. } => "ordered",
+            Phase::Present { .. } => "present",
+            Phase::Ended => "ended",
+        };
+        Some(Self::of(worker, (task, run.run), phase, proof, now_ms))
+    }
+
+    /// An order that can no longer take effect, whose run the worker does not have.
+    pub(super) fn of_order(worker: &Worker, order: &UnconfirmedOrder, now_ms: u64) -> Self {
+        let run = (order.task, order.run);
+        Self::of(worker, run, "expired", EndProof::OrderUndeliverable, now_ms)
+    }
+
+    fn of(
+        worker: &Worker,
+        (task, run): (TaskId, u64),
+        phase: &'static str,
+        proof: EndProof,
+        now_ms: u64,
+    ) -> Self {
         let hold_left_ms = worker.clock.map(|clock| {
             let worker_ms = clock.lower_bound_ms(now_ms);
             worker.held_until_worker_ms.saturating_sub(worker_ms)
         });
-        Some(Self {
+        let pending = worker.pending_order(task, now_ms);
+        Self {
             task,
-            run: run.run,
+            run,
             worker: Rc::clone(&worker.entry.id),
             proof,
-            phase: match run.phase {
-                Phase::Ordered { .. } => "ordered",
-                Phase::Present { .. } => "present",
-                Phase::Ended => "ended",
-            },
+            phase,
             heard_ms_ago: worker
                 .clock
                 .map(|clock| now_ms.saturating_sub(clock.received_ms)),
@@ -128,7 +154,8 @@
             listed: worker.listed,
             draining: worker.entry.draining,
             silent: worker.unresponsive,
-        })
+            bound_ms: pending.map(|order| order.expires_ms - now_ms),
+        }
     }
 }
 
--- a/crates/cell/src/coordinator/expiry.rs
+++ b/crates/cell/src/coordinator/expiry.rs
@@ -17,7 +17,7 @@
 
     /// Releases the runs of unresponsive workers whose holds and orders have all expired.
     pub(super) fn release_expired_workers(&mut self, now_ms: u64) {
-        self.release_undeliverable_orders(now_ms);
+        self.expire_orders(now_ms);
         let lapsed: Vec<Rc<str>> = self
             .workers
             .values()
@@ -50,8 +50,12 @@
                 .retain(|id| workers.get(id).is_some_and(|worker| worker.fenced));
             // Workers of the predecessor that neither sent a report nor are listed have no runs any
             // more.
-            self.workers
-                .retain(|_, worker| worker.listed || worker.fenced || !worker.runs.is_empty());
+            self.workers.retain(|_, worker| {
+                worker.listed
+                    || worker.fenced
+                    || !worker.runs.is_empty()
+                    || worker.has_pending_orders(now_ms)
+            });
         }
     }
 
@@ -68,31 +72,6 @@
             }
         }
     }
-
-    /// Releases orders to processes that have ended, once they cannot reach a later process with the
-    /// same identifier any more.
-    fn release_undeliverable_orders(&mut self, now_ms: u64) {
-        let mut undeliverable = Vec::new();
-        for (id, worker) in &self.workers {
-            if worker.fenced || worker.started_unix_ms == 0 {
-                continue;
-            }
-            let is_undeliverable = |(task, run): &(&TaskId, &Run)| {
-                matches!(
-                    run.phase,
-                    Phase::Ordered {
-                        in_flight: false,
-                        ..
-                    }
-                ) && !worker.has_pending_order(**task, now_ms)
-            };
-            let runs = worker.runs.iter().filter(is_undeliverable);
-            undeliverable.extend(runs.map(|(&task, _)| (Rc::clone(id), task)));
-        }
-        for (id, task) in undeliverable {
-            self.release(&id, task, EndProof::OrderUndeliverable, now_ms);
-        }
-    }
 }
 
 /// Tasks of a worker whose holds have expired that may start elsewhere. A later process under the same
@@ -106,7 +85,7 @@
                 ..
             }
         );
-        in_flight || worker.has_pending_order(task, now_ms)
+        in_flight || worker.pending_order(task, now_ms).is_some()
     };
     let runs = worker.runs.iter();
     runs.filter(move |(task, run)| !may_arrive(**task, run))
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -20,6 +20,8 @@
     pub text: Rc<str>,
     /// Expiry of the ticket, in milliseconds of the local clock.
     pub expires_ms: u64,
+    /// When it has expired on the slowest worker's clock too, in milliseconds of the local clock.
+    pub void_ms: u64,
 }
 
 /// Answers of the advice service for a step.
@@ -79,6 +81,9 @@
     pub checkpoint: String,
     /// Active run, if any.
     pub active: Option<ActiveRun>,
+    /// The only worker on which the task may start, because an order without a response may still
+    /// take effect there.
+    pub bound_to: Option<Rc<str>>,
     /// Number of runs that were stopped as hung.
     pub hung_runs: u32,
     /// The last failed run.
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -10,7 +10,8 @@
 //! - a task has at most one active run; the run is released only once its worker reports its end, or
 //!   for one of the reasons in [`EndProof`];
 //! - an unconfirmed order to start keeps its resources reserved until its deadline on the worker's
-//!   clock has passed or a stop of its run is confirmed;
+//!   clock has passed or a stop of its run is confirmed, and its task bound to the worker for as long as
+//!   it may take effect in any process there (see [`crate::late_orders`]);
 //! - after a takeover, a task of an inherited job starts only once every worker used by the
 //!   predecessor has accepted the new fencing token and reported all its runs and ends, or the
 //!   predecessor's last hold must have expired. The latter stands for silent workers only: one that
@@ -28,6 +29,7 @@
 mod expiry;
 mod inherited;
 mod job;
+mod late_orders;
 mod movement;
 mod pace;
 mod patience;
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -8,8 +8,7 @@
     ids::TaskId,
     progress::Progress,
     workers::{
-        ClockReading, Demand, HoldReport, Phase, ReportedRun, Resources, Run, StopReason,
-        UnconfirmedOrder, Worker,
+        ClockReading, Demand, HoldReport, Phase, ReportedRun, Resources, Run, StopReason, Worker,
     },
 };
 
@@ -20,8 +19,6 @@
 /// store, may have recovered by then.
 const MISSING_PAYLOAD_BACKOFF_MS: u64 = 300;
 
-/// Maximum time after which a call without a response can still take effect, in milliseconds.
-const MAX_DELIVERY_DELAY_MS: u64 = 13_000;
 /// Maximum time for which a predecessor's calls extend a hold, in milliseconds.
 const MAX_INHERITED_HOLD_MS: u64 = 6_000;
 
@@ -76,6 +73,16 @@
     Unknown,
 }
 
+impl StartResponse {
+    /// Whether the worker itself has answered.
+    fn is_of_worker(self) -> bool {
+        !matches!(
+            self,
+            Self::Unhealthy | Self::NoText | Self::OtherLife | Self::Unknown
+        )
+    }
+}
+
 impl Coordinator {
     /// Returns the terms of the next hold of a worker. `same_connection` tells whether the last
     /// response arrived on the connection that will be used; on another connection a restarted
@@ -187,6 +194,9 @@
             self.apply_reported_run(id, reported, now_ms);
         }
         self.settle_missing_runs(id, sent_ms, now_ms, report, proof);
+        if restarted {
+            self.reserve_unconfirmed_orders(id, now_ms);
+        }
         self.review_runs(id, now_ms, unix_ms);
         true
     }
@@ -212,9 +222,6 @@
             return false;
         }
         self.end_process(id, EndProof::AddressTaken, now_ms);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.unconfirmed_orders.clear();
-        }
         true
     }
 
@@ -238,9 +245,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let is_released = |run: &Run| {
-            proof == EndProof::AddressTaken || !matches!(run.phase, Phase::Ordered { .. })
-        };
+        let is_released = |run: &Run| !matches!(run.phase, Phase::Ordered { .. });
         let released: Vec<TaskId> = worker
             .runs
             .iter()
@@ -283,38 +288,6 @@
         self.reserve_unconfirmed_orders(id, now_ms);
     }
 
-    /// Orders to a former process may be executed by its successor, which does not know of earlier
-    /// stops. Each keeps its resources reserved until a stop is confirmed by the new process.
-    fn reserve_unconfirmed_orders(&mut self, id: &str, now_ms: u64) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        for order in std::mem::take(&mut worker.unconfirmed_orders) {
-            if order.expires_ms <= now_ms {
-                continue;
-            }
-            worker.unconfirmed_orders.push(order);
-            if worker.runs.contains_key(&order.task) {
-                continue;
-            }
-            let phase = Phase::Ordered {
-                until_worker_ms: u64::MAX,
-                in_flight: false,
-            };
-            let demand = Demand {
-                resources: order.resources,
-                ..Demand::default()
-            };
-            worker.add_run(
-                order.task,
-                Run {
-                    stopping: Some(StopReason::WorkerRestarted),
-                    ..Run::new(order.run, &demand, phase, now_ms)
-                },
-            );
-        }
-    }
-
     /// Applies a worker's response to an order to start, or the lack of one.
     pub fn start_answered(
         &mut self,
@@ -327,6 +300,9 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if answer.is_of_worker() {
+            worker.order_answered_ms = now_ms;
+        }
         let Some(known) = worker.runs.get_mut(&task).filter(|known| known.run == run) else {
             return;
         };
@@ -345,18 +321,8 @@
                 if let Phase::Ordered { in_flight, .. } = &mut known.phase {
                     *in_flight = false;
                 }
-                let resources = known.resources;
-                // A stop of the task's highest run prevents the lower ones from starting too.
-                worker
-                    .unconfirmed_orders
-                    .retain(|order| order.expires_ms > now_ms && order.task != task);
-                worker.unconfirmed_orders.push(UnconfirmedOrder {
-                    task,
-                    run,
-                    resources,
-                    expires_ms: now_ms + MAX_DELIVERY_DELAY_MS,
-                });
                 worker.health.refusal_until_ms = now_ms + REFUSAL_BACKOFF_MS;
+                self.start_unanswered(id, task, run, now_ms);
                 self.stop_gang_of(task, run);
                 return;
             }
@@ -389,7 +355,11 @@
 
     /// Records that a worker confirmed a stop.
     pub fn stop_confirmed(&mut self, id: &str, task: TaskId, run: u64, now_ms: u64) {
-        let known = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(&task));
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.order_answered_ms = now_ms;
+        let known = worker.runs.get_mut(&task);
         // Only the first confirmation counts: a later one must not renew `since_ms`, or the absence
         // of the run from reports would never release it.
         if let Some(known) = known.filter(|known| known.run == run && !known.stop_confirmed) {
@@ -434,6 +404,13 @@
                 return;
             };
             job.record_start(reported.task);
+            // A late order that the current process has executed before it was told to stop it.
+            if run.stopping == Some(StopReason::WorkerRestarted)
+                && run.stop_sent_ms.is_none()
+                && job.adopt_late_run(&worker.entry.id, reported.task, reported.run)
+            {
+                run.stopping = None;
+            }
             if let Some(task) = job.task_mut(reported.task)
                 && !reported.checkpoint.is_empty()
                 && task.checkpoint != reported.checkpoint
@@ -531,7 +508,10 @@
             return;
         }
         for task in absent {
-            self.release(id, task, proof, now_ms);
+            let worker = self.workers.get(id);
+            if !worker.is_some_and(|worker| worker.has_overdue_order(task, now_ms)) {
+                self.release(id, task, proof, now_ms);
+            }
         }
     }
 
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -67,6 +67,7 @@
         self.stop_unneeded_runs();
         self.stop_incomplete_gangs(now_ms);
         let mut orders = Vec::new();
+        self.repeat_orders(now_ms, &mut orders);
         self.start_ready_steps(now_ms, unix_ms, &mut orders);
         self.due_stop_orders(now_ms, &mut orders);
         self.due_pace_orders(now_ms, &mut orders);
@@ -329,10 +330,24 @@
             waiting: &waiting,
         };
         let demand = demand_of(spec);
-        let candidates = waiting_step.candidates(&self.workers, step, pass);
+        let mut candidates = waiting_step.candidates(&self.workers, step, pass);
+        let (bound, free): (Vec<u32>, Vec<u32>) = waiting
+            .iter()
+            .partition(|&&n| step.tasks[n as usize].bound_to.is_some());
+        let mut chosen = Vec::with_capacity(waiting.len());
+        for &n in &bound {
+            let worker = step.tasks[n as usize].bound_to.as_ref();
+            let position = worker.and_then(|worker| self.workers.get_index_of(worker));
+            let placed = position.filter(|&position| candidates.take(position, &demand));
+            chosen.extend(placed.map(|position| (n, position)));
+        }
+        if free.is_empty() || (spec.gang && chosen.len() < bound.len()) {
+            let is_complete = !spec.gang || chosen.len() == waiting.len();
+            return if is_complete { chosen } else { Vec::new() };
+        }
         let request = Request {
             demand,
-            count: waiting.len() as u32,
+            count: free.len() as u32,
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
@@ -351,7 +366,11 @@
             slack_ms: objective_unix_ms.saturating_sub(pass.unix_ms + spec.estimate_ms),
         };
         let placed = candidates.choose(&request, step, &patience, pass.now_ms);
-        waiting.into_iter().zip(placed).collect()
+        if spec.gang && placed.is_empty() {
+            return Vec::new();
+        }
+        chosen.extend(free.into_iter().zip(placed));
+        chosen
     }
 
     /// Orders runs of a step's tasks, each on the worker at the given position.
@@ -409,6 +428,9 @@
                 now_ms,
             );
             let ticket = step.advice.eligible.get(name);
+            if let Some(ordered) = worker.runs.get_mut(&task_id) {
+                ordered.ticket_void_ms = ticket.map(|ticket| ticket.void_ms);
+            }
             orders.push(Order::Start {
                 worker: Rc::clone(name),
                 task: task_id,
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -215,11 +215,20 @@
         if budget == 0 || (pass.free_trial_workers.is_empty() && !may_scan) {
             return Some(ChosenTrials::default());
         }
-        let (trials, others) = job.split_waiting(step);
+        let (mut trials, others) = job.split_waiting(step);
         let waiting_count = trials.len() + others.len();
         if spec.gang && waiting_count < step.tasks.len() - step.done_count as usize {
             return None;
         }
+        // A task that is bound to a worker can't start apart from what runs there.
+        let is_bound = |n: &u32| step.tasks[*n as usize].bound_to.is_some();
+        if spec.gang && trials.iter().chain(&others).any(is_bound) {
+            return None;
+        }
+        trials.retain(|n| !is_bound(n));
+        if trials.is_empty() {
+            return None;
+        }
         let is_suspect = |n: &u32| step.tasks[*n as usize].crashes.is_suspect();
         if !self.is_durable(id.job) && trials.iter().any(is_suspect) {
             return None;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`progress`]: progress of runs, and detection of slow workers;
 //! - [`workers`]: the state of a worker, its clock and its resources;
 //! - [`contact`]: runs that start on a worker, and workers to which contact was lost meanwhile;
+//! - [`late_orders`]: orders without a response, and how late and where they can take effect;
 //! - [`departure`]: workers that leave, and what a successor needs to know of them;
 //! - [`coordinator`]: the state machine that turns this state into orders;
 //! - [`link_budget`]: whether the network link of the coordinator's host is congested;
@@ -29,6 +30,7 @@
 pub mod departure;
 pub mod ids;
 pub mod jobs;
+pub mod late_orders;
 pub mod link_budget;
 pub mod outage;
 pub mod pacing;
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -42,6 +42,17 @@
         (fits.min(u64::from(limit)) as u32).min(self.task_limit)
     }
 
+    /// Reserves the resources of one task. Returns whether it fits.
+    pub fn take(&mut self, demand: &Demand) -> bool {
+        let fits = self.fitting_tasks(&demand.resources, 1) == 1;
+        if fits {
+            self.used.add(&demand.resources);
+            self.best_effort_millicores += demand.best_effort_millicores;
+            self.task_limit -= 1;
+        }
+        fits
+    }
+
     /// CPU that is neither in use nor requested by best-effort tasks, in millicores.
     fn unused_millicores(&self) -> u64 {
         let taken = self.used.cpu_millicores + self.best_effort_millicores;
@@ -132,10 +143,9 @@
         let Some(candidate) = best else {
             break;
         };
-        candidate.used.add(&request.demand.resources);
-        candidate.best_effort_millicores += request.demand.best_effort_millicores;
-        candidate.task_limit -= 1;
-        placed.push(candidate.worker);
+        if candidate.take(&request.demand) {
+            placed.push(candidate.worker);
+        }
     }
     placed
 }
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -9,6 +9,7 @@
     contact::{LostContact, Trial},
     departure::Withdrawal,
     ids::{JobId, TaskId},
+    late_orders::UnconfirmedOrder,
     pacing::BestEffortShare,
     progress::Progress,
 };
@@ -178,6 +179,11 @@
         self.worker_ms + elapsed_ms * (1000 - Self::MAX_LAG_PER_MILLE) / 1000
     }
 
+    /// Longest local time in which a worker's clock may advance by `worker_ms`, in milliseconds.
+    pub fn max_local_ms(worker_ms: u64) -> u64 {
+        (worker_ms * 1000).div_ceil(1000 - Self::MAX_LAG_PER_MILLE)
+    }
+
     /// Estimate of the worker's clock at `now_ms`, in milliseconds, assuming no clock drift.
     pub fn estimate_ms(&self, now_ms: u64) -> u64 {
         self.worker_ms + now_ms.saturating_sub(self.received_ms)
@@ -257,6 +263,9 @@
     pub resources: Resources,
     /// State of the order to start the run.
     pub phase: Phase,
+    /// When the ticket of that order has expired on any worker's clock, in milliseconds of the local
+    /// clock; absent without a ticket.
+    pub ticket_void_ms: Option<u64>,
     /// Set once the run is to be stopped. Its resources stay occupied until it has ended.
     pub stopping: Option<StopReason>,
     /// Time of the last stop order, in milliseconds of the local clock.
@@ -288,6 +297,7 @@
             survived: false,
             resources: demand.resources,
             phase,
+            ticket_void_ms: None,
             stopping: None,
             stop_sent_ms: None,
             stop_confirmed: false,
@@ -325,19 +335,6 @@
     pub probe: Option<TaskId>,
 }
 
-/// An order to start that got no response.
-#[derive(Clone, Copy, Debug)]
-pub struct UnconfirmedOrder {
-    /// Task to be started.
-    pub task: TaskId,
-    /// Run number, unique within the task.
-    pub run: u64,
-    /// Resources that the run would occupy.
-    pub resources: Resources,
-    /// Time after which the order can no longer take effect, in milliseconds of the local clock.
-    pub expires_ms: u64,
-}
-
 /// The coordinator's state of a worker.
 #[derive(Debug)]
 #[expect(
@@ -393,8 +390,11 @@
     pub best_effort_millicores: u64,
     /// CPU share of the best-effort runs.
     pub best_effort_share: BestEffortShare,
-    /// Orders without a response that may still reach this worker process or a later one with the
-    /// same identifier.
+    /// When the worker last answered an order to start or to stop a run, in milliseconds of the local
+    /// clock; 0 if it has not.
+    pub order_answered_ms: u64,
+    /// Orders without a response that may still take effect in this process or in a later one with
+    /// the same identifier; at most one a task.
     pub unconfirmed_orders: Vec<UnconfirmedOrder>,
     /// Failure history, from which other workers are preferred.
     pub health: WorkerHealth,
@@ -426,6 +426,7 @@
             trial_runs: 0,
             best_effort_millicores: 0,
             best_effort_share: BestEffortShare::default(),
+            order_answered_ms: 0,
             unconfirmed_orders: Vec::new(),
             health: WorkerHealth::default(),
         }
@@ -462,20 +463,6 @@
         self.processed_end > self.pending_end
     }
 
-    /// Whether an order without a response may still reach this process or a later one.
-    pub(crate) fn has_pending_orders(&self, now_ms: u64) -> bool {
-        self.unconfirmed_orders
-            .iter()
-            .any(|order| order.expires_ms > now_ms)
-    }
-
-    /// The same for orders of one task.
-    pub(crate) fn has_pending_order(&self, task: TaskId, now_ms: u64) -> bool {
-        self.unconfirmed_orders
-            .iter()
-            .any(|order| order.task == task && order.expires_ms > now_ms)
-    }
-
     /// Whether every hold and order granted to the worker has expired, even if its clock runs as
     /// slow as permitted.
     pub fn has_certainly_expired(&self, now_ms: u64) -> bool {
@@ -511,6 +498,23 @@
         self.add_run(task, ordered);
     }
 
+    /// Records the repetition of an order whose deadline has passed, before it is sent.
+    pub(crate) fn repeat_order(
+        &mut self,
+        task: TaskId,
+        until_worker_ms: u64,
+        ticket_void_ms: Option<u64>,
+    ) -> Option<&Run> {
+        let run = self.runs.get_mut(&task)?;
+        run.phase = Phase::Ordered {
+            until_worker_ms,
+            in_flight: true,
+        };
+        run.ticket_void_ms = ticket_void_ms;
+        self.held_until_worker_ms = self.held_until_worker_ms.max(until_worker_ms);
+        Some(run)
+    }
+
     /// Resources of the runs that do not end by themselves. What remains of the worker becomes free
     /// once all other runs have ended.
     pub fn permanently_used(&self) -> Resources {
--- a/crates/cell/tests/cell/end_proofs.rs
+++ b/crates/cell/tests/cell/end_proofs.rs
@@ -390,7 +390,7 @@
 
 /// A task that only worker 0 may run, ordered there by an order that is in transit for `transit_ms`.
 /// From then on only worker 1 may run it.
-fn model_with_an_order_in_transit(transit_ms: u64) -> Model {
+pub(crate) fn model_with_an_order_in_transit(transit_ms: u64) -> Model {
     let mut model = Model::new(support::config(), 2);
     // The clock of a later process starts anew, so that the order's deadline lies in its future.
     model.run_ms(30_000);
--- /dev/null
+++ b/crates/cell/tests/cell/late_orders.rs
@@ -0,0 +1,397 @@
+//! Orders to start that take effect late, in the process to which they were sent or in a later one.
+
+use std::rc::Rc;
+
+use hickorychute_cell::{
+    coordinator::{Coordinator, Order, StartResponse},
+    ids::TaskId,
+    jobs::{JobState, StepSpec},
+    workers::{EndKind, HoldReport, ReportedEnd, ReportedRun},
+};
+
+use crate::{
+    end_proofs::model_with_an_order_in_transit,
+    support::{self, DelayedStarts, Model, WorkerMode},
+};
+
+/// When a call that got no response has certainly been executed, in milliseconds after it was sent.
+const DELIVERY_MS: u64 = 13_000;
+
+/// Guards against TWICE: an order gets no response, its process shows that it has not started the run
+/// and never will, and the next process under the same identifier executes it.
+#[test]
+fn a_task_waits_for_an_order_that_only_a_later_process_may_execute() {
+    struct Case {
+        name: &'static str,
+        transit_ms: u64,
+        /// When the worker restarts, counted from the order.
+        restarts_ms: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "review/8",
+            transit_ms: 3_500,
+            restarts_ms: &[3_450],
+        },
+        Case {
+            name: "as late as possible",
+            transit_ms: 12_000,
+            restarts_ms: &[11_900],
+        },
+        Case {
+            name: "two restarts",
+            transit_ms: 6_000,
+            restarts_ms: &[2_000, 5_950],
+        },
+        Case {
+            name: "restart without the order",
+            transit_ms: 12_900,
+            restarts_ms: &[2_000],
+        },
+    ];
+    for case in cases {
+        let mut model = model_with_an_order_in_transit(case.transit_ms);
+        model.set_mode(0, WorkerMode::Healthy);
+        let mut passed_ms = 100;
+        for &restart_ms in case.restarts_ms {
+            model.run_ms(restart_ms - passed_ms);
+            model.restart_worker(0, DelayedStarts::InTransit);
+            passed_ms = restart_ms;
+        }
+        // The model asserts that no task runs twice at the same time.
+        model.run_ms(60_000);
+        assert_eq!(model.state(1), Some(JobState::Completed), "{}", case.name);
+    }
+}
+
+/// Guards against TWICE: an order is executed on its second copy, its worker crashes, and the next
+/// process executes the first copy, which got no response.
+#[test]
+fn a_copy_without_a_response_counts_although_another_one_was_answered() {
+    struct Case {
+        name: &'static str,
+        transit_ms: u64,
+        restart_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "first call of the new process",
+            transit_ms: 4_000,
+            restart_ms: 3_990,
+        },
+        Case {
+            name: "after the new process was heard",
+            transit_ms: 4_000,
+            restart_ms: 2_000,
+        },
+    ];
+    for case in cases {
+        let mut model = Model::new(support::config(), 2);
+        model.run_ms(30_000);
+        model.set_mode(0, WorkerMode::DelaysCopies(case.transit_ms));
+        model.set_mode(1, WorkerMode::DelaysCopies(case.transit_ms));
+        let step = support::step(1, 1_000, 20_000);
+        model.submit(support::job(1, "batch", vec![step]));
+        model.run_ms(100);
+        let used = usize::from(model.tasks_on(0).is_empty());
+        assert_eq!(model.tasks_on(used).len(), 1, "{}", case.name);
+        model.set_mode(1 - used, WorkerMode::Healthy);
+        model.run_ms(case.restart_ms - 100);
+        model.restart_worker(used, DelayedStarts::InTransit);
+        // The model asserts that no task runs twice at the same time.
+        model.run_ms(60_000);
+        assert_eq!(model.state(1), Some(JobState::Completed), "{}", case.name);
+    }
+}
+
+/// A coordinator with two idle workers.
+fn coordinator_with_two_workers() -> (Coordinator, [Rc<str>; 2]) {
+    let mut coordinator = support::coordinator(support::config());
+    let ids = [0, 1].map(|number: usize| {
+        let entry = support::entry(number);
+        let id = Rc::clone(&entry.id);
+        coordinator.update_worker(entry);
+        coordinator.roster_durable(&[Rc::clone(&id)]);
+        report(&mut coordinator, &id, 10, &[], &[]);
+        id
+    });
+    (coordinator, ids)
+}
+
+/// Passes a report of a worker whose clock showed 1,000 ms at the start.
+fn report(
+    coordinator: &mut Coordinator,
+    worker: &str,
+    now_ms: u64,
+    running: &[(TaskId, u64)],
+    ended: &[(TaskId, u64, EndKind)],
+) {
+    let running = running.iter().map(|&(task, run)| ReportedRun {
+        task,
+        run,
+        checkpoint: String::new(),
+        percent: 1,
+        measured_value: 0,
+    });
+    let ended = ended.iter().zip(1..).map(|(&end, number)| ReportedEnd {
+        number,
+        task: end.0,
+        run: end.1,
+        kind: end.2,
+        checkpoint: String::new(),
+    });
+    let report = HoldReport {
+        clock_ms: 1_000 + now_ms,
+        started_unix_ms: support::START_UNIX_MS,
+        running: running.collect(),
+        ended: ended.collect(),
+        ends_truncated: false,
+    };
+    let unix_ms = support::START_UNIX_MS + now_ms;
+    let _terms = coordinator.begin_hold(worker, true, now_ms);
+    coordinator.hold_answered(worker, now_ms, now_ms, unix_ms, &report);
+}
+
+/// Starts ordered in a scheduling pass: task, run and worker.
+fn starts(coordinator: &mut Coordinator, now_ms: u64) -> Vec<(TaskId, u64, Rc<str>)> {
+    let orders = coordinator.schedule(now_ms, support::START_UNIX_MS + now_ms);
+    let start = |order| match order {
+        Order::Start {
+            task, run, worker, ..
+        } => Some((task, run, worker)),
+        _ => None,
+    };
+    orders.into_iter().filter_map(start).collect()
+}
+
+fn submit(coordinator: &mut Coordinator, step: StepSpec) {
+    let job = support::job(1, "batch", vec![step]);
+    coordinator.add_job(&job, false, support::START_UNIX_MS);
+}
+
+/// An order that its process has not executed by its deadline is sent to it again under the same
+/// number, since its task may start nowhere else, if the process answers orders again.
+#[test]
+fn an_order_without_a_response_is_repeated_on_its_worker() {
+    let (mut coordinator, ids) = coordinator_with_two_workers();
+    submit(&mut coordinator, support::step(1, 1_000, 500));
+    let [(task, run, worker)] = starts(&mut coordinator, 20).try_into().expect("one start");
+    coordinator.start_answered(&worker, task, run, StartResponse::Unknown, 900);
+    for id in &ids {
+        report(&mut coordinator, id, 1_000, &[], &[]);
+    }
+    assert_eq!(starts(&mut coordinator, 1_010), [], "before the deadline");
+    for id in &ids {
+        report(&mut coordinator, id, 1_400, &[], &[]);
+    }
+    assert_eq!(
+        starts(&mut coordinator, 1_410),
+        [],
+        "answers its polls alone"
+    );
+    // A stop of an unknown run is confirmed as well.
+    let other = support::first_task(9);
+    coordinator.stop_confirmed(&worker, other, 1, 1_420);
+    let again = starts(&mut coordinator, 1_430);
+    assert_eq!(again, [(task, run, Rc::clone(&worker))]);
+    coordinator.start_answered(&worker, task, run, StartResponse::Started, 1_440);
+    report(&mut coordinator, &worker, 1_500, &[(task, run)], &[]);
+    let done = [(task, run, EndKind::Done)];
+    report(&mut coordinator, &worker, 2_000, &[], &done);
+    assert_eq!(starts(&mut coordinator, 2_010), []);
+}
+
+/// A worker that answers its polls and no order, or never that of one task, keeps the task until none of
+/// its orders can take effect any more, and no longer.
+#[test]
+fn a_worker_that_does_not_answer_an_order_gives_up_its_task() {
+    struct Case {
+        name: &'static str,
+        answers_others: bool,
+        last_order_ms: std::ops::Range<u64>,
+    }
+    let cases = [
+        Case {
+            name: "answers no order",
+            answers_others: false,
+            last_order_ms: 0..901,
+        },
+        Case {
+            name: "answers other orders",
+            answers_others: true,
+            last_order_ms: DELIVERY_MS - 1_000..DELIVERY_MS + 1_000,
+        },
+    ];
+    for case in cases {
+        let (mut coordinator, ids) = coordinator_with_two_workers();
+        submit(&mut coordinator, support::step(1, 1_000, 500));
+        let [(task, run, mute)] = starts(&mut coordinator, 20).try_into().expect("one start");
+        coordinator.start_answered(&mute, task, run, StartResponse::Unknown, 900);
+        let mut last_ms = 900;
+        let (elsewhere_ms, second) = (1_000..40_000)
+            .step_by(100)
+            .find_map(|now_ms| {
+                for id in &ids {
+                    report(&mut coordinator, id, now_ms, &[], &[]);
+                    if case.answers_others {
+                        coordinator.stop_confirmed(id, support::first_task(9), 1, now_ms);
+                    }
+                }
+                let (task, run, worker) = starts(&mut coordinator, now_ms).pop()?;
+                if worker != mute {
+                    return Some((now_ms, run));
+                }
+                last_ms = now_ms;
+                let answer = StartResponse::Unknown;
+                coordinator.start_answered(&worker, task, run, answer, now_ms);
+                None
+            })
+            .expect("the task starts elsewhere");
+        assert!(second > run, "{}", case.name);
+        assert!(
+            case.last_order_ms.contains(&last_ms),
+            "{}: {last_ms}",
+            case.name
+        );
+        let waited_ms = elsewhere_ms - last_ms;
+        assert!(waited_ms >= DELIVERY_MS, "{}: {waited_ms}", case.name);
+        assert!(waited_ms <= DELIVERY_MS + 200, "{}: {waited_ms}", case.name);
+    }
+}
+
+/// Guards against waiting for nothing: while an order may still reach a later process of its worker,
+/// the present one has rejected it, so that the task starts again there.
+#[test]
+fn a_bound_task_starts_again_on_its_worker() {
+    struct Case {
+        name: &'static str,
+        end: EndKind,
+        /// When the run ends, after its order.
+        end_ms: u64,
+        is_bound: bool,
+    }
+    let cases = [
+        Case {
+            name: "failed",
+            end: EndKind::Failed,
+            end_ms: 500,
+            is_bound: true,
+        },
+        Case {
+            name: "stopped",
+            end: EndKind::Stopped,
+            end_ms: 500,
+            is_bound: true,
+        },
+        Case {
+            name: "failed after the last copy has expired",
+            end: EndKind::Failed,
+            end_ms: DELIVERY_MS + 500,
+            is_bound: false,
+        },
+    ];
+    for case in cases {
+        let (mut coordinator, ids) = coordinator_with_two_workers();
+        submit(&mut coordinator, support::step(1, 1_000, 60_000));
+        let [(task, run, worker)] = starts(&mut coordinator, 20).try_into().expect("one start");
+        coordinator.start_unanswered(&worker, task, run, 300);
+        coordinator.start_answered(&worker, task, run, StartResponse::Started, 310);
+        for now_ms in (320..320 + case.end_ms).step_by(100) {
+            for id in &ids {
+                let running = (*id == worker).then_some((task, run));
+                report(&mut coordinator, id, now_ms, running.as_slice(), &[]);
+            }
+            assert_eq!(starts(&mut coordinator, now_ms), []);
+        }
+        let now_ms = 320 + case.end_ms;
+        report(
+            &mut coordinator,
+            &worker,
+            now_ms,
+            &[],
+            &[(task, run, case.end)],
+        );
+        let next = starts(&mut coordinator, now_ms + 10);
+        let [(_, second, on)] = next.as_slice() else {
+            panic!("{}: {next:?}", case.name);
+        };
+        assert!(*second > run, "{}", case.name);
+        if case.is_bound {
+            assert_eq!(*on, worker, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against TWICE in a gang: one of its members has an order that a later process may execute, so
+/// that the next run has that member on the same worker, and the others anywhere.
+#[test]
+fn a_gang_starts_again_with_its_bound_members_in_place() {
+    let (mut coordinator, ids) = coordinator_with_two_workers();
+    submit(&mut coordinator, support::gang(2, 9_000, 5_000));
+    let first = starts(&mut coordinator, 20);
+    assert_eq!(first.len(), 2);
+    let (bound, run, worker) = first[0].clone();
+    let (other, _, elsewhere) = first[1].clone();
+    assert_ne!(worker, elsewhere);
+    coordinator.start_answered(&elsewhere, other, run, StartResponse::Started, 30);
+    coordinator.start_answered(&worker, bound, run, StartResponse::Unknown, 900);
+    assert_eq!(starts(&mut coordinator, 910), []);
+    coordinator.stop_confirmed(&worker, bound, run, 920);
+    coordinator.stop_confirmed(&elsewhere, other, run, 920);
+    report(
+        &mut coordinator,
+        &elsewhere,
+        950,
+        &[],
+        &[(other, run, EndKind::Stopped)],
+    );
+    report(&mut coordinator, &worker, 950, &[], &[]);
+    assert_eq!(
+        starts(&mut coordinator, 960),
+        [],
+        "the worker is backed off"
+    );
+    // Tasks are packed: without the binding, the first member would start on the worker in use.
+    let mut entry = support::entry(usize::from(elsewhere == ids[1]));
+    entry.labels.push(support::LABEL.into());
+    coordinator.update_worker(entry);
+    let filler = support::labelled(support::step(1, 1_000, 60_000));
+    let filler = support::job(2, "urgent", vec![filler]);
+    coordinator.add_job(&filler, false, support::START_UNIX_MS);
+    let [(task, run, on)] = starts(&mut coordinator, 970).try_into().expect("one start");
+    assert_eq!(on, elsewhere);
+    coordinator.start_answered(&on, task, run, StartResponse::Started, 980);
+    report(&mut coordinator, &worker, 1_400, &[], &[]);
+    report(&mut coordinator, &elsewhere, 1_400, &[(task, run)], &[]);
+    let second = starts(&mut coordinator, 1_410);
+    let of_bound = second.iter().find(|(task, ..)| *task == bound);
+    assert_eq!(second.len(), 2, "{second:?}");
+    assert_eq!(of_bound.map(|(.., on)| on), Some(&worker));
+}
+
+/// Tickets expire: guards against holding back a task for an order that no worker accepts any more.
+#[test]
+fn an_order_with_a_ticket_binds_its_task_until_that_has_expired() {
+    let mut model = Model::new(support::advised_config(), 2);
+    model.run_ms(30_000);
+    for number in 0..2 {
+        model.set_mode(number, WorkerMode::DelaysStarts(60_000));
+    }
+    let step = support::step(1, 1_000, 500);
+    model.submit(support::job(1, "batch", vec![step]));
+    model.run_ms(300);
+    let ordered = model
+        .workers
+        .values()
+        .position(support::ModelWorker::has_delayed_starts);
+    let ordered = ordered.expect("an order is in transit");
+    model.set_mode(1 - ordered, WorkerMode::Healthy);
+    // The ticket was issued within the first 300 ms and is valid for 2,500 ms; clocks may be 2% slow.
+    model.run_ms(2_000);
+    assert!(
+        model.tasks_on(1 - ordered).is_empty(),
+        "it may still arrive"
+    );
+    model.run_ms(1_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod gangs;
 mod histories;
 mod lasting;
+mod late_orders;
 mod link_budget;
 mod load;
 mod movement;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -19,7 +19,7 @@
 use indexmap::IndexMap;
 
 pub use model::Model;
-pub use worker::{DelayedStarts, Rebirth, WorkerMode};
+pub use worker::{DelayedStarts, ModelWorker, Rebirth, WorkerMode};
 
 /// Unix time at the start of every simulation, in milliseconds.
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -563,20 +563,25 @@
                     }
                     WorkerMode::Refusing => StartResponse::Unhealthy,
                     WorkerMode::Unreachable | WorkerMode::Down => StartResponse::Unknown,
-                    WorkerMode::DelaysStarts(by_ms) => {
-                        let due_ms = self.now_ms + by_ms;
-                        let term = self.terms;
+                    mode @ (WorkerMode::DelaysStarts(by_ms) | WorkerMode::DelaysCopies(by_ms)) => {
                         let delayed = DelayedStart {
-                            due_ms,
-                            term,
+                            due_ms: self.now_ms + by_ms,
+                            term: self.terms,
                             task,
                             run,
-                            spec,
+                            spec: spec.clone(),
                             until_worker_ms,
-                            checkpoint,
+                            checkpoint: checkpoint.clone(),
                         };
                         self.workers[&worker].delayed.push(delayed);
-                        StartResponse::Unknown
+                        if mode == WorkerMode::DelaysStarts(by_ms) {
+                            StartResponse::Unknown
+                        } else {
+                            let now_ms = self.now_ms;
+                            self.coordinator
+                                .start_unanswered(&worker, task, run, now_ms);
+                            self.start(&worker, task, run, spec, until_worker_ms, &checkpoint)
+                        }
                     }
                     _ => self.start(&worker, task, run, spec, until_worker_ms, &checkpoint),
                 };
@@ -672,6 +677,9 @@
         {
             return StartResponse::OldRun;
         }
+        if worker.present.get(&task).is_some_and(|p| p.run == run) {
+            return StartResponse::Started;
+        }
         self.check_start(id, task, &spec);
         let worker = &mut self.workers[id];
         worker.held_until_ms = worker
--- a/crates/cell/tests/cell/support/worker.rs
+++ b/crates/cell/tests/cell/support/worker.rs
@@ -25,6 +25,9 @@
     Refusing,
     /// Orders to start get no response and are executed after this delay, in milliseconds.
     DelaysStarts(u64),
+    /// The first copy of an order to start is executed after this delay, in milliseconds, and gets no
+    /// response; the second copy is executed at once.
+    DelaysCopies(u64),
     /// The process is down and its runs are lost.
     Down,
 }
@@ -117,6 +120,11 @@
         BASE_TAIL_MS + shares * INTERFERENCE_MS / 100
     }
 
+    /// Whether orders to start are in transit to it.
+    pub fn has_delayed_starts(&self) -> bool {
+        !self.delayed.is_empty()
+    }
+
     pub(super) fn is_reachable(&self) -> bool {
         !matches!(
             self.mode,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -54,7 +54,7 @@
     /// A worker reported the end of a run.
     RUN_ENDED = (8113, "run-ended", Info, "A worker reported the end of a run.");
     /// A run was released without a reported end.
-    RUN_RELEASED = (8121, "run-released", Info, "A run ended without an end in its worker's list, and its task may start again. The line names the proof, and what was known of the worker: the age of its last report, the time until its holds expire, whether it was listed, draining or silent.");
+    RUN_RELEASED = (8121, "run-released", Info, "A run ended without an end in its worker's list, and its task may start again, on this worker only while `bound_ms` has a value. The line names the proof, and what was known of the worker: the age of its last report, the time until its holds expire, whether it was listed, draining or silent.");
     /// A step waits for a worker.
     STEP_WAITING = (8117, "step-waiting", Info, "The most urgent steps that have waited for 2 s, with the number of workers that their service has, that answer, that have a ticket, that are kept free for others, on which the tasks failed, and that have room.");
     /// The share of a best-effort run was changed.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -249,7 +249,10 @@
                     // run may have started, and even ended.
                     match answer {
                         StartResponse::Started => return answer,
-                        StartResponse::Unknown => sent_before = true,
+                        StartResponse::Unknown => {
+                            sent_before = true;
+                            self.record_unanswered(worker, &call);
+                        }
                         _ if sent_before => return StartResponse::Unknown,
                         _ => return answer,
                     }
@@ -258,6 +261,7 @@
                 Ok(_) | Err(PeerError::Unanswered) => {
                     sent_before = true;
                     route_index += 1;
+                    self.record_unanswered(worker, &call);
                 }
             }
         }
@@ -268,6 +272,17 @@
         }
     }
 
+    /// Records that a copy of an order got no response, whatever another copy is answered.
+    fn record_unanswered(&self, worker: &str, call: &StartCall) {
+        self.context.metrics.count("starts_unanswered");
+        self.coordinator.borrow_mut().start_unanswered(
+            worker,
+            call.task.into(),
+            call.run,
+            clock::now_ms(),
+        );
+    }
+
     fn handle_start_response(&self, worker: &str, task: TaskId, run: u64, answer: StartResponse) {
         if answer != StartResponse::Started {
             log_event!(
