A successor keeps tasks bound to the workers of late orders

The predecessor's order got no response; the successor heard the process that rejects it, and started the task elsewhere; the worker restarted under its identifier, and the new process, which has seen no fence, executed the order first.

Which tasks had such an order was known to the predecessor alone.

Change: the durable roster lists, for each worker, the orders without a response that a later process may execute, and is written as soon as a copy is found to have none. Orders with a ticket are not listed: a ticket is valid in one process of the worker, and the successor hears that one, so nothing changes for their callers.

`a_successor_keeps_tasks_bound_to_the_workers_of_late_orders` fails without the list ("runs on w1 and on w0"); `the_roster_lists_late_orders_that_a_later_process_accepts`; `a_successor_starts_a_bound_task_on_its_worker`: the worker itself needs no wait.

Open: an order that is on its way when its coordinator ends, or less than 0.3 s after it was sent, is not listed yet.

--- a/crates/cell/src/coordinator/late_orders.rs
+++ b/crates/cell/src/coordinator/late_orders.rs
@@ -4,6 +4,7 @@
 //!   not stopped, the order is repeated under the same number, so that whichever copy arrives first
 //!   starts the run. Once the process knows that the run has ended, the task may start there under a
 //!   higher number.
+//! - Orders without a ticket are in the durable roster, so that a successor keeps their tasks bound.
 //! - A later process of the worker keeps room for the order until it has confirmed a stop. A run that it
 //!   reports before that is adopted.
 
@@ -15,7 +16,7 @@
     job::{ActiveRun, Failure, Job, demand_of},
 };
 use crate::{
-    ids::TaskId,
+    ids::{JobId, TaskId},
     late_orders::{MAX_DELIVERY_DELAY_MS, UnconfirmedOrder},
     workers::{Demand, Phase, Resources, Run, StopReason},
 };
@@ -54,6 +55,27 @@
         }
     }
 
+    /// Keeps the tasks of a job bound to the workers to which the predecessor sent an order without a
+    /// response.
+    pub(super) fn restore_bound_tasks(&mut self, id: JobId) {
+        let orders = self.inherited_orders.swap_remove(&id).unwrap_or_default();
+        for (task, order) in orders {
+            self.bind_task(task, order);
+        }
+    }
+
+    fn bind_task(&mut self, id: TaskId, order: ActiveRun) -> Option<()> {
+        let job = self.jobs.get_mut(&id.step.job)?;
+        job.begin_through(id.step.occurrence);
+        let demand = demand_of(job.step_spec(id.step.step)?);
+        let worker = self.workers.get_mut(&order.worker)?;
+        worker.set_order_resources(id, demand.resources);
+        let task = job.task_mut(id)?;
+        task.last_run = task.last_run.max(order.run);
+        task.bound_to = Some(order.worker);
+        Some(())
+    }
+
     /// Orders that may reach a later process of the worker. Each keeps its resources reserved there
     /// until a stop is confirmed, since that process does not know of earlier stops.
     pub(super) fn reserve_unconfirmed_orders(&mut self, id: &str, now_ms: u64) {
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -151,6 +151,8 @@
     pub entry: WorkerEntry,
     /// All runs that the worker may have, as in [`Worker::closed_runs`]; absent if it may have any.
     pub closed_runs: Option<Vec<(TaskId, u64)>>,
+    /// Orders without a response that may reach a later process of the worker.
+    pub late_orders: Vec<(TaskId, u64)>,
 }
 
 /// State that a new coordinator takes over from its predecessor.
@@ -161,6 +163,9 @@
     /// Time at which the predecessor's last orders and holds have expired, in milliseconds of the
     /// local clock.
     pub expiry_ms: u64,
+    /// Time after which no order of the predecessor can take effect in any process, in milliseconds of
+    /// the local clock.
+    pub orders_expiry_ms: u64,
     /// Lower bound, exclusive, of new run numbers.
     pub run_floor: u64,
 }
@@ -186,6 +191,8 @@
     unheard_workers: IndexSet<Rc<str>>,
     /// Runs that those may have, by job, until the job is added.
     inherited_runs: IndexMap<JobId, Vec<(TaskId, ActiveRun)>>,
+    /// Orders of the predecessor that may take effect late, by job, until the job is added.
+    inherited_orders: IndexMap<JobId, Vec<(TaskId, ActiveRun)>>,
     inherited_expiry_ms: u64,
     run_floor: u64,
     next_due_unix_ms: Option<u64>,
@@ -226,6 +233,7 @@
             unreported_workers: IndexSet::new(),
             unheard_workers: IndexSet::new(),
             inherited_runs: IndexMap::new(),
+            inherited_orders: IndexMap::new(),
             inherited_expiry_ms: takeover.expiry_ms,
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
@@ -241,7 +249,7 @@
             pass_unix_ms: 0,
         };
         for inherited in takeover.roster {
-            coordinator.inherit_worker(inherited);
+            coordinator.inherit_worker(inherited, takeover.orders_expiry_ms);
         }
         coordinator
     }
@@ -342,6 +350,7 @@
         }
         self.jobs.insert(id, job);
         self.restore_inherited_runs(id);
+        self.restore_bound_tasks(id);
     }
 
     fn schedule_due(&mut self, due_unix_ms: u64) {
--- a/crates/cell/src/late_orders.rs
+++ b/crates/cell/src/late_orders.rs
@@ -42,6 +42,19 @@
 }
 
 impl UnconfirmedOrder {
+    /// An order of the predecessor that takes no effect from `expires_ms` on.
+    pub(crate) fn inherited(task: TaskId, run: u64, expires_ms: u64) -> Self {
+        Self {
+            task,
+            run,
+            resources: Resources::UNKNOWN,
+            since_ms: 0,
+            latest_ms: 0,
+            expires_ms,
+            has_ticket: false,
+        }
+    }
+
     /// Combines the order with an earlier one for the same task, whose copies may arrive as well.
     #[must_use]
     pub fn after(self, earlier: &Self) -> Self {
@@ -103,6 +116,23 @@
         self.pending_order(task, now_ms).is_some() && self.runs.get(&task).is_some_and(is_overdue)
     }
 
+    /// Orders that a successor must know of. It hears the present process, so that no later one accepts
+    /// a ticket that a predecessor has sent.
+    pub fn late_orders(&self) -> impl Iterator<Item = (TaskId, u64)> {
+        let orders = self.unconfirmed_orders.iter();
+        orders
+            .filter(|order| !order.has_ticket)
+            .map(|order| (order.task, order.run))
+    }
+
+    /// Sets the resources of an inherited order.
+    pub(crate) fn set_order_resources(&mut self, task: TaskId, resources: Resources) {
+        let mut orders = self.unconfirmed_orders.iter_mut();
+        if let Some(order) = orders.find(|order| order.task == task) {
+            order.resources = resources;
+        }
+    }
+
     /// Records an order without a response.
     pub(crate) fn add_unconfirmed_order(&mut self, order: UnconfirmedOrder) {
         let known = self.unconfirmed_orders.iter_mut();
--- a/crates/cell/tests/cell/end_proofs.rs
+++ b/crates/cell/tests/cell/end_proofs.rs
@@ -481,10 +481,12 @@
                 ..support::entry(number)
             },
             closed_runs: Some(vec![(task, case.listed[number])]),
+            late_orders: Vec::new(),
         };
         let takeover = TakeoverState {
             roster: vec![inherited(0), inherited(1)],
             expiry_ms: 11_200,
+            orders_expiry_ms: 18_000,
             run_floor: 1_000,
         };
         let mut coordinator = Coordinator::new(Tuning::default(), support::config(), takeover);
--- a/crates/cell/tests/cell/late_orders.rs
+++ b/crates/cell/tests/cell/late_orders.rs
@@ -395,3 +395,96 @@
     model.run_ms(1_000);
     assert_eq!(model.state(1), Some(JobState::Completed));
 }
+
+/// Guards against TWICE over a takeover: the predecessor's order gets no response, the successor hears
+/// the process that rejects it, and the next process executes it although its fence is lower.
+#[test]
+fn a_successor_keeps_tasks_bound_to_the_workers_of_late_orders() {
+    struct Case {
+        name: &'static str,
+        transit_ms: u64,
+        /// When the coordinator is replaced, counted from the order.
+        takeovers_ms: &'static [u64],
+        restart_ms: u64,
+        /// When the task has started, if the order is lost with the process.
+        started_by_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "order in transit",
+            transit_ms: 2_000,
+            takeovers_ms: &[100],
+            restart_ms: 2_000,
+            started_by_ms: 2_500,
+        },
+        Case {
+            name: "run released by the predecessor",
+            transit_ms: 6_000,
+            takeovers_ms: &[3_000],
+            restart_ms: 6_000,
+            started_by_ms: 6_500,
+        },
+        Case {
+            name: "two successors",
+            transit_ms: 9_000,
+            takeovers_ms: &[1_000, 5_000],
+            restart_ms: 9_000,
+            started_by_ms: 9_500,
+        },
+    ];
+    for case in cases {
+        for delayed in [DelayedStarts::InTransit, DelayedStarts::InProcess] {
+            let mut model = model_with_an_order_in_transit(case.transit_ms);
+            model.set_mode(0, WorkerMode::Healthy);
+            let mut passed_ms = 100;
+            for &takeover_ms in case.takeovers_ms {
+                model.run_ms(takeover_ms - passed_ms);
+                model.take_over();
+                passed_ms = takeover_ms;
+            }
+            model.run_ms(case.restart_ms - passed_ms);
+            model.restart_worker(0, delayed);
+            // The model asserts that no task runs twice at the same time.
+            model.run_ms(case.started_by_ms - case.restart_ms);
+            let started = model.state(1) == Some(JobState::Running);
+            assert_eq!(
+                started,
+                delayed == DelayedStarts::InTransit,
+                "{}",
+                case.name
+            );
+            model.run_ms(60_000);
+            assert_eq!(model.state(1), Some(JobState::Completed), "{}", case.name);
+        }
+    }
+}
+
+/// Guards against waiting for nothing after a takeover: a worker that has accepted the successor's fence
+/// rejects the predecessor's order, so that the task starts there at once. A task of another job waits
+/// for no order.
+#[test]
+fn a_successor_starts_a_bound_task_on_its_worker() {
+    let mut model = Model::new(support::config(), 2);
+    model.run_ms(30_000);
+    for number in 0..2 {
+        model.set_mode(number, WorkerMode::DelaysStarts(12_000));
+    }
+    let step = support::step(1, 1_000, 3_000);
+    model.submit(support::job(1, "batch", vec![step.clone()]));
+    model.run_ms(100);
+    let bound = model
+        .workers
+        .values()
+        .position(support::ModelWorker::has_delayed_starts);
+    let bound = bound.expect("an order is in transit");
+    model.submit(support::job(2, "batch", vec![step]));
+    model.take_over();
+    for number in 0..2 {
+        model.set_mode(number, WorkerMode::Healthy);
+    }
+    model.run_ms(300);
+    assert!(model.tasks_on(bound).contains(&support::first_task(1)));
+    assert_eq!(model.state(2), Some(JobState::Running));
+    model.run_ms(30_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -10,6 +10,7 @@
     },
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, StepSpec},
+    late_orders::MAX_DELIVERY_DELAY_MS,
     workers::{EndKind, HoldReport, ReportedRun, Resources, Worker, WorkerEntry},
 };
 use indexmap::{IndexMap, IndexSet};
@@ -124,6 +125,7 @@
         let inherited = |worker: &Worker| InheritedWorker {
             entry: worker.entry.clone(),
             closed_runs: worker.closed_runs.clone(),
+            late_orders: worker.late_orders().collect(),
         };
         self.roster = self
             .coordinator
@@ -199,6 +201,7 @@
         let takeover = TakeoverState {
             roster: std::mem::take(&mut self.roster),
             expiry_ms: self.now_ms + PREDECESSOR_EXPIRY_MS,
+            orders_expiry_ms: self.now_ms + MAX_DELIVERY_DELAY_MS,
             run_floor: self.terms * 1_000,
         };
         self.coordinator = Coordinator::new(Tuning::default(), Rc::clone(&self.config), takeover);
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -314,8 +314,10 @@
             roster: vec![InheritedWorker {
                 entry: entry.clone(),
                 closed_runs: case.closed_runs.map(closed_runs),
+                late_orders: Vec::new(),
             }],
             expiry_ms: EXPIRY_MS,
+            orders_expiry_ms: EXPIRY_MS,
             run_floor: 1_000,
         };
         let mut coordinator = Coordinator::new(Tuning::default(), support::config(), takeover);
--- a/crates/entry/src/election.rs
+++ b/crates/entry/src/election.rs
@@ -25,6 +25,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use adapter::store::{Committed, StoreError, Txn};
+use cell::late_orders::MAX_DELIVERY_DELAY_MS;
 use kernel::log_event;
 use prost::Message;
 use rand::RngExt;
@@ -99,10 +100,21 @@
     /// [`clock::now_ms`]. `settled_fence` is the fence of the last leader whose takeover was
     /// complete.
     pub fn inherited_expiry_ms(&self, settled_fence: u64) -> u64 {
+        self.former_authority_end_ms(settled_fence) + MAX_HOLD_MS
+    }
+
+    /// Time after which no order of a former leader takes effect in any process, in milliseconds of
+    /// [`clock::now_ms`]. The deadlines that orders name hold for one process of a worker only.
+    pub fn inherited_orders_expiry_ms(&self, settled_fence: u64) -> u64 {
+        self.former_authority_end_ms(settled_fence) + MAX_DELIVERY_DELAY_MS
+    }
+
+    /// Time after which no former leader sends anything, in milliseconds of [`clock::now_ms`].
+    fn former_authority_end_ms(&self, settled_fence: u64) -> u64 {
         let authority_expiry_ms = self.committed_ms + AUTHORITY_TIMEOUT_MS;
         let last_leader = self.last_leader(settled_fence);
         let ended_by_ms = last_leader.and_then(|predecessor| predecessor.ended_by_ms);
-        ended_by_ms.unwrap_or(u64::MAX).min(authority_expiry_ms) + MAX_HOLD_MS
+        ended_by_ms.unwrap_or(u64::MAX).min(authority_expiry_ms)
     }
 
     /// The same term, with a proof that the predecessor's process had ended by `ended_by_ms`.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -281,6 +281,9 @@
             call.run,
             clock::now_ms(),
         );
+        if call.ticket.is_none() {
+            self.roster.notify_one();
+        }
     }
 
     fn handle_start_response(&self, worker: &str, task: TaskId, run: u64, answer: StartResponse) {
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -64,6 +64,7 @@
     let takeover = TakeoverState {
         roster: roster.inherited(),
         expiry_ms: term.inherited_expiry_ms(roster.settled_fence),
+        orders_expiry_ms: term.inherited_orders_expiry_ms(roster.settled_fence),
         run_floor: term.number * RUN_NUMBERS_PER_TERM,
     };
     let tuning = Leader::tuning(&context.settings.current());
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -103,7 +103,7 @@
     pub number: u64,
 }
 
-/// A run that a draining worker may have.
+/// A run that a worker may have.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct RosterRun {
     /// Job of the task.
@@ -123,6 +123,30 @@
     pub run: u64,
 }
 
+impl From<(TaskId, u64)> for RosterRun {
+    fn from((task, run): (TaskId, u64)) -> Self {
+        Self {
+            job: task.step.job.0,
+            occurrence: task.step.occurrence,
+            step: task.step.step,
+            index: task.index,
+            run,
+        }
+    }
+}
+
+impl From<&RosterRun> for (TaskId, u64) {
+    fn from(run: &RosterRun) -> Self {
+        let step = StepId {
+            job: JobId(run.job),
+            occurrence: run.occurrence,
+            step: run.step,
+        };
+        let index = run.index;
+        (TaskId { step, index }, run.run)
+    }
+}
+
 /// A worker in the roster.
 #[derive(Clone, PartialEq, Message)]
 pub struct RosterWorker {
@@ -147,6 +171,9 @@
     /// The runs that it may have, in no defined order.
     #[prost(message, repeated, tag = "7")]
     pub runs: Vec<RosterRun>,
+    /// Runs of orders without a response, which a later process of the worker may execute.
+    #[prost(message, repeated, tag = "8")]
+    pub late_orders: Vec<RosterRun>,
 }
 
 /// Workers that may have been given work.
@@ -172,15 +199,8 @@
             zone: entry.zone.to_string(),
             draining: entry.draining,
             closed: worker.closed_runs.is_some(),
-            runs: closed_runs
-                .map(|&(task, run)| RosterRun {
-                    job: task.step.job.0,
-                    occurrence: task.step.occurrence,
-                    step: task.step.step,
-                    index: task.index,
-                    run,
-                })
-                .collect(),
+            runs: closed_runs.copied().map(RosterRun::from).collect(),
+            late_orders: worker.late_orders().map(RosterRun::from).collect(),
         }
     }
 }
@@ -188,18 +208,7 @@
 impl From<&RosterWorker> for InheritedWorker {
     /// The entry is minimal: sufficient to request the worker's lists, but not to start tasks.
     fn from(worker: &RosterWorker) -> Self {
-        let run = |run: &RosterRun| {
-            let step = StepId {
-                job: JobId(run.job),
-                occurrence: run.occurrence,
-                step: run.step,
-            };
-            let task = TaskId {
-                step,
-                index: run.index,
-            };
-            (task, run.run)
-        };
+        let runs = |runs: &[RosterRun]| runs.iter().map(<(TaskId, u64)>::from).collect();
         Self {
             entry: WorkerEntry {
                 id: worker.id.as_str().into(),
@@ -211,7 +220,8 @@
                 draining: worker.draining,
                 started_unix_ms: 0,
             },
-            closed_runs: worker.closed.then(|| worker.runs.iter().map(run).collect()),
+            closed_runs: worker.closed.then(|| runs(&worker.runs)),
+            late_orders: runs(&worker.late_orders),
         }
     }
 }
--- a/crates/entry/tests/entry/rosters.rs
+++ b/crates/entry/tests/entry/rosters.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -10,10 +11,17 @@
 };
 
 use adapter::{http::ConnectionPool, store::Store};
+use cell::{
+    config::{AdviceCost, Config, Queue, Service},
+    coordinator::{AdviceOutcome, Coordinator, Order, TakeoverState, Tuning},
+    jobs::{JobRecord, JobSpec, StepSpec},
+    workers::{HoldReport, Resources, WorkerEntry},
+};
 use hickorychute_entry::{
     records::{ROSTER_KEY, Roster},
     store::GuardedStore,
 };
+use indexmap::IndexMap;
 use prost::Message;
 use rustix::process::Signal;
 use tokio::{
@@ -151,3 +159,120 @@
         })
         .await;
 }
+
+/// A coordinator with one worker and one task, whose queue has advice or none.
+fn coordinator_with_a_task(advice: Option<AdviceCost>) -> Coordinator {
+    let queue = Queue {
+        name: "batch".into(),
+        host: "jobs.example".to_owned(),
+        path_prefix: "/batch/".to_owned(),
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 2,
+        critical_path_factor: 2.0,
+        base_objective_ms: 1_000,
+        advice,
+    };
+    let service = Service {
+        name: "pool".into(),
+        workers_enforce_capacity: false,
+    };
+    let config = Config {
+        version: 1,
+        queues: IndexMap::from([(Rc::from("batch"), Rc::new(queue))]),
+        services: IndexMap::from([(Rc::from("pool"), service)]),
+        max_body_bytes: 0,
+    };
+    let takeover = TakeoverState::default();
+    let mut coordinator = Coordinator::new(Tuning::default(), Rc::new(config), takeover);
+    let capacity = Resources {
+        cpu_millicores: 16_000,
+        memory_mb: 32_768,
+        gpus: 0,
+    };
+    coordinator.update_worker(WorkerEntry {
+        id: "w0".into(),
+        service: "pool".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        labels: Vec::new(),
+        capacity,
+        draining: false,
+        started_unix_ms: 1,
+    });
+    coordinator.roster_durable(&["w0".into()]);
+    let report = HoldReport {
+        clock_ms: 1_000,
+        started_unix_ms: 1,
+        ..HoldReport::default()
+    };
+    coordinator.hold_answered("w0", 0, 10, 0, &report);
+    let step = StepSpec {
+        count: 1,
+        cpu_millicores: 1_000,
+        estimate_ms: 500,
+        ..StepSpec::default()
+    };
+    let spec = JobSpec {
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let record = JobRecord {
+        id: 1,
+        queue: "batch".to_owned(),
+        service: "pool".to_owned(),
+        accepted_unix_ms: 1,
+        spec: Some(spec),
+        ..JobRecord::default()
+    };
+    coordinator.add_job(&record, false, 0);
+    coordinator
+}
+
+/// Guards against TWICE over a takeover: an order without a response and without a ticket may reach a
+/// later process of its worker, so that a successor has to know of it.
+#[test]
+fn the_roster_lists_late_orders_that_a_later_process_accepts() {
+    struct Case {
+        name: &'static str,
+        advice: Option<AdviceCost>,
+        is_listed: bool,
+    }
+    let cases = [
+        Case {
+            name: "without a ticket",
+            advice: None,
+            is_listed: true,
+        },
+        Case {
+            name: "with a ticket, which holds for one process",
+            advice: Some(AdviceCost {
+                call_ms: 10.0,
+                per_worker_ms: 1.0,
+                valid_ms: 2_500,
+            }),
+            is_listed: false,
+        },
+    ];
+    for case in cases {
+        let mut coordinator = coordinator_with_a_task(case.advice);
+        let mut orders = coordinator.schedule(20, 0);
+        if let Some(query) = coordinator.next_advice_query(20, false) {
+            let outcome = AdviceOutcome::Answered {
+                tickets: vec![("w0".into(), "ticket".into())],
+                valid_ms: 2_500,
+            };
+            coordinator.advice_answered(&query, &outcome, 30);
+            orders = coordinator.schedule(40, 0);
+        }
+        let [Order::Start { task, run, .. }] = orders.as_slice() else {
+            panic!("{}: expected one start, got {orders:?}", case.name);
+        };
+        coordinator.start_unanswered("w0", *task, *run, 400);
+        let roster = Roster::of(coordinator.roster(410), 0).encode_to_vec();
+        let roster = Roster::decode(roster.as_slice()).expect("a roster");
+        let listed = roster.inherited().remove(0).late_orders;
+        let expected = case.is_listed.then_some((*task, *run));
+        assert_eq!(listed.first(), expected.as_ref(), "{}", case.name);
+    }
+}
