The other members of a gang may start beside those on trial

It ran on the two workers with its label; one was lost for good 0.2 s after the start.

Cause: members that were starting on a lost worker start on trial, and the other members of their gang were to start on other workers than these. With one worker left there is none, nothing else withdraws a suspicion, and no patience applied to this condition.

Change: the other members start apart from the trials if there is room, and beside them if not. The condition was to keep the runs of others out of a trial, so that a crash tells which job is its cause; members of one gang are of one job, and the whole gang breaks with the worker in any case. The verdict now follows its statement ("with no run of another job starting") as well: runs of the same job no longer make a crash inconclusive.

--- a/crates/cell/src/coordinator/crashes.rs
+++ b/crates/cell/src/coordinator/crashes.rs
@@ -228,9 +228,8 @@
         Self {
             is_conclusive: contact.refused
                 && has_trial
-                && nearby.is_empty()
                 && last_ms.is_some()
-                && suspects.iter().all(is_of_first),
+                && suspects.iter().chain(&nearby).all(is_of_first),
             suspects: suspects.into_iter().map(|(run, _)| run).collect(),
             nearby: nearby.into_iter().map(|(run, _)| run).collect(),
         }
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -4,9 +4,10 @@
 //! while new jobs of its queue crashed workers (see [`super::crashes`]). The following holds for
 //! trials:
 //!
-//! - nothing else starts on the worker until the run has survived its start, so that a crash tells
-//!   which job is its cause. Repeated trials, whose tasks have crashed a worker that way, start
-//!   together on one worker: one more crash settles all of them;
+//! - no other job's task starts on the worker until the run has survived its start, so that a crash
+//!   tells which job is its cause. The other members of a gang start there only if there is no room
+//!   elsewhere. Repeated trials, whose tasks have crashed a worker that way, start together on one
+//!   worker: one more crash settles all of them;
 //! - the worker has no other run that could be lost, as long as such a worker can be had in time (see
 //!   [`super::trial_workers`]). A trial that has waited for too long takes any worker with room, and a
 //!   job that is too late to have value may follow others that have just survived a trial;
@@ -24,7 +25,7 @@
 use crate::{
     contact::Trial,
     ids::StepId,
-    placement::{self, Request},
+    placement::{self, Candidate, Request},
 };
 
 /// Time after which a trial no longer waits for a worker without other runs if its service is mostly
@@ -278,17 +279,13 @@
                 ..waiting_step
             };
             let room = TrialRoom::Any;
-            let mut candidates =
+            let candidates =
                 waiting_step.trial_candidates(&self.workers, all(), step, pass.now_ms, room);
-            candidates.retain(|candidate| {
-                let is_used = |&(_, position): &(u32, usize)| position == candidate.worker;
-                !chosen.iter().any(is_used)
-            });
             let request = Request {
                 count: others.len() as u32,
                 ..request
             };
-            let placed = placement::place(&request, &mut candidates);
+            let placed = place_beside_trials(&request, &chosen, candidates);
             if placed.is_empty() {
                 chosen.clear();
             }
@@ -298,6 +295,29 @@
     }
 }
 
+/// Places the members of a gang that are not on trial: on other workers than those that are, or if these
+/// have too little room, beside them. A crash breaks the whole gang in any case, and still tells which
+/// job is its cause.
+fn place_beside_trials(
+    request: &Request<'_>,
+    trials: &[(u32, usize)],
+    mut candidates: Vec<Candidate<'_>>,
+) -> Vec<usize> {
+    let trials_on = |worker: usize| trials.iter().filter(|(_, on)| *on == worker).count();
+    let is_apart = |candidate: &&Candidate<'_>| trials_on(candidate.worker) == 0;
+    let mut apart: Vec<Candidate<'_>> = candidates.iter().filter(is_apart).cloned().collect();
+    let placed = placement::place(request, &mut apart);
+    if !placed.is_empty() {
+        return placed;
+    }
+    for candidate in &mut candidates {
+        for _ in 0..trials_on(candidate.worker) {
+            candidate.take(&request.demand);
+        }
+    }
+    placement::place(request, &mut candidates)
+}
+
 /// How long a step's tasks on trial have waited for a worker, in milliseconds.
 fn trial_waited_ms(step: &Step, now_ms: u64) -> u64 {
     step.trial_waiting_since_ms
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -24,4 +24,5 @@
 mod routing;
 mod support;
 mod takeover;
+mod trials;
 mod workers;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -240,7 +240,15 @@
 
     /// Crashes a worker, which loses all its runs and refuses connections until it is back.
     pub fn crash_worker(&mut self, number: usize) {
-        let revive_ms = self.now_ms + CRASH_DURATION_MS;
+        self.crash_worker_until(number, self.now_ms + CRASH_DURATION_MS);
+    }
+
+    /// The same for a worker that is lost for good.
+    pub fn lose_worker(&mut self, number: usize) {
+        self.crash_worker_until(number, u64::MAX);
+    }
+
+    fn crash_worker_until(&mut self, number: usize, revive_ms: u64) {
         let (id, worker) = self
             .workers
             .get_index_mut(number)
