A trial waits only for a worker that can become free

What callers saw: in a busy service, jobs of a queue that had crashed workers waited without end (LOST for tasks that last, which must run however full the service is).

Cause: such a job waits for a worker without runs. Three of these never exist: - a worker with a task that lasts until its job is cancelled was kept free, and never became so; - trials whose tasks have crashed a worker start together on one worker, also members of a gang that does not fit on one; - a gang may need more workers than trials may use at a time (not shown to wait for ever: the service was idle for moments).

Change: `can_start_apart` tells from the workers that the step may use, and from what ends on them by itself, whether enough of them can become free within the budget. If not, or if the task lasts, the patience of an idle service applies, after which any worker with room is taken. Workers with tasks that last are not kept.

Test: `a_trial_waits_only_for_a_worker_that_can_become_free`; before, three of its five jobs wait for the whole 30 s ("a lasting task on each worker", "a gang that crashed two workers and does not fit on one", "a task that lasts, beside others").

--- a/crates/cell/src/contact.rs
+++ b/crates/cell/src/contact.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::TaskId,
-    workers::{Phase, Run, Worker},
+    workers::{Phase, Resources, Run, Worker},
 };
 
 /// Why a run is on trial.
@@ -85,6 +85,11 @@
         self.runs.values().all(is_out_of_the_way)
     }
 
+    /// Whether the worker has no run that lasts until its job is cancelled.
+    pub fn can_become_empty(&self) -> bool {
+        self.permanently_used() == Resources::default()
+    }
+
     /// Whether the worker has no other runs than repeated trials that were ordered at `now_ms`.
     pub fn has_only_new_repeated_trials(&self, now_ms: u64) -> bool {
         let is_new = |run: &Run| run.trial == Some(Trial::Repeated) && run.ordered_ms == now_ms;
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -16,7 +16,13 @@
     schedule::Pass,
     trials::{TrialRank, WaitingTrial},
 };
-use crate::{contact::Trial, ids::StepId, jobs::StepSpec, workers::Worker};
+use crate::{
+    contact::Trial,
+    ids::StepId,
+    jobs::StepSpec,
+    placement::Candidate,
+    workers::{Resources, Worker},
+};
 
 /// Part of a service's workers that may be used for trials at a time, as a divisor.
 const TRIAL_DIVISOR: usize = 4;
@@ -97,7 +103,13 @@
         Self(uses)
     }
 
-    /// Number of further workers on which trials may start.
+    /// Number of workers on which trials may start at a time.
+    pub(super) fn limit(&self, service: &str, rank: TrialRank) -> usize {
+        let of_service = self.0.get(service);
+        of_service.map_or(0, |of_service| of_service.limit(rank))
+    }
+
+    /// The same beside those that are in use.
     pub(super) fn left(&self, service: &str, rank: TrialRank) -> usize {
         let left = |of_service: &TrialUse| of_service.limit(rank).saturating_sub(of_service.used);
         self.0.get(service).map_or(0, left)
@@ -291,7 +303,7 @@
             .workers
             .iter()
             .enumerate()
-            .filter(|(_, (_, worker))| worker.is_usable(pass.now_ms))
+            .filter(|(_, (_, worker))| worker.is_usable(pass.now_ms) && worker.can_become_empty())
             .map(|(position, (name, worker))| {
                 let is_kept = self.trial_workers.kept.contains_key(name);
                 (Reverse(is_kept), worker.used.cpu_millicores, position)
@@ -321,9 +333,8 @@
                 if !is_suitable(worker, &service, spec, step) {
                     return true;
                 }
-                let per_worker = (worker.entry.capacity.cpu_millicores)
-                    .checked_div(resources_of(spec).cpu_millicores);
-                missing = missing.saturating_sub(per_worker.unwrap_or(missing));
+                let per_worker = u64::from(tasks_on_empty(worker, spec));
+                missing = missing.saturating_sub(per_worker);
                 left -= 1;
                 *kept_count += 1;
                 kept.push(position);
@@ -333,6 +344,55 @@
         kept
     }
 
+    /// Whether enough workers for a step's trials can become free within the budget: for one task, or for
+    /// all of a gang.
+    pub(super) fn can_start_apart(&self, trial: &WaitingTrial, pass: &Pass) -> bool {
+        let Some((job, spec, step)) = self.step_of(trial.step) else {
+            return false;
+        };
+        let service = service_of(&self.config, job);
+        let mut slots: Vec<u32> = self
+            .empty_workers(&service, spec, step)
+            .map(|worker| tasks_on_empty(worker, spec))
+            .collect();
+        slots.sort_unstable_by_key(|&slots| Reverse(slots));
+        let limit = pass.trial_budget.limit(&service, trial.rank);
+        let slots: u32 = slots.into_iter().take(limit).sum();
+        let trials = job.split_waiting(step).0.len();
+        let needed = if spec.gang { trials as u32 } else { 1 };
+        slots >= needed
+    }
+
+    /// Whether a step's trials can start together on one worker. Tasks of a step that is no gang need
+    /// not.
+    pub(super) fn fits_one_worker(&self, id: StepId, trials: usize) -> bool {
+        let Some((job, spec, step)) = self.step_of(id) else {
+            return false;
+        };
+        let service = service_of(&self.config, job);
+        let mut workers = self.empty_workers(&service, spec, step);
+        !spec.gang || workers.any(|worker| tasks_on_empty(worker, spec) as usize >= trials)
+    }
+
+    fn step_of(&self, id: StepId) -> Option<(&Job, &StepSpec, &Step)> {
+        let job = self.jobs.get(&id.job)?;
+        Some((job, job.step_spec(id.step)?, job.step(id)?))
+    }
+
+    /// Workers that a step may use, and that become empty once the runs that end by themselves have
+    /// ended.
+    fn empty_workers<'a>(
+        &'a self,
+        service: &'a str,
+        spec: &'a StepSpec,
+        step: &'a Step,
+    ) -> impl Iterator<Item = &'a Worker> {
+        let is_usable =
+            |worker: &&Worker| worker.listed && !worker.entry.draining && worker.can_become_empty();
+        let workers = self.workers.values().filter(is_usable);
+        workers.filter(move |worker| is_suitable(worker, service, spec, step))
+    }
+
     fn count_trial_tickets(&mut self, trials: &[WaitingTrial], now_ms: u64) {
         let next_count = self.trial_workers.kept.len() * NEXT_TRIALS_PER_WORKER;
         // Steps that may use none of the workers would keep others from asking about them.
@@ -430,3 +490,20 @@
         && !is_ruled_out(step, &worker.entry.id)
         && (worker.entry.capacity).fits(&worker.permanently_used(), &resources_of(spec))
 }
+
+/// Number of a step's tasks that fit on a worker without runs.
+fn tasks_on_empty(worker: &Worker, spec: &StepSpec) -> u32 {
+    let limit = match spec.max_per_worker {
+        0 => spec.count,
+        limit => limit.min(spec.count),
+    };
+    let empty = Candidate {
+        worker: 0,
+        capacity: worker.entry.capacity,
+        used: Resources::default(),
+        best_effort_millicores: 0,
+        rack: "",
+        task_limit: limit,
+    };
+    empty.fitting_tasks(&resources_of(spec), limit)
+}
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -9,8 +9,9 @@
 //!   elsewhere. Repeated trials, whose tasks have crashed a worker that way, start together on one
 //!   worker: one more crash settles all of them;
 //! - the worker has no other run that could be lost, as long as such a worker can be had in time (see
-//!   [`super::trial_workers`]). A trial that has waited for too long takes any worker with room, and a
-//!   job that is too late to have value may follow others that have just survived a trial;
+//!   [`super::trial_workers`]). A trial that has waited for too long, or for workers that can't become
+//!   free, takes any worker with room, and a job that is too late to have value may follow others that
+//!   have just survived a trial;
 //! - suspects of queues that are not dangerous come first, since most of them are innocent, then new
 //!   jobs, the latest of them before older ones: more of them can still meet their objectives.
 
@@ -29,10 +30,10 @@
 };
 
 /// Time after which a trial no longer waits for a worker without other runs if its service is mostly
-/// idle, in milliseconds.
+/// idle, its task lasts until its job is cancelled, or no such worker can become free, in milliseconds.
 const IDLE_PATIENCE_MS: u64 = 1_000;
-/// The same in a busy service, in milliseconds. Jobs of a dangerous queue wait for longer there, since
-/// most of the tasks that are left crash their workers.
+/// The same in a busy service, in milliseconds. Jobs of a dangerous queue wait for as long as such a
+/// worker can become free, since most of the tasks that are left crash their workers.
 const BUSY_PATIENCE_MS: u64 = 8_000;
 /// Maximum number of trials in a pass for which all workers are examined.
 const MAX_SCANS_PER_PASS: usize = 16;
@@ -136,7 +137,7 @@
             lateness: urgency.lateness,
             newest_first: Reverse(urgency.accepted_unix_ms),
             step: id,
-            kind: if is_repeated && waits_for_others() {
+            kind: if is_repeated && waits_for_others() && self.fits_one_worker(id, trials.len()) {
                 Trial::Repeated
             } else {
                 Trial::Alone
@@ -203,13 +204,15 @@
         let spec = job.step_spec(id.step)?;
         let step = job.step(id)?;
         let service = service_of(&self.config, job);
-        let is_idle = pass.reservations.is_idle(&service);
-        let patience_ms = match (is_idle, self.is_dangerous(job)) {
+        let waited_ms = trial_waited_ms(step, pass.now_ms);
+        let is_short = pass.reservations.is_idle(&service)
+            || spec.long_running
+            || !self.can_start_apart(trial, pass);
+        let patience_ms = match (is_short, self.is_dangerous(job)) {
             (true, _) => Some(IDLE_PATIENCE_MS),
             (false, false) => Some(BUSY_PATIENCE_MS),
             (false, true) => None,
         };
-        let waited_ms = trial_waited_ms(step, pass.now_ms);
         let is_patient = patience_ms.is_none_or(|patience_ms| waited_ms < patience_ms);
         let budget = pass.trial_budget.left(&service, trial.rank);
         let may_scan = !is_patient && trial.kind == Trial::Alone && *scans_left > 0;
--- a/crates/cell/tests/cell/trials.rs
+++ b/crates/cell/tests/cell/trials.rs
@@ -119,3 +119,122 @@
     }
     assert!(waiting.is_empty(), "{waiting:?}");
 }
+
+/// A job that came while new jobs of its queue crashed workers, in a service that stays busy.
+struct BusyCase {
+    name: &'static str,
+    load: Load,
+    step: StepSpec,
+    /// Number of its tasks that crash their workers.
+    deadly: u32,
+    outcome: JobState,
+}
+
+/// What keeps the service busy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Load {
+    /// A task on each worker that runs until its job is cancelled.
+    Lasting,
+    /// A stream of jobs whose tasks leave room for no other.
+    Stream,
+}
+
+fn busy_cases() -> [BusyCase; 5] {
+    let innocent = || BusyCase {
+        name: "a lasting task on each worker",
+        load: Load::Lasting,
+        step: support::step(1, 2_000, 500),
+        deadly: 0,
+        outcome: JobState::Completed,
+    };
+    [
+        innocent(),
+        BusyCase {
+            name: "a gang on more workers than trials may use",
+            load: Load::Stream,
+            step: support::gang(4, 9_000, 500),
+            ..innocent()
+        },
+        BusyCase {
+            name: "a gang that crashed two workers and does not fit on one",
+            load: Load::Stream,
+            step: support::gang(2, 9_000, 500),
+            deadly: 2,
+            outcome: JobState::Failed,
+        },
+        BusyCase {
+            name: "a task that lasts, beside others",
+            step: support::long_running(support::step(1, 2_000, 500)),
+            outcome: JobState::Running,
+            ..innocent()
+        },
+        BusyCase {
+            name: "a task that lasts",
+            load: Load::Stream,
+            step: support::long_running(support::step(1, 2_000, 500)),
+            outcome: JobState::Running,
+            ..innocent()
+        },
+    ]
+}
+
+/// Guards against LOST: in a busy service a trial of a queue that crashes workers waited without end for a
+/// worker without runs, although none could become free, or not enough for a gang.
+#[test]
+fn a_trial_waits_only_for_a_worker_that_can_become_free() {
+    const WORKERS: usize = 12;
+    /// Time in which the job must have reached its outcome, in milliseconds.
+    const WITHIN_MS: u64 = 30_000;
+    let mut waiting = Vec::new();
+    for case in busy_cases() {
+        let mut model = Model::new(support::config(), WORKERS);
+        let mut jobs = 100..;
+        let mut play = |model: &mut Model| {
+            if case.load == Load::Stream {
+                let step = support::step(3, 15_000, 1_500);
+                let number = jobs.next().expect("the range has no end");
+                model.submit(support::job(number, "urgent", vec![step]));
+            }
+            model.run_ms(200);
+        };
+        if case.load == Load::Lasting {
+            let lasting = StepSpec {
+                max_per_worker: 1,
+                ..support::long_running(support::step(WORKERS as u32, 12_000, 1_000))
+            };
+            model.submit(support::job(10, "urgent", vec![lasting]));
+        }
+        model.run_ms(300);
+        let first = support::first_task(1);
+        let deadly = (0..3).map(|index| TaskId { index, ..first });
+        model.deadly.extend(deadly);
+        let step = StepSpec {
+            max_per_worker: 1,
+            ..support::step(3, 2_000, 500)
+        };
+        model.submit(support::job(1, "batch", vec![step]));
+        // The lost workers are back, and in use again.
+        for _ in 0..25 {
+            play(&mut model);
+        }
+        assert!(model.crashed_workers >= 3, "{}", case.name);
+        for index in 0..case.deadly {
+            let first = support::first_task(2);
+            model.deadly.insert(TaskId { index, ..first });
+        }
+        model.submit(support::job(2, "batch", vec![case.step]));
+        let has_outcome = |model: &Model| match case.outcome {
+            JobState::Running => model.first_starts_ms.contains_key(&support::first_task(2)),
+            outcome => model.state(2) == Some(outcome),
+        };
+        let mut passed_ms = 0;
+        while passed_ms < WITHIN_MS && !has_outcome(&model) {
+            play(&mut model);
+            passed_ms += 200;
+        }
+        if passed_ms >= WITHIN_MS {
+            waiting.push(case.name);
+        }
+    }
+    assert!(waiting.is_empty(), "{waiting:?}");
+}
