A new process may have executed an earlier order of a task

What callers saw: a task ran twice on one worker at the same time. A coordinator ended 0.1 s after an order had got no response; its successor started the task on the same worker, as run 1001; that restarted, its new process executed the first order, and the task was started again beside it.

Cause: the new process reported run 1, but the coordinator knew run 1001, of the former process, which it took for the later one; then it missed run 1001 and released the task.

Change: what a new process lacks of the former one's runs is settled first, and what it reports is adopted after that. An earlier run in a report keeps its task occupied: that a later one was stopped says nothing about it.

Tests: `an_earlier_run_on_a_new_process_is_adopted` ("runs on w0 and on w0" before) and `a_stop_of_a_later_run_does_not_end_an_earlier_one` (a start at 2,110 ms before).

--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -190,12 +190,16 @@
         for end in &report.ended {
             self.apply_end(id, end, now_ms, unix_ms);
         }
+        if restarted {
+            // The new process may have executed an earlier order of a task than the former one.
+            self.settle_missing_runs(id, sent_ms, now_ms, report, proof);
+            self.reserve_unconfirmed_orders(id, now_ms);
+        }
         for reported in &report.running {
             self.apply_reported_run(id, reported, now_ms);
         }
-        self.settle_missing_runs(id, sent_ms, now_ms, report, proof);
-        if restarted {
-            self.reserve_unconfirmed_orders(id, now_ms);
+        if !restarted {
+            self.settle_missing_runs(id, sent_ms, now_ms, report, proof);
         }
         self.review_runs(id, now_ms, unix_ms);
         true
@@ -482,12 +486,17 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let is_new_process = matches!(proof, EndProof::ProcessReplaced { .. });
         let absent: Vec<TaskId> = worker
             .runs
             .iter()
             .filter(|(task, run)| {
-                let reported =
-                    |reported: &ReportedRun| reported.task == **task && reported.run == run.run;
+                // A process that has executed an earlier order of the task keeps it occupied.
+                let is_of_former = is_new_process && run.phase.is_present();
+                let reported = |reported: &ReportedRun| {
+                    let is_earlier = reported.run < run.run && !is_of_former;
+                    reported.task == **task && (reported.run == run.run || is_earlier)
+                };
                 !report.running.iter().any(reported)
             })
             .filter(|(_, run)| match run.phase {
--- a/crates/cell/tests/cell/late_orders.rs
+++ b/crates/cell/tests/cell/late_orders.rs
@@ -125,6 +125,18 @@
     now_ms: u64,
     running: &[(TaskId, u64)],
     ended: &[(TaskId, u64, EndKind)],
+) {
+    report_of(coordinator, worker, now_ms, 0, running, ended);
+}
+
+/// The same for a process that started at `started_ms`.
+fn report_of(
+    coordinator: &mut Coordinator,
+    worker: &str,
+    now_ms: u64,
+    started_ms: u64,
+    running: &[(TaskId, u64)],
+    ended: &[(TaskId, u64, EndKind)],
 ) {
     let running = running.iter().map(|&(task, run)| ReportedRun {
         task,
@@ -141,8 +153,8 @@
         checkpoint: String::new(),
     });
     let report = HoldReport {
-        clock_ms: 1_000 + now_ms,
-        started_unix_ms: support::START_UNIX_MS,
+        clock_ms: 1_000 + now_ms - started_ms,
+        started_unix_ms: support::START_UNIX_MS + started_ms,
         running: running.collect(),
         ended: ended.collect(),
         ends_truncated: false,
@@ -488,3 +500,64 @@
     model.run_ms(30_000);
     assert_eq!(model.state(1), Some(JobState::Completed));
 }
+
+/// Guards against TWICE on one worker: its new process has executed an order of which the coordinator does
+/// not know, instead of the later run that the former process had. The later run was taken for missing, and
+/// the task started again beside the earlier one.
+#[test]
+fn an_earlier_run_on_a_new_process_is_adopted() {
+    let mut model = Model::new(support::config(), 1);
+    model.run_ms(30_000);
+    model.set_mode(0, WorkerMode::DelaysStarts(4_000));
+    let step = support::step(1, 1_000, 20_000);
+    model.submit(support::job(1, "batch", vec![step]));
+    // The order is sent, and its coordinator ends before the durable roster lists it.
+    model.run_ms(20);
+    assert!(model.workers[0].has_delayed_starts());
+    model.take_over();
+    model.set_mode(0, WorkerMode::Healthy);
+    model.run_ms(3_980);
+    assert_eq!(model.tasks_on(0).len(), 1, "a later run");
+    model.restart_worker(0, DelayedStarts::InTransit);
+    // The model asserts that no task runs twice at the same time.
+    model.run_ms(500);
+    assert_eq!(model.starts, 2, "the late order, and no start beside it");
+    model.run_ms(60_000);
+    assert_eq!(model.state(1), Some(JobState::Completed));
+}
+
+/// Guards against TWICE on one worker: its new process has executed the order of an earlier run and has
+/// confirmed a stop of the later one, which says nothing about the earlier one.
+#[test]
+fn a_stop_of_a_later_run_does_not_end_an_earlier_one() {
+    let (mut coordinator, ids) = coordinator_with_two_workers();
+    submit(&mut coordinator, support::step(1, 1_000, 60_000));
+    let [(task, first, worker)] = starts(&mut coordinator, 20).try_into().expect("one start");
+    coordinator.start_unanswered(&worker, task, first, 300);
+    coordinator.start_answered(&worker, task, first, StartResponse::Started, 310);
+    report(
+        &mut coordinator,
+        &worker,
+        400,
+        &[],
+        &[(task, first, EndKind::Stopped)],
+    );
+    let [(_, second, on)] = starts(&mut coordinator, 410).try_into().expect("one start");
+    assert_eq!(on, worker);
+    coordinator.start_answered(&worker, task, second, StartResponse::Unknown, 1_300);
+    let running = [(task, first)];
+    report_of(&mut coordinator, &worker, 2_000, 1_900, &running, &[]);
+    assert_eq!(starts(&mut coordinator, 2_010), []);
+    coordinator.stop_confirmed(&worker, task, second, 2_020);
+    for now_ms in [2_100, 3_000, 30_000] {
+        report_of(&mut coordinator, &worker, now_ms, 1_900, &running, &[]);
+        for id in ids.iter().filter(|id| **id != worker) {
+            report(&mut coordinator, id, now_ms, &[], &[]);
+        }
+        assert_eq!(starts(&mut coordinator, now_ms + 10), [], "at {now_ms}");
+    }
+    let done = [(task, first, EndKind::Done)];
+    report_of(&mut coordinator, &worker, 31_000, 1_900, &[], &done);
+    assert_eq!(starts(&mut coordinator, 31_010), []);
+    assert_eq!(coordinator.open_jobs().count(), 0, "completed");
+}
