Hosts tell a successor of the orders that they relayed without a response

Cause: nobody but the coordinator and the host that relayed the order knew of it.

Change: a host remembers the orders without a ticket that it has sent and that got no response, for as long as they may take effect, and tells them to a leader with a higher fence, which asks all hosts as it takes over (E8122). Inherited tasks of queues without advice wait for these answers, 0.6 s at most.

Open: a host that dies with the coordinator cannot tell; an order that the coordinator sent itself, since no other host was in reach, is listed after 0.3 s only; a relaying host that stands still may pass an order on later than 13 s after it was given.

--- a/crates/cell/src/coordinator/inherited.rs
+++ b/crates/cell/src/coordinator/inherited.rs
@@ -9,7 +9,6 @@
 };
 use crate::{
     ids::{JobId, TaskId},
-    late_orders::UnconfirmedOrder,
     workers::{Phase, ReportedRun, Run, Worker},
 };
 
@@ -17,15 +16,6 @@
     pub(super) fn inherit_worker(&mut self, inherited: InheritedWorker, orders_expiry_ms: u64) {
         let mut worker = Worker::new(inherited.entry);
         let id = Rc::clone(&worker.entry.id);
-        for (task, run) in inherited.late_orders {
-            worker.add_unconfirmed_order(UnconfirmedOrder::inherited(task, run, orders_expiry_ms));
-            let active = ActiveRun {
-                worker: Rc::clone(&id),
-                run,
-            };
-            let of_job = self.inherited_orders.entry(task.step.job).or_default();
-            of_job.push((task, active));
-        }
         worker.listed = false;
         worker.known_address = Some(Rc::clone(&worker.entry.address));
         if let Some(runs) = inherited.closed_runs {
@@ -43,7 +33,10 @@
             worker.in_roster = true;
             self.unreported_workers.insert(Rc::clone(&id));
         }
-        self.workers.insert(id, worker);
+        self.workers.insert(Rc::clone(&id), worker);
+        for (task, run) in inherited.late_orders {
+            self.inherit_late_order(&id, task, run, orders_expiry_ms);
+        }
     }
 
     /// Assumes that the runs of a job that the predecessor listed go on, until their workers report
--- a/crates/cell/src/coordinator/late_orders.rs
+++ b/crates/cell/src/coordinator/late_orders.rs
@@ -4,7 +4,8 @@
 //!   not stopped, the order is repeated under the same number, so that whichever copy arrives first
 //!   starts the run. Once the process knows that the run has ended, the task may start there under a
 //!   higher number.
-//! - Orders without a ticket are in the durable roster, so that a successor keeps their tasks bound.
+//! - Orders without a ticket are in the durable roster, so that a successor keeps their tasks bound. Of
+//!   those that were on their way when the predecessor ended, the hosts that relayed them tell it.
 //! - A later process of the worker keeps room for the order until it has confirmed a stop. A run that it
 //!   reports before that is adopted.
 
@@ -55,6 +56,43 @@
         }
     }
 
+    /// Records an order of a predecessor without a response that takes no effect from `expires_ms` on.
+    /// Ignored if the worker is unknown: it has had no order then.
+    pub fn inherit_late_order(&mut self, id: &str, task: TaskId, run: u64, expires_ms: u64) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.add_unconfirmed_order(UnconfirmedOrder::inherited(task, run, expires_ms));
+        let order = ActiveRun {
+            worker: Rc::clone(&worker.entry.id),
+            run,
+        };
+        if self.jobs.contains_key(&task.step.job) {
+            self.bind_task(task, order);
+        } else {
+            let of_job = self.inherited_orders.entry(task.step.job).or_default();
+            of_job.push((task, order));
+        }
+    }
+
+    /// Waits for the answers of this many hosts about orders of the predecessor. Until then, inherited
+    /// tasks without a ticket do not start.
+    pub fn await_late_orders(&mut self, hosts: usize) {
+        self.awaited_hosts = hosts;
+    }
+
+    /// Records that a host has answered, or does not answer.
+    pub fn late_orders_answered(&mut self) {
+        self.awaited_hosts = self.awaited_hosts.saturating_sub(1);
+    }
+
+    /// Whether the tasks of a job may have late orders of which the predecessor's hosts have not told yet.
+    pub(super) fn awaits_late_orders(&self, job: &Job) -> bool {
+        let queue = self.config.queues.get(&job.queue);
+        let has_tickets = queue.is_some_and(|queue| queue.advice.is_some());
+        self.awaited_hosts > 0 && job.inherited && !has_tickets
+    }
+
     /// Keeps the tasks of a job bound to the workers to which the predecessor sent an order without a
     /// response.
     pub(super) fn restore_bound_tasks(&mut self, id: JobId) {
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -194,6 +194,8 @@
     /// Orders of the predecessor that may take effect late, by job, until the job is added.
     inherited_orders: IndexMap<JobId, Vec<(TaskId, ActiveRun)>>,
     inherited_expiry_ms: u64,
+    /// Number of hosts that have not told yet which orders of the predecessor may take effect late.
+    awaited_hosts: usize,
     run_floor: u64,
     next_due_unix_ms: Option<u64>,
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
@@ -235,6 +237,7 @@
             inherited_runs: IndexMap::new(),
             inherited_orders: IndexMap::new(),
             inherited_expiry_ms: takeover.expiry_ms,
+            awaited_hosts: 0,
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -230,7 +230,10 @@
         let settled = self.takeover_complete(now_ms);
         let mut ready = Vec::new();
         for job in self.open_jobs() {
-            if (job.inherited && !settled) || now_ms < job.start_not_before_ms {
+            if (job.inherited && !settled)
+                || now_ms < job.start_not_before_ms
+                || self.awaits_late_orders(job)
+            {
                 continue;
             }
             let priority = self
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -55,6 +55,8 @@
     RUN_ENDED = (8113, "run-ended", Info, "A worker reported the end of a run.");
     /// A run was released without a reported end.
     RUN_RELEASED = (8121, "run-released", Info, "A run ended without an end in its worker's list, and its task may start again, on this worker only while `bound_ms` has a value. The line names the proof, and what was known of the worker: the age of its last report, the time until its holds expire, whether it was listed, draining or silent.");
+    /// A former leader's order may take effect late.
+    LATE_ORDER = (8122, "late-order", Info, "A host has relayed an order of a former coordinator that got no response. Until it can no longer take effect, its task starts on this worker only.");
     /// A step waits for a worker.
     STEP_WAITING = (8117, "step-waiting", Info, "The most urgent steps that have waited for 2 s, with the number of workers that their service has, that answer, that have a ticket, that are kept free for others, on which the tasks failed, and that have room.");
     /// The share of a best-effort run was changed.
--- a/crates/entry/src/leader/takeover.rs
+++ b/crates/entry/src/leader/takeover.rs
@@ -6,7 +6,7 @@
 use adapter::store::Item;
 use cell::{
     coordinator::{Coordinator, TakeoverState},
-    ids::JobId,
+    ids::{JobId, TaskId},
     jobs::{JobRecord, Outcome},
 };
 use kernel::log_event;
@@ -20,6 +20,7 @@
     events,
     listing::{Listing, ListingReader},
     members::Departure,
+    peers::{Body, LateOrder},
     prefix_watch::WatchPosition,
     records::{ARRIVALS_PREFIX, JOB_PREFIX, LEADER_KEY, ROSTER_KEY, Roster},
 };
@@ -29,6 +30,8 @@
 /// A term is abandoned once its reads have failed for this long without progress. Reading as such
 /// may take much longer, depending on the number of records and the link.
 const MAX_READ_STALL_MS: u64 = 8_000;
+/// Timeout of the question to each host for the orders of former leaders.
+const LATE_ORDERS_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -99,6 +102,7 @@
             roster.settled_fence,
         ));
     }
+    leader.ask_for_late_orders();
     *leader.durable_roster.borrow_mut() = roster;
     leader.roster_revision.set(roster_revision);
     if leader.apply_arrivals(&arrivals).is_break() {
@@ -110,6 +114,53 @@
     })
 }
 
+impl Leader {
+    /// Asks all hosts for the orders of former leaders that they have relayed and that got no response.
+    /// The durable roster lacks those that were on their way when their leader ended.
+    fn ask_for_late_orders(self: &Rc<Self>) {
+        let fence = self.term.fence;
+        let own_name = self.context.settings.current().host_name.clone();
+        self.inherit_late_orders(&self.context.relay.late_orders(fence));
+        let mut hosts = self.context.members.hosts();
+        hosts.shift_remove(&own_name);
+        self.coordinator.borrow_mut().await_late_orders(hosts.len());
+        for host in hosts.into_values() {
+            let leader = Rc::clone(self);
+            self.spawn(async move {
+                let call = Body::LateOrders(fence);
+                let peers = &leader.context.peers;
+                let reply = peers.call(host.address, call, LATE_ORDERS_TIMEOUT).await;
+                if let Ok(Body::LateOrdersReply(reply)) = reply {
+                    leader.inherit_late_orders(&reply.orders);
+                }
+                leader.coordinator.borrow_mut().late_orders_answered();
+                leader.schedule.notify_one();
+            });
+        }
+    }
+
+    fn inherit_late_orders(&self, orders: &[LateOrder]) {
+        let now_ms = clock::now_ms();
+        for order in orders {
+            let task = TaskId::from(order.task);
+            let expires_ms = now_ms + order.left_ms;
+            log_event!(
+                events::LATE_ORDER,
+                "task={task} run={} worker={} left_ms={}",
+                order.run,
+                order.worker,
+                order.left_ms
+            );
+            self.coordinator.borrow_mut().inherit_late_order(
+                &order.worker,
+                task,
+                order.run,
+                expires_ms,
+            );
+        }
+    }
+}
+
 /// Waits for the proof that the predecessor's process has ended, unless the election has found it,
 /// and lowers the wait for its holds and orders.
 async fn lower_expiry(leader: Rc<Leader>, predecessor: Predecessor, settled_fence: u64) {
--- a/crates/entry/src/peer_calls.rs
+++ b/crates/entry/src/peer_calls.rs
@@ -21,7 +21,12 @@
         match body {
             Body::Advise(call) => Body::AdviceReply(self.query_advice(&call).await),
             Body::GetLeader(_) => Body::LeaderInfo(self.leader_info()),
-            Body::Hold(_) | Body::Start(_) | Body::Stop(_) | Body::Pace(_) | Body::Payload(_) => {
+            Body::Hold(_)
+            | Body::Start(_)
+            | Body::Stop(_)
+            | Body::Pace(_)
+            | Body::Payload(_)
+            | Body::LateOrders(_) => {
                 let relayed = self.context.relay.relay(body).await;
                 relayed.unwrap_or(Body::NotHandled(true))
             }
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -17,7 +17,7 @@
     /// Request or reply; absent if this version does not support it, which ends the connection.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     pub body: Option<Body>,
 }
@@ -102,6 +102,38 @@
     /// Request: accept a job that the host has written to the store.
     #[prost(message, tag = "26")]
     WrittenJob(WrittenJob),
+    /// Request: return the orders that the host has relayed for former leaders, with a fence lower
+    /// than this one, and that got no response.
+    #[prost(uint64, tag = "27")]
+    LateOrders(u64),
+    /// Reply: these orders.
+    #[prost(message, tag = "28")]
+    LateOrdersReply(LateOrdersReply),
+}
+
+/// An order to start that got no response and may reach a later process of its worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct LateOrder {
+    /// Identifier of the worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Task identifier.
+    #[prost(message, required, tag = "2")]
+    pub task: TaskRef,
+    /// Run number of the task.
+    #[prost(uint64, tag = "3")]
+    pub run: u64,
+    /// Time for which it may still take effect, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub left_ms: u64,
+}
+
+/// Orders of former leaders that may take effect late.
+#[derive(Clone, PartialEq, Message)]
+pub struct LateOrdersReply {
+    /// The orders, in no defined order.
+    #[prost(message, repeated, tag = "1")]
+    pub orders: Vec<LateOrder>,
 }
 
 /// The leader known to a host.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,6 +13,7 @@
 use cell::{
     coordinator::{HoldTerms, StartResponse},
     ids::{JobId, TaskId},
+    late_orders::MAX_DELIVERY_DELAY_MS,
 };
 use indexmap::IndexMap;
 use rand::RngExt;
@@ -21,7 +22,10 @@
 use crate::{
     clock,
     payloads::PayloadCache,
-    peers::{self, Body, HoldCall, HoldOutcome, HoldReply, PayloadReply, RunCall, StartCall},
+    peers::{
+        self, Body, HoldCall, HoldOutcome, HoldReply, LateOrder, LateOrdersReply, PayloadReply,
+        RunCall, StartCall,
+    },
 };
 
 /// How long after its wait a hold may still be answered.
@@ -57,6 +61,18 @@
     pool: ConnectionPool,
     payloads: Rc<PayloadCache>,
     connections: RefCell<IndexMap<SocketAddr, PollConnection>>,
+    unanswered: RefCell<Vec<UnansweredOrder>>,
+}
+
+/// An order to start without a ticket, of which a copy is on its way or got no response.
+#[derive(Debug)]
+struct UnansweredOrder {
+    number: u64,
+    worker: String,
+    task: TaskId,
+    run: u64,
+    fence: u64,
+    expires_ms: u64,
 }
 
 impl Relay {
@@ -66,6 +82,7 @@
             pool,
             payloads,
             connections: RefCell::default(),
+            unanswered: RefCell::default(),
         }
     }
 
@@ -76,6 +93,9 @@
             Body::Start(call) => {
                 Body::StartReply(peers::encode_start_response(self.start(&call).await))
             }
+            Body::LateOrders(fence) => Body::LateOrdersReply(LateOrdersReply {
+                orders: self.late_orders(fence),
+            }),
             Body::Stop(call) => Body::Confirmed(self.stop(&call).await),
             Body::Pace(call) => Body::Confirmed(self.pace(&call).await),
             Body::Payload(call) => {
@@ -165,11 +185,53 @@
         });
         let headers = workers::instance_header(&call.worker.id);
         let order = workers::start_call(&headers, body, START_TIMEOUT);
-        match self.pool.call(address, &order).await {
+        let number = self.record_order(call);
+        let answer = match self.pool.call(address, &order).await {
             Ok(answer) => workers::decode_start_response(&answer),
             Err(CallError::NotSent | CallError::Refused) => StartResponse::Unhealthy,
             Err(CallError::Unanswered) => StartResponse::Unknown,
+        };
+        if answer != StartResponse::Unknown {
+            let mut unanswered = self.unanswered.borrow_mut();
+            unanswered.retain(|order| Some(order.number) != number);
+        }
+        answer
+    }
+
+    /// Records an order that is about to be sent, unless it has a ticket: no later process of the
+    /// worker accepts that. Returns its number.
+    fn record_order(&self, call: &StartCall) -> Option<u64> {
+        if call.ticket.is_some() {
+            return None;
         }
+        let now_ms = clock::now_ms();
+        let number = rand::rng().random();
+        let mut unanswered = self.unanswered.borrow_mut();
+        unanswered.retain(|order| now_ms < order.expires_ms);
+        unanswered.push(UnansweredOrder {
+            number,
+            worker: call.worker.id.clone(),
+            task: call.task.into(),
+            run: call.run,
+            fence: call.worker.fence,
+            expires_ms: now_ms + START_TIMEOUT.as_millis() as u64 + MAX_DELIVERY_DELAY_MS,
+        });
+        Some(number)
+    }
+
+    /// Orders of leaders with a lower fence that may still take effect. The leader may have ended
+    /// before it knew that they have no response.
+    pub fn late_orders(&self, fence: u64) -> Vec<LateOrder> {
+        let now_ms = clock::now_ms();
+        let unanswered = self.unanswered.borrow();
+        let is_late = |order: &&UnansweredOrder| order.fence < fence && now_ms < order.expires_ms;
+        let late_order = |order: &UnansweredOrder| LateOrder {
+            worker: order.worker.clone(),
+            task: order.task.into(),
+            run: order.run,
+            left_ms: order.expires_ms - now_ms,
+        };
+        unanswered.iter().filter(is_late).map(late_order).collect()
     }
 
     /// Whether the worker confirmed the stop. Another worker at the address (421) says nothing about
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod elections;
 mod failures;
 mod jobs;
+mod late_orders;
 mod late_writes;
 mod odd_entries;
 mod peers;
