A worker gets work only by the entry of its present process

Cause: a report of a later process makes the worker usable at once, with capacity and labels from the entry of the former process. Both name the process by its start time, and nothing compared them.

Change: `is_usable` asks that the entry be of the process that reports, if both name one.

--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -432,11 +432,19 @@
         }
     }
 
+    /// Whether the entry describes the process that reports. A later process under the same identifier
+    /// may be of another kind, with another capacity.
+    fn has_current_entry(&self) -> bool {
+        let of_entry = self.entry.started_unix_ms;
+        of_entry == 0 || self.started_unix_ms == 0 || of_entry == self.started_unix_ms
+    }
+
     /// Whether new tasks can be placed on the worker.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.listed
             && self.in_roster
             && self.fenced
+            && self.has_current_entry()
             && !self.unresponsive
             && !self.entry.draining
             && now_ms >= self.health.refusal_until_ms
--- a/crates/cell/tests/cell/end_proofs.rs
+++ b/crates/cell/tests/cell/end_proofs.rs
@@ -207,6 +207,11 @@
             40,
             &[]
         ));
+        // The later process is given work once its own entry has come.
+        coordinator.update_worker(WorkerEntry {
+            started_unix_ms: support::START_UNIX_MS + 40,
+            ..support::entry(0)
+        });
         let released = starts(&mut coordinator, 100) == 1;
         assert_eq!(released, case.released, "{}", case.name);
         if !released {
