An order with a ticket whose run has ended binds no task

What callers could see: a task waited up to 13 s for nothing. Found by reading the change. A worker executes an order, its response is lost, and the run ends before that is known; the copy without a response was then taken for one without a ticket, since its run was not known any more.

Change: without a known run the queue tells whether the order has a ticket; if so, the process that accepts it has ended the run, and nothing is left. Two orders of a task that are combined keep the higher run, which a stop has to name.

Test: `a_run_with_a_ticket_that_has_ended_binds_no_task` (1 instead of 0 late orders before).

--- a/crates/cell/src/coordinator/late_orders.rs
+++ b/crates/cell/src/coordinator/late_orders.rs
@@ -38,8 +38,14 @@
         let expires_ms = ordered.map_or(now_ms + MAX_DELIVERY_DELAY_MS, |run| {
             run.order_expiry_ms(now_ms)
         });
-        let has_ticket = ordered.is_some_and(|run| run.ticket_void_ms.is_some());
-        if expires_ms <= now_ms {
+        let queue = job
+            .as_ref()
+            .and_then(|job| self.config.queues.get(&job.queue));
+        let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
+        let has_ticket = ordered.map_or(needs_ticket, |run| run.ticket_void_ms.is_some());
+        // The only process that accepts the ticket has rejected the run, or ended it.
+        let is_settled = has_ticket && ordered.is_none();
+        if is_settled || expires_ms <= now_ms {
             return;
         }
         worker.add_unconfirmed_order(UnconfirmedOrder {
--- a/crates/cell/src/late_orders.rs
+++ b/crates/cell/src/late_orders.rs
@@ -59,6 +59,7 @@
     #[must_use]
     pub fn after(self, earlier: &Self) -> Self {
         Self {
+            run: self.run.max(earlier.run),
             since_ms: earlier.since_ms,
             expires_ms: self.expires_ms.max(earlier.expires_ms),
             has_ticket: self.has_ticket && earlier.has_ticket,
--- a/crates/cell/tests/cell/late_orders.rs
+++ b/crates/cell/tests/cell/late_orders.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 
 use hickorychute_cell::{
-    coordinator::{Coordinator, Order, StartResponse},
+    coordinator::{AdviceOutcome, Coordinator, Order, StartResponse},
     ids::TaskId,
     jobs::{JobState, StepSpec},
-    workers::{EndKind, HoldReport, ReportedEnd, ReportedRun},
+    workers::{EndKind, HoldReport, ReportedEnd, ReportedRun, WorkerEntry},
 };
 
 use crate::{
@@ -561,3 +561,69 @@
     assert_eq!(starts(&mut coordinator, 31_010), []);
     assert_eq!(coordinator.open_jobs().count(), 0, "completed");
 }
+
+/// Guards against waiting for nothing: the response to an order was lost, and its run had ended before that
+/// became known. No later process accepts its ticket, so that the task is not bound to the worker.
+#[test]
+fn a_run_with_a_ticket_that_has_ended_binds_no_task() {
+    let mut coordinator = support::coordinator(support::advised_config());
+    let entry = support::entry(0);
+    let id = Rc::clone(&entry.id);
+    coordinator.update_worker(entry);
+    coordinator.roster_durable(&[Rc::clone(&id)]);
+    report(&mut coordinator, &id, 10, &[], &[]);
+    submit(&mut coordinator, support::step(1, 1_000, 500));
+    assert_eq!(starts(&mut coordinator, 20), []);
+    let advise = |coordinator: &mut Coordinator, now_ms: u64| {
+        let query = coordinator.next_advice_query(now_ms, false);
+        let outcome = AdviceOutcome::Answered {
+            tickets: vec![(Rc::clone(&id), "ticket".into())],
+            valid_ms: 2_500,
+        };
+        if let Some(query) = query {
+            coordinator.advice_answered(&query, &outcome, now_ms);
+        }
+    };
+    advise(&mut coordinator, 30);
+    let [(task, run, _)] = starts(&mut coordinator, 40).try_into().expect("one start");
+    report(
+        &mut coordinator,
+        &id,
+        200,
+        &[],
+        &[(task, run, EndKind::Stopped)],
+    );
+    coordinator.start_unanswered(&id, task, run, 340);
+    let other = support::entry(1);
+    let other_id = Rc::clone(&other.id);
+    coordinator.update_worker(other);
+    coordinator.roster_durable(&[Rc::clone(&id), other_id]);
+    assert_eq!(
+        coordinator
+            .roster(350)
+            .map(|w| w.late_orders().count())
+            .sum::<usize>(),
+        0
+    );
+    coordinator.update_worker(WorkerEntry {
+        draining: true,
+        ..support::entry(0)
+    });
+    report(&mut coordinator, &support::entry(1).id, 360, &[], &[]);
+    assert_eq!(
+        starts(&mut coordinator, 370),
+        [],
+        "without a ticket for the other worker"
+    );
+    let query = coordinator
+        .next_advice_query(380, false)
+        .expect("a question");
+    let outcome = AdviceOutcome::Answered {
+        tickets: vec![(support::entry(1).id, "ticket".into())],
+        valid_ms: 2_500,
+    };
+    coordinator.advice_answered(&query, &outcome, 390);
+    let next = starts(&mut coordinator, 400);
+    assert_eq!(next.len(), 1, "{next:?}");
+    assert_eq!(next[0].2, support::entry(1).id);
+}
