--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -344,9 +344,11 @@
             let placed = position.filter(|&position| candidates.take(position, &demand));
             chosen.extend(placed.map(|position| (n, position)));
         }
-        if free.is_empty() || (spec.gang && chosen.len() < bound.len()) {
-            let is_complete = !spec.gang || chosen.len() == waiting.len();
-            return if is_complete { chosen } else { Vec::new() };
+        if spec.gang && chosen.len() < bound.len() {
+            return Vec::new();
+        }
+        if free.is_empty() {
+            return chosen;
         }
         let request = Request {
             demand,
