Tenants, their limits and the host's bounds in configuration and settings

Lateness has a module of its own, and what holds for a scheduling pass another, so that admission and candidates no longer import the pass.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -7,7 +7,10 @@
 //! capacity of its service, compared with the time allowed for the job. A job that would start on trial is
 //! also refused if many others wait for one: trials use few workers, and each may take one down.
 
-use crate::{config::Queue, coordinator::Coordinator, jobs::JobSpec, workers::Resources};
+use crate::{
+    config::Queue, coordinator::Coordinator, jobs::JobSpec, objective::MAX_LATENESS_FACTOR,
+    workers::Resources,
+};
 
 /// Result of admission control for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,8 +28,6 @@
 
 /// Share of the CPU capacity that is expected to do useful work.
 const USABLE_CPU_PERCENT: u64 = 85;
-/// Multiple of a job's objective up to which a late completion still has value.
-pub(crate) const MAX_LATENESS_FACTOR: u64 = 3;
 /// Bounds of the retry delay, in milliseconds.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (300, 3_000);
 
--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -4,6 +4,8 @@
 
 use indexmap::IndexMap;
 
+use crate::{credentials::KeyDigest, workers::Resources};
+
 /// Cost and validity of the advice service's answers for the steps of a queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdviceCost {
@@ -37,6 +39,21 @@
     /// Set if tasks need a ticket from the advice service, which decides the workers that may run a
     /// step.
     pub advice: Option<AdviceCost>,
+    /// Whether calls to this queue need no key of a tenant.
+    pub public: bool,
+}
+
+/// A customer whose calls carry a key, with its share of the cell and the limit of what it may run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Unique name of the tenant.
+    pub name: Rc<str>,
+    /// Digests of the keys that its calls may carry.
+    pub key_digests: Vec<KeyDigest>,
+    /// Share of the cell while capacity is short, in jobs a second.
+    pub jobs_per_s: f64,
+    /// Resources that its runs may occupy on all workers together; 0 for no limit of a resource.
+    pub limit: Resources,
 }
 
 /// A pool of workers.
@@ -58,8 +75,17 @@
     pub queues: IndexMap<Rc<str>, Rc<Queue>>,
     /// Services, keyed by name.
     pub services: IndexMap<Rc<str>, Service>,
+    /// Tenants, keyed by name; `None` if the cell has no tenants, so that calls need no key.
+    pub tenants: Option<IndexMap<Rc<str>, Rc<Tenant>>>,
     /// Maximum size of a request body, in bytes; 0 if the operators set none.
     pub max_body_bytes: usize,
+    /// Maximum size of a request's headers, in bytes; 0 if the operators set none.
+    pub max_header_bytes: usize,
+    /// Time limit for receiving a request's headers, in milliseconds; 0 if the operators set none.
+    pub header_timeout_ms: u64,
+    /// Time after which an idle connection may be closed, in milliseconds; 0 if the operators set
+    /// none.
+    pub idle_timeout_ms: u64,
 }
 
 impl Config {
@@ -71,4 +97,9 @@
             .filter(|queue| path.starts_with(&queue.path_prefix))
             .max_by_key(|queue| queue.path_prefix.len())
     }
+
+    /// Returns a tenant by name; `None` if there is none or the cell has no tenants.
+    pub fn tenant(&self, name: &str) -> Option<&Rc<Tenant>> {
+        self.tenants.as_ref()?.get(name)
+    }
 }
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -6,9 +6,9 @@
 
 use super::{
     job::{Failure, Job, Step, resources_of},
+    pass::Pass,
     patience::Patience,
     reserves::Reservations,
-    schedule::Pass,
 };
 use crate::{
     config::Config,
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -9,6 +9,7 @@
     config::Queue,
     ids::{JobId, StepId, TaskId},
     jobs::{DoneTasks, JobRecord, JobSpec, JobState, Outcome, StepSpec, TaskRecord},
+    objective,
     progress::StepPace,
     workers::{Demand, Resources},
 };
@@ -193,6 +194,10 @@
     pub queue: Rc<str>,
     /// Service of that queue at the time of submission.
     pub service: Rc<str>,
+    /// Tenant that submitted it; empty if none is known.
+    pub tenant: Rc<str>,
+    /// Whether it exceeds its tenant's share.
+    pub over_share: bool,
     /// Time of acceptance, in Unix milliseconds; 0 if it was cancelled before that.
     pub accepted_unix_ms: u64,
     /// Specification; absent once the job has ended.
@@ -241,6 +246,8 @@
             id: JobId(record.id),
             queue: record.queue.as_str().into(),
             service: record.service.as_str().into(),
+            tenant: record.tenant.as_str().into(),
+            over_share: record.over_share,
             accepted_unix_ms: record.accepted_unix_ms,
             spec,
             inherited,
@@ -402,6 +409,12 @@
         self.objective_unix_ms.saturating_sub(self.accepted_unix_ms)
     }
 
+    /// Lateness of an occurrence that ends at `ends_unix_ms`, as in [`objective::lateness`].
+    pub fn lateness(&self, occurrence: u32, ends_unix_ms: u64) -> u8 {
+        let since_unix_ms = self.due_unix_ms(occurrence);
+        objective::lateness(since_unix_ms, self.allowed_ms(), ends_unix_ms)
+    }
+
     /// State of a step; `None` if its occurrence has not begun or is complete.
     pub fn step(&self, id: StepId) -> Option<&Step> {
         self.occurrences
@@ -553,6 +566,8 @@
             finished_occurrences: self.finished_occurrences.clone(),
             ended_unix_ms: self.ended_unix_ms,
             payload_host: self.payload_host.to_string(),
+            tenant: self.tenant.to_string(),
+            over_share: self.over_share,
         }
     }
 }
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -32,6 +32,7 @@
 mod late_orders;
 mod movement;
 mod pace;
+mod pass;
 mod patience;
 mod reports;
 mod reserves;
--- a/crates/cell/src/coordinator/movement.rs
+++ b/crates/cell/src/coordinator/movement.rs
@@ -7,7 +7,7 @@
 
 use std::rc::Rc;
 
-use super::{Coordinator, candidates, job::Job, schedule};
+use super::{Coordinator, candidates, job::Job};
 use crate::{
     ids::TaskId,
     jobs::StepSpec,
@@ -280,8 +280,7 @@
     if estimate.stay_ms <= estimate.move_ms + min_gain_ms {
         return false;
     }
-    let lateness =
-        |duration_ms: u64| schedule::lateness(job, task.step.occurrence, unix_ms + duration_ms);
+    let lateness = |duration_ms: u64| job.lateness(task.step.occurrence, unix_ms + duration_ms);
     spec.checkpointing || lateness(estimate.stay_ms) > lateness(estimate.move_ms)
 }
 
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -5,56 +5,21 @@
 use super::{
     Coordinator, Order,
     candidates::{FreeCpuIndex, WaitingStep, service_of},
-    job::{ActiveRun, Job, Step, demand_of},
+    job::{ActiveRun, Step, demand_of},
+    pass::{Pass, Urgency},
     patience::Patience,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
     trial_workers::TrialBudget,
 };
 use crate::{
-    admission::MAX_LATENESS_FACTOR,
     contact::Trial,
     ids::{JobId, StepId, TaskId},
     jobs::Outcome,
+    objective::MAX_LATENESS,
     placement::Request,
     workers::{Phase, StopReason},
 };
 
-/// Lateness of a job whose result has no value any more.
-pub(super) const MAX_LATENESS: u8 = 2;
-
-/// Urgency of a step; the smallest is scheduled first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Urgency {
-    /// False for long-running tasks, which come first: they should run from submission until they
-    /// are cancelled.
-    pub(super) finite: bool,
-    /// 0 while the objective can be met, 1 while a late result still has value, 2 afterwards.
-    pub(super) lateness: u8,
-    pub(super) priority: u32,
-    pub(super) not_started: bool,
-    pub(super) accepted_unix_ms: u64,
-    pub(super) step: StepId,
-}
-
-/// What holds for all steps of a scheduling pass.
-#[derive(Debug)]
-pub(super) struct Pass {
-    /// Time of the pass, in milliseconds of the local clock.
-    pub(super) now_ms: u64,
-    /// The same, in Unix milliseconds.
-    pub(super) unix_ms: u64,
-    /// Workers by free CPU at the start of the pass.
-    pub(super) free_cpu: FreeCpuIndex,
-    /// Workers that are kept free for more urgent steps.
-    pub(super) reservations: Reservations,
-    /// Workers that may still be used for trials.
-    pub(super) trial_budget: TrialBudget,
-    /// Positions of the workers that are kept for trials and may take one now.
-    pub(super) free_trial_workers: Vec<usize>,
-    /// Position of the one on which repeated trials start.
-    pub(super) repeated_trial_worker: Option<usize>,
-}
-
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
@@ -254,7 +219,7 @@
                     let finite = !spec.is_some_and(|spec| spec.long_running);
                     let remaining_ms = spec.map_or(0, |spec| spec.estimate_ms) / 2;
                     let lateness = if finite {
-                        lateness(job, occurrence, unix_ms + remaining_ms)
+                        job.lateness(occurrence, unix_ms + remaining_ms)
                     } else {
                         0
                     };
@@ -453,17 +418,3 @@
         }
     }
 }
-
-/// Lateness of a job's occurrence that ends at `ends_unix_ms`: 0 if it meets its objective, 1 if it
-/// is late but its result still has value, 2 otherwise.
-pub(super) fn lateness(job: &Job, occurrence: u32, ends_unix_ms: u64) -> u8 {
-    let since = job.due_unix_ms(occurrence);
-    let allowed_ms = job.allowed_ms();
-    if ends_unix_ms <= since + allowed_ms {
-        0
-    } else if ends_unix_ms <= since + allowed_ms * MAX_LATENESS_FACTOR {
-        1
-    } else {
-        MAX_LATENESS
-    }
-}
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -12,8 +12,8 @@
     Coordinator,
     candidates::{has_label, service_of},
     job::{Job, Step, resources_of},
+    pass::Pass,
     reserves::Reservations,
-    schedule::Pass,
     trials::{TrialRank, WaitingTrial},
 };
 use crate::{
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -21,11 +21,12 @@
     Coordinator, Order,
     candidates::{TrialRoom, WaitingStep, service_of},
     job::{Job, Step, Task, demand_of},
-    schedule::{MAX_LATENESS, Pass, Urgency},
+    pass::{Pass, Urgency},
 };
 use crate::{
     contact::Trial,
     ids::StepId,
+    objective::MAX_LATENESS,
     placement::{self, Candidate, Request},
 };
 
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -254,6 +254,12 @@
     /// unknown.
     #[prost(string, tag = "11")]
     pub payload_host: String,
+    /// Tenant that submitted the job; empty if the cell has no tenants or the queue is public.
+    #[prost(string, tag = "12")]
+    pub tenant: String,
+    /// Whether the job exceeds its tenant's share, so that jobs within shares come first.
+    #[prost(bool, tag = "13")]
+    pub over_share: bool,
 }
 
 /// Job state as reported to clients.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -6,6 +6,7 @@
 //! clocks: callers pass in the time and the responses, and send the [`coordinator::Order`]s that
 //! the crate returns.
 //!
+//! - [`credentials`]: keys of tenants, held as digests;
 //! - [`ids`]: identifiers of jobs, steps and tasks;
 //! - [`config`]: queues and services as configured by the operators;
 //! - [`jobs`]: job specifications and the durable record of a job;
@@ -16,6 +17,7 @@
 //! - [`departure`]: workers that leave, and what a successor needs to know of them;
 //! - [`coordinator`]: the state machine that turns this state into orders;
 //! - [`link_budget`]: whether the network link of the coordinator's host is congested;
+//! - [`objective`]: what the end of a job is worth, by how late it is;
 //! - [`outage`]: store health, and whether requests wait or are turned away during an outage;
 //! - [`pacing`]: the CPU share of best-effort tasks next to latency-sensitive tasks;
 //! - [`placement`]: assignment of a step's tasks to workers;
@@ -27,11 +29,13 @@
 pub mod config;
 pub mod contact;
 pub mod coordinator;
+pub mod credentials;
 pub mod departure;
 pub mod ids;
 pub mod jobs;
 pub mod late_orders;
 pub mod link_budget;
+pub mod objective;
 pub mod outage;
 pub mod pacing;
 pub mod placement;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -50,6 +50,7 @@
             critical_path_factor,
             base_objective_ms,
             advice,
+            public: false,
         };
         (Rc::from(name), Rc::new(queue))
     };
@@ -65,7 +66,7 @@
             queue("batch", 2, 4, 4.0, 3_000),
         ]),
         services: IndexMap::from([(Rc::from("pool"), service)]),
-        max_body_bytes: 0,
+        ..Config::default()
     })
 }
 
--- a/crates/entry/tests/entry/rosters.rs
+++ b/crates/entry/tests/entry/rosters.rs
@@ -172,6 +172,7 @@
         critical_path_factor: 2.0,
         base_objective_ms: 1_000,
         advice,
+        public: false,
     };
     let service = Service {
         name: "pool".into(),
@@ -181,7 +182,7 @@
         version: 1,
         queues: IndexMap::from([(Rc::from("batch"), Rc::new(queue))]),
         services: IndexMap::from([(Rc::from("pool"), service)]),
-        max_body_bytes: 0,
+        ..Config::default()
     };
     let takeover = TakeoverState::default();
     let mut coordinator = Coordinator::new(Tuning::default(), Rc::new(config), takeover);
