Preemption for wide gangs, first form

Cause: in a full cell gangs wait until the overload is over. Change: runs of lower priority that resume from checkpoints are stopped for steps without capacity, and heavy queries to the advice service are counted apart from light ones.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -10,7 +10,7 @@
 use super::{
     Coordinator,
     candidates::{WaitingStep, has_label, is_distrusted, service_of, task_limit},
-    job::{Ticket, resources_of},
+    job::{Step, Ticket, resources_of},
 };
 use crate::{
     config::AdviceCost,
@@ -42,6 +42,8 @@
     pub workers: Vec<Rc<str>>,
     /// Expected duration of the call, in milliseconds.
     pub expected_ms: u64,
+    /// Whether queries of the step's queue are heavy: those of other queues must not wait for them.
+    pub heavy: bool,
 }
 
 /// Result of a query.
@@ -67,6 +69,7 @@
             step,
             workers,
             expected_ms: expected_ms as u64,
+            heavy: is_heavy(terms),
         }
     }
 }
@@ -74,10 +77,16 @@
 impl Coordinator {
     /// Returns the most urgent query. With `light_only`, queues with slow answers are skipped.
     pub fn next_advice_query(&mut self, now_ms: u64, light_only: bool) -> Option<AdviceQuery> {
+        let first = if self.may_preempt() {
+            self.asking_first()
+        } else {
+            Vec::new()
+        };
         let ready_steps = std::mem::take(&mut self.ready_steps);
         let may_ask = |id: &&StepId| self.may_ask(**id, now_ms, light_only);
         let is_other = |id: &&StepId| !self.trial_workers.contains_all_of(**id);
-        let examined: Vec<StepId> = (self.trial_workers.asking())
+        let examined: Vec<StepId> = (first.iter())
+            .chain(self.trial_workers.asking())
             .chain(ready_steps.iter().filter(is_other))
             .filter(may_ask)
             .take(MAX_EXAMINED_STEPS)
@@ -112,7 +121,7 @@
         let Some(step) = job.step(id) else {
             return false;
         };
-        let skipped = light_only && terms.call_ms as u64 > HEAVY_CALL_MS;
+        let skipped = light_only && is_heavy(terms);
         !skipped && !step.advice.in_flight && now_ms >= step.advice.not_before_ms
     }
 
@@ -136,6 +145,9 @@
             let workers: Vec<_> = workers.take(MAX_NAMED_WORKERS).cloned().collect();
             return (!workers.is_empty()).then(|| AdviceQuery::new(id, workers, terms));
         }
+        if let Some(held) = self.preemptions.held_for(id) {
+            return self.query_for_held(id, step, held, terms, now_ms);
+        }
         let service = service_of(&self.config, job);
         let demand = resources_of(spec);
         let eligible = |worker: &&Worker| {
@@ -208,6 +220,22 @@
         Some(AdviceQuery::new(id, workers, terms))
     }
 
+    /// The query about the workers that are held for a step: their tickets must be valid when the
+    /// stopped runs have ended.
+    fn query_for_held(
+        &self,
+        id: StepId,
+        step: &Step,
+        held: &[Rc<str>],
+        terms: AdviceCost,
+        now_ms: u64,
+    ) -> Option<AdviceQuery> {
+        let needed_ms = now_ms + self.tuning.stop_timeout_ms;
+        let lacks_ticket = |worker: &&Rc<str>| !step.advice.has_ticket(worker, needed_ms);
+        let workers: Vec<_> = held.iter().filter(lacks_ticket).cloned().collect();
+        (!workers.is_empty()).then(|| AdviceQuery::new(id, workers, terms))
+    }
+
     /// Whether a step may use faulty and slow workers once its patience is over: its job stands
     /// still, and not because of the load.
     fn may_use_suspects(&self, id: StepId, now_ms: u64) -> bool {
@@ -264,6 +292,10 @@
     }
 }
 
+fn is_heavy(terms: AdviceCost) -> bool {
+    terms.call_ms as u64 > HEAVY_CALL_MS
+}
+
 /// Number of tasks of size `demand` that fit on a worker now, at most `limit`.
 fn fitting_tasks(worker: &Worker, demand: &Resources, limit: u32) -> u32 {
     let candidate = crate::placement::Candidate {
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -69,7 +69,7 @@
             let task_limit = task_limit(worker, self.spec, self.id);
             let choice = if is_suspect {
                 &mut candidates.suspect
-            } else if pass.reservations.contains(name) {
+            } else if pass.reservations.contains_for(name, self.id) {
                 &mut candidates.reserved
             } else if is_distrusted(worker, &failures) {
                 &mut candidates.failed
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -87,6 +87,8 @@
     pub bound_to: Option<Rc<str>>,
     /// Number of runs that were stopped as hung.
     pub hung_runs: u32,
+    /// Number of runs that were stopped for more urgent work.
+    pub preemptions: u32,
     /// The last failed run.
     pub last_failure: Option<Failure>,
     /// Workers that crashed under the task.
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -34,6 +34,7 @@
 mod pace;
 mod pass;
 mod patience;
+mod preemption;
 mod reports;
 mod reserves;
 mod schedule;
@@ -52,6 +53,7 @@
 pub use end_proof::{EndProof, ReleasedRun};
 use job::ActiveRun;
 pub use job::{Job, Ticket};
+pub use preemption::PreemptionReport;
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
 
@@ -82,6 +84,12 @@
     pub entry_lapse_ms: u64,
     /// Maximum hold that workers grant, in milliseconds; they shorten longer ones.
     pub max_hold_ms: u64,
+    /// Time that a worker takes at most to stop a run, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// Time that a run needs to resume from a checkpoint, in milliseconds.
+    pub restore_ms: u64,
+    /// Whether runs are stopped for more urgent work also in a cell without tenants.
+    pub preemption: bool,
 }
 
 impl Default for Tuning {
@@ -93,6 +101,9 @@
             retention_ms: 120_000,
             entry_lapse_ms: 4_000,
             max_hold_ms: 6_000,
+            stop_timeout_ms: 1_000,
+            restore_ms: 600,
+            preemption: false,
         }
     }
 }
@@ -203,6 +214,8 @@
     ready_steps: Vec<StepId>,
     /// Workers that were kept free for a step at the last scheduling pass.
     reservations: reserves::Reservations,
+    /// Steps for which runs are stopped.
+    preemptions: preemption::Preemptions,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
     /// Lost workers of the last seconds.
@@ -243,6 +256,7 @@
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
+            preemptions: preemption::Preemptions::default(),
             average_pace: AveragePace::default(),
             recent_crashes: crashes::RecentCrashes::default(),
             dangerous_queues: Vec::new(),
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -37,6 +37,8 @@
     pub(super) workers: Vec<Rc<str>>,
     /// Workers that are kept free for trials.
     pub(super) for_trials: Vec<Rc<str>>,
+    /// Workers that are held for a step while runs on them are stopped.
+    held: IndexMap<Rc<str>, StepId>,
     /// Services that are mostly idle.
     idle_services: Vec<Rc<str>>,
 }
@@ -55,15 +57,31 @@
         Self {
             workers: Vec::new(),
             for_trials: Vec::new(),
+            held: IndexMap::new(),
             idle_services: idle.map(|(service, _)| Rc::clone(service)).collect(),
         }
     }
 
     /// Whether a worker is reserved.
     pub(super) fn contains(&self, worker: &Rc<str>) -> bool {
+        self.is_kept(worker) || self.held.contains_key(worker)
+    }
+
+    /// Whether a worker is reserved for another step than the given one.
+    pub(super) fn contains_for(&self, worker: &Rc<str>, step: StepId) -> bool {
+        let holder = self.held.get(worker);
+        holder.map_or_else(|| self.is_kept(worker), |holder| *holder != step)
+    }
+
+    fn is_kept(&self, worker: &Rc<str>) -> bool {
         self.workers.contains(worker) || self.for_trials.contains(worker)
     }
 
+    /// Holds a worker for a step.
+    pub(super) fn hold(&mut self, worker: &Rc<str>, step: StepId) {
+        self.held.insert(Rc::clone(worker), step);
+    }
+
     /// Whether a service is mostly idle.
     pub(super) fn is_idle(&self, service: &str) -> bool {
         self.idle_services.iter().any(|idle| **idle == *service)
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -8,6 +8,7 @@
     job::{ActiveRun, Step, demand_of},
     pass::{Pass, Urgency},
     patience::Patience,
+    preemption::SearchBudget,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
     trial_workers::TrialBudget,
 };
@@ -162,6 +163,11 @@
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
         };
+        let may_preempt = self.may_preempt();
+        let mut searches = SearchBudget::default();
+        if may_preempt {
+            self.renew_holds(now_ms, &mut pass);
+        }
         self.start_trials(&ready_steps, &mut pass, orders);
         let mut reserving = 0;
         let mut attempts = 0;
@@ -171,6 +177,11 @@
             if !started && urgency.lateness < MAX_LATENESS {
                 self.record_contention(urgency.step);
             }
+            if may_preempt && started {
+                self.preemptions.step_started(urgency.step);
+            } else if may_preempt {
+                self.preempt_for(urgency, &mut pass, &mut searches);
+            }
             if !started
                 && urgency.lateness == 0
                 && reserving < MAX_RESERVING_STEPS
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -122,6 +122,22 @@
         ends_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// Estimated duration of the longest path through the steps that depend on a step, in
+    /// milliseconds.
+    pub fn path_after_ms(&self, step: u32) -> u64 {
+        let mut ends_ms: Vec<Option<u64>> = vec![None; self.steps.len()];
+        for (n, spec) in self.steps.iter().enumerate() {
+            ends_ms[n] = if n == step as usize {
+                Some(0)
+            } else {
+                let before = spec.after.iter();
+                let before = before.filter_map(|&n| ends_ms.get(n as usize).copied().flatten());
+                before.max().map(|before_ms| before_ms + spec.estimate_ms)
+            };
+        }
+        ends_ms.into_iter().flatten().max().unwrap_or(0)
+    }
+
     /// Whether there are steps, each has a task, and each depends only on earlier ones.
     pub fn is_well_formed(&self) -> bool {
         let ordered = |(n, step): (usize, &StepSpec)| {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`progress`]: progress of runs, and detection of slow workers;
 //! - [`workers`]: the state of a worker, its clock and its resources;
 //! - [`contact`]: runs that start on a worker, and workers to which contact was lost meanwhile;
+//! - [`contention`]: whether stopping a run for more urgent work pays;
 //! - [`late_orders`]: orders without a response, and how late and where they can take effect;
 //! - [`departure`]: workers that leave, and what a successor needs to know of them;
 //! - [`coordinator`]: the state machine that turns this state into orders;
@@ -28,6 +29,7 @@
 pub mod answer_loss;
 pub mod config;
 pub mod contact;
+pub mod contention;
 pub mod coordinator;
 pub mod credentials;
 pub mod departure;
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -214,6 +214,9 @@
     /// The worker is draining.
     #[display("worker_leaves")]
     WorkerDraining,
+    /// More urgent work needs its capacity.
+    #[display("preempted")]
+    Preempted,
     /// The worker restarted while the order was in transit.
     #[display("worker_restarted")]
     WorkerRestarted,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -59,6 +59,8 @@
     LATE_ORDER = (8122, "late-order", Info, "A host has relayed an order of a former coordinator that got no response. Until it can no longer take effect, its task starts on this worker only.");
     /// A step waits for a worker.
     STEP_WAITING = (8117, "step-waiting", Info, "The most urgent steps that have waited for 2 s, with the number of workers that their service has, that answer, that have a ticket, that are kept free for others, on which the tasks failed, and that have room.");
+    /// Runs are stopped for a more urgent step.
+    STEP_PREEMPTS = (8125, "step-preempts", Info, "Runs that can resume from a checkpoint are stopped, because a more urgent step finds no capacity. The line names the step, how many runs are stopped on how many workers, and how long its job has waited.");
     /// The share of a best-effort run was changed.
     RUN_PACED = (8116, "run-paced", Info, "The share of a best-effort run was changed because a latency-sensitive task on the same worker came close to its latency target or has recovered.");
     /// The end of a job is durable.
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -163,8 +163,8 @@
     committed: Notify,
     /// Notified when the set of workers changes.
     roster: Notify,
-    /// Hosts with an advice query in progress.
-    busy_advice_hosts: RefCell<IndexSet<String>>,
+    /// Hosts with an advice query in progress, and whether it is a heavy one.
+    busy_advice_hosts: RefCell<IndexMap<String, bool>>,
 }
 
 /// A host's own leader; set during its term.
@@ -249,6 +249,8 @@
             max_hold_ms: settings.longest_hold_ms,
             // The platform's clock may run fast.
             entry_lapse_ms: settings.worker_lapse_ms * 9 / 10,
+            stop_timeout_ms: settings.stop_timeout_ms,
+            restore_ms: settings.restore_ms,
             ..base
         }
     }
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -55,6 +55,7 @@
                 .schedule(now_ms, clock::unix_ms());
             leader.log_crashes();
             leader.log_released_runs();
+            leader.log_preemptions();
             for order in orders {
                 leader.execute(order);
             }
@@ -138,6 +139,15 @@
         }
     }
 
+    /// Logs for which steps runs are stopped.
+    fn log_preemptions(&self) {
+        let preemptions = self.coordinator.borrow_mut().take_preemptions();
+        for preemption in preemptions {
+            self.context.metrics.count("preemptions");
+            log_event!(events::STEP_PREEMPTS, "{preemption}");
+        }
+    }
+
     /// Logs the most urgent steps that have waited for long, and what their workers lack.
     fn log_waiting_steps(&self, now_ms: u64) {
         let coordinator = self.coordinator.borrow();
@@ -361,12 +371,12 @@
         }
         let total = hosts.len();
         for (name, host) in hosts {
-            if self.busy_advice_hosts.borrow().contains(&name) || self.relays.is_unreachable(&name)
+            if self.busy_advice_hosts.borrow().contains_key(&name)
+                || self.relays.is_unreachable(&name)
             {
                 continue;
             }
-            let free = total - self.busy_advice_hosts.borrow().len();
-            let light_only = free <= total / LIGHT_QUERY_RESERVE_DIVISOR;
+            let light_only = self.is_reserved_for_light_queries(total);
             let Some(query) = self
                 .coordinator
                 .borrow_mut()
@@ -374,7 +384,8 @@
             else {
                 return;
             };
-            self.busy_advice_hosts.borrow_mut().insert(name.clone());
+            let busy_hosts = &self.busy_advice_hosts;
+            busy_hosts.borrow_mut().insert(name.clone(), query.heavy);
             let leader = Rc::clone(self);
             let own = name == *own_name;
             self.spawn(async move {
@@ -406,6 +417,20 @@
         }
     }
 
+    /// Whether the hosts without a query may send light ones only. Where capacity is contended, light
+    /// queries alone could keep all but a third of the hosts busy, so only heavy ones count: otherwise
+    /// wide gangs, whose queries are heavy, would never be asked about.
+    fn is_reserved_for_light_queries(&self, total: usize) -> bool {
+        let reserve = total / LIGHT_QUERY_RESERVE_DIVISOR;
+        let busy_hosts = self.busy_advice_hosts.borrow();
+        let busy = if self.coordinator.borrow().may_preempt() {
+            busy_hosts.values().filter(|heavy| **heavy).count()
+        } else {
+            busy_hosts.len()
+        };
+        total - busy <= reserve
+    }
+
     /// Handles a query that did not reach the advice service because its host is gone; the next
     /// pass uses another host.
     fn handle_advice_not_sent(&self, query: &AdviceQuery, host: &str, error: PeerError) {
