Preemption for wide gangs: narrower claims

Cause: stops for steps of small tasks and for late gangs cost more than they gain. Change: claims of gangs on time only, fewer held workers, victims need slack.

--- a/crates/cell/src/contention.rs
+++ b/crates/cell/src/contention.rs
@@ -56,6 +56,8 @@
 /// Maximum number of times that a task is stopped for other work: each stop costs the time to
 /// resume, and the task must end at last.
 const MAX_PREEMPTIONS: u32 = 2;
+/// Time that a stopped task may wait for its next run, in milliseconds.
+const REQUEUE_ALLOWANCE_MS: u64 = 2_500;
 /// A run that is expected to end within the cost of its stop times this factor ends by itself.
 const MIN_REMAINING_FACTOR: u64 = 2;
 
@@ -70,10 +72,15 @@
 
 /// Whether a run may be stopped for a claimant, and how readily; `None` if it may not.
 pub fn stop_rank(claimant: Claimant, victim: &Victim, cost: &StopCost) -> Option<StopRank> {
-    let is_ranked_lower = victim.priority > claimant.priority
-        || (victim.priority == claimant.priority && victim.lateness > claimant.lateness);
+    let is_ranked_lower = victim.priority > claimant.priority;
     let pays = victim.remaining_ms > cost.total_ms() * MIN_REMAINING_FACTOR;
     let allowed = victim.resumes && !victim.gang && victim.preemptions < MAX_PREEMPTIONS;
+    let stays_useful = victim.lateness > 0
+        || victim.over_share
+        || victim.slack_ms >= cost.total_ms() + REQUEUE_ALLOWANCE_MS;
+    if !stays_useful {
+        return None;
+    }
     if !is_ranked_lower || !pays || !allowed || victim.lateness < claimant.lateness {
         return None;
     }
--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -156,11 +156,23 @@
                 && has_label(worker, spec)
                 && worker.entry.capacity.fits(&Resources::default(), &demand)
         };
+        let claim = self.claim_of(id, now_ms);
         let fitting_tasks = |worker: &Worker| {
             let limit = task_limit(worker, spec, id).min(waiting);
-            fitting_tasks(worker, &demand, limit)
+            let used = match &claim {
+                Some(claim) => self.used_after_stops(worker, claim),
+                None => worker.used,
+            };
+            fitting_tasks(worker, used, &demand, limit)
+        };
+        // A gang that may claim capacity needs tickets that outlast the stops, and some to spare:
+        // capacity that could be vacated changes quickly.
+        let ticket_needed_ms = claim.as_ref().map_or(now_ms, |claim| claim.ticket_until_ms);
+        let required = match (&claim, spec.gang) {
+            (Some(_), _) => waiting + waiting / 4,
+            (None, true) => waiting,
+            (None, false) => 1,
         };
-        let required = if spec.gang { waiting } else { 1 };
         // Workers on which a waiting task failed and suspect workers are the last ones to be used, so
         // their room does not make up for that of others.
         let failures = if spec.long_running {
@@ -183,7 +195,7 @@
                 Some(_) if is_distrusted(worker, &failures) => {
                     last_resort.push((fitting_tasks(worker), Rc::clone(name)));
                 }
-                Some(_) if step.advice.has_ticket(name, now_ms) => {
+                Some(_) if step.advice.has_ticket(name, ticket_needed_ms) => {
                     ticketed_slots += fitting_tasks(worker);
                     eligible_slots += fitting_tasks(worker);
                 }
@@ -296,12 +308,12 @@
     terms.call_ms as u64 > HEAVY_CALL_MS
 }
 
-/// Number of tasks of size `demand` that fit on a worker now, at most `limit`.
-fn fitting_tasks(worker: &Worker, demand: &Resources, limit: u32) -> u32 {
+/// Number of tasks of size `demand` that fit on a worker beside `used`, at most `limit`.
+fn fitting_tasks(worker: &Worker, used: Resources, demand: &Resources, limit: u32) -> u32 {
     let candidate = crate::placement::Candidate {
         worker: 0,
         capacity: worker.entry.capacity,
-        used: worker.used,
+        used,
         best_effort_millicores: 0,
         rack: "",
         task_limit: limit,
--- a/crates/cell/src/coordinator/preemption.rs
+++ b/crates/cell/src/coordinator/preemption.rs
@@ -19,7 +19,6 @@
     contention::{self, Claimant, StopCost, StopRank, Victim},
     ids::{StepId, TaskId},
     jobs::StepSpec,
-    objective::MAX_LATENESS,
     placement::Candidate,
     workers::{Phase, Resources, Run, StopReason, Worker},
 };
@@ -30,10 +29,13 @@
 /// runs of the workers that the step may use.
 const MAX_SEARCHES_PER_PASS: usize = 6;
 /// Part of the service's workers that may be held, as a divisor.
-const MAX_HELD_DIVISOR: usize = 2;
+const MAX_HELD_DIVISOR: usize = 6;
 /// How long held workers may take beyond the stop, in milliseconds: the end is listed, the ticket is
 /// renewed, and the next pass orders the start.
 const HOLD_MARGIN_MS: u64 = 1_500;
+/// Time from the end of a stopped run to the order that starts a task, in milliseconds: the end is
+/// listed, and the next pass orders the start. Tickets must be valid for that long.
+const START_DELAY_MS: u64 = 250;
 /// Time after a failed attempt before runs are stopped for the same step again, in milliseconds.
 const RETRY_DELAY_MS: u64 = 1_000;
 /// Time after a search without a result before the next one for the same step, in milliseconds.
@@ -114,6 +116,15 @@
     }
 }
 
+/// What a wide gang may take from other runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Claim {
+    claimant: Claimant,
+    unix_ms: u64,
+    /// Until when tickets must be valid, in milliseconds of the local clock.
+    pub(super) ticket_until_ms: u64,
+}
+
 /// Searches that a pass may still make, for wide gangs and for other steps.
 #[derive(Debug)]
 pub(super) struct SearchBudget {
@@ -166,6 +177,20 @@
         }
     }
 
+    /// Number of runs to stop before one further task fits; the maximum if it cannot fit.
+    fn stops_for_one(&self, demand: &Resources) -> usize {
+        let mut used = self.used;
+        for stops in 0..=self.victims.len() {
+            if self.worker.entry.capacity.fits(&used, demand) {
+                return stops;
+            }
+            if let Some((_, _, victim)) = self.victims.get(stops) {
+                used.remove(&victim.resources);
+            }
+        }
+        usize::MAX
+    }
+
     /// Stops as many runs as one further task needs. Returns false if it cannot fit.
     fn vacate_for_one(&mut self, demand: &Resources, limit: u32) -> bool {
         if self.tasks >= limit {
@@ -218,15 +243,54 @@
         let is_unasked_wide = |id: &&StepId| {
             let job = self.jobs.get(&id.job);
             job.and_then(|job| Some((job.step_spec(id.step)?, job.step(**id)?)))
-                .is_some_and(|(spec, step)| {
-                    step.advice.queried.is_empty() && !step.advice.in_flight && self.is_wide(spec)
-                })
+                .is_some_and(|(spec, step)| !step.advice.in_flight && self.is_wide(spec))
         };
         let unasked = self.ready_steps.iter().filter(is_unasked_wide);
         held.chain(unasked.copied().take(MAX_HOLDING_STEPS))
             .collect()
     }
 
+    /// The claim of a wide gang that may take capacity from other runs; `None` for other steps.
+    pub(super) fn claim_of(&self, id: StepId, now_ms: u64) -> Option<Claim> {
+        let job = self.jobs.get(&id.job)?;
+        let spec = job.step_spec(id.step)?;
+        if !self.may_preempt() || !self.is_wide(spec) {
+            return None;
+        }
+        let unix_ms = self.pass_unix_ms;
+        let ends_unix_ms = unix_ms + spec.estimate_ms / 2;
+        let claimant = Claimant {
+            priority: self.config.queues.get(&job.queue)?.priority,
+            lateness: job.lateness(id.occurrence, ends_unix_ms),
+        };
+        (claimant.lateness == 0).then_some(Claim {
+            claimant,
+            unix_ms,
+            ticket_until_ms: now_ms + self.tuning.stop_timeout_ms + START_DELAY_MS,
+        })
+    }
+
+    /// Resources in use on a worker once all runs have been stopped that a claim may stop.
+    pub(super) fn used_after_stops(&self, worker: &Worker, claim: &Claim) -> Resources {
+        let cost = self.stop_cost();
+        let mut used = worker.used;
+        for (&task, run) in &worker.runs {
+            let victim = self.victim(task, run, claim.unix_ms);
+            let rank = victim.and_then(|v| contention::stop_rank(claim.claimant, &v, &cost));
+            if rank.is_some() {
+                used.remove(&run.resources);
+            }
+        }
+        used
+    }
+
+    fn stop_cost(&self) -> StopCost {
+        StopCost {
+            stop_timeout_ms: self.tuning.stop_timeout_ms,
+            restore_ms: self.tuning.restore_ms,
+        }
+    }
+
     /// Ends the holds of steps that no longer wait, and keeps the held workers from other steps.
     pub(super) fn renew_holds(&mut self, now_ms: u64, pass: &mut Pass) {
         let jobs = &self.jobs;
@@ -249,7 +313,7 @@
         budget: &mut SearchBudget,
     ) {
         let id = urgency.step;
-        if urgency.lateness >= MAX_LATENESS || !urgency.finite || !self.preemptions.may_search(id) {
+        if urgency.lateness > 0 || !urgency.finite || !self.preemptions.may_search(id) {
             return;
         }
         let Some((victims, workers, waited_ms)) = self.choose_victims(urgency, pass, budget) else {
@@ -312,13 +376,10 @@
         let waiting = step.waiting().count() as u32;
         let required = if spec.gang { waiting } else { 1 };
         let mut found = 0;
-        // Capacity that needs no stop first, then what is most readily vacated.
-        vacatable.sort_by_key(|candidate| {
-            let free = candidate.candidate(u32::MAX).fitting_tasks(&demand, 1);
-            (
-                free == 0,
-                candidate.victims.first().map(|(rank, _, _)| *rank),
-            )
+        // Workers on which the fewest stops make room for a task first.
+        vacatable.sort_by_cached_key(|candidate| {
+            let stops = candidate.stops_for_one(&demand);
+            (stops, candidate.victims.first().map(|(rank, _, _)| *rank))
         });
         for candidate in &mut vacatable {
             let limit = task_limit(candidate.worker, spec, id);
@@ -327,18 +388,6 @@
             }
         }
         if found < required {
-            if self.is_wide(spec) {
-                eprintln!(
-                    "DBGFAIL step={id} found={found} required={required} vac={} queried={} eligible={} held={} late={} waited={waited_ms} nvict={} inflight={}",
-                    vacatable.len(),
-                    step.advice.queried.len(),
-                    step.advice.eligible.len(),
-                    self.preemptions.held().count(),
-                    urgency.lateness,
-                    vacatable.iter().map(|v| v.victims.len()).sum::<usize>(),
-                    step.advice.in_flight
-                );
-            }
             return None;
         }
         let mut victims = Vec::new();
@@ -367,18 +416,16 @@
         let service = service_of(&self.config, job);
         let queue = self.config.queues.get(&job.queue);
         let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
+        let ticket_until_ms = pass.now_ms + self.tuning.stop_timeout_ms + START_DELAY_MS;
         let may_use = |worker: &&Worker| {
             worker.is_schedulable(pass.now_ms)
                 && worker.entry.service == service
                 && has_label(worker, spec)
-                && (!needs_ticket || step.advice.eligible.contains_key(&worker.entry.id))
+                && (!needs_ticket || step.advice.has_ticket(&worker.entry.id, ticket_until_ms))
                 && !pass.reservations.contains_for(&worker.entry.id, id)
                 && !worker.has_starting_trial(pass.now_ms)
         };
-        let cost = StopCost {
-            stop_timeout_ms: self.tuning.stop_timeout_ms,
-            restore_ms: self.tuning.restore_ms,
-        };
+        let cost = self.stop_cost();
         let workers = self.workers.values().filter(may_use);
         workers
             .map(|worker| {
