--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -62,6 +62,29 @@
     NotSent,
 }
 
+/// Share of the named workers that the service allows for the steps of a queue.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AdviceYield {
+    eligible_share: f64,
+}
+
+/// Inverse weight of one answer in the moving average of the eligible share.
+const YIELD_AVERAGE_DIVISOR: f64 = 16.0;
+
+impl Default for AdviceYield {
+    fn default() -> Self {
+        Self {
+            eligible_share: 0.5,
+        }
+    }
+}
+
+impl AdviceYield {
+    fn record(&mut self, eligible_share: f64) {
+        self.eligible_share += (eligible_share - self.eligible_share) / YIELD_AVERAGE_DIVISOR;
+    }
+}
+
 impl AdviceQuery {
     fn new(step: StepId, workers: Vec<Rc<str>>, terms: AdviceCost) -> Self {
         let expected_ms = terms.call_ms + terms.per_worker_ms * workers.len() as f64;
@@ -78,7 +101,7 @@
     /// Returns the most urgent query. With `light_only`, queues with slow answers are skipped.
     pub fn next_advice_query(&mut self, now_ms: u64, light_only: bool) -> Option<AdviceQuery> {
         let first = if self.may_preempt() {
-            self.asking_first()
+            self.asking_first(now_ms)
         } else {
             Vec::new()
         };
@@ -225,13 +248,32 @@
             last_resort
         };
         named_workers.sort_unstable_by_key(|entry| Reverse(entry.0));
-        named_workers.truncate(
-            (waiting as usize * NAMED_WORKERS_PER_TASK).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS),
-        );
+        let usual =
+            (waiting as usize * NAMED_WORKERS_PER_TASK).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS);
+        let named = match claim {
+            Some(_) if false => self.named_for_claim(&job.queue, &named_workers, required),
+            _ => usual,
+        };
+        named_workers.truncate(named.min(usual));
         let workers: Vec<Rc<str>> = named_workers.into_iter().map(|(_, name)| name).collect();
         Some(AdviceQuery::new(id, workers, terms))
     }
 
+    /// Number of workers to name so that a claim probably finds enough capacity: each further one
+    /// makes the answer later.
+    fn named_for_claim(&self, queue: &str, workers: &[(u32, Rc<str>)], required: u32) -> usize {
+        let eligible_share = self
+            .advice_yields
+            .get(queue)
+            .map_or(1.0, |y| y.eligible_share);
+        let mut expected_slots = 0.0;
+        let enough = workers.iter().position(|(slots, _)| {
+            expected_slots += f64::from(*slots) * eligible_share;
+            expected_slots >= f64::from(required)
+        });
+        enough.map_or(MAX_NAMED_WORKERS, |position| position + 1)
+    }
+
     /// The query about the workers that are held for a step: their tickets must be valid when the
     /// stopped runs have ended.
     fn query_for_held(
@@ -261,6 +303,7 @@
             id,
             spec,
             service: &service_of(&self.config, job),
+            priority: u32::MAX,
             needs_ticket: true,
             waiting: &[],
         };
@@ -282,6 +325,14 @@
             return;
         };
         step.advice.in_flight = false;
+        if let AdviceOutcome::Answered { tickets, .. } = outcome {
+            let eligible_share = tickets.len() as f64 / query.workers.len().max(1) as f64;
+            let advice_yield = self.advice_yields.entry(Rc::clone(&job.queue)).or_default();
+            advice_yield.record(eligible_share);
+        }
+        let Some(step) = job.step_mut(query.step) else {
+            return;
+        };
         match outcome {
             AdviceOutcome::Failed => step.advice.not_before_ms = now_ms + RETRY_DELAY_MS,
             AdviceOutcome::NotSent => {}
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -23,6 +23,8 @@
     pub(super) id: StepId,
     pub(super) spec: &'a StepSpec,
     pub(super) service: &'a str,
+    /// Priority of the step's queue.
+    pub(super) priority: u32,
     pub(super) needs_ticket: bool,
     pub(super) waiting: &'a [u32],
 }
@@ -69,7 +71,7 @@
             let task_limit = task_limit(worker, self.spec, self.id);
             let choice = if is_suspect {
                 &mut candidates.suspect
-            } else if pass.reservations.contains_for(name, self.id) {
+            } else if pass.reservations.contains_for(name, self.id, self.priority) {
                 &mut candidates.reserved
             } else if is_distrusted(worker, &failures) {
                 &mut candidates.failed
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -214,6 +214,8 @@
     ready_steps: Vec<StepId>,
     /// Workers that were kept free for a step at the last scheduling pass.
     reservations: reserves::Reservations,
+    /// Share of the named workers that the advice service allows, by queue.
+    advice_yields: IndexMap<Rc<str>, advice::AdviceYield>,
     /// Steps for which runs are stopped.
     preemptions: preemption::Preemptions,
     /// Moving average of the ratio of measured to declared task durations.
@@ -256,6 +258,7 @@
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
+            advice_yields: IndexMap::new(),
             preemptions: preemption::Preemptions::default(),
             average_pace: AveragePace::default(),
             recent_crashes: crashes::RecentCrashes::default(),
--- a/crates/cell/src/coordinator/preemption.rs
+++ b/crates/cell/src/coordinator/preemption.rs
@@ -25,6 +25,8 @@
 
 /// Maximum number of steps for which workers are held at a time.
 const MAX_HOLDING_STEPS: usize = 24;
+/// Maximum number of wide gangs whose queries to the advice service go first.
+const MAX_ASKING_FIRST: usize = 8;
 /// Maximum number of steps in one pass for which victims are searched: each search iterates over the
 /// runs of the workers that the step may use.
 const MAX_SEARCHES_PER_PASS: usize = 6;
@@ -46,6 +48,7 @@
 /// Workers held for a step while runs on them are stopped.
 #[derive(Clone, Debug)]
 struct Hold {
+    priority: u32,
     workers: Vec<Rc<str>>,
     /// When the workers are released, in milliseconds of the local clock.
     expires_ms: u64,
@@ -91,10 +94,12 @@
     }
 
     /// Workers that are held, with the step that may use them.
-    pub(super) fn held(&self) -> impl Iterator<Item = (&Rc<str>, StepId)> {
+    pub(super) fn held(&self) -> impl Iterator<Item = (&Rc<str>, StepId, u32)> {
         let of_step = |(&step, hold)| {
             let hold: &Hold = hold;
-            hold.workers.iter().map(move |worker| (worker, step))
+            hold.workers
+                .iter()
+                .map(move |worker| (worker, step, hold.priority))
         };
         self.holds.iter().flat_map(of_step)
     }
@@ -238,15 +243,14 @@
     /// Steps for which advice is asked first while capacity is short: those for which workers are
     /// held, and wide gangs that nothing is known about. Among many waiting steps of small tasks,
     /// their turn would not come before they are late.
-    pub(super) fn asking_first(&self) -> Vec<StepId> {
+    pub(super) fn asking_first(&self, now_ms: u64) -> Vec<StepId> {
         let held = self.preemptions.holds.keys().copied();
-        let is_unasked_wide = |id: &&StepId| {
-            let job = self.jobs.get(&id.job);
-            job.and_then(|job| Some((job.step_spec(id.step)?, job.step(**id)?)))
-                .is_some_and(|(spec, step)| !step.advice.in_flight && self.is_wide(spec))
+        let may_ask = |id: &&StepId| {
+            let step = self.jobs.get(&id.job).and_then(|job| job.step(**id));
+            step.is_some_and(|step| !step.advice.in_flight) && self.claim_of(**id, now_ms).is_some()
         };
-        let unasked = self.ready_steps.iter().filter(is_unasked_wide);
-        held.chain(unasked.copied().take(MAX_HOLDING_STEPS))
+        let unasked = self.ready_steps.iter().filter(may_ask);
+        held.chain(unasked.copied().take(MAX_ASKING_FIRST))
             .collect()
     }
 
@@ -299,8 +303,8 @@
             step.is_some_and(|step| step.waiting().next().is_some())
         };
         self.preemptions.prune(now_ms, waits);
-        for (worker, step) in self.preemptions.held() {
-            pass.reservations.hold(worker, step);
+        for (worker, step, priority) in self.preemptions.held() {
+            pass.reservations.hold(worker, step, priority);
         }
     }
 
@@ -329,7 +333,7 @@
             }
         }
         for worker in &workers {
-            pass.reservations.hold(worker, id);
+            pass.reservations.hold(worker, id, urgency.priority);
         }
         self.preemptions.reports.push(PreemptionReport {
             step: id,
@@ -339,6 +343,7 @@
         });
         let expires_ms = pass.now_ms + self.tuning.stop_timeout_ms + HOLD_MARGIN_MS;
         let hold = Hold {
+            priority: urgency.priority,
             workers,
             expires_ms,
         };
@@ -361,7 +366,7 @@
         let passed_ms = step
             .waiting_since_ms
             .map_or(0, |since_ms| pass.now_ms.saturating_sub(since_ms));
-        if !self.is_wide(spec) && passed_ms < NARROW_STEP_PATIENCE_MS {
+        if !self.is_wide(spec) {
             return None;
         }
         if !budget.take(self.is_wide(spec)) {
@@ -422,7 +427,7 @@
                 && worker.entry.service == service
                 && has_label(worker, spec)
                 && (!needs_ticket || step.advice.has_ticket(&worker.entry.id, ticket_until_ms))
-                && !pass.reservations.contains_for(&worker.entry.id, id)
+                && !pass.reservations.contains(&worker.entry.id)
                 && !worker.has_starting_trial(pass.now_ms)
         };
         let cost = self.stop_cost();
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -38,7 +38,7 @@
     /// Workers that are kept free for trials.
     pub(super) for_trials: Vec<Rc<str>>,
     /// Workers that are held for a step while runs on them are stopped.
-    held: IndexMap<Rc<str>, StepId>,
+    held: IndexMap<Rc<str>, (StepId, u32)>,
     /// Services that are mostly idle.
     idle_services: Vec<Rc<str>>,
 }
@@ -68,9 +68,12 @@
     }
 
     /// Whether a worker is reserved for another step than the given one.
-    pub(super) fn contains_for(&self, worker: &Rc<str>, step: StepId) -> bool {
+    pub(super) fn contains_for(&self, worker: &Rc<str>, step: StepId, priority: u32) -> bool {
         let holder = self.held.get(worker);
-        holder.map_or_else(|| self.is_kept(worker), |holder| *holder != step)
+        holder.map_or_else(
+            || self.is_kept(worker),
+            |&(holder, holder_priority)| holder != step && holder_priority <= priority,
+        )
     }
 
     fn is_kept(&self, worker: &Rc<str>) -> bool {
@@ -78,8 +81,8 @@
     }
 
     /// Holds a worker for a step.
-    pub(super) fn hold(&mut self, worker: &Rc<str>, step: StepId) {
-        self.held.insert(Rc::clone(worker), step);
+    pub(super) fn hold(&mut self, worker: &Rc<str>, step: StepId, priority: u32) {
+        self.held.insert(Rc::clone(worker), (step, priority));
     }
 
     /// Whether a service is mostly idle.
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -305,6 +305,7 @@
             id,
             spec,
             service: &service,
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
             needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
             waiting: &waiting,
         };
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -40,6 +40,8 @@
 const ADVICE_TIMEOUT_MARGIN_MS: u64 = 500;
 /// Fraction of hosts reserved for light queries, as a divisor.
 const LIGHT_QUERY_RESERVE_DIVISOR: usize = 3;
+/// Fraction of hosts that heavy queries may use where capacity is contended, as a divisor.
+const HEAVY_QUERY_DIVISOR: usize = 2;
 
 /// Runs scheduling passes until the term ends.
 pub(super) async fn run(leader: Rc<Leader>) {
@@ -421,14 +423,12 @@
     /// queries alone could keep all but a third of the hosts busy, so only heavy ones count: otherwise
     /// wide gangs, whose queries are heavy, would never be asked about.
     fn is_reserved_for_light_queries(&self, total: usize) -> bool {
-        let reserve = total / LIGHT_QUERY_RESERVE_DIVISOR;
         let busy_hosts = self.busy_advice_hosts.borrow();
-        let busy = if self.coordinator.borrow().may_preempt() {
-            busy_hosts.values().filter(|heavy| **heavy).count()
-        } else {
-            busy_hosts.len()
-        };
-        total - busy <= reserve
+        if self.coordinator.borrow().may_preempt() {
+            let heavy = busy_hosts.values().filter(|heavy| **heavy).count();
+            return heavy >= (total / HEAVY_QUERY_DIVISOR).max(1);
+        }
+        total - busy_hosts.len() <= total / LIGHT_QUERY_RESERVE_DIVISOR
     }
 
     /// Handles a query that did not reach the advice service because its host is gone; the next
