Workers' paces are learned, and placement uses them

Cause: in some cells 22% to 33% of the workers take 1.9 times as long as the others. Nothing learned that, gangs mixed slow and fast members, and a worker that is slow by nature could be backed off as faulty.

Change: cell::worker_pace compares the durations of runs of one step on different workers; a worker's pace is the median of up to 15 ratios, published in bands once it certainly deviates and the cell is heterogeneous. Placement puts gangs on workers of one pace, steps near their objective on fast workers and others on slow ones. Reservations, advice queries, moves and the detection of slow workers use the paces. The roster carries them, and is not written for them alone. With equal or unknown paces placement, queries and reservations are as before.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -137,6 +137,7 @@
             return (!workers.is_empty()).then(|| AdviceQuery::new(id, workers, terms));
         }
         let service = service_of(&self.config, job);
+        let unix_ms = self.pass_unix_ms;
         let demand = resources_of(spec);
         let eligible = |worker: &&Worker| {
             worker.is_usable(now_ms)
@@ -200,7 +201,12 @@
             }
             last_resort
         };
-        named_workers.sort_unstable_by_key(|entry| Reverse(entry.0));
+        // Those that would be chosen: with room, then by pace.
+        let choice = self.pace_choice(id, unix_ms);
+        named_workers.sort_unstable_by_key(|(slots, name)| {
+            let pace = self.workers.get(name).map_or(0, Worker::pace_percent);
+            (*slots == 0, choice.rank(pace), Reverse(*slots))
+        });
         named_workers.truncate(
             (waiting as usize * NAMED_WORKERS_PER_TASK).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS),
         );
@@ -273,6 +279,7 @@
         best_effort_millicores: 0,
         rack: "",
         task_limit: limit,
+        pace_percent: worker.pace_percent(),
     };
     candidate.fitting_tasks(demand, limit)
 }
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -158,6 +158,7 @@
         best_effort_millicores: worker.best_effort_millicores,
         rack: worker.entry.rack(),
         task_limit,
+        pace_percent: worker.pace_percent(),
     }
 }
 
--- a/crates/cell/src/coordinator/ends.rs
+++ b/crates/cell/src/coordinator/ends.rs
@@ -31,9 +31,7 @@
             Phase::Present { since_ms } => Some(since_ms),
             Phase::Ordered { .. } | Phase::Ended => None,
         });
-        if ended.is_some() {
-            worker.remove_run(end.task);
-        }
+        let ended_run = ended.is_some().then(|| worker.remove_run(end.task));
         match end.kind {
             EndKind::Done => {
                 let health = &mut worker.health;
@@ -43,6 +41,9 @@
                 if worker.health.probe == Some(end.task) {
                     worker.health.backoff_until_ms = 0;
                 }
+                if let Some(run) = ended_run.flatten() {
+                    self.record_completed_pace(id, end, &run, now_ms);
+                }
                 self.record_completion(id, end, unix_ms);
             }
             EndKind::Failed => {
--- a/crates/cell/src/coordinator/inherited.rs
+++ b/crates/cell/src/coordinator/inherited.rs
@@ -34,6 +34,7 @@
             self.unreported_workers.insert(Rc::clone(&id));
         }
         self.workers.insert(Rc::clone(&id), worker);
+        self.inherit_pace(&id, inherited.pace_percent);
         for (task, run) in inherited.late_orders {
             self.inherit_late_order(&id, task, run, orders_expiry_ms);
         }
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -11,6 +11,7 @@
     jobs::{DoneTasks, JobRecord, JobSpec, JobState, Outcome, StepSpec, TaskRecord},
     objective,
     progress::StepPace,
+    worker_pace::StepDurations,
     workers::{Demand, Resources},
 };
 
@@ -109,6 +110,8 @@
     pub gang_ordered_ms: Option<u64>,
     /// Task durations on the fastest workers.
     pub pace: StepPace,
+    /// Task durations without the effect of the workers' paces.
+    pub durations: StepDurations,
     /// When the waiting tasks were first denied a worker with room because another one is
     /// preferred, in milliseconds of the local clock; absent once any of them was placed.
     pub passed_over_since_ms: Option<u64>,
@@ -128,6 +131,7 @@
             advice: Advice::default(),
             gang_ordered_ms: None,
             pace: StepPace::default(),
+            durations: StepDurations::default(),
             passed_over_since_ms: None,
             waiting_since_ms: None,
             trial_waiting_since_ms: None,
@@ -230,6 +234,9 @@
     /// Time before which no task starts because the payload was unavailable, in milliseconds of the
     /// local clock.
     pub start_not_before_ms: u64,
+    /// Estimated duration of the longest path from each step to the end of the job, including the step,
+    /// in milliseconds.
+    path_ms: Vec<u64>,
 }
 
 impl Job {
@@ -242,6 +249,9 @@
             queue.map_or((1.0, 0), |q| (q.critical_path_factor, q.base_objective_ms));
         let allowed_ms =
             (critical_path_ms as f64 * critical_path_factor) as u64 + base_objective_ms;
+        let spec_paths_ms = spec
+            .as_ref()
+            .map_or_else(Vec::new, |s| s.remaining_paths_ms());
         let mut job = Self {
             id: JobId(record.id),
             queue: record.queue.as_str().into(),
@@ -263,6 +273,7 @@
             objective_unix_ms: record.accepted_unix_ms + allowed_ms,
             payload_host: record.payload_host.as_str().into(),
             start_not_before_ms: 0,
+            path_ms: spec_paths_ms,
         };
         job.restore_done(&record.done_tasks);
         job.restore_tasks(&record.tasks);
@@ -409,6 +420,11 @@
         self.objective_unix_ms.saturating_sub(self.accepted_unix_ms)
     }
 
+    /// Estimated duration of a step and of the longest path of steps that follow it, in milliseconds.
+    pub fn remaining_path_ms(&self, step: u32) -> u64 {
+        self.path_ms.get(step as usize).copied().unwrap_or(0)
+    }
+
     /// Lateness of an occurrence that ends at `ends_unix_ms`, as in [`objective::lateness`].
     pub fn lateness(&self, occurrence: u32, ends_unix_ms: u64) -> u8 {
         let since_unix_ms = self.due_unix_ms(occurrence);
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -40,6 +40,7 @@
 mod trial_workers;
 mod trials;
 mod waiting;
+mod worker_pace;
 
 use std::rc::Rc;
 
@@ -61,6 +62,7 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
+    worker_pace::PaceTable,
     workers::{StopReason, Worker, WorkerEntry},
 };
 
@@ -154,6 +156,8 @@
     pub closed_runs: Option<Vec<(TaskId, u64)>>,
     /// Orders without a response that may reach a later process of the worker.
     pub late_orders: Vec<(TaskId, u64)>,
+    /// Duration of tasks relative to a typical worker, in percent; absent if unknown.
+    pub pace_percent: Option<u32>,
 }
 
 /// State that a new coordinator takes over from its predecessor.
@@ -205,6 +209,8 @@
     reservations: reserves::Reservations,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
+    /// Paces of the workers relative to each other.
+    paces: PaceTable,
     /// Lost workers of the last seconds.
     recent_crashes: crashes::RecentCrashes,
     /// Queues whose new jobs run on trial.
@@ -244,6 +250,7 @@
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
             average_pace: AveragePace::default(),
+            paces: PaceTable::default(),
             recent_crashes: crashes::RecentCrashes::default(),
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
--- a/crates/cell/src/coordinator/movement.rs
+++ b/crates/cell/src/coordinator/movement.rs
@@ -11,7 +11,7 @@
 use crate::{
     ids::TaskId,
     jobs::StepSpec,
-    progress,
+    progress, worker_pace,
     workers::{Phase, Run, StopReason, Worker},
 };
 
@@ -55,6 +55,7 @@
     /// moves those that complete sooner elsewhere.
     pub(super) fn review_runs(&mut self, id: &str, now_ms: u64, unix_ms: u64) {
         self.record_pace(id);
+        self.record_worker_pace(id, now_ms);
         self.stop_hung_runs(id, now_ms);
         if self.is_slow_worker(id)
             && let Some(worker) = self.workers.get_mut(id)
@@ -129,7 +130,11 @@
             .into_iter()
             .filter_map(|(task, total_ms)| {
                 let step = self.jobs.get(&task.step.job)?.step(task.step)?;
-                Some(total_ms as f64 / step.pace.fastest_elsewhere_ms(id)?.max(1) as f64)
+                let (other, elsewhere_ms) = step.pace.fastest_elsewhere(id)?;
+                Some(progress::slowdown(
+                    (total_ms, self.pace_percent_of(id)),
+                    (elsewhere_ms, self.pace_percent_of(other)),
+                ))
             })
             .collect();
         progress::is_slow(&mut factors)
@@ -247,17 +252,25 @@
         if spec.long_running || now_ms >= worker.health.slow_until_ms {
             return spec.long_running && worker.entry.draining;
         }
-        let expected_ms = job
+        let fastest = job
             .step(task.step)
-            .and_then(|step| step.pace.fastest_elsewhere_ms(&worker.entry.id))
-            .unwrap_or_else(|| self.average_pace.expected_ms(spec.estimate_ms));
+            .and_then(|step| step.pace.fastest_elsewhere(&worker.entry.id));
+        let (expected_ms, pace_percent) = fastest.map_or_else(
+            || {
+                let expected_ms = self.average_pace.expected_ms(spec.estimate_ms);
+                (expected_ms, worker_pace::TYPICAL_PERCENT)
+            },
+            |(other, total_ms)| (total_ms, self.pace_percent_of(other)),
+        );
+        let expected_here_ms =
+            expected_ms * u64::from(worker.pace_percent()) / u64::from(pace_percent);
         let repeated_ms = if spec.checkpointing {
             expected_ms * 100_u64.saturating_sub(run.progress.percent) / 100
         } else {
             expected_ms
         };
         let estimate = MoveEstimate {
-            stay_ms: run.progress.remaining_ms(expected_ms),
+            stay_ms: run.progress.remaining_ms(expected_here_ms),
             move_ms: repeated_ms + MOVE_COST_MS,
         };
         is_move_worthwhile(job, spec, task, &estimate, unix_ms)
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -150,6 +150,7 @@
             };
             self.account_for_loss(id, proof);
             self.forget_process(id, now_ms);
+            self.forget_pace(id);
             proof
         } else {
             self.withdraw_blame(id);
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -110,7 +110,8 @@
             .queues
             .get(&job.queue)
             .is_some_and(|q| q.advice.is_some());
-        let mut fitting: Vec<(u64, u32, &Rc<str>)> = self
+        // The fastest workers first, so that the members of a gang are of like pace.
+        let mut fitting: Vec<(u32, u64, u32, &Rc<str>)> = self
             .workers
             .values()
             .filter(|worker| worker.is_schedulable(now_ms))
@@ -125,19 +126,25 @@
                     best_effort_millicores: 0,
                     rack: "",
                     task_limit: task_limit(worker, spec, id),
+                    pace_percent: worker.pace_percent(),
                 };
                 (
+                    if spec.long_running {
+                        0
+                    } else {
+                        vacated.pace_percent
+                    },
                     worker.used.cpu_millicores,
                     vacated.fitting_tasks(&demand, spec.count),
                     &worker.entry.id,
                 )
             })
-            .filter(|(_, fitting_tasks, _)| *fitting_tasks > 0)
+            .filter(|(_, _, fitting_tasks, _)| *fitting_tasks > 0)
             .collect();
         fitting.sort_unstable();
         let mut missing = step.waiting().count() as u32;
         let mut chosen = Vec::new();
-        for (_, fitting_tasks, name) in fitting {
+        for (_, _, fitting_tasks, name) in fitting {
             if missing == 0 {
                 break;
             }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -25,6 +25,7 @@
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
         self.pass_unix_ms = unix_ms;
         self.begin_due_occurrences(unix_ms);
+        self.refresh_paces(now_ms);
         self.judge_lost_workers(now_ms, unix_ms);
         self.release_expired_workers(now_ms);
         self.give_up_convicted_tasks(now_ms, unix_ms);
@@ -261,6 +262,7 @@
     /// Chooses workers for as many of a step's waiting tasks as fit. Returns the position of each
     /// task in the step and that of its worker.
     fn choose_workers(&mut self, id: StepId, pass: &Pass) -> Vec<(u32, usize)> {
+        let pace = self.pace_choice(id, pass.unix_ms);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return Vec::new();
         };
@@ -321,6 +323,7 @@
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
+            pace,
         };
         let failed_runs = step.max_failed_runs(waiting.iter().copied());
         let patience = Patience {
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -504,6 +504,7 @@
         best_effort_millicores: 0,
         rack: "",
         task_limit: limit,
+        pace_percent: worker.pace_percent(),
     };
     empty.fitting_tasks(&resources_of(spec), limit)
 }
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -28,6 +28,7 @@
     ids::StepId,
     objective::MAX_LATENESS,
     placement::{self, Candidate, Request},
+    worker_pace::PaceChoice,
 };
 
 /// Time after which a trial no longer waits for a worker without other runs if its service is mostly
@@ -274,6 +275,7 @@
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
+            pace: PaceChoice::Any,
         };
         let placed = placement::place(&request, &mut candidates);
         let mut chosen: Vec<(u32, usize)> = trials.iter().copied().zip(placed).collect();
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -122,6 +122,21 @@
         ends_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// Estimated duration of the longest path from each step to the end, including the step, in
+    /// milliseconds.
+    pub fn remaining_paths_ms(&self) -> Vec<u64> {
+        let mut paths_ms: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
+        for (position, step) in self.steps.iter().enumerate().rev() {
+            let path_ms = paths_ms[position];
+            for &before in step.after.iter().filter(|&&n| (n as usize) < position) {
+                let before_ms = self.steps[before as usize].estimate_ms;
+                let known_ms = &mut paths_ms[before as usize];
+                *known_ms = (*known_ms).max(before_ms + path_ms);
+            }
+        }
+        paths_ms
+    }
+
     /// Whether there are steps, each has a task, and each depends only on earlier ones.
     pub fn is_well_formed(&self) -> bool {
         let ordered = |(n, step): (usize, &StepSpec)| {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`config`]: queues and services as configured by the operators;
 //! - [`jobs`]: job specifications and the durable record of a job;
 //! - [`progress`]: progress of runs, and detection of slow workers;
+//! - [`worker_pace`]: relative paces of workers, learned from the durations of runs;
 //! - [`workers`]: the state of a worker, its clock and its resources;
 //! - [`contact`]: runs that start on a worker, and workers to which contact was lost meanwhile;
 //! - [`late_orders`]: orders without a response, and how late and where they can take effect;
@@ -41,4 +42,5 @@
 pub mod placement;
 pub mod progress;
 pub mod routing;
+pub mod worker_pace;
 pub mod workers;
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -4,10 +4,18 @@
 //! for large tasks on other workers. The rack takes precedence over packing if a step runs slower
 //! away from its data or on several racks. Best-effort tasks are spread: each goes to the worker
 //! with the most idle CPU.
+//!
+//! Where workers differ in pace, a step uses fast or slow ones first, as its request says. The members
+//! of a gang advance at the pace of the slowest one, so a gang is placed on workers of one pace if it
+//! fits there. Otherwise its slowest member is as fast as possible, and as few faster workers as
+//! possible are used.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, ops::RangeInclusive};
 
-use crate::workers::{Demand, Resources};
+use crate::{
+    worker_pace::PaceChoice,
+    workers::{Demand, Resources},
+};
 
 /// A worker that may run the tasks of a step.
 #[derive(Clone, Debug)]
@@ -24,6 +32,8 @@
     pub rack: &'a str,
     /// Maximum number of further tasks of the step.
     pub task_limit: u32,
+    /// Duration of tasks relative to a typical worker, in percent.
+    pub pace_percent: u32,
 }
 
 impl Candidate<'_> {
@@ -73,6 +83,8 @@
     pub same_rack: bool,
     /// Rack that holds the input data; empty for none.
     pub affinity_rack: &'a str,
+    /// Which workers to use first if they differ in pace.
+    pub pace: PaceChoice,
 }
 
 /// Places up to `count` tasks. Returns the index of the chosen worker for each placed task.
@@ -97,6 +109,44 @@
     pack(request, candidates)
 }
 
+/// Paces of the workers that a gang may use, or `None` if all are equal.
+fn gang_paces(request: &Request<'_>, candidates: &[Candidate<'_>]) -> Option<RangeInclusive<u32>> {
+    let fitting = |candidate: &Candidate<'_>| {
+        candidate.fitting_tasks(&request.demand.resources, request.count)
+    };
+    let paces = || {
+        let fits = |candidate: &&Candidate<'_>| fitting(candidate) > 0;
+        candidates.iter().filter(fits).map(|c| c.pace_percent)
+    };
+    let room = |paces: RangeInclusive<u32>| -> u32 {
+        let is_inside = |candidate: &&Candidate<'_>| paces.contains(&candidate.pace_percent);
+        candidates.iter().filter(is_inside).map(fitting).sum()
+    };
+    let (fastest, slowest) = (paces().min()?, paces().max()?);
+    if fastest == slowest {
+        return None;
+    }
+    let mut mixed = None;
+    let mut alone = None;
+    let mut next = Some(fastest);
+    while let Some(pace) = next {
+        if room(pace..=pace) >= request.count {
+            alone = Some(pace..=pace);
+            if request.pace == PaceChoice::Fast {
+                break;
+            }
+        }
+        if mixed.is_none() && room(fastest..=pace) >= request.count {
+            mixed = Some(fastest..=pace);
+            if request.pace == PaceChoice::Fast {
+                break;
+            }
+        }
+        next = paces().filter(|&slower| slower > pace).min();
+    }
+    alone.or(mixed)
+}
+
 /// Finds a rack that holds all tasks: the one with the data if possible, otherwise the one with the
 /// least spare capacity.
 fn tightest_rack<'a>(request: &Request<'_>, candidates: &[Candidate<'a>]) -> Option<&'a str> {
@@ -117,6 +167,18 @@
 
 fn pack(request: &Request<'_>, candidates: &mut [Candidate<'_>]) -> Vec<usize> {
     let best_effort = request.demand.best_effort_millicores > 0;
+    let is_gang = request.all_or_nothing && request.pace != PaceChoice::Any;
+    let gang_paces = is_gang.then(|| gang_paces(request, candidates)).flatten();
+    // The fast workers of a mixed gang wait for the slow ones, so as few as possible are used.
+    let order = if gang_paces.is_some() {
+        PaceChoice::Slow
+    } else {
+        request.pace
+    };
+    let is_usable = |candidate: &Candidate<'_>| {
+        let paces = gang_paces.as_ref();
+        paces.is_none_or(|paces| paces.contains(&candidate.pace_percent))
+    };
     let mut placed = Vec::with_capacity(request.count as usize);
     for _ in 0..request.count {
         let is_remote = |candidate: &Candidate<'_>| {
@@ -132,13 +194,15 @@
             .iter_mut()
             .filter(|candidate| candidate.fitting_tasks(&request.demand.resources, 1) == 1)
             .filter(|candidate| !best_effort || candidate.unused_millicores() > 0)
+            .filter(|candidate| is_usable(candidate))
             .min_by_key(|candidate| {
                 let idle_first = Reverse(if best_effort {
                     candidate.unused_millicores()
                 } else {
                     0
                 });
-                (is_remote(candidate), idle_first, free_millicores(candidate))
+                let rank = (is_remote(candidate), order.rank(candidate.pace_percent));
+                (rank, idle_first, free_millicores(candidate))
             });
         let Some(candidate) = best else {
             break;
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -20,6 +20,10 @@
 /// runs do not distort the average.
 const MAX_PACE_FACTOR: f64 = 4.0;
 
+/// Progress between two measurements of the pace of a worker, in percent: reports contain whole
+/// percents, and the duration of the task must not be off by more than about a tenth.
+const MIN_SAMPLE_PERCENT: u64 = 20;
+
 /// Progress of a run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
@@ -36,6 +40,11 @@
     pub max_percent_ms: u64,
     span_start_ms: u64,
     span_start_percent: u64,
+    /// Time and percentage of the first change of the progress. A resuming run makes no progress at
+    /// first, which says nothing about its pace.
+    first_advance: Option<(u64, u64)>,
+    /// Percentage at the last call of [`Progress::take_sample_ms`] that returned a duration.
+    sampled_percent: u64,
     /// Whether a report has contained the run. Until then its progress is unknown, since a resuming
     /// run does not start at 0.
     reported: bool,
@@ -77,6 +86,7 @@
             self.unchanged_reports = 0;
             self.percent = percent;
             self.advanced_ms = now_ms;
+            self.first_advance.get_or_insert((now_ms, percent));
         }
         let span_ms = now_ms.saturating_sub(self.span_start_ms);
         let done_percent = percent.saturating_sub(self.span_start_percent);
@@ -90,6 +100,27 @@
         self.span_start_percent = percent;
     }
 
+    /// Duration of the whole task at the average pace so far, in milliseconds, if the run has made
+    /// enough progress since the last one that was returned.
+    pub fn take_sample_ms(&mut self) -> Option<u64> {
+        let (first_ms, first_percent) = self.first_advance?;
+        if self.percent < self.sampled_percent.max(first_percent) + MIN_SAMPLE_PERCENT {
+            return None;
+        }
+        self.sampled_percent = self.percent;
+        let took_ms = self.advanced_ms.saturating_sub(first_ms);
+        Some(took_ms * 100 / (self.percent - first_percent))
+    }
+
+    /// Duration of the whole task if it has completed now, in milliseconds, by its progress; `None`
+    /// if too little of it was observed.
+    pub fn completed_ms(&self, now_ms: u64) -> Option<u64> {
+        let (first_ms, first_percent) = self.first_advance?;
+        let observed_percent = 100_u64.saturating_sub(first_percent);
+        let took_ms = now_ms.saturating_sub(first_ms);
+        (observed_percent >= MIN_SAMPLE_PERCENT).then(|| took_ms * 100 / observed_percent)
+    }
+
     /// Estimated time to completion, in milliseconds, at the measured pace or, if that is unknown,
     /// assuming `expected_total_ms` for the whole task.
     pub fn remaining_ms(&self, expected_total_ms: u64) -> u64 {
@@ -150,8 +181,13 @@
     /// Estimated task duration on the fastest other worker, in milliseconds; `None` if no other
     /// worker has been measured.
     pub fn fastest_elsewhere_ms(&self, worker: &str) -> Option<u64> {
-        let (_, total_ms) = self.fastest.iter().find(|(known, _)| **known != *worker)?;
-        Some(*total_ms)
+        Some(self.fastest_elsewhere(worker)?.1)
+    }
+
+    /// The fastest other worker and the estimated task duration there, in milliseconds.
+    pub fn fastest_elsewhere(&self, worker: &str) -> Option<(&Rc<str>, u64)> {
+        let (known, total_ms) = self.fastest.iter().find(|(known, _)| **known != *worker)?;
+        Some((known, *total_ms))
     }
 }
 
@@ -161,6 +197,16 @@
 /// The same for a worker with a single measured run.
 const SINGLE_RUN_SLOW_FACTOR: f64 = 4.5;
 
+/// Slowdown of a run of `total_ms` relative to one of `elsewhere_ms` on another worker, beyond what the
+/// paces of the two workers let expect.
+pub fn slowdown(
+    (total_ms, pace_percent): (u64, u32),
+    (elsewhere_ms, elsewhere_pace_percent): (u64, u32),
+) -> f64 {
+    let pace_ratio = f64::from(pace_percent) / f64::from(elsewhere_pace_percent.max(1));
+    total_ms as f64 / elsewhere_ms.max(1) as f64 / pace_ratio
+}
+
 /// Whether a worker is slow. `factors` contains the slowdown of each of its runs relative to the
 /// same step on other workers; it is sorted in place.
 pub fn is_slow(factors: &mut [f64]) -> bool {
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -12,6 +12,7 @@
     late_orders::UnconfirmedOrder,
     pacing::BestEffortShare,
     progress::Progress,
+    worker_pace,
 };
 
 /// Resources of a worker, or the part of them that a task requires.
@@ -398,6 +399,9 @@
     pub unconfirmed_orders: Vec<UnconfirmedOrder>,
     /// Failure history, from which other workers are preferred.
     pub health: WorkerHealth,
+    /// Duration of tasks relative to a typical worker, in percent, as in
+    /// [`PaceTable::percent`](crate::worker_pace::PaceTable::percent); absent if unknown.
+    pub relative_pace_percent: Option<u32>,
 }
 
 impl Worker {
@@ -429,9 +433,16 @@
             order_answered_ms: 0,
             unconfirmed_orders: Vec::new(),
             health: WorkerHealth::default(),
+            relative_pace_percent: None,
         }
     }
 
+    /// Duration of tasks relative to a typical worker, in percent; that of a typical one if unknown.
+    pub fn pace_percent(&self) -> u32 {
+        self.relative_pace_percent
+            .unwrap_or(worker_pace::TYPICAL_PERCENT)
+    }
+
     /// Whether the entry describes the process that reports. A later process under the same identifier
     /// may be of another kind, with another capacity.
     fn has_current_entry(&self) -> bool {
--- a/crates/cell/tests/cell/end_proofs.rs
+++ b/crates/cell/tests/cell/end_proofs.rs
@@ -487,6 +487,7 @@
             },
             closed_runs: Some(vec![(task, case.listed[number])]),
             late_orders: Vec::new(),
+            pace_percent: None,
         };
         let takeover = TakeoverState {
             roster: vec![inherited(0), inherited(1)],
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -25,4 +25,6 @@
 mod support;
 mod takeover;
 mod trials;
+mod worker_pace;
+mod worker_pace_cell;
 mod workers;
--- a/crates/cell/tests/cell/placement.rs
+++ b/crates/cell/tests/cell/placement.rs
@@ -2,6 +2,7 @@
 
 use hickorychute_cell::{
     placement::{self, Candidate, Request},
+    worker_pace::PaceChoice,
     workers::{Demand, Resources},
 };
 
@@ -25,6 +26,7 @@
         best_effort_millicores: 0,
         rack,
         task_limit: u32::MAX,
+        pace_percent: 100,
     }
 }
 
@@ -46,6 +48,7 @@
     all_or_nothing: false,
     same_rack: false,
     affinity_rack: "",
+    pace: PaceChoice::Any,
 };
 
 fn check(cases: Vec<Case>) {
@@ -173,3 +176,124 @@
         },
     ]);
 }
+
+/// Workers of different paces: `(pace, free cores)`.
+fn paced(workers: &[(u32, u64)]) -> Vec<Candidate<'static>> {
+    let of = |(number, &(pace_percent, free)): (usize, &(u32, u64))| Candidate {
+        pace_percent,
+        ..candidate(number, 16_000 - free * 1_000, "r1")
+    };
+    workers.iter().enumerate().map(of).collect()
+}
+
+/// Guards against gangs that advance at the pace of a single slow member.
+#[test]
+fn gangs_use_workers_of_one_pace() {
+    let gang = |pace, count| Request {
+        all_or_nothing: true,
+        count,
+        pace,
+        ..REQUEST
+    };
+    check(vec![
+        Case {
+            name: "fast workers have room",
+            request: gang(PaceChoice::Fast, 2),
+            candidates: paced(&[(195, 4), (100, 4), (195, 8), (100, 8)]),
+            placed: vec![1, 3],
+        },
+        Case {
+            name: "no fast worker is pulled into a slow set",
+            request: gang(PaceChoice::Fast, 3),
+            candidates: paced(&[(195, 4), (100, 4), (195, 8), (100, 4)]),
+            placed: vec![0, 2, 2],
+        },
+        Case {
+            name: "fits only mixed",
+            request: gang(PaceChoice::Fast, 4),
+            candidates: paced(&[(195, 4), (100, 8), (195, 8)]),
+            placed: vec![0, 2, 2, 1],
+        },
+        Case {
+            name: "the slowest member is as fast as possible",
+            request: gang(PaceChoice::Fast, 3),
+            candidates: paced(&[(195, 8), (100, 8), (125, 4)]),
+            placed: vec![2, 1, 1],
+        },
+        Case {
+            name: "with slack on slow workers",
+            request: gang(PaceChoice::Slow, 2),
+            candidates: paced(&[(100, 8), (195, 8), (125, 16)]),
+            placed: vec![1, 1],
+        },
+        Case {
+            name: "with slack where it fits on one pace",
+            request: gang(PaceChoice::Slow, 2),
+            candidates: paced(&[(100, 8), (195, 4), (125, 4)]),
+            placed: vec![0, 0],
+        },
+        Case {
+            name: "does not fit",
+            request: gang(PaceChoice::Fast, 3),
+            candidates: paced(&[(100, 4), (195, 4)]),
+            placed: vec![],
+        },
+    ]);
+}
+
+#[test]
+fn independent_tasks_use_workers_by_their_slack() {
+    let request = |pace| Request { pace, ..REQUEST };
+    check(vec![
+        Case {
+            name: "near the objective",
+            request: request(PaceChoice::Fast),
+            candidates: paced(&[(195, 4), (100, 8), (195, 4)]),
+            placed: vec![1, 1],
+        },
+        Case {
+            name: "with slack",
+            request: request(PaceChoice::Slow),
+            candidates: paced(&[(195, 4), (100, 8), (195, 8)]),
+            placed: vec![0, 2],
+        },
+        Case {
+            name: "fast workers are full",
+            request: request(PaceChoice::Fast),
+            candidates: paced(&[(195, 4), (100, 4)]),
+            placed: vec![1, 0],
+        },
+    ]);
+}
+
+/// Guards against a change in cells of equal workers.
+#[test]
+fn equal_paces_are_placed_as_before() {
+    for all_or_nothing in [false, true] {
+        for same_rack in [false, true] {
+            let place = |pace: PaceChoice, pace_percent: u32| {
+                let request = Request {
+                    count: 5,
+                    all_or_nothing,
+                    same_rack,
+                    pace,
+                    ..REQUEST
+                };
+                let mut candidates: Vec<Candidate<'_>> = [9_000, 0, 4_000, 13_000, 2_000]
+                    .into_iter()
+                    .enumerate()
+                    .map(|(number, used)| Candidate {
+                        pace_percent,
+                        ..candidate(number, used, ["r1", "r2"][number % 2])
+                    })
+                    .collect();
+                placement::place(&request, &mut candidates)
+            };
+            let before = place(PaceChoice::Any, 100);
+            for pace in [PaceChoice::Fast, PaceChoice::Slow] {
+                assert_eq!(place(pace, 100), before);
+                assert_eq!(place(pace, 195), before);
+            }
+        }
+    }
+}
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -48,6 +48,8 @@
     pub max_listed_ends: usize,
     /// Share of the workers that the advice service declares eligible for a step, in percent.
     pub eligible_percent: u64,
+    /// Work of each task relative to its declared duration, in percent.
+    pub work_percent: fn(TaskId) -> u64,
     /// Number of starts executed by workers.
     pub starts: u64,
     /// Time of the first start of each task, in milliseconds.
@@ -83,6 +85,7 @@
             store_up: true,
             max_listed_ends: 500,
             eligible_percent: 100,
+            work_percent: |_| 100,
             starts: 0,
             first_starts_ms: IndexMap::new(),
             deadly: IndexSet::new(),
@@ -126,6 +129,7 @@
             entry: worker.entry.clone(),
             closed_runs: worker.closed_runs.clone(),
             late_orders: worker.late_orders().collect(),
+            pace_percent: worker.relative_pace_percent,
         };
         self.roster = self
             .coordinator
@@ -402,6 +406,15 @@
         worker.present.keys().copied().collect()
     }
 
+    /// Sets the time that a worker takes for the work of 100 ms, in milliseconds.
+    pub fn set_pace(&mut self, number: usize, pace_percent: u64) {
+        let (_, worker) = self
+            .workers
+            .get_index_mut(number)
+            .expect("the worker is there");
+        worker.pace_percent = pace_percent;
+    }
+
     /// Sets the behaviour of a worker.
     pub fn set_mode(&mut self, number: usize, mode: WorkerMode) {
         let (_, worker) = self
@@ -697,13 +710,15 @@
             .held_until_ms
             .max(until_worker_ms.min(clock_ms + 6_000));
         let saved_percent = checkpoint.parse().unwrap_or(0);
-        let left_ms = spec.estimate_ms * 100_u64.saturating_sub(saved_percent) / 100;
+        let total_ms = spec.estimate_ms * (self.work_percent)(task) / 100;
+        let left_ms = total_ms * 100_u64.saturating_sub(saved_percent) / 100;
         let working = !spec.gang;
         let present = PresentRun {
             run,
             spec,
             since_ms: now_ms,
             working,
+            total_ms,
             left_ms,
             pace_percent: 100,
         };
--- a/crates/cell/tests/cell/support/worker.rs
+++ b/crates/cell/tests/cell/support/worker.rs
@@ -56,6 +56,8 @@
     pub(super) spec: StepSpec,
     pub(super) since_ms: u64,
     pub(super) working: bool,
+    /// Work of the whole task at the typical pace, in milliseconds.
+    pub(super) total_ms: u64,
     pub(super) left_ms: u64,
     pub(super) pace_percent: u32,
 }
@@ -63,7 +65,7 @@
 impl PresentRun {
     /// Completed work, in percent.
     pub(super) fn percent(&self) -> u64 {
-        100 - (self.left_ms * 100 / self.spec.estimate_ms.max(1)).min(100)
+        100 - (self.left_ms * 100 / self.total_ms.max(1)).min(100)
     }
 }
 
@@ -84,6 +86,8 @@
 pub struct ModelWorker {
     /// Entry in the list of workers.
     pub entry: WorkerEntry,
+    /// Time that it takes for the work of 100 ms, in milliseconds.
+    pub pace_percent: u64,
     /// Current behaviour.
     pub mode: WorkerMode,
     /// Whether the list of workers contains it.
@@ -135,6 +139,7 @@
     pub(super) fn new(entry: WorkerEntry, now_ms: u64) -> Self {
         Self {
             entry,
+            pace_percent: 100,
             mode: WorkerMode::Healthy,
             listed: true,
             clock_per_mille: 1_000,
@@ -160,8 +165,10 @@
         if !(now_ms / elapsed_ms).is_multiple_of(slowdown) {
             return;
         }
+        let work_ms = |until_ms: u64| until_ms * 100 / self.pace_percent;
+        let done_ms = work_ms(now_ms) - work_ms(now_ms - elapsed_ms);
         for present in self.present.values_mut().filter(|present| present.working) {
-            present.left_ms = present.left_ms.saturating_sub(elapsed_ms);
+            present.left_ms = present.left_ms.saturating_sub(done_ms);
         }
     }
 
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -315,6 +315,7 @@
                 entry: entry.clone(),
                 closed_runs: case.closed_runs.map(closed_runs),
                 late_orders: Vec::new(),
+                pace_percent: None,
             }],
             expiry_ms: EXPIRY_MS,
             orders_expiry_ms: EXPIRY_MS,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -57,6 +57,8 @@
     RUN_RELEASED = (8121, "run-released", Info, "A run ended without an end in its worker's list, and its task may start again, on this worker only while `bound_ms` has a value. The line names the proof, and what was known of the worker: the age of its last report, the time until its holds expire, whether it was listed, draining or silent.");
     /// A former leader's order may take effect late.
     LATE_ORDER = (8122, "late-order", Info, "A host has relayed an order of a former coordinator that got no response. Until it can no longer take effect, its task starts on this worker only.");
+    /// The paces of the workers.
+    WORKER_PACES = (8123, "worker-paces", Info, "The coordinator has learned that workers differ in pace. The line gives the number of workers with a known pace, how many of them deviate, and the fastest and the slowest decile, in percent of a typical duration. Nothing to do.");
     /// A step waits for a worker.
     STEP_WAITING = (8117, "step-waiting", Info, "The most urgent steps that have waited for 2 s, with the number of workers that their service has, that answer, that have a ticket, that are kept free for others, on which the tasks failed, and that have room.");
     /// The share of a best-effort run was changed.
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -428,7 +428,7 @@
             };
             Roster::of(coordinator.roster(now_ms), settled_fence)
         };
-        if *self.durable_roster.borrow() != roster {
+        if roster.is_due(&self.durable_roster.borrow()) {
             if self.commit_roster(&roster).await.is_break() {
                 return;
             }
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -41,10 +41,14 @@
 /// Fraction of hosts reserved for light queries, as a divisor.
 const LIGHT_QUERY_RESERVE_DIVISOR: usize = 3;
 
+/// Time between two lines about the paces of the workers, in milliseconds.
+const PACES_LOG_INTERVAL_MS: u64 = 10_000;
+
 /// Runs scheduling passes until the term ends.
 pub(super) async fn run(leader: Rc<Leader>) {
     let mut settled = false;
     let mut waiting_logged_ms = leader.term.taken_ms;
+    let mut paces_logged_ms = leader.term.taken_ms;
     loop {
         let _tick = time::timeout(MAX_PASS_INTERVAL, leader.schedule.notified()).await;
         let pass_began = time::Instant::now();
@@ -69,6 +73,10 @@
                 }
                 leader.log_waiting_steps(now_ms);
             }
+            if now_ms >= paces_logged_ms + PACES_LOG_INTERVAL_MS {
+                paces_logged_ms = now_ms;
+                leader.log_paces();
+            }
             if !settled && leader.coordinator.borrow().takeover_complete(now_ms) {
                 settled = true;
                 leader.roster.notify_one();
@@ -147,6 +155,22 @@
         }
     }
 
+    /// Logs the paces of the workers, unless they count as equal.
+    fn log_paces(&self) {
+        let summary = self.coordinator.borrow().pace_summary();
+        let deviating = summary.map_or(0, |paces| paces.deviating);
+        let metrics = &self.context.metrics;
+        metrics.set("deviating_workers", deviating as u64);
+        if let Some(paces) = summary {
+            metrics.set("known_pace_workers", paces.known as u64);
+            let percent = u64::from(paces.fastest_decile_percent);
+            metrics.set("fastest_decile_percent", percent);
+            let percent = u64::from(paces.slowest_decile_percent);
+            metrics.set("slowest_decile_percent", percent);
+            log_event!(events::WORKER_PACES, "{paces}");
+        }
+    }
+
     /// The address and fence that a relaying host needs to call a worker.
     pub(super) fn worker_ref(&self, worker: &str) -> Option<WorkerRef> {
         let coordinator = self.coordinator.borrow();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms in the Prometheus text format.
+//! Counters, gauges and latency histograms in the Prometheus text format.
 
 use std::{cell::RefCell, fmt::Write, time::Duration};
 
@@ -14,10 +14,11 @@
     sum_ms: u64,
 }
 
-/// Counters and histograms of a host.
+/// Counters, gauges and histograms of a host.
 #[derive(Debug, Default)]
 pub struct Metrics {
     counters: RefCell<IndexMap<&'static str, u64>>,
+    gauges: RefCell<IndexMap<&'static str, u64>>,
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
 }
@@ -28,6 +29,11 @@
         *self.counters.borrow_mut().entry(name).or_default() += 1;
     }
 
+    /// Sets the gauge `hickory_{name}`.
+    pub fn set(&self, name: &'static str, value: u64) {
+        self.gauges.borrow_mut().insert(name, value);
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -55,6 +61,9 @@
         for (name, value) in &*self.counters.borrow() {
             let _written = writeln!(text, "hickory_{name}_total {value}");
         }
+        for (name, value) in &*self.gauges.borrow() {
+            let _written = writeln!(text, "hickory_{name} {value}");
+        }
         for ((kind, status), value) in &*self.requests.borrow() {
             let labels = format!("kind=\"{kind}\",status=\"{status}\"");
             let _written = writeln!(text, "hickory_requests_total{{{labels}}} {value}");
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -174,6 +174,9 @@
     /// Runs of orders without a response, which a later process of the worker may execute.
     #[prost(message, repeated, tag = "8")]
     pub late_orders: Vec<RosterRun>,
+    /// Duration of tasks on it relative to a typical worker, in percent; 0 if unknown.
+    #[prost(uint32, tag = "9")]
+    pub pace_percent: u32,
 }
 
 /// Workers that may have been given work.
@@ -201,6 +204,7 @@
             closed: worker.closed_runs.is_some(),
             runs: closed_runs.copied().map(RosterRun::from).collect(),
             late_orders: worker.late_orders().map(RosterRun::from).collect(),
+            pace_percent: worker.relative_pace_percent.unwrap_or(0),
         }
     }
 }
@@ -222,6 +226,7 @@
             },
             closed_runs: worker.closed.then(|| runs(&worker.runs)),
             late_orders: runs(&worker.late_orders),
+            pace_percent: Some(worker.pace_percent).filter(|&percent| percent > 0),
         }
     }
 }
@@ -235,6 +240,24 @@
         }
     }
 
+    /// Whether the roster has to be written to replace `durable`. Paces alone are no reason, since they
+    /// change often, and a successor can learn them again.
+    pub fn is_due(&self, durable: &Self) -> bool {
+        let is_same = |(new, old): (&RosterWorker, &RosterWorker)| {
+            if new.pace_percent == old.pace_percent {
+                return new == old;
+            }
+            let paced = RosterWorker {
+                pace_percent: old.pace_percent,
+                ..new.clone()
+            };
+            paced == *old
+        };
+        self.settled_fence != durable.settled_fence
+            || self.workers.len() != durable.workers.len()
+            || !self.workers.iter().zip(&durable.workers).all(is_same)
+    }
+
     /// The workers that a successor inherits.
     pub fn inherited(&self) -> Vec<InheritedWorker> {
         self.workers.iter().map(InheritedWorker::from).collect()
--- a/crates/entry/tests/entry/rosters.rs
+++ b/crates/entry/tests/entry/rosters.rs
@@ -18,7 +18,7 @@
     workers::{HoldReport, Resources, WorkerEntry},
 };
 use hickorychute_entry::{
-    records::{ROSTER_KEY, Roster},
+    records::{ROSTER_KEY, Roster, RosterWorker},
     store::GuardedStore,
 };
 use indexmap::IndexMap;
@@ -277,3 +277,63 @@
         assert_eq!(listed.first(), expected.as_ref(), "{}", case.name);
     }
 }
+
+/// Guards against a write to the store, which is billed, whenever a pace is learned, and against paces
+/// that get lost between two terms.
+#[test]
+fn a_roster_is_not_written_for_paces_alone() {
+    struct Case {
+        name: &'static str,
+        pace_percent: u32,
+        draining: bool,
+        settled_fence: u64,
+        is_due: bool,
+    }
+    let cases = [
+        Case {
+            name: "same",
+            pace_percent: 100,
+            draining: false,
+            settled_fence: 1,
+            is_due: false,
+        },
+        Case {
+            name: "pace learned",
+            pace_percent: 195,
+            draining: false,
+            settled_fence: 1,
+            is_due: false,
+        },
+        Case {
+            name: "worker drains and its pace is learned",
+            pace_percent: 195,
+            draining: true,
+            settled_fence: 1,
+            is_due: true,
+        },
+        Case {
+            name: "takeover complete",
+            pace_percent: 100,
+            draining: false,
+            settled_fence: 2,
+            is_due: true,
+        },
+    ];
+    let roster = |pace_percent, draining, settled_fence| Roster {
+        workers: vec![RosterWorker {
+            id: "w0".to_owned(),
+            pace_percent,
+            draining,
+            ..RosterWorker::default()
+        }],
+        settled_fence,
+    };
+    let durable = roster(100, false, 1);
+    for case in cases {
+        let new = roster(case.pace_percent, case.draining, case.settled_fence);
+        assert_eq!(new.is_due(&durable), case.is_due, "{}", case.name);
+        let inherited = new.inherited();
+        assert_eq!(inherited[0].pace_percent, Some(case.pace_percent));
+    }
+    assert_eq!(roster(0, false, 1).inherited()[0].pace_percent, None);
+}
