Steps wait for a better placement where that pays; paces of wide steps

Cause: a step started wherever there was room, also away from its data, spread over racks or on a slow worker moments before a better place was free. And the step durations that a run is compared with were the latest eight: in a wide step all of these are of slow workers, which then looked typical (a cell of 24 workers: none of 8 slow ones learned without noise).

Change: cell::placement_wait decides from expected ends, the time left to the objective and the service's waiting work; start_step asks it before runs are ordered. A wait reserves nothing and is decided again in each pass. E8124 and three counters tell what is waited for. Durations of a step are now a selection that does not depend on the order of ends.

--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::crashes::CrashHistory;
+use super::{crashes::CrashHistory, placement_wait::PlacementWait};
 use crate::{
     config::Queue,
     ids::{JobId, StepId, TaskId},
@@ -121,6 +121,8 @@
     /// When the tasks on trial were first found no worker, in milliseconds of the local clock;
     /// absent once any of them was placed.
     pub trial_waiting_since_ms: Option<u64>,
+    /// Wait of its tasks for a better placement, if they could start on another one.
+    pub placement_wait: Option<PlacementWait>,
 }
 
 impl Step {
@@ -135,6 +137,7 @@
             passed_over_since_ms: None,
             waiting_since_ms: None,
             trial_waiting_since_ms: None,
+            placement_wait: None,
         }
     }
 
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -34,6 +34,7 @@
 mod pace;
 mod pass;
 mod patience;
+mod placement_wait;
 mod reports;
 mod reserves;
 mod schedule;
@@ -53,6 +54,7 @@
 pub use end_proof::{EndProof, ReleasedRun};
 use job::ActiveRun;
 pub use job::{Job, Ticket};
+pub use placement_wait::{PlacementWait, WaitChange, WaitEvent};
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
 
@@ -84,6 +86,9 @@
     pub entry_lapse_ms: u64,
     /// Maximum hold that workers grant, in milliseconds; they shorten longer ones.
     pub max_hold_ms: u64,
+    /// Duration of tasks away from the rack of their data or of their group, relative to the duration
+    /// there, in percent.
+    pub cross_rack_percent: u32,
 }
 
 impl Default for Tuning {
@@ -95,6 +100,7 @@
             retention_ms: 120_000,
             entry_lapse_ms: 4_000,
             max_hold_ms: 6_000,
+            cross_rack_percent: 100,
         }
     }
 }
@@ -223,6 +229,8 @@
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
     released_runs: Vec<ReleasedRun>,
+    /// Begins and ends of waits for a better placement that have not been taken for the log.
+    wait_events: Vec<WaitEvent>,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
 }
@@ -257,6 +265,7 @@
             contended_services: IndexSet::new(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
+            wait_events: Vec::new(),
             pass_unix_ms: 0,
         };
         for inherited in takeover.roster {
--- a/crates/cell/src/coordinator/pass.rs
+++ b/crates/cell/src/coordinator/pass.rs
@@ -1,6 +1,9 @@
 //! What holds for all steps of a scheduling pass, and the order in which it takes them.
 
-use super::{candidates::FreeCpuIndex, reserves::Reservations, trial_workers::TrialBudget};
+use super::{
+    candidates::FreeCpuIndex, placement_wait::WaitBudget, reserves::Reservations,
+    trial_workers::TrialBudget,
+};
 use crate::ids::StepId;
 
 /// Urgency of a step; the smallest is scheduled first.
@@ -34,4 +37,6 @@
     pub(super) free_trial_workers: Vec<usize>,
     /// Position of the one on which repeated trials start.
     pub(super) repeated_trial_worker: Option<usize>,
+    /// Searches for better placements that may still be made.
+    pub(super) waits: WaitBudget,
 }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -8,6 +8,7 @@
     job::{ActiveRun, Step, demand_of},
     pass::{Pass, Urgency},
     patience::Patience,
+    placement_wait::WaitBudget,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
     trial_workers::TrialBudget,
 };
@@ -162,6 +163,7 @@
             reservations,
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
+            waits: WaitBudget::default(),
         };
         self.start_trials(&ready_steps, &mut pass, orders);
         let mut reserving = 0;
@@ -243,15 +245,17 @@
         ready
     }
 
-    /// Starts as many of a step's waiting tasks as fit. Returns whether any was started.
+    /// Starts as many of a step's waiting tasks as fit. Returns whether any was started, or could have
+    /// been and waits for a better placement.
     fn start_step(&mut self, id: StepId, pass: &Pass, orders: &mut Vec<Order>) -> bool {
-        let chosen = self.choose_workers(id, pass);
+        let mut chosen = self.choose_workers(id, pass);
+        let waits = self.hold_back(id, &mut chosen, pass);
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
         };
         if chosen.is_empty() {
             step.waiting_since_ms.get_or_insert(pass.now_ms);
-            return false;
+            return waits;
         }
         step.waiting_since_ms = None;
         step.passed_over_since_ms = None;
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -27,8 +27,8 @@
     contact::Trial,
     ids::StepId,
     objective::MAX_LATENESS,
+    pace_choice::PaceChoice,
     placement::{self, Candidate, Request},
-    worker_pace::PaceChoice,
 };
 
 /// Time after which a trial no longer waits for a worker without other runs if its service is mostly
--- a/crates/cell/src/coordinator/worker_pace.rs
+++ b/crates/cell/src/coordinator/worker_pace.rs
@@ -8,10 +8,11 @@
 
 use super::{Coordinator, job::Job};
 use crate::{
-    ids::StepId,
+    ids::{StepId, TaskId},
     jobs::StepSpec,
     objective::MAX_LATENESS_FACTOR,
-    worker_pace::{MeasuredRun, PaceChoice, PaceSummary, StepTime, TYPICAL_PERCENT},
+    pace_choice::{PaceChoice, StepTime},
+    worker_pace::{MeasuredRun, PaceSummary, TYPICAL_PERCENT},
     workers::{Phase, ReportedEnd, Run, Worker},
 };
 
@@ -142,6 +143,16 @@
         measured_ms.unwrap_or_else(|| self.average_pace.expected_ms(spec.estimate_ms))
     }
 
+    /// Expected duration of a task on a worker, in milliseconds.
+    pub(super) fn expected_ms(&self, task: TaskId, worker: &Worker) -> Option<u64> {
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.step_spec(task.step.step)?;
+        Some(at_pace(
+            self.typical_ms(job, task.step, spec),
+            worker.pace_percent(),
+        ))
+    }
+
     /// Which workers a step should use first.
     pub(super) fn pace_choice(&self, id: StepId, unix_ms: u64) -> PaceChoice {
         let Some(paces) = self.paces.summary() else {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,7 +21,9 @@
 //! - [`objective`]: what the end of a job is worth, by how late it is;
 //! - [`outage`]: store health, and whether requests wait or are turned away during an outage;
 //! - [`pacing`]: the CPU share of best-effort tasks next to latency-sensitive tasks;
+//! - [`pace_choice`]: choice between fast and slow workers;
 //! - [`placement`]: assignment of a step's tasks to workers;
+//! - [`placement_wait`]: whether a step waits for a better placement;
 //! - [`routing`]: which host relays calls to a worker;
 //! - [`admission`]: which jobs are refused on submission, and when the caller may retry.
 
@@ -38,8 +40,10 @@
 pub mod link_budget;
 pub mod objective;
 pub mod outage;
+pub mod pace_choice;
 pub mod pacing;
 pub mod placement;
+pub mod placement_wait;
 pub mod progress;
 pub mod routing;
 pub mod worker_pace;
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -13,7 +13,7 @@
 use std::{cmp::Reverse, ops::RangeInclusive};
 
 use crate::{
-    worker_pace::PaceChoice,
+    pace_choice::PaceChoice,
     workers::{Demand, Resources},
 };
 
--- a/crates/cell/src/worker_pace.rs
+++ b/crates/cell/src/worker_pace.rs
@@ -228,16 +228,20 @@
 }
 
 impl StepDurations {
+    /// Keeps a duration, or a random selection if there are too many. The selection must not depend on
+    /// the order in which the runs end: the latest ones all ran on slow workers.
     fn record(&mut self, duration: StepDuration) {
+        let rank = |duration: &StepDuration| duration.task.index.wrapping_mul(0x9e37_79b1);
         let is_same = |known: &&mut StepDuration| known.task == duration.task;
         if let Some(known) = self.runs.iter_mut().find(is_same) {
             *known = duration;
-            return;
-        }
-        if self.runs.len() == MAX_STEP_DURATIONS {
-            self.runs.remove(0);
+        } else if self.runs.len() < MAX_STEP_DURATIONS {
+            self.runs.push(duration);
+        } else if let Some(last) = self.runs.iter_mut().max_by_key(|known| rank(known))
+            && rank(&duration) < rank(last)
+        {
+            *last = duration;
         }
-        self.runs.push(duration);
     }
 
     fn median_where(&self, is_counted: impl Fn(&StepDuration) -> bool) -> Option<(f32, usize)> {
@@ -317,32 +321,39 @@
             return;
         }
         let measured_ln_ms = (run.total_ms as f32).ln();
-        step.record(StepDuration {
+        let duration = StepDuration {
             worker: Rc::clone(run.worker),
             task: run.task,
             run: run.run,
             ln_ms: measured_ln_ms - self.ln_pace(run.worker),
             measured_ln_ms,
-        });
-        let updates_others = step.runs.len() <= MAX_UPDATED_DURATIONS;
-        for known in &step.runs {
-            if known.task != run.task && !(updates_others && known.worker != *run.worker) {
-                continue;
+        };
+        self.compare(step, &duration, now_ms);
+        step.record(duration);
+        if step.runs.len() <= MAX_UPDATED_DURATIONS {
+            let is_other = |known: &&StepDuration| known.worker != *run.worker;
+            for known in step.runs.iter().filter(is_other) {
+                self.compare(step, known, now_ms);
             }
-            let Some((typical_ln, others)) = step.median_where(|o| o.worker != known.worker) else {
-                continue;
-            };
-            let pace = self.workers.entry(Rc::clone(&known.worker)).or_default();
-            pace.record(Sample {
-                task: known.task,
-                run: known.run,
-                ln_ratio: known.measured_ln_ms - typical_ln,
-                others,
-                at_ms: now_ms,
-            });
         }
     }
 
+    /// Compares a run with those of other workers.
+    fn compare(&mut self, step: &StepDurations, run: &StepDuration, now_ms: u64) {
+        let Some((typical_ln, others)) = step.median_where(|other| other.worker != run.worker)
+        else {
+            return;
+        };
+        let pace = self.workers.entry(Rc::clone(&run.worker)).or_default();
+        pace.record(Sample {
+            task: run.task,
+            run: run.run,
+            ln_ratio: run.measured_ln_ms - typical_ln,
+            others,
+            at_ms: now_ms,
+        });
+    }
+
     /// Takes over the pace that the predecessor published for a worker.
     pub fn inherit(&mut self, worker: &Rc<str>, percent: u32) {
         let nearest = |known: &&u32| known.abs_diff(percent);
@@ -437,55 +448,3 @@
         })
     }
 }
-
-/// Which workers a step should use, among those that may run it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum PaceChoice {
-    /// Any: the pace is not considered.
-    #[default]
-    Any,
-    /// Fast ones, since the objective is near.
-    Fast,
-    /// Slow ones, which leave the fast ones to work with less time.
-    Slow,
-}
-
-impl PaceChoice {
-    /// Rank of workers with the given pace; the smallest is used first.
-    pub fn rank(self, pace_percent: u32) -> u32 {
-        match self {
-            Self::Any => 0,
-            Self::Fast => pace_percent,
-            Self::Slow => u32::MAX - pace_percent,
-        }
-    }
-}
-
-/// What the choice depends on.
-#[derive(Clone, Copy, Debug)]
-pub struct StepTime {
-    /// Expected duration of the step and of those that follow it on typical workers, in milliseconds.
-    pub remaining_ms: u64,
-    /// Time left to the next point at which the job loses value, in milliseconds; `None` if it has
-    /// none left to lose.
-    pub left_ms: Option<u64>,
-    /// Pace of the slowest workers.
-    pub slowest_percent: u32,
-}
-
-impl StepTime {
-    /// Chooses slow workers if the job meets its objective there, with its typical duration to spare
-    /// for waits and for tasks that take longer than expected.
-    pub fn choice(&self) -> PaceChoice {
-        let Some(left_ms) = self.left_ms else {
-            return PaceChoice::Slow;
-        };
-        let slow_ms = self.remaining_ms * u64::from(self.slowest_percent + TYPICAL_PERCENT)
-            / u64::from(TYPICAL_PERCENT);
-        if left_ms >= slow_ms {
-            PaceChoice::Slow
-        } else {
-            PaceChoice::Fast
-        }
-    }
-}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -18,6 +18,7 @@
 mod outage;
 mod pacing;
 mod placement;
+mod placement_wait;
 mod preferences;
 mod records;
 mod reservations;
--- a/crates/cell/tests/cell/placement.rs
+++ b/crates/cell/tests/cell/placement.rs
@@ -1,8 +1,8 @@
 //! Assignment of tasks to workers.
 
 use hickorychute_cell::{
+    pace_choice::PaceChoice,
     placement::{self, Candidate, Request},
-    worker_pace::PaceChoice,
     workers::{Demand, Resources},
 };
 
--- a/crates/cell/tests/cell/worker_pace.rs
+++ b/crates/cell/tests/cell/worker_pace.rs
@@ -4,7 +4,8 @@
 
 use hickorychute_cell::{
     ids::{StepId, TaskId},
-    worker_pace::{MeasuredRun, PaceChoice, PaceTable, StepDurations, StepTime},
+    pace_choice::{PaceChoice, StepTime},
+    worker_pace::{MeasuredRun, PaceTable, StepDurations},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -169,6 +170,23 @@
     }
 }
 
+/// Guards against comparing the runs of slow workers only with each other: those of a wide step end last,
+/// all together.
+#[test]
+fn slow_workers_of_wide_steps_are_learned() {
+    let paces = mixed(24, 3, (0.85, 1.6));
+    let mut cell = Cell::new(&paces, 12);
+    let workers: Vec<usize> = (0..24).collect();
+    for _ in 0..12 {
+        cell.execute(&workers, 1.0);
+        cell.refresh();
+    }
+    let percents: Vec<u32> = (0..24).map(|worker| cell.percent(worker)).collect();
+    for (percent, pace) in percents.iter().zip(&paces) {
+        assert_eq!(*percent > 100, *pace > 1.0, "{percents:?}");
+    }
+}
+
 /// Guards against single tasks that take far longer than the others of their step.
 #[test]
 fn outliers_do_not_make_a_worker_slow() {
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -59,6 +59,8 @@
     LATE_ORDER = (8122, "late-order", Info, "A host has relayed an order of a former coordinator that got no response. Until it can no longer take effect, its task starts on this worker only.");
     /// The paces of the workers.
     WORKER_PACES = (8123, "worker-paces", Info, "The coordinator has learned that workers differ in pace. The line gives the number of workers with a known pace, how many of them deviate, and the fastest and the slowest decile, in percent of a typical duration. Nothing to do.");
+    /// A step waits for a better placement.
+    PLACEMENT_WAIT = (8124, "placement-wait", Info, "Tasks that could start wait for a better placement (`for`), or such a wait has ended. The line gives since when they wait, when the better placement is expected to be free, and whether they started there (`better`), elsewhere, or lost their room (`no_room`). Nothing to do.");
     /// A step waits for a worker.
     STEP_WAITING = (8117, "step-waiting", Info, "The most urgent steps that have waited for 2 s, with the number of workers that their service has, that answer, that have a ticket, that are kept free for others, on which the tasks failed, and that have room.");
     /// The share of a best-effort run was changed.
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -247,6 +247,7 @@
             gang_patience_ms: base.gang_patience_ms.min(settings.gang_timeout_ms / 2),
             retention_ms: settings.retention_ms + RETENTION_MARGIN_MS,
             max_hold_ms: settings.longest_hold_ms,
+            cross_rack_percent: u32::try_from(settings.cross_rack_percent).unwrap_or(u32::MAX),
             // The platform's clock may run fast.
             entry_lapse_ms: settings.worker_lapse_ms * 9 / 10,
             ..base
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -3,8 +3,11 @@
 use std::{rc::Rc, time::Duration};
 
 use cell::{
-    coordinator::{AdviceOutcome, AdviceQuery, CrashEvent, EndProof, Order, StartResponse},
+    coordinator::{
+        AdviceOutcome, AdviceQuery, CrashEvent, EndProof, Order, StartResponse, WaitChange,
+    },
     ids::TaskId,
+    placement_wait::WaitReason,
 };
 use kernel::log_event;
 use tokio::time;
@@ -59,6 +62,7 @@
                 .schedule(now_ms, clock::unix_ms());
             leader.log_crashes();
             leader.log_released_runs();
+            leader.log_placement_waits();
             for order in orders {
                 leader.execute(order);
             }
@@ -155,6 +159,21 @@
         }
     }
 
+    /// Logs the waits for a better placement that began or ended.
+    fn log_placement_waits(&self) {
+        let wait_events = self.coordinator.borrow_mut().take_wait_events();
+        for event in wait_events {
+            if event.change == WaitChange::Began {
+                self.context.metrics.count(match event.reason {
+                    WaitReason::DataRack => "waits_data_rack",
+                    WaitReason::GroupRack => "waits_group_rack",
+                    WaitReason::FasterWorker => "waits_faster_worker",
+                });
+            }
+            log_event!(events::PLACEMENT_WAIT, "{event}");
+        }
+    }
+
     /// Logs the paces of the workers, unless they count as equal.
     fn log_paces(&self) {
         let summary = self.coordinator.borrow().pace_summary();
