Histories of faults in heterogeneous cells

Cause: waits for a better placement were tested without faults.

Change: the seeded histories also run with workers of different paces and with racks that matter; the other histories are as before.

--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -1,6 +1,6 @@
 //! Seeded random histories of jobs and faults, checked by the assertions of the model.
 
-use hickorychute_cell::jobs::JobState;
+use hickorychute_cell::jobs::{JobState, StepSpec};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -13,20 +13,55 @@
 /// Number of workers in a history.
 const WORKERS: usize = 8;
 
+/// Number of workers in a history of a heterogeneous cell: two racks.
+const HETEROGENEOUS_WORKERS: usize = 12;
+
 fn run_history(seed: u64) {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let model = new_model(seed, WORKERS);
+    run_in(model, seed, |_, _| {});
+}
+
+/// The same with workers of different paces, in racks that matter.
+fn run_heterogeneous_history(seed: u64) {
+    let mut model = new_model(seed, HETEROGENEOUS_WORKERS);
+    for number in (0..HETEROGENEOUS_WORKERS).step_by(3) {
+        model.set_pace(number, 180);
+    }
+    model.tuning.cross_rack_percent = 300;
+    model.coordinator.tune(model.tuning);
+    for number in 0..10 {
+        // The paces are known when the faults begin.
+        let steps = vec![support::step(24, 8_000, 500)];
+        model.submit(support::job(1_000 + number, "batch", steps));
+        model.run_ms(1_000);
+    }
+    assert!(model.coordinator.pace_summary().is_some(), "seed {seed}");
+    run_in(model, seed, |step, random| {
+        step.same_rack = random.random_bool(0.3);
+        if random.random_bool(0.3) {
+            step.affinity_rack = format!("rack-{}", random.random_range(0..2));
+        }
+    });
+}
+
+fn new_model(seed: u64, workers: usize) -> Model {
     let config = if seed.is_multiple_of(2) {
         support::config()
     } else {
         support::advised_config()
     };
-    let mut model = Model::new(config, WORKERS);
+    let mut model = Model::new(config, workers);
     model.eligible_percent = 70;
-    for number in (0..WORKERS).step_by(2) {
+    for number in (0..workers).step_by(2) {
         model.set_clock_rate(number, 980);
     }
     // Few, so that lists are often cut off.
     model.max_listed_ends = 2 + (seed % 10) as usize;
+    model
+}
+
+fn run_in(mut model: Model, seed: u64, vary: fn(&mut StepSpec, &mut ChaCha8Rng)) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
     for number in 0..JOBS {
         let mut steps = Vec::new();
         for _ in 0..random.random_range(1..3) {
@@ -40,6 +75,7 @@
             };
             step.checkpointing = random.random_bool(0.5);
             step.best_effort = !step.gang && random.random_bool(0.15);
+            vary(&mut step, &mut random);
             steps.push(step);
         }
         let queue = ["urgent", "gang", "batch"][random.random_range(0..3)];
@@ -50,7 +86,8 @@
         model.run_ms(random.random_range(1..20) * 10);
         inject_fault(&mut model, &mut random);
     }
-    for number in 0..WORKERS {
+    let workers = model.workers.len();
+    for number in 0..workers {
         model.set_mode(number, WorkerMode::Healthy);
         model.cancel_drain(number);
         model.restore_entry(number);
@@ -68,7 +105,7 @@
 }
 
 fn inject_fault(model: &mut Model, random: &mut ChaCha8Rng) {
-    let worker = random.random_range(0..WORKERS);
+    let worker = random.random_range(0..model.workers.len());
     match random.random_range(0..21) {
         16 => model.crash_worker(worker),
         17 | 18 => model.drain_worker(worker),
@@ -97,12 +134,22 @@
     }
 }
 
+fn seeds() -> u64 {
+    let seeds = std::env::var("HICKORY_SEEDS").ok();
+    seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS)
+}
+
 #[test]
 fn seeded_histories_keep_the_invariants() {
-    let seeds = std::env::var("HICKORY_SEEDS")
-        .ok()
-        .and_then(|seeds| seeds.parse().ok());
-    for seed in 0..seeds.unwrap_or(SEEDS) {
+    for seed in 0..seeds() {
         run_history(seed);
     }
 }
+
+/// Guards against steps that wait for a better placement for ever, while the workers fail.
+#[test]
+fn seeded_histories_of_heterogeneous_cells_end() {
+    for seed in 0..seeds() {
+        run_heterogeneous_history(seed);
+    }
+}
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -50,6 +50,8 @@
     pub eligible_percent: u64,
     /// Work of each task relative to its declared duration, in percent.
     pub work_percent: fn(TaskId) -> u64,
+    /// Time limits of successors.
+    pub tuning: Tuning,
     /// Number of starts executed by workers.
     pub starts: u64,
     /// Time of the first start of each task, in milliseconds.
@@ -86,6 +88,7 @@
             max_listed_ends: 500,
             eligible_percent: 100,
             work_percent: |_| 100,
+            tuning: Tuning::default(),
             starts: 0,
             first_starts_ms: IndexMap::new(),
             deadly: IndexSet::new(),
@@ -208,7 +211,7 @@
             orders_expiry_ms: self.now_ms + MAX_DELIVERY_DELAY_MS,
             run_floor: self.terms * 1_000,
         };
-        self.coordinator = Coordinator::new(Tuning::default(), Rc::clone(&self.config), takeover);
+        self.coordinator = Coordinator::new(self.tuning, Rc::clone(&self.config), takeover);
         for record in self.records.values() {
             self.coordinator
                 .add_job(record, true, START_UNIX_MS + self.now_ms - 100_000);
