--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -34,12 +34,14 @@
 mod pace;
 mod pass;
 mod patience;
+mod placement_wait;
 mod reports;
 mod reserves;
 mod schedule;
 mod trial_workers;
 mod trials;
 mod waiting;
+mod worker_pace;
 
 use std::rc::Rc;
 
@@ -52,6 +54,7 @@
 pub use end_proof::{EndProof, ReleasedRun};
 use job::ActiveRun;
 pub use job::{Job, Ticket};
+pub use placement_wait::{PlacementWait, WaitChange, WaitEvent};
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
 
@@ -61,6 +64,7 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
+    worker_pace::PaceTable,
     workers::{StopReason, Worker, WorkerEntry},
 };
 
@@ -82,6 +86,9 @@
     pub entry_lapse_ms: u64,
     /// Maximum hold that workers grant, in milliseconds; they shorten longer ones.
     pub max_hold_ms: u64,
+    /// Duration of tasks away from the rack of their data or of their group, relative to the duration
+    /// there, in percent.
+    pub cross_rack_percent: u32,
 }
 
 impl Default for Tuning {
@@ -93,6 +100,7 @@
             retention_ms: 120_000,
             entry_lapse_ms: 4_000,
             max_hold_ms: 6_000,
+            cross_rack_percent: 100,
         }
     }
 }
@@ -154,6 +162,8 @@
     pub closed_runs: Option<Vec<(TaskId, u64)>>,
     /// Orders without a response that may reach a later process of the worker.
     pub late_orders: Vec<(TaskId, u64)>,
+    /// Duration of tasks relative to a typical worker, in percent; absent if unknown.
+    pub pace_percent: Option<u32>,
 }
 
 /// State that a new coordinator takes over from its predecessor.
@@ -205,6 +215,8 @@
     reservations: reserves::Reservations,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
+    /// Paces of the workers relative to each other.
+    paces: PaceTable,
     /// Lost workers of the last seconds.
     recent_crashes: crashes::RecentCrashes,
     /// Queues whose new jobs run on trial.
@@ -217,6 +229,8 @@
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
     released_runs: Vec<ReleasedRun>,
+    /// Begins and ends of waits for a better placement that have not been taken for the log.
+    wait_events: Vec<WaitEvent>,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
 }
@@ -244,12 +258,14 @@
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
             average_pace: AveragePace::default(),
+            paces: PaceTable::default(),
             recent_crashes: crashes::RecentCrashes::default(),
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
             contended_services: IndexSet::new(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
+            wait_events: Vec::new(),
             pass_unix_ms: 0,
         };
         for inherited in takeover.roster {
