--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -34,6 +34,7 @@
 mod pace;
 mod pass;
 mod patience;
+mod placement_wait;
 mod preemption;
 mod reports;
 mod reserves;
@@ -41,6 +42,7 @@
 mod trial_workers;
 mod trials;
 mod waiting;
+mod worker_pace;
 
 use std::rc::Rc;
 
@@ -53,6 +55,7 @@
 pub use end_proof::{EndProof, ReleasedRun};
 use job::ActiveRun;
 pub use job::{Job, Ticket};
+pub use placement_wait::{PlacementWait, WaitChange, WaitEvent};
 pub use preemption::PreemptionReport;
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
@@ -63,6 +66,7 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
+    worker_pace::PaceTable,
     workers::{StopReason, Worker, WorkerEntry},
 };
 
@@ -90,6 +94,9 @@
     pub restore_ms: u64,
     /// Whether runs are stopped for more urgent work also in a cell without tenants.
     pub preemption: bool,
+    /// Duration of tasks away from the rack of their data or of their group, relative to the duration
+    /// there, in percent.
+    pub cross_rack_percent: u32,
 }
 
 impl Default for Tuning {
@@ -104,6 +111,7 @@
             stop_timeout_ms: 1_000,
             restore_ms: 600,
             preemption: false,
+            cross_rack_percent: 100,
         }
     }
 }
@@ -165,6 +173,8 @@
     pub closed_runs: Option<Vec<(TaskId, u64)>>,
     /// Orders without a response that may reach a later process of the worker.
     pub late_orders: Vec<(TaskId, u64)>,
+    /// Duration of tasks relative to a typical worker, in percent; absent if unknown.
+    pub pace_percent: Option<u32>,
 }
 
 /// State that a new coordinator takes over from its predecessor.
@@ -214,12 +224,12 @@
     ready_steps: Vec<StepId>,
     /// Workers that were kept free for a step at the last scheduling pass.
     reservations: reserves::Reservations,
-    /// Share of the named workers that the advice service allows, by queue.
-    advice_yields: IndexMap<Rc<str>, advice::AdviceYield>,
     /// Steps for which runs are stopped.
     preemptions: preemption::Preemptions,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
+    /// Paces of the workers relative to each other.
+    paces: PaceTable,
     /// Lost workers of the last seconds.
     recent_crashes: crashes::RecentCrashes,
     /// Queues whose new jobs run on trial.
@@ -232,6 +242,8 @@
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
     released_runs: Vec<ReleasedRun>,
+    /// Begins and ends of waits for a better placement that have not been taken for the log.
+    wait_events: Vec<WaitEvent>,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
 }
@@ -258,15 +270,16 @@
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
             reservations: reserves::Reservations::default(),
-            advice_yields: IndexMap::new(),
             preemptions: preemption::Preemptions::default(),
             average_pace: AveragePace::default(),
+            paces: PaceTable::default(),
             recent_crashes: crashes::RecentCrashes::default(),
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
             contended_services: IndexSet::new(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
+            wait_events: Vec::new(),
             pass_unix_ms: 0,
         };
         for inherited in takeover.roster {
--- a/crates/cell/src/coordinator/preemption.rs
+++ b/crates/cell/src/coordinator/preemption.rs
@@ -476,9 +476,9 @@
         let priority = self.config.queues.get(&job.queue)?.priority;
         let expected_ms = self.average_pace.expected_ms(spec.estimate_ms);
         let remaining_ms = run.progress.remaining_ms(expected_ms);
-        let later_ms = self
-            .average_pace
-            .expected_ms(job_spec.path_after_ms(task.step.step));
+        let path_ms = job_spec.remaining_paths_ms();
+        let later_ms = path_ms.get(task.step.step as usize)? - spec.estimate_ms;
+        let later_ms = self.average_pace.expected_ms(later_ms);
         let ends_unix_ms = unix_ms + remaining_ms + later_ms;
         let objective_unix_ms = job.due_unix_ms(task.step.occurrence) + job.allowed_ms();
         Some(Victim {
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -8,6 +8,7 @@
     job::{ActiveRun, Step, demand_of},
     pass::{Pass, Urgency},
     patience::Patience,
+    placement_wait::WaitBudget,
     preemption::SearchBudget,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
     trial_workers::TrialBudget,
@@ -26,6 +27,7 @@
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
         self.pass_unix_ms = unix_ms;
         self.begin_due_occurrences(unix_ms);
+        self.refresh_paces(now_ms);
         self.judge_lost_workers(now_ms, unix_ms);
         self.release_expired_workers(now_ms);
         self.give_up_convicted_tasks(now_ms, unix_ms);
@@ -162,6 +164,7 @@
             reservations,
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
+            waits: WaitBudget::default(),
         };
         let may_preempt = self.may_preempt();
         let mut searches = SearchBudget::default();
@@ -253,15 +256,17 @@
         ready
     }
 
-    /// Starts as many of a step's waiting tasks as fit. Returns whether any was started.
+    /// Starts as many of a step's waiting tasks as fit. Returns whether any was started, or could have
+    /// been and waits for a better placement.
     fn start_step(&mut self, id: StepId, pass: &Pass, orders: &mut Vec<Order>) -> bool {
-        let chosen = self.choose_workers(id, pass);
+        let mut chosen = self.choose_workers(id, pass);
+        let waits = self.hold_back(id, &mut chosen, pass);
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
         };
         if chosen.is_empty() {
             step.waiting_since_ms.get_or_insert(pass.now_ms);
-            return false;
+            return waits;
         }
         step.waiting_since_ms = None;
         step.passed_over_since_ms = None;
@@ -272,6 +277,7 @@
     /// Chooses workers for as many of a step's waiting tasks as fit. Returns the position of each
     /// task in the step and that of its worker.
     fn choose_workers(&mut self, id: StepId, pass: &Pass) -> Vec<(u32, usize)> {
+        let pace = self.pace_choice(id, pass.unix_ms);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return Vec::new();
         };
@@ -333,6 +339,7 @@
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
+            pace,
         };
         let failed_runs = step.max_failed_runs(waiting.iter().copied());
         let patience = Patience {
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -27,6 +27,7 @@
     contact::Trial,
     ids::StepId,
     objective::MAX_LATENESS,
+    pace_choice::PaceChoice,
     placement::{self, Candidate, Request},
 };
 
@@ -275,6 +276,7 @@
             all_or_nothing: spec.gang,
             same_rack: spec.same_rack,
             affinity_rack: &spec.affinity_rack,
+            pace: PaceChoice::Any,
         };
         let placed = placement::place(&request, &mut candidates);
         let mut chosen: Vec<(u32, usize)> = trials.iter().copied().zip(placed).collect();
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -122,20 +122,19 @@
         ends_ms.into_iter().max().unwrap_or(0)
     }
 
-    /// Estimated duration of the longest path through the steps that depend on a step, in
+    /// Estimated duration of the longest path from each step to the end, including the step, in
     /// milliseconds.
-    pub fn path_after_ms(&self, step: u32) -> u64 {
-        let mut ends_ms: Vec<Option<u64>> = vec![None; self.steps.len()];
-        for (n, spec) in self.steps.iter().enumerate() {
-            ends_ms[n] = if n == step as usize {
-                Some(0)
-            } else {
-                let before = spec.after.iter();
-                let before = before.filter_map(|&n| ends_ms.get(n as usize).copied().flatten());
-                before.max().map(|before_ms| before_ms + spec.estimate_ms)
-            };
+    pub fn remaining_paths_ms(&self) -> Vec<u64> {
+        let mut paths_ms: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
+        for (position, step) in self.steps.iter().enumerate().rev() {
+            let path_ms = paths_ms[position];
+            for &before in step.after.iter().filter(|&&n| (n as usize) < position) {
+                let before_ms = self.steps[before as usize].estimate_ms;
+                let known_ms = &mut paths_ms[before as usize];
+                *known_ms = (*known_ms).max(before_ms + path_ms);
+            }
         }
-        ends_ms.into_iter().flatten().max().unwrap_or(0)
+        paths_ms
     }
 
     /// Whether there are steps, each has a task, and each depends only on earlier ones.
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -3,8 +3,11 @@
 use std::{rc::Rc, time::Duration};
 
 use cell::{
-    coordinator::{AdviceOutcome, AdviceQuery, CrashEvent, EndProof, Order, StartResponse},
+    coordinator::{
+        AdviceOutcome, AdviceQuery, CrashEvent, EndProof, Order, StartResponse, WaitChange,
+    },
     ids::TaskId,
+    placement_wait::WaitReason,
 };
 use kernel::log_event;
 use tokio::time;
@@ -43,10 +46,14 @@
 /// Fraction of hosts that heavy queries may use where capacity is contended, as a divisor.
 const HEAVY_QUERY_DIVISOR: usize = 2;
 
+/// Time between two lines about the paces of the workers, in milliseconds.
+const PACES_LOG_INTERVAL_MS: u64 = 10_000;
+
 /// Runs scheduling passes until the term ends.
 pub(super) async fn run(leader: Rc<Leader>) {
     let mut settled = false;
     let mut waiting_logged_ms = leader.term.taken_ms;
+    let mut paces_logged_ms = leader.term.taken_ms;
     loop {
         let _tick = time::timeout(MAX_PASS_INTERVAL, leader.schedule.notified()).await;
         let pass_began = time::Instant::now();
@@ -58,6 +65,7 @@
             leader.log_crashes();
             leader.log_released_runs();
             leader.log_preemptions();
+            leader.log_placement_waits();
             for order in orders {
                 leader.execute(order);
             }
@@ -72,6 +80,10 @@
                 }
                 leader.log_waiting_steps(now_ms);
             }
+            if now_ms >= paces_logged_ms + PACES_LOG_INTERVAL_MS {
+                paces_logged_ms = now_ms;
+                leader.log_paces();
+            }
             if !settled && leader.coordinator.borrow().takeover_complete(now_ms) {
                 settled = true;
                 leader.roster.notify_one();
@@ -159,6 +171,37 @@
         }
     }
 
+    /// Logs the waits for a better placement that began or ended.
+    fn log_placement_waits(&self) {
+        let wait_events = self.coordinator.borrow_mut().take_wait_events();
+        for event in wait_events {
+            if event.change == WaitChange::Began {
+                self.context.metrics.count(match event.reason {
+                    WaitReason::DataRack => "waits_data_rack",
+                    WaitReason::GroupRack => "waits_group_rack",
+                    WaitReason::FasterWorker => "waits_faster_worker",
+                });
+            }
+            log_event!(events::PLACEMENT_WAIT, "{event}");
+        }
+    }
+
+    /// Logs the paces of the workers, unless they count as equal.
+    fn log_paces(&self) {
+        let summary = self.coordinator.borrow().pace_summary();
+        let deviating = summary.map_or(0, |paces| paces.deviating);
+        let metrics = &self.context.metrics;
+        metrics.set("deviating_workers", deviating as u64);
+        if let Some(paces) = summary {
+            metrics.set("known_pace_workers", paces.known as u64);
+            let percent = u64::from(paces.fastest_decile_percent);
+            metrics.set("fastest_decile_percent", percent);
+            let percent = u64::from(paces.slowest_decile_percent);
+            metrics.set("slowest_decile_percent", percent);
+            log_event!(events::WORKER_PACES, "{paces}");
+        }
+    }
+
     /// The address and fence that a relaying host needs to call a worker.
     pub(super) fn worker_ref(&self, worker: &str) -> Option<WorkerRef> {
         let coordinator = self.coordinator.borrow();
