cell: look-up of keys, and proof of a recent configuration

Cause: tenants' calls must carry a key, and with strict revocation no host may accept one that was revoked more than `revoke_ms` ago, also if it cannot reach the store.

`cell::freshness` decides from the store's answers whether keys may be accepted now.

--- /dev/null
+++ b/crates/cell/src/coordinator/job_access.rs
@@ -0,0 +1,13 @@
+//! What decides which clients may access a job.
+
+use std::rc::Rc;
+
+use super::Coordinator;
+use crate::ids::JobId;
+
+impl Coordinator {
+    /// Tenant under which a job was accepted; empty if it has none, `None` if the job is unknown.
+    pub fn job_tenant(&self, id: JobId) -> Option<&Rc<str>> {
+        self.jobs.get(&id).map(|job| &job.tenant)
+    }
+}
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -29,6 +29,7 @@
 mod expiry;
 mod inherited;
 mod job;
+mod job_access;
 mod late_orders;
 mod movement;
 mod pace;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,7 @@
 //! the crate returns.
 //!
 //! - [`credentials`]: keys of tenants, held as digests;
+//! - [`freshness`]: whether a host's configuration is known to be recent enough to accept keys;
 //! - [`ids`]: identifiers of jobs, steps and tasks;
 //! - [`config`]: queues and services as configured by the operators;
 //! - [`jobs`]: job specifications and the durable record of a job;
@@ -31,6 +32,7 @@
 pub mod coordinator;
 pub mod credentials;
 pub mod departure;
+pub mod freshness;
 pub mod ids;
 pub mod jobs;
 pub mod late_orders;
