entry: keys of tenants on every call, and their revocation

Cause: the keys and tenants of the configuration were not enforced.

Change: a call without a valid key gets 401 with a challenge before its body is read; without proof of a recent configuration, keyed calls get 503 and the readiness probe fails. Keys are checked again after the body, before each submission to the coordinator, by the coordinator, and before direct writes to the store. State and cancellation of another tenant's job get 403, also from the record in the store. A submission in doubt is answered with 504 where its key is refused meanwhile. Watches tell their handlers when they were sent. Queries and cancellations move to `job_queries`.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -27,11 +27,13 @@
 use crate::{
     clock, election, events,
     frontend::{self, Frontend},
+    key_checks::KeyChecks,
     leader::{self, LeaderSlot},
     leader_client::LeaderClient,
     live::{self, LiveSettings},
     members::{self, Host, Members},
-    operator_config,
+    metrics::Metrics,
+    operator_config::{self, OperatorConfig},
     payloads::PayloadCache,
     peer_calls::PeerCalls,
     peers::{self, Peers},
@@ -115,11 +117,13 @@
     let leader = LeaderSlot::default();
     let frontend = Rc::new(Frontend {
         operator_config: Rc::clone(&context.operator_config),
+        key_checks: Rc::clone(&context.key_checks),
         leader_client: LeaderClient {
             leader: Rc::clone(&leader),
             members: Rc::clone(&context.members),
             peers: Rc::clone(&context.peers),
             store: context.store.clone(),
+            key_checks: Rc::clone(&context.key_checks),
             in_doubt: RefCell::default(),
             payloads: Rc::clone(&context.payloads),
             direct_write_until: Cell::new(Instant::now()),
@@ -193,6 +197,12 @@
         Rc::clone(&peers),
         store.clone(),
     ));
+    let (operator_config, metrics) = (Rc::<OperatorConfig>::default(), Rc::<Metrics>::default());
+    let key_checks = Rc::new(KeyChecks::new(
+        Rc::clone(&operator_config),
+        Rc::clone(live),
+        Rc::clone(&metrics),
+    ));
     leader::HostContext {
         settings: Rc::clone(live),
         relay: Rc::new(Relay::new(pool.clone(), Rc::clone(&payloads))),
@@ -201,8 +211,9 @@
         pool,
         peers,
         members,
-        operator_config: Rc::default(),
-        metrics: Rc::default(),
+        operator_config,
+        key_checks,
+        metrics,
     }
 }
 
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -15,6 +15,10 @@
     CONFIG_APPLIED = (8010, "config-applied", Info, "A newer operators' configuration is in effect on this host. Nothing to do.");
     /// A configuration could not be decoded.
     CONFIG_UNREADABLE = (8011, "config-unreadable", Warn, "The configuration in the store is malformed; the previous one stays in effect. Write it again.");
+    /// Keys cannot be accepted.
+    CONFIG_UNPROVEN = (8012, "config-unproven", Warn, "The host has no proof that its configuration is recent, and refuses calls that need a key, because keys may have been revoked. Check whether it can reach the store, and E8011.");
+    /// Keys can be accepted again.
+    CONFIG_PROVEN = (8013, "config-proven", Info, "The host has proof again that its configuration is recent, and accepts calls that need a key. Nothing to do.");
     /// A dependency stopped answering.
     DEPENDENCY_LOST = (8020, "dependency-lost", Warn, "A dependency of the host does not answer. Check which one, and whether other hosts lost it too.");
     /// A dependency answers again.
@@ -45,6 +49,10 @@
     STATE_ANSWERED = (8102, "state-answered", Info, "A job state query was answered that the job does not exist or that its state is unavailable.");
     /// The leader refused a job.
     JOB_REFUSED = (8103, "job-refused", Info, "The coordinator refused a job before accepting it. The line gives the verdict and the state of the cell behind it.");
+    /// Calls were refused on account of their keys.
+    KEY_REFUSED = (8104, "key-refused", Info, "Calls were refused on account of their keys. The line names one of them, and counts those since the previous line: without a valid key (401), without proof of a recent configuration (503), and for a job of another tenant (403).");
+    /// The leader refused a job whose key is no longer valid.
+    KEY_REVOKED = (8105, "key-revoked", Info, "The coordinator refused a job on account of its key: it was revoked, or it moved to another tenant, in a configuration that the host which took the job did not have yet; or the coordinator has no proof that its own configuration is recent (E8012). Nothing to do unless this recurs.");
     /// A start order is sent.
     RUN_ORDERED = (8110, "run-ordered", Info, "A worker was ordered to start a task.");
     /// A start was not confirmed.
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use adapter::clients::{self, DEADLINE_HEADER, READY_PATH, Request};
+use adapter::clients::{self, DEADLINE_HEADER, KEY_SCHEME, READY_PATH, Request};
 use bytes::Bytes;
-use cell::{config::Queue, ids::JobId, jobs::JobRecord};
+use cell::{config::Queue, credentials::KeyDigest, ids::JobId, jobs::JobRecord};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Response, body::Incoming, header, server::conn::http1, service};
+use hyper::{Response, body::Incoming, header, header::HeaderValue, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kernel::log_event;
 use tokio::{
@@ -22,6 +22,7 @@
 
 use crate::{
     clock, events,
+    key_checks::{self, Denial, Grant, KeyChecks, OUTDATED_RETRY_AFTER_MS},
     leader_client::{LeaderClient, Lookup, SubmitOutcome},
     metrics::Metrics,
     operator_config::OperatorConfig,
@@ -49,6 +50,8 @@
 pub struct Frontend {
     /// The operators' configuration in effect.
     pub operator_config: Rc<OperatorConfig>,
+    /// Checks the keys of calls.
+    pub key_checks: Rc<KeyChecks>,
     /// Forwards requests to the leader or the store.
     pub leader_client: LeaderClient,
     /// Counters and histograms of the host.
@@ -62,9 +65,12 @@
 }
 
 impl Frontend {
-    /// Whether the readiness probe succeeds: configured and not draining.
+    /// Whether the readiness probe succeeds: configured, able to accept the calls of all queues, and
+    /// not draining.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.operator_config.current().is_some()
+        let config = self.operator_config.current();
+        !self.draining.get()
+            && config.is_some_and(|config| self.key_checks.accepts_all_queues(&config))
     }
 
     async fn answer(&self, request: hyper::Request<Incoming>) -> Reply {
@@ -90,29 +96,27 @@
             return plain(400, "");
         };
         let client_timeout = client_timeout(&request).saturating_sub(RESPONSE_MARGIN);
-        let reply = match operation {
-            Request::Submit(id) => {
-                let limit = match config.max_body_bytes {
-                    0 => DEFAULT_MAX_BODY_BYTES,
-                    bytes => bytes,
-                };
-                match Limited::new(request.into_body(), limit).collect().await {
-                    Ok(body) => {
-                        self.submit(id, queue, &body.to_bytes(), client_timeout)
-                            .await
+        let digest = key_checks::key_digest(request.headers());
+        let reply = match self.key_checks.check(queue, digest.as_ref()) {
+            Err(denial) => self.deny(operation, denial),
+            Ok(grant) => match operation {
+                Request::Submit(id) => {
+                    let limit = match config.max_body_bytes {
+                        0 => DEFAULT_MAX_BODY_BYTES,
+                        bytes => bytes,
+                    };
+                    match Limited::new(request.into_body(), limit).collect().await {
+                        Ok(body) => {
+                            let body = body.to_bytes();
+                            self.submit(id, queue, digest.as_ref(), &body, client_timeout)
+                                .await
+                        }
+                        Err(_) => plain(413, ""),
                     }
-                    Err(_) => plain(413, ""),
                 }
-            }
-            Request::State(id) => self.state(id, client_timeout).await,
-            Request::Cancel(id) => self.cancel(id, client_timeout).await,
-            Request::Pending => match self
-                .leader_client
-                .pending(&queue.name, client_timeout)
-                .await
-            {
-                Lookup::Is(count) => plain(200, &clients::pending_body(count)),
-                Lookup::Missing | Lookup::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
+                Request::State(id) => self.state(id, queue, &grant, client_timeout).await,
+                Request::Cancel(id) => self.cancel(id, queue, &grant, client_timeout).await,
+                Request::Pending => self.pending(queue, &grant, client_timeout).await,
             },
         };
         self.metrics
@@ -120,13 +124,35 @@
         reply
     }
 
+    /// Refuses a call on account of its key, unless it may be a retry of a submission that was
+    /// accepted.
+    fn deny(&self, operation: Request, denial: Denial) -> Reply {
+        if let Request::Submit(id) = operation
+            && self.leader_client.is_in_doubt(id)
+        {
+            return plain(504, "");
+        }
+        self.key_checks.record(denial, operation);
+        match denial {
+            Denial::Unauthorised => challenge(),
+            Denial::Outdated => refuse(503, OUTDATED_RETRY_AFTER_MS),
+            Denial::OtherTenant => plain(403, ""),
+        }
+    }
+
     async fn submit(
         &self,
         id: JobId,
         queue: &Queue,
+        digest: Option<&KeyDigest>,
         body: &[u8],
         client_timeout: Duration,
     ) -> Reply {
+        // The key may have been revoked while the body was read.
+        let grant = match self.key_checks.check(queue, digest) {
+            Ok(grant) => grant,
+            Err(denial) => return self.deny(Request::Submit(id), denial),
+        };
         let Some(spec) = clients::job(body) else {
             log_event!(
                 events::JOB_ANSWERED,
@@ -142,11 +168,13 @@
             accepted_unix_ms: clock::unix_ms(),
             spec: Some(spec),
             payload_host: self.own_address.clone(),
+            tenant: grant.caller.tenant().to_owned(),
             ..JobRecord::default()
         };
         let started = Instant::now();
         let caller_left = CallerLeftLog { id, started };
-        let outcome = self.leader_client.submit(&record, client_timeout).await;
+        let submitted = self.leader_client.submit(&record, &grant, client_timeout);
+        let outcome = submitted.await;
         std::mem::forget(caller_left);
         let took_ms = started.elapsed().as_millis();
         let queue_name = &queue.name;
@@ -169,12 +197,21 @@
             SubmitOutcome::NeverFits | SubmitOutcome::Cancelled => plain(429, ""),
             SubmitOutcome::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
             SubmitOutcome::InDoubt => plain(504, ""),
+            SubmitOutcome::Denied(denial) => self.deny(Request::Submit(id), denial),
         }
     }
 
-    async fn state(&self, id: JobId, client_timeout: Duration) -> Reply {
-        match self.leader_client.state(id, client_timeout).await {
+    async fn state(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        grant: &Grant,
+        client_timeout: Duration,
+    ) -> Reply {
+        let looked_up = self.leader_client.state(id, grant, client_timeout);
+        match self.unless_late(looked_up.await, queue, grant) {
             Lookup::Is(state) => plain(200, clients::state_body(state)),
+            Lookup::Denied(denial) => self.deny(Request::State(id), denial),
             Lookup::Missing => {
                 log_event!(events::STATE_ANSWERED, "job={id} outcome=missing");
                 plain(410, "")
@@ -186,15 +223,46 @@
         }
     }
 
-    async fn cancel(&self, id: JobId, client_timeout: Duration) -> Reply {
-        let outcome = self.leader_client.cancel(id, client_timeout).await;
+    async fn cancel(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        grant: &Grant,
+        client_timeout: Duration,
+    ) -> Reply {
+        let cancelled = self
+            .leader_client
+            .cancel(id, &queue.name, grant, client_timeout);
+        let outcome = cancelled.await;
         log_event!(events::CANCEL_ANSWERED, "job={id} outcome={outcome:?}");
         match outcome {
+            // The job is cancelled, so that the call cannot be refused any more.
+            Lookup::Is(()) if self.key_checks.check_answer(&queue.name, grant).is_err() => {
+                plain(504, "")
+            }
             Lookup::Is(()) => plain(200, ""),
+            Lookup::Denied(denial) => self.deny(Request::Cancel(id), denial),
             Lookup::Missing => plain(410, ""),
             Lookup::Unavailable => plain(504, ""),
         }
     }
+
+    async fn pending(&self, queue: &Queue, grant: &Grant, client_timeout: Duration) -> Reply {
+        let counted = self.leader_client.pending(&queue.name, client_timeout);
+        match self.unless_late(counted.await, queue, grant) {
+            Lookup::Is(count) => plain(200, &clients::pending_body(count)),
+            Lookup::Denied(denial) => self.deny(Request::Pending, denial),
+            Lookup::Missing | Lookup::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
+        }
+    }
+
+    /// Replaces a value that was found too late to be returned to a caller with this key.
+    fn unless_late<T>(&self, found: Lookup<T>, queue: &Queue, grant: &Grant) -> Lookup<T> {
+        match self.key_checks.check_answer(&queue.name, grant) {
+            Err(denial) if matches!(found, Lookup::Is(_)) => Lookup::Denied(denial),
+            _ => found,
+        }
+    }
 }
 
 /// Logs a submission whose caller disconnected before the response; forgotten on completion.
@@ -233,6 +301,16 @@
     reply(status, "", Some(retry_after_ms.div_ceil(1000).max(1)))
 }
 
+/// A refusal that asks for a valid key.
+fn challenge() -> Reply {
+    let mut reply = plain(401, "");
+    let challenge = HeaderValue::from_static(KEY_SCHEME);
+    reply
+        .headers_mut()
+        .insert(header::WWW_AUTHENTICATE, challenge);
+    reply
+}
+
 fn reply(status: u16, body: &str, retry_after_s: Option<u64>) -> Reply {
     let mut builder = Response::builder().status(status);
     if !body.is_empty() {
--- a/crates/entry/src/leader/arrivals.rs
+++ b/crates/entry/src/leader/arrivals.rs
@@ -17,7 +17,7 @@
 use crate::{
     clock, events,
     listing::Listing,
-    prefix_watch::{self, WatchConfig, WatchHandler, WatchPosition},
+    prefix_watch::{self, WatchAnswer, WatchConfig, WatchHandler, WatchPosition},
     records::{self, ACCEPTED_PREFIX, ARRIVALS_PREFIX, CANCEL_PREFIX, LEADER_MIRROR_KEY},
 };
 
@@ -49,7 +49,7 @@
         leader.apply_arrivals(listing)
     }
 
-    async fn handle_events(&mut self, events: &[Event], _not_before_ms: u64) -> ControlFlow<()> {
+    async fn handle_events(&mut self, events: &[Event], _answer: WatchAnswer) -> ControlFlow<()> {
         let Self(leader) = self;
         for event in events {
             match event {
@@ -199,7 +199,7 @@
         ControlFlow::Continue(())
     }
 
-    async fn handle_events(&mut self, events: &[Event], not_before_ms: u64) -> ControlFlow<()> {
+    async fn handle_events(&mut self, events: &[Event], answer: WatchAnswer) -> ControlFlow<()> {
         let Self(leader) = self;
         for event in events {
             let (Event::Put(Item { key, .. }) | Event::Removed { key }) = event;
@@ -209,7 +209,7 @@
             match event {
                 Event::Put(item) if leader.apply_worker_entry(key, &item.value) => {
                     let mut coordinator = leader.coordinator.borrow_mut();
-                    coordinator.entry_written(id, not_before_ms);
+                    coordinator.entry_written(id, answer.not_before_ms);
                 }
                 Event::Put(_) => leader.unlist(id),
                 Event::Removed { .. } => leader.remove_entry(id),
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -155,6 +155,7 @@
     /// Takes the next jobs to commit: by queue priority, then by the caller's deadline.
     fn next_submissions(&self) -> Vec<Write> {
         let mut waiting = self.submissions.borrow_mut();
+        self.drop_revoked(&mut waiting);
         waiting.sort_by_key(|submission| (submission.priority, submission.client_deadline_ms));
         let count = waiting.len().min(MAX_WRITES_PER_TXN);
         let write = |submission: Submission| Write {
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -5,12 +5,14 @@
 //! - [`arrivals`]: changes that reach the leader through the store;
 //! - [`relays`]: calls to workers, relayed by a host near the worker;
 //! - [`holds`]: one long poll per worker, which extends its runs and returns its lists;
+//! - [`keys`]: the second check of the keys of submissions;
 //! - [`orders`]: start and stop orders, and advice queries;
 //! - [`retention`]: removal of ended jobs after the retention period.
 
 mod arrivals;
 mod commits;
 mod holds;
+mod keys;
 mod orders;
 mod relays;
 mod retention;
@@ -26,6 +28,7 @@
     admission::Verdict,
     answer_loss::AnswerLoss,
     coordinator::{Coordinator, Tuning},
+    credentials::KeyClaim,
     ids::JobId,
     jobs::JobRecord,
     link_budget::LinkBudget,
@@ -44,6 +47,7 @@
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, StallDetector, Term},
     events,
+    key_checks::KeyChecks,
     live::LiveSettings,
     members::Members,
     metrics::Metrics,
@@ -92,6 +96,8 @@
     pub members: Rc<Members>,
     /// The operators' configuration in effect.
     pub operator_config: Rc<OperatorConfig>,
+    /// Checks of keys against that configuration.
+    pub key_checks: Rc<KeyChecks>,
     /// Counters and histograms of the host.
     pub metrics: Rc<Metrics>,
 }
@@ -110,6 +116,8 @@
     response_deadline_ms: u64,
     /// Time at which the caller stops waiting, in milliseconds of [`clock::now_ms`].
     client_deadline_ms: u64,
+    /// Key with which it was submitted; `None` if none was needed.
+    claim: Option<KeyClaim>,
     /// Receives true once the job is durable, false if nothing was written.
     accepted: oneshot::Sender<bool>,
 }
@@ -319,16 +327,22 @@
             return Body::NotHandled(true);
         }
         match body {
-            Body::Submit(mut call) => match call.record.take() {
-                Some(record) => self.submit(record, &call).await,
-                None => Body::NotHandled(true),
-            },
+            Body::Submit(mut call) => {
+                let claim = call.claim();
+                match call.record.take() {
+                    Some(record) => self.submit(record, &call, claim).await,
+                    None => Body::NotHandled(true),
+                }
+            }
             Body::WrittenJob(written) => self.accept_written(&written),
             Body::State(id) => {
-                let state = self.coordinator.borrow().job_state(JobId(id));
+                let coordinator = self.coordinator.borrow();
+                let state = coordinator.job_state(JobId(id));
+                let tenant = coordinator.job_tenant(JobId(id));
                 Body::StateReply(StateReply {
                     found: state.is_some(),
                     state: state.map_or(0, peers::encode_state),
+                    tenant: tenant.map(ToString::to_string).unwrap_or_default(),
                 })
             }
             Body::Pending(queue) => {
@@ -339,12 +353,17 @@
         }
     }
 
-    async fn submit(&self, mut record: JobRecord, call: &SubmitCall) -> Body {
+    async fn submit(
+        &self,
+        mut record: JobRecord,
+        call: &SubmitCall,
+        claim: Option<KeyClaim>,
+    ) -> Body {
         let client_timeout_ms = call.client_timeout_ms;
         let id = JobId(record.id);
         let accepted = Body::SubmitReply(SubmitReply {
             accepted: true,
-            retry_after_ms: 0,
+            ..SubmitReply::default()
         });
         if self.coordinator.borrow().job_state(id).is_some() {
             return accepted;
@@ -353,6 +372,9 @@
         if self.in_doubt.borrow().contains(&id) || self.coordinator.borrow().contains_job(id) {
             return Body::NotHandled(false);
         }
+        if let Some(refusal) = self.refuse_key(id, &record.queue, claim.as_ref()) {
+            return Body::SubmitReply(refusal);
+        }
         let verdict = self.admit(&record);
         let retry_after_ms = match verdict {
             Verdict::Accept => None,
@@ -370,8 +392,8 @@
                 coordinator.workers().len()
             );
             return Body::SubmitReply(SubmitReply {
-                accepted: false,
                 retry_after_ms,
+                ..SubmitReply::default()
             });
         }
         let health = self.context.store.health();
@@ -391,6 +413,7 @@
         };
         let (sender, durable) = oneshot::channel();
         let payload = records::take_payload(&mut record);
+        let queue = record.queue.clone();
         self.submissions.borrow_mut().push(Submission {
             record,
             payload,
@@ -399,12 +422,16 @@
             response_deadline_ms: now_ms
                 + MAX_STORE_WAIT_MS.min(client_timeout_ms.saturating_sub(RESPONSE_MARGIN_MS)),
             client_deadline_ms: now_ms + client_timeout_ms,
+            claim: claim.clone(),
             accepted: sender,
         });
         self.submitted.notify_one();
         match durable.await {
             Ok(true) => accepted,
-            Ok(false) => Body::StoreAway(true),
+            Ok(false) => match self.refuse_key(id, &queue, claim.as_ref()) {
+                Some(refusal) => Body::SubmitReply(refusal),
+                None => Body::StoreAway(true),
+            },
             Err(_) => Body::NotHandled(false),
         }
     }
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -13,8 +13,9 @@
 
 use adapter::store::{Committed, Item, StoreError, Txn};
 use cell::{
+    credentials::Caller,
     ids::JobId,
-    jobs::{JobRecord, JobState},
+    jobs::JobRecord,
     outage::{self, Health, RequestDecision},
 };
 use indexmap::IndexSet;
@@ -22,18 +23,18 @@
 use tokio::time;
 
 use crate::{
-    clock,
+    key_checks::{Denial, Grant, KeyChecks},
     leader::LeaderSlot,
     members::Members,
     payloads::PayloadCache,
-    peers::{self, Body, PeerError, Peers, SubmitCall, SubmitReply, WrittenJob},
-    records::{self, ACCEPTED_PREFIX, CANCEL_PREFIX, LEADER_KEY},
+    peers::{Body, PeerError, Peers, SubmitCall, SubmitReply, WrittenJob},
+    records::{self, ACCEPTED_PREFIX, LEADER_KEY},
     store::GuardedStore,
 };
 
 /// Timeout of a call to the leader before the host uses the store directly. Covers the latency
 /// between regions and a commit to a slow store.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
+pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Time limit for a direct write to the store while the leader answers but cannot commit.
 const STORE_WRITE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,9 +45,6 @@
 /// Delay before the leader is called again during a store outage.
 const LEADER_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Delay before a cancellation that got no answer from the store is repeated.
-const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(120);
-
 /// Minimum remaining time for an attempt; with less, the client leaves before the response.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(150);
 
@@ -81,10 +79,15 @@
     },
     /// The job may have been accepted; a retry will tell.
     InDoubt,
+    /// The job is not accepted, on account of the key of the call.
+    Denied(Denial),
 }
 
 impl SubmitReply {
     fn outcome(&self) -> SubmitOutcome {
+        if self.unauthorised {
+            return SubmitOutcome::Denied(Denial::Unauthorised);
+        }
         match (self.accepted, self.retry_after_ms) {
             (true, _) => SubmitOutcome::Accepted,
             (false, 0) => SubmitOutcome::NeverFits,
@@ -102,6 +105,8 @@
     Missing,
     /// Neither the leader nor the store answered.
     Unavailable,
+    /// The call is refused on account of its key, and had no effect.
+    Denied(Denial),
 }
 
 /// Builds the transaction that accepts a job directly in the store, and the record that it writes.
@@ -118,23 +123,24 @@
     (record, txn)
 }
 
-/// Builds the transaction that cancels a job which has not been accepted. Its record takes the
-/// job's key, so that no write that accepts the job can succeed after it.
-fn cancel_unaccepted_txn(id: JobId) -> Txn {
-    let key = records::job_key(id);
-    let record = JobRecord::cancelled_unaccepted(id, clock::unix_ms());
-    Txn::default()
-        .expect(&key, 0)
-        .put(&key, &record.encode_to_vec(), 0)
-        .put(&format!("{ACCEPTED_PREFIX}{id}"), &[], 0)
-}
-
 /// Whether the item is the record of a job that was cancelled before it was accepted.
-fn is_cancelled_unaccepted(item: &Item) -> bool {
+pub(crate) fn is_cancelled_unaccepted(item: &Item) -> bool {
     let record = JobRecord::decode(item.value.as_slice());
     record.is_ok_and(|record| !record.was_accepted())
 }
 
+/// A submission with the key of its caller and no other content.
+fn submit_call(grant: &Grant) -> SubmitCall {
+    let Caller::Tenant(claim) = &grant.caller else {
+        return SubmitCall::default();
+    };
+    SubmitCall {
+        key_digest: claim.digest.as_bytes().to_vec(),
+        config_version: claim.config_version,
+        ..SubmitCall::default()
+    }
+}
+
 /// Sends client requests to the leader or the store.
 #[derive(Debug)]
 pub struct LeaderClient {
@@ -146,6 +152,8 @@
     pub peers: Rc<Peers>,
     /// Client of the platform's store.
     pub store: GuardedStore,
+    /// Checks the keys of calls before writes.
+    pub key_checks: Rc<KeyChecks>,
     /// Jobs that this host left in doubt, oldest first: a retry of such a job must not be refused.
     pub in_doubt: RefCell<IndexSet<JobId>>,
     /// Payloads of jobs that this host received from clients.
@@ -164,7 +172,11 @@
         address.map_or("none".to_owned(), |address| address.to_string())
     }
 
-    async fn call_leader(&self, body: Body, timeout: Duration) -> Result<Body, PeerError> {
+    pub(crate) async fn call_leader(
+        &self,
+        body: Body,
+        timeout: Duration,
+    ) -> Result<Body, PeerError> {
         let own = self.leader.borrow().clone();
         if let Some(leader) = own {
             let answer = time::timeout(timeout, leader.answer(body)).await;
@@ -207,11 +219,27 @@
         None
     }
 
+    /// Whether an earlier attempt at a job through this host is in doubt.
+    pub fn is_in_doubt(&self, id: JobId) -> bool {
+        self.in_doubt.borrow().contains(&id)
+    }
+
     /// Submits a job. A refusal becomes [`SubmitOutcome::InDoubt`] if an earlier attempt at the
     /// same job is in doubt.
-    pub async fn submit(&self, record: &JobRecord, client_timeout: Duration) -> SubmitOutcome {
+    pub async fn submit(
+        &self,
+        record: &JobRecord,
+        grant: &Grant,
+        client_timeout: Duration,
+    ) -> SubmitOutcome {
         let id = JobId(record.id);
-        let outcome = self.try_submit(record, client_timeout).await;
+        let mut outcome = self.try_submit(record, grant, client_timeout).await;
+        if outcome == SubmitOutcome::Accepted
+            && self.key_checks.check_answer(&record.queue, grant).is_err()
+        {
+            // The key may have been revoked too long ago for success, and a refusal would be wrong.
+            outcome = SubmitOutcome::InDoubt;
+        }
         let mut in_doubt = self.in_doubt.borrow_mut();
         match outcome {
             SubmitOutcome::InDoubt => {
@@ -226,6 +254,7 @@
             SubmitOutcome::Refused { .. }
             | SubmitOutcome::NeverFits
             | SubmitOutcome::Unavailable
+            | SubmitOutcome::Denied(_)
             | SubmitOutcome::StoreAway { .. } => {
                 if in_doubt.contains(&id) {
                     return SubmitOutcome::InDoubt;
@@ -237,7 +266,12 @@
 
     /// Retries until the job is answered or the caller's time runs out. Nothing is written directly
     /// to a store that does not answer.
-    async fn try_submit(&self, record: &JobRecord, client_timeout: Duration) -> SubmitOutcome {
+    async fn try_submit(
+        &self,
+        record: &JobRecord,
+        grant: &Grant,
+        client_timeout: Duration,
+    ) -> SubmitOutcome {
         let deadline = Instant::now() + client_timeout;
         let left = || deadline.saturating_duration_since(Instant::now());
         let started = Instant::now();
@@ -249,6 +283,9 @@
             if left() < MIN_TIME_LEFT {
                 return SubmitOutcome::Unavailable;
             }
+            if let Err(denial) = self.key_checks.check_again(&record.queue, grant) {
+                return SubmitOutcome::Denied(denial);
+            }
             let without_payload = Instant::now() < self.direct_write_until.get();
             let mut sent_record = record.clone();
             if without_payload {
@@ -259,6 +296,7 @@
                 without_payload,
                 client_timeout_ms: left().as_millis() as u64,
                 waited_ms: waited_ms(),
+                ..submit_call(grant)
             };
             let asked = self.call_leader(Body::Submit(call), LEADER_TIMEOUT.min(left()));
             let (leader_reachable, in_doubt) = match asked.await {
@@ -269,7 +307,7 @@
                         self.direct_write_until
                             .set(Instant::now() + DIRECT_WRITE_PERIOD);
                     }
-                    match self.write_for_leader(record, fence).await {
+                    match self.write_for_leader(record, grant, fence).await {
                         Some(true) => return SubmitOutcome::Accepted,
                         Some(false) => (true, false),
                         None => (true, true),
@@ -284,7 +322,8 @@
                 } else {
                     left()
                 };
-                match self.submit_to_store(record, time_limit, in_doubt).await {
+                let written = self.submit_to_store(record, grant, time_limit, in_doubt);
+                match written.await {
                     SubmitOutcome::Unavailable => {}
                     outcome => return outcome,
                 }
@@ -313,8 +352,14 @@
 
     /// Writes a job that the leader has admitted, and notifies the leader. False if nothing was
     /// written, `None` if that is not known.
-    async fn write_for_leader(&self, record: &JobRecord, fence: u64) -> Option<bool> {
-        if self.store.health() != Health::Serving {
+    async fn write_for_leader(
+        &self,
+        record: &JobRecord,
+        grant: &Grant,
+        fence: u64,
+    ) -> Option<bool> {
+        let is_denied = self.key_checks.check_again(&record.queue, grant).is_err();
+        if is_denied || self.store.health() != Health::Serving {
             return Some(false);
         }
         let (record, txn) = accept_txn(record);
@@ -343,6 +388,7 @@
     async fn submit_to_store(
         &self,
         record: &JobRecord,
+        grant: &Grant,
         client_timeout: Duration,
         mut in_doubt: bool,
     ) -> SubmitOutcome {
@@ -352,6 +398,16 @@
                 if self.store.health() != Health::Serving && !in_doubt {
                     return SubmitOutcome::Unavailable;
                 }
+                match self.key_checks.check_again(&record.queue, grant) {
+                    Ok(()) => {}
+                    Err(denial) if !in_doubt => return SubmitOutcome::Denied(denial),
+                    // The store tells the outcome once this host has proof again.
+                    Err(Denial::Outdated) => {
+                        self.store.recovered(Duration::from_millis(120)).await;
+                        continue;
+                    }
+                    Err(_) => return SubmitOutcome::InDoubt,
+                }
                 // The caller's time may run out during the call.
                 let before = std::mem::replace(&mut in_doubt, true);
                 match self.store.commit(&txn).await {
@@ -380,71 +436,4 @@
             Err(_) => SubmitOutcome::Unavailable,
         }
     }
-
-    /// Returns a job's state.
-    pub async fn state(&self, id: JobId, client_timeout: Duration) -> Lookup<JobState> {
-        if let Ok(Body::StateReply(answer)) = self
-            .call_leader(Body::State(id.0), LEADER_TIMEOUT.min(client_timeout / 2))
-            .await
-            && answer.found
-            && let Some(state) = peers::decode_state(answer.state)
-        {
-            return Lookup::Is(state);
-        }
-        match self.store.get(&records::job_key(id)).await {
-            Ok(Some(item)) => match JobRecord::decode(item.value.as_slice()) {
-                Ok(record) if !record.was_accepted() => Lookup::Missing,
-                Ok(record) => Lookup::Is(record.state()),
-                Err(_) => Lookup::Unavailable,
-            },
-            Ok(None) => Lookup::Missing,
-            Err(_) => Lookup::Unavailable,
-        }
-    }
-
-    /// Cancels a job; returns once the cancellation is durable. A job that has not been accepted is
-    /// [`Lookup::Missing`] only once it cannot be accepted any more: a write that accepts it may be
-    /// in progress at any host.
-    pub async fn cancel(&self, id: JobId, client_timeout: Duration) -> Lookup<()> {
-        let first = LEADER_TIMEOUT.min(client_timeout / 2);
-        if let Ok(Body::Cancelled(true)) = self.call_leader(Body::Cancel(id.0), first).await {
-            return Lookup::Is(());
-        }
-        let cancel_in_store = async {
-            loop {
-                let (txn, outcome) = match self.store.get(&records::job_key(id)).await {
-                    Ok(Some(item)) if is_cancelled_unaccepted(&item) => return Lookup::Missing,
-                    Ok(Some(_)) => {
-                        let marker = format!("{CANCEL_PREFIX}{id}");
-                        (Txn::default().put(&marker, &[], 0), Lookup::Is(()))
-                    }
-                    Ok(None) => (cancel_unaccepted_txn(id), Lookup::Missing),
-                    Err(_) => {
-                        time::sleep(CANCEL_RETRY_DELAY).await;
-                        continue;
-                    }
-                };
-                match self.store.commit(&txn).await {
-                    Ok(Committed::Done { .. }) => return outcome,
-                    // The job was accepted in the meantime.
-                    Ok(Committed::Conflict { .. }) => {}
-                    Err(_) => time::sleep(CANCEL_RETRY_DELAY).await,
-                }
-            }
-        };
-        time::timeout(client_timeout.saturating_sub(first), cancel_in_store)
-            .await
-            .unwrap_or(Lookup::Unavailable)
-    }
-
-    /// Returns the number of waiting jobs in a queue.
-    pub async fn pending(&self, queue: &str, client_timeout: Duration) -> Lookup<u64> {
-        match self
-            .call_leader(Body::Pending(queue.to_owned()), client_timeout)
-            .await
-        {
-            Ok(Body::PendingReply(count)) => Lookup::Is(count),
-            _ => Lookup::Unavailable,
-        }
-    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,8 @@
 //! - `listing`: reads all keys under a prefix of the store, page by page;
 //! - `prefix_watch`: watches all keys under a prefix of the store;
 //! - [`frontend`]: client requests and the platform's readiness probe;
+//! - `job_queries`: queries and cancellations of jobs;
+//! - [`key_checks`]: checks of the keys that clients' calls carry;
 //! - [`leader_client`]: requests to the leader, with direct store access as the fallback;
 //! - [`live`]: the current settings, reloaded when their file changes;
 //! - [`peers`]: calls between hosts; [`peer_calls`]: their answers;
@@ -31,6 +33,8 @@
 pub mod election;
 pub mod events;
 pub mod frontend;
+mod job_queries;
+pub mod key_checks;
 pub mod leader;
 pub mod leader_client;
 mod listing;
--- a/crates/entry/src/listing.rs
+++ b/crates/entry/src/listing.rs
@@ -21,6 +21,8 @@
     pub as_of: u64,
     /// When the listing was begun, in milliseconds of [`clock::now_ms`].
     pub began_ms: u64,
+    /// When its first page was requested for the last time, in milliseconds of [`clock::now_ms`].
+    pub first_page_sent_ms: u64,
 }
 
 impl Listing {
@@ -44,6 +46,7 @@
     pages: u32,
     failures: u32,
     began_ms: u64,
+    first_page_sent_ms: u64,
     /// When a failure was last logged; `None` before the first one.
     failure_logged_ms: Option<u64>,
 }
@@ -59,6 +62,7 @@
             pages: 0,
             failures: 0,
             began_ms: clock::now_ms(),
+            first_page_sent_ms: 0,
             failure_logged_ms: None,
         }
     }
@@ -75,6 +79,9 @@
     /// [`StoreError`] if the store does not return a page; a further call continues with it.
     pub async fn read(&mut self) -> Result<Listing, StoreError> {
         loop {
+            if self.as_of.is_none() {
+                self.first_page_sent_ms = clock::now_ms();
+            }
             let after = self.items.last().map_or("", |item| &item.key);
             let page = match self.store.read_page(self.prefix, after).await {
                 // Without a last key the next page cannot be named, and what follows is not absent.
@@ -92,6 +99,7 @@
                     items,
                     as_of,
                     began_ms: self.began_ms,
+                    first_page_sent_ms: self.first_page_sent_ms,
                 });
             }
         }
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -19,7 +19,7 @@
 use crate::{
     events,
     listing::Listing,
-    prefix_watch::{self, WatchConfig, WatchHandler},
+    prefix_watch::{self, WatchAnswer, WatchConfig, WatchHandler},
     records::{HOST_PREFIX, HostRecord, LEADER_KEY, LeaderRecord, MEMBERS_PREFIX},
     store::GuardedStore,
 };
@@ -333,7 +333,7 @@
         ControlFlow::Continue(())
     }
 
-    async fn handle_events(&mut self, events: &[Event], _not_before_ms: u64) -> ControlFlow<()> {
+    async fn handle_events(&mut self, events: &[Event], _answer: WatchAnswer) -> ControlFlow<()> {
         for event in events {
             match event {
                 Event::Put(item) => self.members.apply_put(item, &self.own_name),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -19,6 +19,7 @@
 pub struct Metrics {
     counters: RefCell<IndexMap<&'static str, u64>>,
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
+    key_refusals: RefCell<IndexMap<&'static str, u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
 }
 
@@ -28,6 +29,11 @@
         *self.counters.borrow_mut().entry(name).or_default() += 1;
     }
 
+    /// Counts a call that was refused on account of its key.
+    pub fn count_key_refusal(&self, reason: &'static str) {
+        *self.key_refusals.borrow_mut().entry(reason).or_default() += 1;
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -59,6 +65,10 @@
             let labels = format!("kind=\"{kind}\",status=\"{status}\"");
             let _written = writeln!(text, "hickory_requests_total{{{labels}}} {value}");
         }
+        for (reason, value) in &*self.key_refusals.borrow() {
+            let labels = format!("reason=\"{reason}\"");
+            let _written = writeln!(text, "hickory_key_refusals_total{{{labels}}} {value}");
+        }
         for (kind, histogram) in &*self.latency.borrow() {
             let mut below = 0;
             for (position, count) in histogram.buckets.iter().enumerate() {
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -1,7 +1,10 @@
 //! Messages between hosts.
 
+use std::fmt;
+
 use cell::{
     coordinator::StartResponse,
+    credentials::{KeyClaim, KeyDigest},
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState},
     workers::{EndKind, HoldReport, ReportedEnd, ReportedRun},
@@ -152,6 +155,7 @@
 
 /// A submission forwarded to the leader.
 #[derive(Clone, PartialEq, Message)]
+#[prost(skip_debug)]
 pub struct SubmitCall {
     /// The job; contains its payload unless `without_text` is set.
     #[prost(message, optional, tag = "1")]
@@ -165,6 +169,38 @@
     /// How long the request has waited, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub waited_ms: u64,
+    /// Digest of the key with which the record's tenant submitted the job; empty if none was needed.
+    #[prost(bytes = "vec", tag = "6")]
+    pub key_digest: Vec<u8>,
+    /// Version of the configuration that listed the key.
+    #[prost(uint64, tag = "7")]
+    pub config_version: u64,
+}
+
+impl fmt::Debug for SubmitCall {
+    /// Leaves out the digest of the key.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("SubmitCall")
+            .field("record", &self.record)
+            .field("client_timeout_ms", &self.client_timeout_ms)
+            .field("without_payload", &self.without_payload)
+            .field("waited_ms", &self.waited_ms)
+            .field("config_version", &self.config_version)
+            .finish_non_exhaustive()
+    }
+}
+
+impl SubmitCall {
+    /// The key with which the job was submitted; `None` if none was needed.
+    pub fn claim(&self) -> Option<KeyClaim> {
+        let tenant = self.record.as_ref()?.tenant.as_str().into();
+        Some(KeyClaim {
+            tenant,
+            digest: KeyDigest::from_bytes(&self.key_digest)?,
+            config_version: self.config_version,
+        })
+    }
 }
 
 /// A job that a host wrote to the store for the leader.
@@ -225,10 +261,13 @@
     /// worker could ever run it.
     #[prost(uint64, tag = "2")]
     pub retry_after_ms: u64,
+    /// The job is rejected because its key is no longer valid.
+    #[prost(bool, tag = "3")]
+    pub unauthorised: bool,
 }
 
 /// State of a job.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct StateReply {
     /// Whether the leader has the job.
     #[prost(bool, tag = "1")]
@@ -236,6 +275,9 @@
     /// The state, encoded by [`encode_state`].
     #[prost(uint32, tag = "2")]
     pub state: u32,
+    /// Tenant under which it was accepted; empty if it has none.
+    #[prost(string, tag = "3")]
+    pub tenant: String,
 }
 
 /// Encodes a state as its number in messages.
--- a/crates/entry/src/prefix_watch.rs
+++ b/crates/entry/src/prefix_watch.rs
@@ -39,13 +39,25 @@
     pub(crate) covered_ms: u64,
 }
 
+/// What is known of an answered watch.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WatchAnswer {
+    /// Time before which none of its changes was made, in milliseconds of [`clock::now_ms`].
+    pub(crate) not_before_ms: u64,
+    /// When the watch was sent, in milliseconds of [`clock::now_ms`].
+    pub(crate) sent_ms: u64,
+    /// Revision of the store that the answer covers.
+    pub(crate) as_of: u64,
+    /// Whether the answer contains all changes up to that revision.
+    pub(crate) is_complete: bool,
+}
+
 /// Receives the items and changes of a prefix. Returning [`ControlFlow::Break`] ends the watch.
 pub(crate) trait WatchHandler {
     /// Handles a complete listing of the prefix.
     async fn handle_listing(&mut self, listing: &Listing) -> ControlFlow<()>;
-    /// Handles the changes since the last listing or batch of events. None of them was made before
-    /// `not_before_ms`, in milliseconds of [`clock::now_ms`].
-    async fn handle_events(&mut self, events: &[Event], not_before_ms: u64) -> ControlFlow<()>;
+    /// Handles the changes since the last listing or batch of events, as answered by a watch.
+    async fn handle_events(&mut self, events: &[Event], answer: WatchAnswer) -> ControlFlow<()>;
 }
 
 /// Watches `prefix` until the handler returns [`ControlFlow::Break`].
@@ -87,8 +99,14 @@
     let mut sent_ms = clock::now_ms();
     while let Ok(watched) = store.watch(prefix, after, config.watch_timeout).await {
         after = watched.as_of;
-        handler.handle_events(&watched.events, covered_ms).await?;
-        if watched.events.len() < MAX_COMPLETE_EVENTS {
+        let answer = WatchAnswer {
+            not_before_ms: covered_ms,
+            sent_ms,
+            as_of: watched.as_of,
+            is_complete: watched.events.len() < MAX_COMPLETE_EVENTS,
+        };
+        handler.handle_events(&watched.events, answer).await?;
+        if answer.is_complete {
             // The response covers all changes before its request, so the next one has later ones.
             covered_ms = sent_ms;
         }
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -139,6 +139,8 @@
     pub body: Value,
     /// Value of `Retry-After`, in seconds.
     pub retry_after_s: Option<u64>,
+    /// Value of `WWW-Authenticate`.
+    pub challenge: Option<String>,
 }
 
 /// First port of the hosts. It lies below the ephemeral range, from which the system could
@@ -341,7 +343,21 @@
         });
         let address = self.hosts[host].clients;
         let path = path("urgent", number);
-        self.exchange(address, "POST", &path, Some(body), timeout_ms)
+        self.exchange(address, None, "POST", &path, Some(body), timeout_ms)
+            .await
+    }
+
+    /// Sends a client request with the value of an `Authorization` header to a host.
+    pub async fn call_with_key(
+        &self,
+        host: usize,
+        authorization: &str,
+        method: &str,
+        path: &str,
+        body: Option<Value>,
+    ) -> Reply {
+        let address = self.hosts[host].clients;
+        self.exchange(address, Some(authorization), method, path, body, 3_000)
             .await
     }
 
@@ -353,19 +369,25 @@
         path: &str,
         body: Option<Value>,
     ) -> Reply {
-        self.exchange(address, method, path, body, 3_000).await
+        self.exchange(address, None, method, path, body, 3_000)
+            .await
     }
 
     async fn exchange(
         &self,
         address: SocketAddr,
+        authorization: Option<&str>,
         method: &str,
         path: &str,
         body: Option<Value>,
         timeout_ms: u64,
     ) -> Reply {
         let body = body.map(|body| body.to_string()).unwrap_or_default();
-        let request = Request::builder()
+        let mut request = Request::builder();
+        if let Some(authorization) = authorization {
+            request = request.header("authorization", authorization);
+        }
+        let request = request
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header("host", "jobs.example")
@@ -377,18 +399,22 @@
             let status = response.status().as_u16();
             let header = response.headers().get("retry-after");
             let retry_after_s = header.and_then(|value| value.to_str().ok()?.parse().ok());
+            let header = response.headers().get("www-authenticate");
+            let challenge = header.and_then(|value| Some(value.to_str().ok()?.to_owned()));
             let bytes = response.into_body().collect().await.ok()?.to_bytes();
             let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
             Some(Reply {
                 status,
                 body,
                 retry_after_s,
+                challenge,
             })
         };
         let broken = Reply {
             status: 0,
             body: Value::Null,
             retry_after_s: None,
+            challenge: None,
         };
         time::timeout(Duration::from_secs(4), exchange)
             .await
