--- a/crates/entry/tests/entry/keys.rs
+++ b/crates/entry/tests/entry/keys.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hickorychute_entry::metrics::Metrics;
 use platform_standin::Platform;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -152,6 +153,21 @@
     assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
 }
 
+/// Guards against a metric that does not tell the reasons for refusals apart.
+#[test]
+fn refusals_are_counted_by_reason() {
+    let metrics = Metrics::default();
+    assert!(!metrics.render().contains("key_refusals"));
+    for reason in ["unauthorised", "stale", "unauthorised", "other_tenant"] {
+        metrics.count_key_refusal(reason);
+    }
+    let text = metrics.render();
+    for (reason, count) in [("unauthorised", 2), ("stale", 1), ("other_tenant", 1)] {
+        let line = format!("hickory_key_refusals_total{{reason=\"{reason}\"}} {count}\n");
+        assert!(text.contains(&line), "{text}");
+    }
+}
+
 /// Guards against a public queue that demands a key or checks one.
 #[tokio::test]
 async fn a_public_queue_needs_no_key() {
--- a/crates/entry/tests/entry/revocations.rs
+++ b/crates/entry/tests/entry/revocations.rs
@@ -1,10 +1,17 @@
 //! Keys that are revoked while hosts, the store or jobs are not in order.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use platform_standin::{Platform, store::ResponseMode, view::View};
 use rustix::process::Signal;
-use tokio::time;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time,
+};
 
 use crate::{
     keys::{self, TENANTS},
@@ -24,7 +31,7 @@
 async fn start_with_view(lines: &str) -> (TestCell, View, usize) {
     let mut platform = Platform::start(2).await;
     platform.write_config(&keys::config(1, TENANTS));
-    let view = View::new(std::sync::Arc::clone(&platform.store));
+    let view = View::new(Arc::clone(&platform.store));
     let address = platform.open_store_view(&view).await;
     let test_cell = TestCell::start_on(platform, 3, lines).await;
     let host = test_cell.follower();
@@ -185,6 +192,47 @@
     }
 }
 
+/// Guards against a job whose key was revoked while its body was on the way.
+#[tokio::test]
+async fn a_key_is_checked_again_after_the_body() {
+    let test_cell = keys::start(1, "").await;
+    let body = keys::job(50).to_string();
+    let (first, rest) = body.split_at(20);
+    let path = support::path("batch", 1);
+    let mut answers = Vec::new();
+    for key in ["key-1a", "key-2"] {
+        let mut client = TcpStream::connect(test_cell.hosts[0].clients)
+            .await
+            .expect("the host accepts connections");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: jobs.example\r\nauthorization: Token {key}\r\n\
+             content-length: {}\r\n\r\n{first}",
+            body.len()
+        );
+        let sent = client.write_all(head.as_bytes()).await;
+        sent.expect("the host reads");
+        answers.push((key, client));
+    }
+    // The host reads both heads.
+    time::sleep(Duration::from_millis(300)).await;
+    test_cell.platform.write_config(&keys::config(2, REVOKED));
+    let applied = |cell: &TestCell| cell.hosts[0].log().contains("version=2 ");
+    test_cell.wait_until("the new configuration", applied).await;
+    for ((key, mut client), expected) in answers.into_iter().zip([401, 200]) {
+        let sent = client.write_all(rest.as_bytes()).await;
+        sent.expect("the host reads");
+        let mut answer = vec![0; 4 << 10];
+        let length = time::timeout(Duration::from_secs(5), client.read(&mut answer))
+            .await
+            .expect("the host answers")
+            .expect("the connection is open");
+        let answer = String::from_utf8_lossy(&answer[..length]);
+        let status = format!("HTTP/1.1 {expected}");
+        assert!(answer.starts_with(&status), "{key}: {answer}");
+    }
+    test_cell.assert_no_faults();
+}
+
 /// Guards against a job that a host writes to the store itself although it has learned meanwhile that
 /// the key was revoked, while it waited for the coordinator.
 #[tokio::test]
