entry: tests of a suspended host without the store, and of bursts of changes

Cause: the test of a suspended host also passed without any proof of freshness (trial), because the host read the new configuration as soon as it resumed. No test had many changes a second.

Change: the store turns the host away once its last watch was answered, and the host must refuse the key with 503, not with 401 or 503. A new test changes the configuration 120 times within 6 s, with older versions in between.

--- a/crates/entry/tests/entry/revocations.rs
+++ b/crates/entry/tests/entry/revocations.rs
@@ -259,18 +259,21 @@
 }
 
 /// Guards against success with a revoked key on a host that was suspended during the revocation:
-/// time that passed meanwhile must count.
+/// time that passed meanwhile must count, and the answer to a watch that was sent before the
+/// suspension is no new proof.
 #[tokio::test]
 async fn a_suspended_host_does_not_accept_a_revoked_key_when_it_resumes() {
-    let test_cell = keys::start(3, STRICT).await;
-    let host = test_cell.follower();
+    let (test_cell, view, host) = start_with_view(STRICT).await;
     let path = support::path("batch", 1);
     let submitted = keys::submit(&test_cell, host, "key-1a", &path).await;
     assert_eq!(submitted.status, 200, "{submitted:?}");
     test_cell.hosts[host].signal(Signal::STOP);
+    // The watch that was sent before is answered without a change.
+    time::sleep(Duration::from_millis(1_500)).await;
+    view.set_turns_away(true);
     test_cell.platform.write_config(&keys::config(2, REVOKED));
     time::sleep(REVOKE_TIME + Duration::from_millis(200)).await;
-    // These calls are read as soon as the host resumes, before any answer of the store.
+    // These calls are read when the host resumes.
     let new = support::path("batch", 2);
     let (state, submitted, ()) = tokio::join!(
         keys::call(&test_cell, host, "key-1a", "GET", &path),
@@ -281,8 +284,9 @@
         }
     );
     for reply in [state, submitted] {
-        assert!([401, 503].contains(&reply.status), "{reply:?}");
+        assert_eq!(reply.status, 503, "{reply:?}");
     }
+    view.set_turns_away(false);
     let serves_again = async {
         while keys::call(&test_cell, host, "key-1b", "GET", &path)
             .await
@@ -332,3 +336,54 @@
     assert!(!log.contains("config-unproven"), "{log}");
     test_cell.assert_no_faults();
 }
+
+/// Guards against a configuration that comes into force late, or is replaced by an older one, while
+/// the operators change it many times a second.
+#[tokio::test]
+async fn a_revocation_is_in_force_in_time_during_a_burst_of_changes() {
+    /// Number of changes. After each tenth an older version arrives.
+    const CHANGES: u64 = 120;
+    let test_cell = keys::start(3, STRICT).await;
+    let path = support::path("batch", 1);
+    let submitted = keys::submit(&test_cell, 0, "key-1a", &path).await;
+    assert_eq!(submitted.status, 200, "{submitted:?}");
+    let mut revoked = None;
+    for version in 2..2 + CHANGES {
+        let is_revoked = version > CHANGES / 4;
+        let tenants = if is_revoked { REVOKED } else { TENANTS };
+        test_cell
+            .platform
+            .write_config(&keys::config(version, tenants));
+        if version % 10 == 0 {
+            let late = if version > 20 { version - 10 } else { 1 };
+            test_cell
+                .platform
+                .write_config(&keys::config(late, TENANTS));
+        }
+        if is_revoked {
+            revoked.get_or_insert_with(Instant::now);
+        }
+        if version % 4 == 0 {
+            let host = (version / 4 % 3) as usize;
+            let valid = keys::call(&test_cell, host, "key-1b", "GET", &path).await;
+            assert_eq!(valid.status, 200, "version {version}: {valid:?}");
+            let reply = keys::call(&test_cell, host, "key-1a", "GET", &path).await;
+            let in_force = revoked.is_some_and(|at| at.elapsed() > APPLY_TIME);
+            let expected: &[u16] = if in_force { &[401] } else { &[200, 401] };
+            assert!(
+                expected.contains(&reply.status),
+                "version {version}: {reply:?}"
+            );
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let last = format!("version={} ", 1 + CHANGES);
+    let applied = |cell: &TestCell| cell.hosts.iter().all(|host| host.log().contains(&last));
+    test_cell
+        .wait_until("the last configuration", applied)
+        .await;
+    for host in 0..3 {
+        let reply = keys::call(&test_cell, host, "key-1a", "GET", &path).await;
+        assert_eq!(reply.status, 401, "host {host}: {reply:?}");
+    }
+}
