Limits and shares of tenants in scheduling and admission

Cause: nothing kept a tenant within its limit, and a burst of one tenant delayed all others. Change: each scheduling pass derives what every tenant may have running from runs, late orders and the predecessor's state, and clamps the starts of a step to what its tenant may still start, whole gangs or nothing. Jobs over their tenant's share come after all jobs within shares whose result has value, and are refused first. A task or gang above the limit is refused for good. A step that is wider than its tenant may run has the waves that it needs in its objective.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -6,9 +6,19 @@
 //! reach. The estimate is deliberately simple: CPU time queued ahead of the job, divided by the CPU
 //! capacity of its service, compared with the time allowed for the job. A job that would start on trial is
 //! also refused if many others wait for one: trials use few workers, and each may take one down.
+//!
+//! A tenant's job waits besides for the tenant's own work within its limit, and is refused for good if
+//! a task or gang exceeds that limit by itself. A job over its tenant's share counts all work within
+//! shares as ahead of it, so that it is refused first; others count none over shares.
+
+use derive_more::Display;
 
 use crate::{
-    config::Queue, coordinator::Coordinator, jobs::JobSpec, objective::MAX_LATENESS_FACTOR,
+    config::{Queue, Tenant},
+    coordinator::{Coordinator, Job},
+    jobs::JobSpec,
+    objective::MAX_LATENESS_FACTOR,
+    quota::{self, LimitExcess},
     workers::Resources,
 };
 
@@ -24,16 +34,65 @@
     },
     /// A task of the job exceeds the capacity of every worker of the service.
     NeverFits,
+    /// A task or gang of the job exceeds the limit of its tenant by itself.
+    ExceedsLimit(LimitExcess),
+    /// The job could not complete in time because of its tenant, while others are accepted.
+    RefuseTenant {
+        /// Why.
+        cause: TenantCause,
+        /// Time after which the caller may retry, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// Why a job is refused that another tenant could have submitted.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum TenantCause {
+    /// The tenant's waiting work takes too long within its limit.
+    #[display("at_limit")]
+    AtLimit,
+    /// The job exceeds the tenant's share, and the work within shares leaves too little capacity.
+    #[display("over_share")]
+    OverShare,
+}
+
+/// The tenant of a job that has not been accepted yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Submitter<'a> {
+    /// The tenant.
+    pub tenant: &'a Tenant,
+    /// Whether the job exceeds its share.
+    pub over_share: bool,
+    /// Time of the submission, in Unix milliseconds.
+    pub unix_ms: u64,
 }
 
 /// Share of the CPU capacity that is expected to do useful work.
 const USABLE_CPU_PERCENT: u64 = 85;
 /// Bounds of the retry delay, in milliseconds.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (300, 3_000);
+/// The same for a job that is refused because of its tenant, in milliseconds: the work of one tenant
+/// within its limit can take much longer than the cell's, and a caller that retries sooner is refused
+/// again.
+const TENANT_RETRY_RANGE_MS: (u64, u64) = (300, 30_000);
 
 impl Coordinator {
-    /// Applies admission control to a job that has not been accepted yet.
+    /// Applies admission control to a job without a tenant that has not been accepted yet.
     pub fn admit(&self, queue: &Queue, spec: &JobSpec) -> Verdict {
+        self.admit_from(queue, spec, None)
+    }
+
+    /// Applies admission control to a job that has not been accepted yet.
+    pub fn admit_from(
+        &self,
+        queue: &Queue,
+        spec: &JobSpec,
+        submitter: Option<&Submitter<'_>>,
+    ) -> Verdict {
+        let limit = submitter.map(|submitter| &submitter.tenant.limit);
+        if let Some(excess) = limit.and_then(|limit| quota::limit_excess(spec, limit)) {
+            return Verdict::ExceedsLimit(excess);
+        }
         let mut capacity = Resources::default();
         let mut workers = 0;
         let mut fits_any = vec![false; spec.steps.len()];
@@ -61,14 +120,34 @@
         if spec.occurrences > 0 || spec.steps.iter().any(|step| step.long_running) {
             return Verdict::Accept;
         }
-        let backlog_core_ms = self.backlog_core_ms(queue);
+        let over_share = submitter.is_some_and(|submitter| submitter.over_share);
         let usable_millicores = (capacity.cpu_millicores * USABLE_CPU_PERCENT / 100).max(1);
-        let wait_ms = backlog_core_ms * 1000 / usable_millicores;
-        let critical_path_ms = spec.critical_path_ms();
+        let cell_wait_ms =
+            |over_share| self.backlog_core_ms(queue, over_share) * 1000 / usable_millicores;
+        let wait_ms = cell_wait_ms(over_share);
+        let critical_path_ms = quota::critical_path_ms(spec, limit);
         let allowed_ms =
             (critical_path_ms as f64 * queue.critical_path_factor) as u64 + queue.base_objective_ms;
         let max_duration_ms = allowed_ms * MAX_LATENESS_FACTOR;
-        let excess_ms = (wait_ms + critical_path_ms).saturating_sub(max_duration_ms);
+        let excess_of = |wait_ms: u64| (wait_ms + critical_path_ms).saturating_sub(max_duration_ms);
+        let excess_ms = excess_of(wait_ms);
+        if let Some(submitter) = submitter {
+            let (min_ms, max_ms) = TENANT_RETRY_RANGE_MS;
+            let refuse = |cause, retry_after_ms: u64| Verdict::RefuseTenant {
+                cause,
+                retry_after_ms: retry_after_ms.clamp(min_ms, max_ms),
+            };
+            let own_excess_ms = excess_of(self.tenant_wait_ms(queue, submitter));
+            if own_excess_ms > excess_ms {
+                return refuse(TenantCause::AtLimit, own_excess_ms);
+            }
+            if over_share && excess_ms > 0 {
+                // It could be accepted once the backlog has shrunk, or as a job within the share.
+                let share_ms = self.share_room_in_ms(submitter.tenant, submitter.unix_ms);
+                let within_ms = excess_of(cell_wait_ms(false)).max(share_ms);
+                return refuse(TenantCause::OverShare, excess_ms.min(within_ms));
+            }
+        }
         if excess_ms == 0 && !self.has_full_trial_queue(&queue.name, workers) {
             return Verdict::Accept;
         }
@@ -80,16 +159,40 @@
 
     /// Estimated CPU time of the waiting tasks scheduled ahead of a new job of `queue`, in
     /// core-milliseconds.
-    fn backlog_core_ms(&self, queue: &Queue) -> u64 {
-        let config = self.config();
+    fn backlog_core_ms(&self, queue: &Queue, over_share: bool) -> u64 {
         self.open_jobs()
-            .filter(|job| {
-                config
-                    .queues
-                    .get(&job.queue)
-                    .is_some_and(|other| other.priority <= queue.priority)
-            })
-            .map(super::coordinator::Job::waiting_core_ms)
+            .filter(|job| self.is_ahead(job, queue, over_share))
+            .map(Job::waiting_core_ms)
             .sum()
     }
+
+    /// Whether the waiting tasks of a job are scheduled ahead of a new job of `queue`.
+    fn is_ahead(&self, job: &Job, queue: &Queue, over_share: bool) -> bool {
+        let Some(other) = self.config().queues.get(&job.queue) else {
+            return false;
+        };
+        match (over_share, self.is_behind_shares(job)) {
+            (false, true) => false,
+            (true, false) => other.service == queue.service,
+            _ => other.priority <= queue.priority,
+        }
+    }
+
+    /// Estimated time that a tenant's waiting tasks ahead of a new job take within its limit, in
+    /// milliseconds.
+    fn tenant_wait_ms(&self, queue: &Queue, submitter: &Submitter<'_>) -> u64 {
+        let Tenant { name, limit, .. } = submitter.tenant;
+        if *limit == Resources::default() {
+            return 0;
+        }
+        let mut waiting = Resources::default();
+        let jobs = self.open_jobs().filter(|job| job.tenant == *name);
+        for job in jobs.filter(|job| self.is_ahead(job, queue, submitter.over_share)) {
+            waiting.add(&job.waiting_resource_ms());
+        }
+        let wait_ms = |waiting: u64, limit: u64| waiting.checked_div(limit).unwrap_or(0);
+        wait_ms(waiting.cpu_millicores, limit.cpu_millicores)
+            .max(wait_ms(waiting.memory_mb, limit.memory_mb))
+            .max(wait_ms(waiting.gpus, limit.gpus))
+    }
 }
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -11,6 +11,7 @@
     jobs::{DoneTasks, JobRecord, JobSpec, JobState, Outcome, StepSpec, TaskRecord},
     objective,
     progress::StepPace,
+    quota,
     workers::{Demand, Resources},
 };
 
@@ -234,10 +235,17 @@
 
 impl Job {
     /// Restores a job from its durable record. `queue` supplies the objective; it is `None` if the
-    /// queue no longer exists.
-    pub fn new(record: &JobRecord, queue: Option<&Queue>, inherited: bool) -> Self {
+    /// queue no longer exists. `limit` is that of the job's tenant, if it has one.
+    pub fn new(
+        record: &JobRecord,
+        queue: Option<&Queue>,
+        limit: Option<&Resources>,
+        inherited: bool,
+    ) -> Self {
         let spec = record.spec.clone().map(Rc::new);
-        let critical_path_ms = spec.as_ref().map_or(0, |spec| spec.critical_path_ms());
+        let critical_path_ms = spec
+            .as_ref()
+            .map_or(0, |spec| quota::critical_path_ms(spec, limit));
         let (critical_path_factor, base_objective_ms) =
             queue.map_or((1.0, 0), |q| (q.critical_path_factor, q.base_objective_ms));
         let allowed_ms =
@@ -478,6 +486,24 @@
             .sum()
     }
 
+    /// Resources of the waiting tasks, each times its estimated duration in milliseconds.
+    pub fn waiting_resource_ms(&self) -> Resources {
+        let mut sum = Resources::default();
+        let specs = self.spec.iter().flat_map(|spec| &spec.steps);
+        for (number, spec) in specs.enumerate().filter(|(_, spec)| !spec.long_running) {
+            let steps = self.occurrences.values();
+            let steps = steps.filter_map(|occurrence| occurrence.steps.get(number));
+            let waiting: usize = steps.map(|step| step.waiting().count()).sum();
+            let task_ms = waiting as u64 * spec.estimate_ms;
+            sum.add(&Resources {
+                cpu_millicores: spec.reserved_millicores().saturating_mul(task_ms),
+                memory_mb: spec.memory_mb.saturating_mul(task_ms),
+                gpus: spec.gpus.saturating_mul(task_ms),
+            });
+        }
+        sum
+    }
+
     /// The job state to report to clients; only durable outcomes are reported. `None` if the job was
     /// never accepted.
     pub fn state(&self) -> Option<JobState> {
@@ -574,11 +600,7 @@
 
 /// Resources that each task of a step occupies on a worker.
 pub fn resources_of(spec: &StepSpec) -> Resources {
-    Resources {
-        cpu_millicores: spec.reserved_millicores(),
-        memory_mb: spec.memory_mb,
-        gpus: spec.gpus,
-    }
+    spec.resources()
 }
 
 /// Resources that each task of a step requires, including idle CPU for a best-effort task.
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -37,6 +37,7 @@
 mod reports;
 mod reserves;
 mod schedule;
+mod tenants;
 mod trial_workers;
 mod trials;
 mod waiting;
@@ -61,6 +62,8 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
+    quota::Ledger,
+    shares::Shares,
     workers::{StopReason, Worker, WorkerEntry},
 };
 
@@ -82,6 +85,9 @@
     pub entry_lapse_ms: u64,
     /// Maximum hold that workers grant, in milliseconds; they shorten longer ones.
     pub max_hold_ms: u64,
+    /// Duration of the sliding window over which the jobs of a tenant count towards its share, in
+    /// milliseconds.
+    pub quota_window_ms: u64,
 }
 
 impl Default for Tuning {
@@ -93,6 +99,7 @@
             retention_ms: 120_000,
             entry_lapse_ms: 4_000,
             max_hold_ms: 6_000,
+            quota_window_ms: 5_000,
         }
     }
 }
@@ -213,6 +220,10 @@
     trial_workers: trial_workers::TrialWorkers,
     /// Services in which steps that are not on trial waited for room in the last scheduling pass.
     contended_services: IndexSet<Rc<str>>,
+    /// What each tenant had running at the last scheduling pass.
+    quota: Ledger,
+    /// Jobs within shares that were accepted lately.
+    shares: Shares,
     /// Events that have not been taken for the log.
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
@@ -248,6 +259,8 @@
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
             contended_services: IndexSet::new(),
+            quota: Ledger::default(),
+            shares: Shares::default(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
             pass_unix_ms: 0,
@@ -344,7 +357,10 @@
             return;
         }
         let queue = self.config.queues.get(record.queue.as_str());
-        let mut job = Job::new(record, queue.map(Rc::as_ref), inherited);
+        let tenant = self.config.tenant(&record.tenant);
+        let limit = tenant.map(|tenant| &tenant.limit);
+        let mut job = Job::new(record, queue.map(Rc::as_ref), limit, inherited);
+        self.settle_share(&mut job, unix_ms);
         if let Some(due) = job.begin_due(unix_ms) {
             self.schedule_due(due);
         }
--- a/crates/cell/src/coordinator/pass.rs
+++ b/crates/cell/src/coordinator/pass.rs
@@ -1,11 +1,14 @@
 //! What holds for all steps of a scheduling pass, and the order in which it takes them.
 
 use super::{candidates::FreeCpuIndex, reserves::Reservations, trial_workers::TrialBudget};
-use crate::ids::StepId;
+use crate::{ids::StepId, quota::Ledger};
 
 /// Urgency of a step; the smallest is scheduled first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Urgency {
+    /// Whether steps within their tenants' shares come first: the job exceeds its share, or its result
+    /// has no value any more.
+    pub(super) behind_shares: bool,
     /// False for long-running tasks, which come first: they should run from submission until they
     /// are cancelled.
     pub(super) finite: bool,
@@ -28,6 +31,8 @@
     pub(super) free_cpu: FreeCpuIndex,
     /// Workers that are kept free for more urgent steps.
     pub(super) reservations: Reservations,
+    /// What each tenant has running.
+    pub(super) quota: Ledger,
     /// Workers that may still be used for trials.
     pub(super) trial_budget: TrialBudget,
     /// Positions of the workers that are kept for trials and may take one now.
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -17,6 +17,7 @@
     jobs::Outcome,
     objective::MAX_LATENESS,
     placement::Request,
+    quota::{self, Claim},
     workers::{Phase, StopReason},
 };
 
@@ -159,6 +160,7 @@
                 now_ms,
             ),
             reservations,
+            quota: self.quota_ledger(now_ms),
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
         };
@@ -167,7 +169,11 @@
         let mut attempts = 0;
         self.contended_services.clear();
         for urgency in &ready_steps {
-            let started = self.start_step(urgency.step, &pass, orders);
+            let started = self.start_step(urgency.step, &mut pass, orders);
+            // Free workers would not help a step that its tenant's limit holds back.
+            if pass.quota.is_held(urgency.step) {
+                continue;
+            }
             if !started && urgency.lateness < MAX_LATENESS {
                 self.record_contention(urgency.step);
             }
@@ -183,10 +189,14 @@
                 reserving += usize::from(reserved);
             }
         }
-        self.ready_steps = ready_steps
+        // Steps that their tenants' limits hold back are the last to ask for advice.
+        let (held, others): (Vec<StepId>, Vec<StepId>) = ready_steps
             .into_iter()
             .map(|urgency| urgency.step)
-            .collect();
+            .partition(|&step| pass.quota.is_held(step));
+        self.ready_steps = others;
+        self.ready_steps.extend(held);
+        self.quota = pass.quota;
         self.reservations = pass.reservations;
     }
 
@@ -224,6 +234,7 @@
                         0
                     };
                     ready.push(Urgency {
+                        behind_shares: lateness == MAX_LATENESS || self.is_behind_shares(job),
                         finite,
                         lateness,
                         priority,
@@ -243,7 +254,7 @@
     }
 
     /// Starts as many of a step's waiting tasks as fit. Returns whether any was started.
-    fn start_step(&mut self, id: StepId, pass: &Pass, orders: &mut Vec<Order>) -> bool {
+    fn start_step(&mut self, id: StepId, pass: &mut Pass, orders: &mut Vec<Order>) -> bool {
         let chosen = self.choose_workers(id, pass);
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
@@ -260,7 +271,8 @@
 
     /// Chooses workers for as many of a step's waiting tasks as fit. Returns the position of each
     /// task in the step and that of its worker.
-    fn choose_workers(&mut self, id: StepId, pass: &Pass) -> Vec<(u32, usize)> {
+    fn choose_workers(&mut self, id: StepId, pass: &mut Pass) -> Vec<(u32, usize)> {
+        let has_waited_long = pass.quota.is_active() && self.has_waited_long(id, pass.unix_ms);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return Vec::new();
         };
@@ -271,6 +283,7 @@
             return Vec::new();
         };
         let service = service_of(&self.config, job);
+        let tenant = Rc::clone(&job.tenant);
         let queue = self.config.queues.get(&job.queue);
         let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
         let objective_unix_ms = job.due_unix_ms(id.occurrence) + job.allowed_ms();
@@ -290,6 +303,25 @@
         if spec.gang && waiting.len() < step.tasks.len() - step.done_count as usize {
             return Vec::new();
         }
+        let demand = demand_of(spec);
+        let (bound, mut free): (Vec<u32>, Vec<u32>) = waiting
+            .iter()
+            .partition(|&&n| step.tasks[n as usize].bound_to.is_some());
+        // The orders that bind tasks are counted as running already.
+        let allowed = pass.quota.claim(&Claim {
+            tenant: &tenant,
+            step: id,
+            demand: demand.resources,
+            count: free.len() as u32,
+            is_gang: spec.gang,
+            has_waited_long,
+        }) as usize;
+        if allowed < free.len() {
+            free.truncate(allowed);
+            if spec.gang || (free.is_empty() && bound.is_empty()) {
+                return Vec::new();
+            }
+        }
         let waiting_step = WaitingStep {
             id,
             spec,
@@ -297,11 +329,7 @@
             needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
             waiting: &waiting,
         };
-        let demand = demand_of(spec);
         let mut candidates = waiting_step.candidates(&self.workers, step, pass);
-        let (bound, free): (Vec<u32>, Vec<u32>) = waiting
-            .iter()
-            .partition(|&&n| step.tasks[n as usize].bound_to.is_some());
         let mut chosen = Vec::with_capacity(waiting.len());
         for &n in &bound {
             let worker = step.tasks[n as usize].bound_to.as_ref();
@@ -339,6 +367,8 @@
         if spec.gang && placed.is_empty() {
             return Vec::new();
         }
+        let started = quota::times(&demand.resources, placed.len() as u32);
+        pass.quota.charge(&tenant, &started);
         chosen.extend(free.into_iter().zip(placed));
         chosen
     }
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -20,7 +20,7 @@
 use super::{
     Coordinator, Order,
     candidates::{TrialRoom, WaitingStep, service_of},
-    job::{Job, Step, Task, demand_of},
+    job::{Job, Step, Task, demand_of, resources_of},
     pass::{Pass, Urgency},
 };
 use crate::{
@@ -56,6 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct WaitingTrial {
     pub(super) rank: TrialRank,
+    behind_shares: bool,
     lateness: u8,
     newest_first: Reverse<u64>,
     pub(super) step: StepId,
@@ -101,6 +102,10 @@
             .filter_map(|urgency| self.waiting_trial(urgency, pass))
             .collect();
         trials.sort_unstable();
+        if pass.quota.is_active() {
+            // No worker is kept free for a trial that its tenant's limit holds back.
+            trials.retain(|trial| self.may_start_trial(trial.step, pass));
+        }
         self.keep_trial_workers(&trials, pass);
         let mut scans_left = MAX_SCANS_PER_PASS;
         for trial in &trials {
@@ -135,6 +140,7 @@
         };
         Some(WaitingTrial {
             rank,
+            behind_shares: urgency.behind_shares,
             lateness: urgency.lateness,
             newest_first: Reverse(urgency.accepted_unix_ms),
             step: id,
@@ -188,6 +194,7 @@
             Trial::Alone => pass.free_trial_workers.retain(|n| !used.contains(n)),
             Trial::Repeated => self.trial_workers.record_repeated(pass.now_ms),
         }
+        self.charge_started(id, chosen.len(), pass);
         let trials: Vec<_> = trials.into_iter().map(|n| (n, trial.kind)).collect();
         self.order_runs(id, &chosen, &trials, pass.now_ms, orders);
     }
@@ -231,6 +238,11 @@
             return None;
         }
         trials.retain(|n| !is_bound(n));
+        let allowed = pass.quota.fitting_tasks(&job.tenant, &resources_of(spec)) as usize;
+        if spec.gang && allowed < trials.len() + others.len() {
+            return Some(ChosenTrials::default());
+        }
+        trials.truncate(allowed);
         if trials.is_empty() {
             return None;
         }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -4,7 +4,7 @@
 //! the time of acceptance, and the completed and failed runs of its tasks. Active runs are not
 //! recorded; a new coordinator learns them from the workers' reports.
 
-use crate::ids::JobId;
+use crate::{ids::JobId, workers::Resources};
 
 /// Specification of a step, as submitted by the client.
 #[expect(
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Resources that each task occupies on a worker.
+    pub fn resources(&self) -> Resources {
+        Resources {
+            cpu_millicores: self.reserved_millicores(),
+            memory_mb: self.memory_mb,
+            gpus: self.gpus,
+        }
+    }
+
     /// Estimated CPU time of the whole step, in core-milliseconds.
     pub fn estimated_core_ms(&self) -> u64 {
         u64::from(self.count) * self.reserved_millicores() * self.estimate_ms / 1000
@@ -110,6 +119,11 @@
 impl JobSpec {
     /// Estimated duration of the critical path through the steps, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
+        self.longest_chain_ms(|step| step.estimate_ms)
+    }
+
+    /// Duration of the longest chain of steps that depend on each other, in milliseconds.
+    pub fn longest_chain_ms(&self, duration_ms: impl Fn(&StepSpec) -> u64) -> u64 {
         let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let before = step
@@ -117,7 +131,7 @@
                 .iter()
                 .filter_map(|&n| ends_ms.get(n as usize))
                 .max();
-            ends_ms.push(before.copied().unwrap_or(0) + step.estimate_ms);
+            ends_ms.push(before.copied().unwrap_or(0) + duration_ms(step));
         }
         ends_ms.into_iter().max().unwrap_or(0)
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,7 +21,9 @@
 //! - [`outage`]: store health, and whether requests wait or are turned away during an outage;
 //! - [`pacing`]: the CPU share of best-effort tasks next to latency-sensitive tasks;
 //! - [`placement`]: assignment of a step's tasks to workers;
+//! - [`quota`]: limits of tenants, and what each has running;
 //! - [`routing`]: which host relays calls to a worker;
+//! - [`shares`]: which jobs exceed their tenant's share;
 //! - [`admission`]: which jobs are refused on submission, and when the caller may retry.
 
 pub mod admission;
@@ -40,5 +42,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod progress;
+pub mod quota;
 pub mod routing;
+pub mod shares;
 pub mod workers;
