Quotas: admission at the leader, refusals with their reason, gauges and tests

Cause: the decisions on limits and shares were not connected to the leader and had no tests. Change: the leader classifies jobs before they are written, admits them with their tenant, answers 429 with the reason for work above the limit, logs E8106 and E8107 and publishes what tenants use. Without a leader the host refuses such work itself. The model asserts the limit at every start.

--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use hickorychute_cell::{
-    config::{AdviceCost, Config, Queue, Service},
+    config::{AdviceCost, Config, Queue, Service, Tenant},
     coordinator::{Coordinator, TakeoverState, Tuning},
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobSpec, StepSpec},
@@ -70,6 +70,37 @@
     })
 }
 
+/// A tenant with a share in jobs a second and a limit in millicores; 0 for none.
+pub fn tenant(name: &str, jobs_per_s: f64, cpu_millicores: u64) -> Tenant {
+    Tenant {
+        name: name.into(),
+        key_digests: Vec::new(),
+        jobs_per_s,
+        limit: Resources {
+            cpu_millicores,
+            ..Resources::default()
+        },
+    }
+}
+
+/// The same configuration in a later version, with these tenants.
+pub fn with_tenants(config: &Config, tenants: impl IntoIterator<Item = Tenant>) -> Rc<Config> {
+    let by_name = |tenant: Tenant| (Rc::clone(&tenant.name), Rc::new(tenant));
+    Rc::new(Config {
+        version: config.version + 1,
+        tenants: Some(tenants.into_iter().map(by_name).collect()),
+        ..config.clone()
+    })
+}
+
+/// The same job, submitted by a tenant.
+pub fn of_tenant(tenant: &str, record: JobRecord) -> JobRecord {
+    JobRecord {
+        tenant: tenant.to_owned(),
+        ..record
+    }
+}
+
 /// A worker with 16 cores and 32 GB of memory; each rack has eight workers.
 pub fn entry(number: usize) -> WorkerEntry {
     WorkerEntry {
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -63,6 +63,8 @@
     /// Number of gang runs that ended because not all members started in time.
     pub gang_timeouts: u64,
     config: Rc<Config>,
+    /// Configurations that were replaced, and when.
+    former_configs: Vec<(u64, Rc<Config>)>,
     records: IndexMap<JobId, JobRecord>,
     /// The durable roster.
     roster: Vec<InheritedWorker>,
@@ -91,6 +93,7 @@
             crashes: IndexMap::new(),
             gang_timeouts: 0,
             config,
+            former_configs: Vec::new(),
             records: IndexMap::new(),
             roster: Vec::new(),
             done: IndexMap::new(),
@@ -107,7 +110,8 @@
         model
     }
 
-    fn unix_ms(&self) -> u64 {
+    /// Simulated time, in Unix milliseconds.
+    pub fn unix_ms(&self) -> u64 {
         START_UNIX_MS + self.now_ms - 100_000
     }
 
@@ -141,13 +145,72 @@
         self.coordinator.roster_durable(&open);
     }
 
-    /// Submits a job.
+    /// Submits a job to the coordinator.
     pub fn submit(&mut self, mut record: JobRecord) {
+        self.coordinator.claim_share(&mut record, self.unix_ms());
+        self.submit_to_store(record);
+    }
+
+    /// Submits a job that its host writes to the store, of which the coordinator learns afterwards.
+    pub fn submit_to_store(&mut self, mut record: JobRecord) {
         record.accepted_unix_ms = self.unix_ms();
         self.records.insert(JobId(record.id), record.clone());
         self.coordinator.add_job(&record, false, self.unix_ms());
     }
 
+    /// Replaces the configuration.
+    pub fn apply_config(&mut self, config: Rc<Config>) {
+        let former = std::mem::replace(&mut self.config, Rc::clone(&config));
+        self.former_configs.push((self.now_ms, former));
+        self.coordinator.apply_config(config);
+    }
+
+    /// Resources of all runs of a tenant that are present on the workers.
+    pub fn used_by(&self, tenant: &str) -> Resources {
+        let mut used = Resources::default();
+        for worker in self.workers.values() {
+            for (task, present) in &worker.present {
+                if self.tenant_of(*task) == Some(tenant) {
+                    used.add(&present.spec.resources());
+                }
+            }
+        }
+        used
+    }
+
+    fn tenant_of(&self, task: TaskId) -> Option<&str> {
+        let record = self.records.get(&task.step.job)?;
+        (!record.tenant.is_empty()).then_some(&*record.tenant)
+    }
+
+    /// Asserts that the start of a task keeps to the limit of its tenant. An order may take effect
+    /// late, so that any limit counts that was in force while it could have been sent.
+    fn check_limit(&self, task: TaskId, spec: &StepSpec) {
+        let Some(tenant) = self.tenant_of(task) else {
+            return;
+        };
+        let since_ms = self.now_ms.saturating_sub(MAX_DELIVERY_DELAY_MS);
+        let former = self.former_configs.iter();
+        let former = former.filter(|(until_ms, _)| *until_ms >= since_ms);
+        let configs = former.map(|(_, config)| config).chain([&self.config]);
+        let mut used = self.used_by(tenant);
+        used.add(&spec.resources());
+        let is_within = |config: &Rc<Config>| {
+            let Some(tenant) = config.tenant(tenant) else {
+                return true;
+            };
+            let fits = |used: u64, limit: u64| limit == 0 || used <= limit;
+            fits(used.cpu_millicores, tenant.limit.cpu_millicores)
+                && fits(used.memory_mb, tenant.limit.memory_mb)
+                && fits(used.gpus, tenant.limit.gpus)
+        };
+        assert!(
+            configs.into_iter().any(is_within),
+            "{task} starts at {} above the limit of {tenant}: {used:?}",
+            self.now_ms
+        );
+    }
+
     /// State of a job as reported to clients.
     pub fn state(&self, id: u64) -> Option<JobState> {
         self.coordinator.job_state(JobId(id))
@@ -726,6 +789,7 @@
             "{task} does not fit on {id}: {:?} is taken",
             worker.used()
         );
+        self.check_limit(task, spec);
         for (other, elsewhere) in &self.workers {
             assert!(
                 !elsewhere.present.contains_key(&task),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -122,6 +122,7 @@
             store: context.store.clone(),
             in_doubt: RefCell::default(),
             payloads: Rc::clone(&context.payloads),
+            operator_config: Rc::clone(&context.operator_config),
             direct_write_until: Cell::new(Instant::now()),
         },
         metrics: Rc::clone(&context.metrics),
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -45,6 +45,10 @@
     STATE_ANSWERED = (8102, "state-answered", Info, "A job state query was answered that the job does not exist or that its state is unavailable.");
     /// The leader refused a job.
     JOB_REFUSED = (8103, "job-refused", Info, "The coordinator refused a job before accepting it. The line gives the verdict and the state of the cell behind it.");
+    /// The leader refused a job because of its tenant.
+    TENANT_REFUSED = (8106, "tenant-refused", Info, "The coordinator refused a job because of its tenant. The line gives the tenant and why: a task or gang above its limit, `at_limit` if its work within the limit takes too long, or `over_share`; and what the tenant has running.");
+    /// The limit of a tenant holds tasks back.
+    TENANT_AT_LIMIT = (8107, "tenant-at-limit", Info, "Tasks of a tenant wait because it has as much running as its limit allows. The line gives their number, what the tenant has running and its limit, of at most four tenants a second. Nothing to do, unless the tenant should run more.");
     /// A start order is sent.
     RUN_ORDERED = (8110, "run-ordered", Info, "A worker was ordered to start a task.");
     /// A start was not confirmed.
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -166,7 +166,10 @@
             SubmitOutcome::StoreAway {
                 retry_after_ms: None,
             } => plain(503, ""),
-            SubmitOutcome::NeverFits | SubmitOutcome::Cancelled => plain(429, ""),
+            SubmitOutcome::NeverFits { reason } if !reason.is_empty() => {
+                plain(429, &clients::refusal_body(&reason))
+            }
+            SubmitOutcome::NeverFits { .. } | SubmitOutcome::Cancelled => plain(429, ""),
             SubmitOutcome::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
             SubmitOutcome::InDoubt => plain(504, ""),
         }
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -152,10 +152,18 @@
 }
 
 impl Leader {
-    /// Takes the next jobs to commit: by queue priority, then by the caller's deadline.
+    /// Takes the next jobs to commit: those within shares first, by queue priority, then by the caller's
+    /// deadline.
     fn next_submissions(&self) -> Vec<Write> {
         let mut waiting = self.submissions.borrow_mut();
-        waiting.sort_by_key(|submission| (submission.priority, submission.client_deadline_ms));
+        waiting.sort_by_key(|submission| {
+            let over_share = submission.record.over_share;
+            (
+                over_share,
+                submission.priority,
+                submission.client_deadline_ms,
+            )
+        });
         let count = waiting.len().min(MAX_WRITES_PER_TXN);
         let write = |submission: Submission| Write {
             id: JobId(submission.record.id),
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -6,6 +6,7 @@
 //! - [`relays`]: calls to workers, relayed by a host near the worker;
 //! - [`holds`]: one long poll per worker, which extends its runs and returns its lists;
 //! - [`orders`]: start and stop orders, and advice queries;
+//! - [`tenants`]: admission of tenants' jobs, and what is logged and counted of their limits;
 //! - [`retention`]: removal of ended jobs after the retention period.
 
 mod arrivals;
@@ -15,6 +16,7 @@
 mod relays;
 mod retention;
 mod takeover;
+mod tenants;
 
 use std::{
     cell::{Cell, RefCell},
@@ -23,7 +25,6 @@
 
 use adapter::{http::ConnectionPool, settings::Settings};
 use cell::{
-    admission::Verdict,
     answer_loss::AnswerLoss,
     coordinator::{Coordinator, Tuning},
     ids::JobId,
@@ -202,6 +203,7 @@
     leader.spawn(retention::run(Rc::clone(&leader)));
     leader.spawn_known_holds();
     leader.ended.cancelled().await;
+    leader.withdraw_usage();
     slot.borrow_mut().take();
 }
 
@@ -247,6 +249,7 @@
             gang_patience_ms: base.gang_patience_ms.min(settings.gang_timeout_ms / 2),
             retention_ms: settings.retention_ms + RETENTION_MARGIN_MS,
             max_hold_ms: settings.longest_hold_ms,
+            quota_window_ms: settings.quota_window_ms,
             // The platform's clock may run fast.
             entry_lapse_ms: settings.worker_lapse_ms * 9 / 10,
             ..base
@@ -344,7 +347,7 @@
         let id = JobId(record.id);
         let accepted = Body::SubmitReply(SubmitReply {
             accepted: true,
-            retry_after_ms: 0,
+            ..SubmitReply::default()
         });
         if self.coordinator.borrow().job_state(id).is_some() {
             return accepted;
@@ -353,26 +356,8 @@
         if self.in_doubt.borrow().contains(&id) || self.coordinator.borrow().contains_job(id) {
             return Body::NotHandled(false);
         }
-        let verdict = self.admit(&record);
-        let retry_after_ms = match verdict {
-            Verdict::Accept => None,
-            Verdict::Refuse { retry_after_ms } => Some(retry_after_ms),
-            Verdict::NeverFits => Some(0),
-        };
-        if let Some(retry_after_ms) = retry_after_ms {
-            let coordinator = self.coordinator.borrow();
-            log_event!(
-                events::JOB_REFUSED,
-                "job={id} queue={} verdict={verdict:?} config={} open_jobs={} workers={}",
-                record.queue,
-                coordinator.config().version,
-                coordinator.open_jobs().count(),
-                coordinator.workers().len()
-            );
-            return Body::SubmitReply(SubmitReply {
-                accepted: false,
-                retry_after_ms,
-            });
+        if let Some(refusal) = self.refusal(&record) {
+            return Body::SubmitReply(refusal);
         }
         let health = self.context.store.health();
         if outage::decide_request(health, call.waited_ms, client_timeout_ms)
@@ -389,6 +374,9 @@
             let queue = coordinator.config().queues.get(record.queue.as_str());
             queue.map_or(u32::MAX, |queue| queue.priority)
         };
+        self.coordinator
+            .borrow_mut()
+            .claim_share(&mut record, clock::unix_ms());
         let (sender, durable) = oneshot::channel();
         let payload = records::take_payload(&mut record);
         self.submissions.borrow_mut().push(Submission {
@@ -437,16 +425,6 @@
         congested
     }
 
-    fn admit(&self, record: &JobRecord) -> Verdict {
-        let coordinator = self.coordinator.borrow();
-        let queue = coordinator.config().queues.get(record.queue.as_str());
-        match (queue, &record.spec) {
-            (Some(queue), Some(spec)) => coordinator.admit(queue, spec),
-            // The forwarding host has a newer configuration.
-            _ => Verdict::Accept,
-        }
-    }
-
     async fn cancel(&self, id: JobId) -> Body {
         if !self
             .coordinator
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -55,6 +55,7 @@
                 .schedule(now_ms, clock::unix_ms());
             leader.log_crashes();
             leader.log_released_runs();
+            leader.count_held_steps();
             for order in orders {
                 leader.execute(order);
             }
@@ -68,6 +69,7 @@
                     leader.log_waiting(now_ms);
                 }
                 leader.log_waiting_steps(now_ms);
+                leader.report_tenants();
             }
             if !settled && leader.coordinator.borrow().takeover_complete(now_ms) {
                 settled = true;
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -16,6 +16,7 @@
     ids::JobId,
     jobs::{JobRecord, JobState},
     outage::{self, Health, RequestDecision},
+    quota::{self, LimitExcess},
 };
 use indexmap::IndexSet;
 use prost::Message;
@@ -25,6 +26,7 @@
     clock,
     leader::LeaderSlot,
     members::Members,
+    operator_config::OperatorConfig,
     payloads::PayloadCache,
     peers::{self, Body, PeerError, Peers, SubmitCall, SubmitReply, WrittenJob},
     records::{self, ACCEPTED_PREFIX, CANCEL_PREFIX, LEADER_KEY},
@@ -58,7 +60,7 @@
 const LEADER_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Outcome of a submission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubmitOutcome {
     /// The job is accepted and durable.
     Accepted,
@@ -67,8 +69,11 @@
         /// Time until the backlog is expected to have shrunk enough, in milliseconds.
         retry_after_ms: u64,
     },
-    /// The job is not accepted, because no worker could ever run it.
-    NeverFits,
+    /// The job is not accepted, because no worker or its tenant could ever run it.
+    NeverFits {
+        /// Why, for the client; empty if no worker could.
+        reason: String,
+    },
     /// The job was cancelled before it was accepted, and never will be.
     Cancelled,
     /// Neither the leader nor the store processed the request.
@@ -84,10 +89,12 @@
 }
 
 impl SubmitReply {
-    fn outcome(&self) -> SubmitOutcome {
+    fn outcome(self) -> SubmitOutcome {
         match (self.accepted, self.retry_after_ms) {
             (true, _) => SubmitOutcome::Accepted,
-            (false, 0) => SubmitOutcome::NeverFits,
+            (false, 0) => SubmitOutcome::NeverFits {
+                reason: self.reason,
+            },
             (false, retry_after_ms) => SubmitOutcome::Refused { retry_after_ms },
         }
     }
@@ -150,6 +157,8 @@
     pub in_doubt: RefCell<IndexSet<JobId>>,
     /// Payloads of jobs that this host received from clients.
     pub payloads: Rc<PayloadCache>,
+    /// The operators' configuration in effect.
+    pub operator_config: Rc<OperatorConfig>,
     /// Until this time payloads are not sent to the leader, whose link is saturated.
     pub direct_write_until: Cell<Instant>,
 }
@@ -224,7 +233,7 @@
                 in_doubt.shift_remove(&id);
             }
             SubmitOutcome::Refused { .. }
-            | SubmitOutcome::NeverFits
+            | SubmitOutcome::NeverFits { .. }
             | SubmitOutcome::Unavailable
             | SubmitOutcome::StoreAway { .. } => {
                 if in_doubt.contains(&id) {
@@ -346,6 +355,12 @@
         client_timeout: Duration,
         mut in_doubt: bool,
     ) -> SubmitOutcome {
+        // No leader refuses the job, which could never run.
+        if let Some(excess) = self.limit_excess(record).filter(|_| !in_doubt) {
+            return SubmitOutcome::NeverFits {
+                reason: excess.to_string(),
+            };
+        }
         let (_, txn) = accept_txn(record);
         let attempts = async {
             loop {
@@ -381,6 +396,13 @@
         }
     }
 
+    /// The first task or gang of a job that exceeds its tenant's limit, if any.
+    fn limit_excess(&self, record: &JobRecord) -> Option<LimitExcess> {
+        let config = self.operator_config.current()?;
+        let tenant = config.tenant(&record.tenant)?;
+        quota::limit_excess(record.spec.as_ref()?, &tenant.limit)
+    }
+
     /// Returns a job's state.
     pub async fn state(&self, id: JobId, client_timeout: Duration) -> Lookup<JobState> {
         if let Ok(Body::StateReply(answer)) = self
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and latency histograms in the Prometheus text format.
 
-use std::{cell::RefCell, fmt::Write, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, time::Duration};
 
 use adapter::clients::Request;
 use indexmap::IndexMap;
@@ -20,6 +20,8 @@
     counters: RefCell<IndexMap<&'static str, u64>>,
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
+    /// Current values, by name and labels as rendered.
+    gauges: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Metrics {
@@ -28,6 +30,18 @@
         *self.counters.borrow_mut().entry(name).or_default() += 1;
     }
 
+    /// Increases the counter `hickory_{name}_total`, unless by 0.
+    pub fn add(&self, name: &'static str, number: u64) {
+        if number > 0 {
+            *self.counters.borrow_mut().entry(name).or_default() += number;
+        }
+    }
+
+    /// Replaces all gauges.
+    pub fn set_gauges(&self, gauges: BTreeMap<String, u64>) {
+        *self.gauges.borrow_mut() = gauges;
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -73,6 +87,9 @@
             let _written = writeln!(text, "hickory_request_ms_sum{{kind=\"{kind}\"}} {sum_ms}");
             let _written = writeln!(text, "hickory_request_ms_count{{kind=\"{kind}\"}} {below}");
         }
+        for (name, value) in &*self.gauges.borrow() {
+            let _written = writeln!(text, "{name} {value}");
+        }
         let dropped = crate::logs::dropped_lines();
         let _written = writeln!(text, "hickory_log_lines_dropped_total {dropped}");
         text
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -216,7 +216,7 @@
 }
 
 /// Outcome of a submission.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct SubmitReply {
     /// The job is accepted and durable.
     #[prost(bool, tag = "1")]
@@ -225,6 +225,10 @@
     /// worker could ever run it.
     #[prost(uint64, tag = "2")]
     pub retry_after_ms: u64,
+    /// For a rejected job that its tenant may never run, why, for the client. Older leaders leave it
+    /// empty.
+    #[prost(string, tag = "4")]
+    pub reason: String,
 }
 
 /// State of a job.
