--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod odd_entries;
 mod peers;
 mod polls;
+mod quotas;
 mod relays;
 mod reload;
 mod rosters;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -61,6 +61,17 @@
             .expect("the process is a child of this test");
     }
 
+    /// Address at which the process accepts calls of other hosts.
+    pub fn peer_address(&self) -> SocketAddr {
+        let text = fs::read_to_string(&self.settings).expect("the settings file is readable");
+        let port = text
+            .lines()
+            .find_map(|line| line.strip_prefix("port_range=")?.split(',').next())
+            .and_then(|port| port.parse().ok())
+            .expect("the settings name the ports");
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
     /// Appends a line to the settings file. The last line with a given name takes effect.
     pub fn add_setting(&self, line: &str) {
         let text = fs::read_to_string(&self.settings).expect("the settings file is readable");
