--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -62,8 +62,6 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
-    quota::Ledger,
-    shares::Shares,
     workers::{StopReason, Worker, WorkerEntry},
 };
 
@@ -220,10 +218,8 @@
     trial_workers: trial_workers::TrialWorkers,
     /// Services in which steps that are not on trial waited for room in the last scheduling pass.
     contended_services: IndexSet<Rc<str>>,
-    /// What each tenant had running at the last scheduling pass.
-    quota: Ledger,
-    /// Jobs within shares that were accepted lately.
-    shares: Shares,
+    /// What tenants have running, and their shares.
+    tenants: tenants::Tenants,
     /// Events that have not been taken for the log.
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
@@ -259,8 +255,7 @@
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
             contended_services: IndexSet::new(),
-            quota: Ledger::default(),
-            shares: Shares::default(),
+            tenants: tenants::Tenants::default(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
             pass_unix_ms: 0,
@@ -356,11 +351,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let queue = self.config.queues.get(record.queue.as_str());
-        let tenant = self.config.tenant(&record.tenant);
-        let limit = tenant.map(|tenant| &tenant.limit);
-        let mut job = Job::new(record, queue.map(Rc::as_ref), limit, inherited);
-        self.settle_share(&mut job, unix_ms);
+        let mut job = self.restore_job(record, inherited, unix_ms);
         if let Some(due) = job.begin_due(unix_ms) {
             self.schedule_due(due);
         }
--- a/crates/cell/src/coordinator/movement.rs
+++ b/crates/cell/src/coordinator/movement.rs
@@ -234,6 +234,10 @@
         let Some(spec) = job.step_spec(task.step.step) else {
             return false;
         };
+        // It could not start again until enough of the tenant's other runs have ended.
+        if self.quota().is_exceeded(&job.tenant) {
+            return false;
+        }
         let service = candidates::service_of(&self.config, job);
         let fits_elsewhere = self.workers.values().any(|other| {
             other.is_schedulable(now_ms)
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -196,7 +196,7 @@
             .partition(|&step| pass.quota.is_held(step));
         self.ready_steps = others;
         self.ready_steps.extend(held);
-        self.quota = pass.quota;
+        self.tenants.quota = pass.quota;
         self.reservations = pass.reservations;
     }
 
--- a/crates/cell/src/coordinator/tenants.rs
+++ b/crates/cell/src/coordinator/tenants.rs
@@ -15,13 +15,33 @@
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, Outcome},
     quota::{self, Claim, Ledger},
+    shares::Shares,
     workers::{Phase, Resources, Worker},
 };
 
+/// What tenants have running, and their shares.
+#[derive(Debug, Default)]
+pub(super) struct Tenants {
+    /// What each had running at the last scheduling pass.
+    pub(super) quota: Ledger,
+    /// Jobs within shares that were accepted lately.
+    shares: Shares,
+}
+
 impl Coordinator {
+    /// Restores a job from its record, under the limit and the share of its tenant.
+    pub(super) fn restore_job(&mut self, record: &JobRecord, inherited: bool, unix_ms: u64) -> Job {
+        let queue = self.config.queues.get(record.queue.as_str());
+        let tenant = self.config.tenant(&record.tenant);
+        let limit = tenant.map(|tenant| &tenant.limit);
+        let mut job = Job::new(record, queue.map(Rc::as_ref), limit, inherited);
+        self.settle_share(&mut job, unix_ms);
+        job
+    }
+
     /// What each tenant had running at the last scheduling pass, with the starts of that pass.
     pub fn quota(&self) -> &Ledger {
-        &self.quota
+        &self.tenants.quota
     }
 
     /// Derives what each tenant may have running.
@@ -30,6 +50,8 @@
         if !ledger.is_active() {
             return ledger;
         }
+        // The tasks of a job are mostly next to each other.
+        let mut last: Option<(JobId, Option<usize>)> = None;
         for worker in self.workers.values() {
             let is_counted = |task: &TaskId| {
                 let run = worker.runs.get(task);
@@ -47,8 +69,14 @@
                     Resources::UNKNOWN => &worker.entry.capacity,
                     _ => resources,
                 };
-                if let Some(tenant) = self.tenant_of(task.step.job) {
-                    ledger.charge(tenant, resources);
+                let id = task.step.job;
+                let position = match last {
+                    Some((known, position)) if known == id => position,
+                    _ => self.tenant_of(id).and_then(|name| ledger.position(name)),
+                };
+                last = Some((id, position));
+                if let Some(position) = position {
+                    ledger.charge_at(position, resources);
                 }
             }
         }
@@ -156,7 +184,7 @@
         let window_ms = self.tuning.quota_window_ms;
         let is_over = |tenant: &Rc<Tenant>| {
             let id = JobId(record.id);
-            self.shares.is_over(tenant, id, window_ms, unix_ms)
+            self.tenants.shares.is_over(tenant, id, window_ms, unix_ms)
         };
         self.config.tenant(&record.tenant).is_some_and(is_over)
     }
@@ -172,13 +200,17 @@
 
     /// Counts a job whose record is durable towards its tenant's share. One that its host has written
     /// directly to the store may exceed the share, which its next record shows.
-    pub(super) fn settle_share(&mut self, job: &mut Job, unix_ms: u64) {
+    fn settle_share(&mut self, job: &mut Job, unix_ms: u64) {
         if job.tenant.is_empty() || job.over_share || !job.was_accepted() {
             return;
         }
         let window_ms = self.tuning.quota_window_ms;
         let tenant = self.config.tenant(&job.tenant);
-        let is_over = |tenant: &Rc<Tenant>| self.shares.is_over(tenant, job.id, window_ms, unix_ms);
+        let is_over = |tenant: &Rc<Tenant>| {
+            self.tenants
+                .shares
+                .is_over(tenant, job.id, window_ms, unix_ms)
+        };
         if !job.inherited && job.outcome == Outcome::Open && tenant.is_some_and(is_over) {
             job.over_share = true;
             self.dirty.insert(job.id);
@@ -196,7 +228,8 @@
     ) {
         let window_ms = self.tuning.quota_window_ms;
         if let Some(tenant) = self.config.tenant(tenant) {
-            self.shares
+            self.tenants
+                .shares
                 .record(tenant, id, accepted_unix_ms, window_ms, unix_ms);
         }
     }
@@ -204,7 +237,7 @@
     /// Time until a tenant's share has room for another job, in milliseconds.
     pub(crate) fn share_room_in_ms(&self, tenant: &Tenant, unix_ms: u64) -> u64 {
         let window_ms = self.tuning.quota_window_ms;
-        self.shares.room_in_ms(tenant, window_ms, unix_ms)
+        self.tenants.shares.room_in_ms(tenant, window_ms, unix_ms)
     }
 }
 
--- a/crates/cell/src/quota.rs
+++ b/crates/cell/src/quota.rs
@@ -100,13 +100,31 @@
         self.counts
     }
 
+    /// Position of a tenant, for many charges; `None` if it is not configured.
+    pub fn position(&self, tenant: &str) -> Option<usize> {
+        self.tenants.get_index_of(tenant)
+    }
+
+    /// Counts resources as used by the tenant at a position.
+    pub fn charge_at(&mut self, position: usize, resources: &Resources) {
+        if let Some((_, usage)) = self.tenants.get_index_mut(position) {
+            usage.used.add(resources);
+        }
+    }
+
     /// Counts resources as used by a tenant; ignored if the tenant is not configured.
     pub fn charge(&mut self, tenant: &str, resources: &Resources) {
-        if let Some(usage) = self.tenants.get_mut(tenant) {
-            usage.used.add(resources);
+        if let Some(position) = self.position(tenant) {
+            self.charge_at(position, resources);
         }
     }
 
+    /// Whether a tenant has more running than its limit, as it has after the limit was reduced.
+    pub fn is_exceeded(&self, tenant: &str) -> bool {
+        let usage = self.tenants.get(tenant);
+        usage.is_some_and(|usage| exceeded(&usage.used, &usage.limit).is_some())
+    }
+
     /// Number of tasks of size `demand` that the tenant may start now.
     pub fn fitting_tasks(&self, tenant: &str, demand: &Resources) -> u32 {
         let Some(usage) = self.tenants.get(tenant) else {
--- a/crates/cell/tests/cell/quotas.rs
+++ b/crates/cell/tests/cell/quotas.rs
@@ -195,6 +195,38 @@
     assert_eq!(model.used_by("a").cpu_millicores, 12_000, "the next pass");
 }
 
+/// Guards against a task that is moved off a slow or draining worker, and may not start again anywhere
+/// because the limit was reduced meanwhile.
+#[test]
+fn no_task_is_moved_while_its_tenant_exceeds_its_limit() {
+    let config = |cpu_millicores, version: u64| {
+        let base = hickorychute_cell::config::Config {
+            version,
+            ..(*support::config()).clone()
+        };
+        support::with_tenants(&base, [support::tenant("a", 0.0, cpu_millicores)])
+    };
+    let mut model = Model::new(config(8_000, 1), 2);
+    model.run_ms(500);
+    let steps = vec![support::long_running(support::step(4, 2_000, 500))];
+    model.submit(support::of_tenant("a", support::job(1, "batch", steps)));
+    model.run_ms(200);
+    let busy = usize::from(model.tasks_on(0).is_empty());
+    assert_eq!(model.tasks_on(busy).len(), 4);
+    model.apply_config(config(4_000, 2));
+    model.run_ms(50);
+    model.drain_worker(busy);
+    model.run_ms(2_000);
+    assert_eq!(model.tasks_on(busy).len(), 4, "nothing stops");
+    model.apply_config(config(8_000, 3));
+    model.run_ms(2_000);
+    assert_eq!(
+        model.tasks_on(1 - busy).len(),
+        4,
+        "they move within the limit"
+    );
+}
+
 /// Guards against counting best-effort CPU, which no worker reserves, and against leaving out memory.
 #[test]
 fn every_reserved_resource_counts() {
