--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -126,6 +126,7 @@
             key_checks: Rc::clone(&context.key_checks),
             in_doubt: RefCell::default(),
             payloads: Rc::clone(&context.payloads),
+            operator_config: Rc::clone(&context.operator_config),
             direct_write_until: Cell::new(Instant::now()),
         },
         metrics: Rc::clone(&context.metrics),
