Merge quotas and shares of tenants

Cause: a tenant could use any part of the cell, and its flood delayed all others. Change: a ledger of what each tenant may have running clamps starts; jobs beyond a tenant's share come after those within shares and are refused first; what can never fit a limit is refused with a reason.

--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -39,6 +39,7 @@
 mod reports;
 mod reserves;
 mod schedule;
+mod tenants;
 mod trial_workers;
 mod trials;
 mod waiting;
@@ -90,6 +91,9 @@
     /// Duration of tasks away from the rack of their data or of their group, relative to the duration
     /// there, in percent.
     pub cross_rack_percent: u32,
+    /// Duration of the sliding window over which the jobs of a tenant count towards its share, in
+    /// milliseconds.
+    pub quota_window_ms: u64,
 }
 
 impl Default for Tuning {
@@ -102,6 +106,7 @@
             entry_lapse_ms: 4_000,
             max_hold_ms: 6_000,
             cross_rack_percent: 100,
+            quota_window_ms: 5_000,
         }
     }
 }
@@ -226,6 +231,8 @@
     trial_workers: trial_workers::TrialWorkers,
     /// Services in which steps that are not on trial waited for room in the last scheduling pass.
     contended_services: IndexSet<Rc<str>>,
+    /// What tenants have running, and their shares.
+    tenants: tenants::Tenants,
     /// Events that have not been taken for the log.
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
@@ -264,6 +271,7 @@
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
             contended_services: IndexSet::new(),
+            tenants: tenants::Tenants::default(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
             wait_events: Vec::new(),
@@ -360,8 +368,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let queue = self.config.queues.get(record.queue.as_str());
-        let mut job = Job::new(record, queue.map(Rc::as_ref), inherited);
+        let mut job = self.restore_job(record, inherited, unix_ms);
         if let Some(due) = job.begin_due(unix_ms) {
             self.schedule_due(due);
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -25,7 +25,9 @@
 //! - [`pace_choice`]: choice between fast and slow workers;
 //! - [`placement`]: assignment of a step's tasks to workers;
 //! - [`placement_wait`]: whether a step waits for a better placement;
+//! - [`quota`]: limits of tenants, and what each has running;
 //! - [`routing`]: which host relays calls to a worker;
+//! - [`shares`]: which jobs exceed their tenant's share;
 //! - [`admission`]: which jobs are refused on submission, and when the caller may retry.
 
 pub mod admission;
@@ -47,6 +49,8 @@
 pub mod placement;
 pub mod placement_wait;
 pub mod progress;
+pub mod quota;
 pub mod routing;
+pub mod shares;
 pub mod worker_pace;
 pub mod workers;
--- a/crates/cell/tests/cell/histories.rs
+++ b/crates/cell/tests/cell/histories.rs
@@ -1,6 +1,10 @@
 //! Seeded random histories of jobs and faults, checked by the assertions of the model.
 
-use hickorychute_cell::jobs::{JobState, StepSpec};
+use hickorychute_cell::{
+    config::Tenant,
+    jobs::{JobRecord, JobState, StepSpec},
+    workers::Resources,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -16,14 +20,41 @@
 /// Number of workers in a history of a heterogeneous cell: two racks.
 const HETEROGENEOUS_WORKERS: usize = 12;
 
-fn run_history(seed: u64) {
-    let model = new_model(seed, WORKERS);
-    run_in(model, seed, |_, _| {});
+/// Tenants of a history; the last one is not configured.
+const TENANTS: [&str; 4] = ["a", "b", "c", "gone"];
+/// Resources of the widest gang of a history: no limit is below it.
+const WIDEST: Resources = Resources {
+    cpu_millicores: 36_000,
+    memory_mb: 600,
+    gpus: 0,
+};
+
+/// Random tenants: `a` is limited in CPU, `b` in memory, `c` only has a share.
+fn tenants(random: &mut ChaCha8Rng) -> [Tenant; 3] {
+    let cpu_millicores = WIDEST.cpu_millicores + random.random_range(0..20_000);
+    let memory_mb = WIDEST.memory_mb + random.random_range(0..600);
+    let limited = Tenant {
+        limit: Resources {
+            memory_mb,
+            ..Resources::default()
+        },
+        ..support::tenant("b", 4.0, 0)
+    };
+    [
+        support::tenant("a", 2.0, cpu_millicores),
+        limited,
+        support::tenant("c", 1.0, 0),
+    ]
+}
+
+fn run_history(seed: u64, mut tenant_random: Option<ChaCha8Rng>) {
+    let model = new_model(seed, WORKERS, tenant_random.as_mut());
+    run_in(model, seed, tenant_random, |_, _| {});
 }
 
 /// The same with workers of different paces, in racks that matter.
 fn run_heterogeneous_history(seed: u64) {
-    let mut model = new_model(seed, HETEROGENEOUS_WORKERS);
+    let mut model = new_model(seed, HETEROGENEOUS_WORKERS, None);
     for number in (0..HETEROGENEOUS_WORKERS).step_by(3) {
         model.set_pace(number, 180);
     }
@@ -36,7 +67,7 @@
         model.run_ms(1_000);
     }
     assert!(model.coordinator.pace_summary().is_some(), "seed {seed}");
-    run_in(model, seed, |step, random| {
+    run_in(model, seed, None, |step, random| {
         step.same_rack = random.random_bool(0.3);
         if random.random_bool(0.3) {
             step.affinity_rack = format!("rack-{}", random.random_range(0..2));
@@ -44,12 +75,16 @@
     });
 }
 
-fn new_model(seed: u64, workers: usize) -> Model {
+fn new_model(seed: u64, workers: usize, tenant_random: Option<&mut ChaCha8Rng>) -> Model {
     let config = if seed.is_multiple_of(2) {
         support::config()
     } else {
         support::advised_config()
     };
+    let config = match tenant_random {
+        Some(random) => support::with_tenants(&config, tenants(random)),
+        None => config,
+    };
     let mut model = Model::new(config, workers);
     model.eligible_percent = 70;
     for number in (0..workers).step_by(2) {
@@ -60,7 +95,12 @@
     model
 }
 
-fn run_in(mut model: Model, seed: u64, vary: fn(&mut StepSpec, &mut ChaCha8Rng)) {
+fn run_in(
+    mut model: Model,
+    seed: u64,
+    mut tenant_random: Option<ChaCha8Rng>,
+    vary: fn(&mut StepSpec, &mut ChaCha8Rng),
+) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     for number in 0..JOBS {
         let mut steps = Vec::new();
@@ -82,7 +122,11 @@
         if random.random_bool(0.08) {
             model.deadly.insert(support::first_task(number));
         }
-        model.submit(support::job(number, queue, steps));
+        let record = support::job(number, queue, steps);
+        match &mut tenant_random {
+            Some(random) => submit_of_tenant(&mut model, random, record),
+            None => model.submit(record),
+        }
         model.run_ms(random.random_range(1..20) * 10);
         inject_fault(&mut model, &mut random);
     }
@@ -93,7 +137,12 @@
         model.restore_entry(number);
     }
     model.store_up = true;
-    model.run_ms(60_000);
+    // Within the limits of the tenants the same work takes longer.
+    model.run_ms(if tenant_random.is_some() {
+        120_000
+    } else {
+        60_000
+    });
     for number in 0..JOBS {
         let state = model.state(number);
         let ended = [JobState::Completed, JobState::Failed, JobState::Cancelled].map(Some);
@@ -104,6 +153,21 @@
     }
 }
 
+/// Submits a job of a random tenant, at times directly to the store, and changes the limits at times.
+fn submit_of_tenant(model: &mut Model, random: &mut ChaCha8Rng, record: JobRecord) {
+    if random.random_bool(0.1) {
+        let config = support::with_tenants(model.coordinator.config(), tenants(random));
+        model.apply_config(config);
+    }
+    let tenant = TENANTS[random.random_range(0..TENANTS.len())];
+    let record = support::of_tenant(tenant, record);
+    if random.random_bool(0.2) {
+        model.submit_to_store(record);
+    } else {
+        model.submit(record);
+    }
+}
+
 fn inject_fault(model: &mut Model, random: &mut ChaCha8Rng) {
     let worker = random.random_range(0..model.workers.len());
     match random.random_range(0..21) {
@@ -142,7 +206,15 @@
 #[test]
 fn seeded_histories_keep_the_invariants() {
     for seed in 0..seeds() {
-        run_history(seed);
+        run_history(seed, None);
+    }
+}
+
+/// The same with tenants, whose limits the model checks at every start.
+#[test]
+fn seeded_histories_with_tenants_keep_the_limits() {
+    for seed in 0..seeds() {
+        run_history(seed, Some(ChaCha8Rng::seed_from_u64(seed)));
     }
 }
 
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -53,6 +53,10 @@
     KEY_REFUSED = (8104, "key-refused", Info, "Calls were refused on account of their keys. The line names one of them, and counts those since the previous line: without a valid key (401), without proof of a recent configuration (503), and for a job of another tenant (403).");
     /// The leader refused a job whose key is no longer valid.
     KEY_REVOKED = (8105, "key-revoked", Info, "The coordinator refused a job on account of its key: it was revoked, or it moved to another tenant, in a configuration that the host which took the job did not have yet; or the coordinator has no proof that its own configuration is recent (E8012). Nothing to do unless this recurs.");
+    /// The leader refused a job because of its tenant.
+    TENANT_REFUSED = (8106, "tenant-refused", Info, "The coordinator refused a job because of its tenant. The line gives the tenant and why: a task or gang above its limit, `at_limit` if its work within the limit takes too long, or `over_share`; and what the tenant has running.");
+    /// The limit of a tenant holds tasks back.
+    TENANT_AT_LIMIT = (8107, "tenant-at-limit", Info, "Tasks of a tenant wait because it has as much running as its limit allows. The line gives their number, what the tenant has running and its limit, of at most four tenants a second. Nothing to do, unless the tenant should run more.");
     /// A start order is sent.
     RUN_ORDERED = (8110, "run-ordered", Info, "A worker was ordered to start a task.");
     /// A start was not confirmed.
--- a/crates/entry/src/leader/keys.rs
+++ b/crates/entry/src/leader/keys.rs
@@ -43,6 +43,7 @@
             accepted: false,
             retry_after_ms,
             unauthorised: denial == Denial::Unauthorised,
+            ..SubmitReply::default()
         })
     }
 
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -63,6 +63,7 @@
             leader.log_crashes();
             leader.log_released_runs();
             leader.log_placement_waits();
+            leader.count_held_steps();
             for order in orders {
                 leader.execute(order);
             }
@@ -76,6 +77,7 @@
                     leader.log_waiting(now_ms);
                 }
                 leader.log_waiting_steps(now_ms);
+                leader.report_tenants();
             }
             if now_ms >= paces_logged_ms + PACES_LOG_INTERVAL_MS {
                 paces_logged_ms = now_ms;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and latency histograms in the Prometheus text format.
 
-use std::{cell::RefCell, fmt::Write, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, time::Duration};
 
 use adapter::clients::Request;
 use indexmap::IndexMap;
@@ -22,6 +22,8 @@
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
     key_refusals: RefCell<IndexMap<&'static str, u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
+    /// Current values with labels, by name and labels as rendered.
+    labelled_gauges: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Metrics {
@@ -40,6 +42,18 @@
         *self.key_refusals.borrow_mut().entry(reason).or_default() += 1;
     }
 
+    /// Increases the counter `hickory_{name}_total`, unless by 0.
+    pub fn add(&self, name: &'static str, number: u64) {
+        if number > 0 {
+            *self.counters.borrow_mut().entry(name).or_default() += number;
+        }
+    }
+
+    /// Replaces all gauges with labels.
+    pub fn set_labelled_gauges(&self, gauges: BTreeMap<String, u64>) {
+        *self.labelled_gauges.borrow_mut() = gauges;
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -92,6 +106,9 @@
             let _written = writeln!(text, "hickory_request_ms_sum{{kind=\"{kind}\"}} {sum_ms}");
             let _written = writeln!(text, "hickory_request_ms_count{{kind=\"{kind}\"}} {below}");
         }
+        for (name, value) in &*self.labelled_gauges.borrow() {
+            let _written = writeln!(text, "{name} {value}");
+        }
         let dropped = crate::logs::dropped_lines();
         let _written = writeln!(text, "hickory_log_lines_dropped_total {dropped}");
         text
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -252,7 +252,7 @@
 }
 
 /// Outcome of a submission.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct SubmitReply {
     /// The job is accepted and durable.
     #[prost(bool, tag = "1")]
@@ -264,6 +264,10 @@
     /// The job is rejected because its key is no longer valid.
     #[prost(bool, tag = "3")]
     pub unauthorised: bool,
+    /// For a rejected job that its tenant may never run, why, for the client. Older leaders leave it
+    /// empty.
+    #[prost(string, tag = "4")]
+    pub reason: String,
 }
 
 /// State of a job.
