Cheaper scheduling passes

Cause: in an overloaded cell the coordinator's passes fell to 6 a second; half of their time was the hash function of the maps. Change: a faster keyed hash function, a check by free CPU before a step's workers are looked at, at most 64 steps of jobs without value a pass, and a cursor over the steps that may ask for advice.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::{credentials::KeyDigest, workers::Resources};
 
--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -74,15 +74,26 @@
 impl Coordinator {
     /// Returns the most urgent query. With `light_only`, queues with slow answers are skipped.
     pub fn next_advice_query(&mut self, now_ms: u64, light_only: bool) -> Option<AdviceQuery> {
+        if self.advice_cursor_ms != now_ms {
+            self.reset_advice_cursor(now_ms);
+        }
         let ready_steps = std::mem::take(&mut self.ready_steps);
         let may_ask = |id: &&StepId| self.may_ask(**id, now_ms, light_only);
         let is_other = |id: &&StepId| !self.trial_workers.contains_all_of(**id);
-        let examined: Vec<StepId> = (self.trial_workers.asking())
-            .chain(ready_steps.iter().filter(is_other))
-            .filter(may_ask)
-            .take(MAX_EXAMINED_STEPS)
-            .copied()
-            .collect();
+        // Steps before the cursor were examined at this time.
+        let unexamined = ready_steps.get(self.advice_cursor..).unwrap_or_default();
+        let asking = self.trial_workers.asking().filter(may_ask).copied();
+        let mut examined: Vec<StepId> = asking.take(MAX_EXAMINED_STEPS).collect();
+        let mut passed = 0;
+        for id in unexamined {
+            if examined.len() == MAX_EXAMINED_STEPS {
+                break;
+            }
+            passed += 1;
+            if is_other(&id) && may_ask(&id) {
+                examined.push(*id);
+            }
+        }
         self.ready_steps = ready_steps;
         for id in examined {
             let query = self.query_for(id, now_ms);
@@ -90,6 +101,7 @@
             match query {
                 Some(query) => {
                     advice.in_flight = true;
+                    self.advance_advice_cursor(id);
                     return Some(query);
                 }
                 // Examining a step iterates over all workers, and the result stays valid for a
@@ -97,9 +109,22 @@
                 None => advice.not_before_ms = now_ms + REEXAMINE_DELAY_MS,
             }
         }
+        self.advice_cursor += passed;
         None
     }
 
+    fn reset_advice_cursor(&mut self, now_ms: u64) {
+        self.advice_cursor = 0;
+        self.advice_cursor_ms = now_ms;
+    }
+
+    /// Moves the cursor past a step, unless it is before the cursor already.
+    fn advance_advice_cursor(&mut self, id: StepId) {
+        let unexamined = self.ready_steps.get(self.advice_cursor..);
+        let position = unexamined.and_then(|steps| steps.iter().position(|step| *step == id));
+        self.advice_cursor += position.map_or(0, |position| position + 1);
+    }
+
     /// Whether a query about a step may be asked now, if it needs one.
     fn may_ask(&self, id: StepId, now_ms: u64, light_only: bool) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
@@ -203,7 +228,7 @@
         };
         // Those that would be chosen: with room, then by pace.
         let choice = self.pace_choice(id, unix_ms);
-        named_workers.sort_unstable_by_key(|(slots, name)| {
+        named_workers.sort_by_cached_key(|(slots, name)| {
             let pace = self.workers.get(name).map_or(0, Worker::pace_percent);
             (*slots == 0, choice.rank(pace), Reverse(*slots))
         });
@@ -241,6 +266,7 @@
 
     /// Applies the result of a query.
     pub fn advice_answered(&mut self, query: &AdviceQuery, outcome: &AdviceOutcome, now_ms: u64) {
+        self.reset_advice_cursor(now_ms);
         let Some(job) = self.jobs.get_mut(&query.step.job) else {
             return;
         };
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, rc::Rc};
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use super::{
     job::{Failure, Job, Step, resources_of},
@@ -264,6 +264,22 @@
         }
     }
 
+    /// Whether as many tasks may fit on all workers together, by their CPU alone. Each task needs
+    /// `millicores`.
+    pub(super) fn may_fit(&self, millicores: u64, count: u32) -> bool {
+        let mut tasks = 0;
+        for &free_millicores in &self.free_millicores {
+            let Some(fitting) = free_millicores.checked_div(millicores) else {
+                return true; // Tasks without CPU fit everywhere.
+            };
+            tasks += fitting;
+            if fitting == 0 || tasks >= u64::from(count) {
+                break;
+            }
+        }
+        tasks >= u64::from(count)
+    }
+
     /// Indices of the workers with at least this much free CPU.
     pub(super) fn with_at_least(&self, millicores: u64) -> &[usize] {
         let count = self
--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use indexmap::IndexSet;
+use crate::collections::IndexSet;
 
 use super::Coordinator;
 use crate::{
--- a/crates/cell/src/coordinator/crashes.rs
+++ b/crates/cell/src/coordinator/crashes.rs
@@ -17,7 +17,7 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use super::{
     Coordinator,
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use super::{crashes::CrashHistory, placement_wait::PlacementWait};
 use crate::{
@@ -278,7 +278,7 @@
             outcome: record.outcome(),
             durable_outcome: record.outcome(),
             ended_unix_ms: record.ended_unix_ms,
-            occurrences: IndexMap::new(),
+            occurrences: IndexMap::default(),
             next_occurrence: 0,
             finished_occurrences: record.finished_occurrences.clone(),
             objective_unix_ms: record.accepted_unix_ms + allowed_ms,
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -47,7 +47,7 @@
 
 use std::rc::Rc;
 
-use indexmap::{IndexMap, IndexSet};
+use crate::collections::{IndexMap, IndexSet};
 
 pub use advice::{AdviceOutcome, AdviceQuery};
 pub use changes::{ChangeLimits, RecordChange};
@@ -217,6 +217,10 @@
     next_due_unix_ms: Option<u64>,
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
     ready_steps: Vec<StepId>,
+    /// Number of those that were examined for queries to the advice service at `advice_cursor_ms`.
+    advice_cursor: usize,
+    /// Time of the last query, in milliseconds of the local clock.
+    advice_cursor_ms: u64,
     /// Workers that were kept free for a step at the last scheduling pass.
     reservations: reserves::Reservations,
     /// Moving average of the ratio of measured to declared task durations.
@@ -249,28 +253,30 @@
         let mut coordinator = Self {
             tuning,
             config,
-            workers: IndexMap::new(),
-            jobs: IndexMap::new(),
-            open: IndexSet::new(),
-            dirty: IndexSet::new(),
-            writing: IndexSet::new(),
+            workers: IndexMap::default(),
+            jobs: IndexMap::default(),
+            open: IndexSet::default(),
+            dirty: IndexSet::default(),
+            writing: IndexSet::default(),
             pending_ends: Vec::new(),
-            unreported_workers: IndexSet::new(),
-            unheard_workers: IndexSet::new(),
-            inherited_runs: IndexMap::new(),
-            inherited_orders: IndexMap::new(),
+            unreported_workers: IndexSet::default(),
+            unheard_workers: IndexSet::default(),
+            inherited_runs: IndexMap::default(),
+            inherited_orders: IndexMap::default(),
             inherited_expiry_ms: takeover.expiry_ms,
             awaited_hosts: 0,
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
+            advice_cursor: 0,
+            advice_cursor_ms: 0,
             reservations: reserves::Reservations::default(),
             average_pace: AveragePace::default(),
             paces: PaceTable::default(),
             recent_crashes: crashes::RecentCrashes::default(),
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
-            contended_services: IndexSet::new(),
+            contended_services: IndexSet::default(),
             tenants: tenants::Tenants::default(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
--- a/crates/cell/src/coordinator/placement_wait.rs
+++ b/crates/cell/src/coordinator/placement_wait.rs
@@ -9,8 +9,8 @@
     rc::Rc,
 };
 
+use crate::collections::IndexMap;
 use derive_more::Display;
-use indexmap::IndexMap;
 
 use super::{
     Coordinator,
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -8,7 +8,7 @@
 
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use super::{
     Coordinator,
@@ -44,7 +44,7 @@
 impl Reservations {
     /// No reservations yet.
     pub(super) fn of(workers: &IndexMap<Rc<str>, Worker>, now_ms: u64) -> Self {
-        let mut cpu: IndexMap<&Rc<str>, (u64, u64)> = IndexMap::new();
+        let mut cpu: IndexMap<&Rc<str>, (u64, u64)> = IndexMap::default();
         for worker in workers.values().filter(|w| w.is_schedulable(now_ms)) {
             let (used, total) = cpu.entry(&worker.entry.service).or_default();
             *used += worker.used.cpu_millicores;
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -22,6 +22,10 @@
     workers::{Phase, StopReason},
 };
 
+/// Maximum number of steps in a pass whose jobs have no value any more. After an overload there can be
+/// thousands of them, and a pass over all would delay the steps that still have value.
+const MAX_VALUELESS_STEPS: usize = 64;
+
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
@@ -197,6 +201,7 @@
             .into_iter()
             .map(|urgency| urgency.step)
             .partition(|&step| pass.quota.is_held(step));
+        self.advice_cursor = 0;
         self.ready_steps = others;
         self.ready_steps.extend(held);
         self.tenants.quota = pass.quota;
@@ -207,6 +212,7 @@
     fn ready_steps(&self, now_ms: u64, unix_ms: u64) -> Vec<Urgency> {
         let settled = self.takeover_complete(now_ms);
         let mut ready = Vec::new();
+        let mut valueless = Vec::new();
         for job in self.open_jobs() {
             if (job.inherited && !settled)
                 || now_ms < job.start_not_before_ms
@@ -236,7 +242,12 @@
                     } else {
                         0
                     };
-                    ready.push(Urgency {
+                    let steps = if lateness == MAX_LATENESS {
+                        &mut valueless
+                    } else {
+                        &mut ready
+                    };
+                    steps.push(Urgency {
                         behind_shares: lateness == MAX_LATENESS || self.is_behind_shares(job),
                         finite,
                         lateness,
@@ -252,6 +263,8 @@
                 }
             }
         }
+        keep_first(&mut valueless, MAX_VALUELESS_STEPS);
+        ready.append(&mut valueless);
         ready.sort_unstable();
         ready
     }
@@ -259,7 +272,11 @@
     /// Starts as many of a step's waiting tasks as fit. Returns whether any was started, or could have
     /// been and waits for a better placement.
     fn start_step(&mut self, id: StepId, pass: &mut Pass, orders: &mut Vec<Order>) -> bool {
-        let mut chosen = self.choose_workers(id, pass);
+        let mut chosen = if self.may_fit(id, pass) {
+            self.choose_workers(id, pass)
+        } else {
+            Vec::new()
+        };
         let waits = self.hold_back(id, &mut chosen, pass);
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
@@ -274,6 +291,17 @@
         true
     }
 
+    /// Whether the workers together have room for a step, before any of them is looked at. In a full
+    /// cell most waiting steps need no more than this.
+    fn may_fit(&self, id: StepId, pass: &Pass) -> bool {
+        let job = self.jobs.get(&id.job);
+        let spec = job.and_then(|job| job.step_spec(id.step));
+        spec.is_some_and(|spec| {
+            let required = if spec.gang { spec.count } else { 1 };
+            pass.free_cpu.may_fit(spec.reserved_millicores(), required)
+        })
+    }
+
     /// Chooses workers for as many of a step's waiting tasks as fit. Returns the position of each
     /// task in the step and that of its worker.
     fn choose_workers(&mut self, id: StepId, pass: &mut Pass) -> Vec<(u32, usize)> {
@@ -455,3 +483,11 @@
         }
     }
 }
+
+/// Keeps the most urgent steps, in no particular order.
+fn keep_first(steps: &mut Vec<Urgency>, count: usize) {
+    if steps.len() > count {
+        steps.select_nth_unstable(count);
+        steps.truncate(count);
+    }
+}
--- a/crates/cell/src/coordinator/tenants.rs
+++ b/crates/cell/src/coordinator/tenants.rs
@@ -7,7 +7,7 @@
 
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use super::{Coordinator, job::Job, job::resources_of, pass::Pass};
 use crate::{
@@ -102,7 +102,7 @@
         {
             return;
         }
-        let mut unknown: IndexMap<&str, Unknown> = IndexMap::new();
+        let mut unknown: IndexMap<&str, Unknown> = IndexMap::default();
         for job in self.jobs.values() {
             if !job.inherited || job.tenant.is_empty() || job.outcome == Outcome::Completed {
                 continue;
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -6,7 +6,7 @@
 
 use std::{cmp::Reverse, rc::Rc};
 
-use indexmap::{IndexMap, IndexSet};
+use crate::collections::{IndexMap, IndexSet};
 
 use super::{
     Coordinator,
@@ -88,7 +88,7 @@
         contended: &IndexSet<Rc<str>>,
         now_ms: u64,
     ) -> Self {
-        let mut uses: IndexMap<Rc<str>, TrialUse> = IndexMap::new();
+        let mut uses: IndexMap<Rc<str>, TrialUse> = IndexMap::default();
         for worker in workers.values() {
             let of_service = uses.entry(Rc::clone(&worker.entry.service)).or_default();
             let is_used = worker.is_used_for_trial(now_ms);
@@ -221,7 +221,7 @@
     /// limit, the least used first.
     pub(super) fn keep_trial_workers(&mut self, trials: &[WaitingTrial], pass: &mut Pass) {
         let positions = self.choose_trial_workers(trials, pass);
-        let mut kept: IndexMap<Rc<str>, Kept> = IndexMap::with_capacity(positions.len());
+        let mut kept: IndexMap<Rc<str>, Kept> = IndexMap::default();
         for position in positions {
             let Some((name, worker)) = self.workers.get_index(position) else {
                 continue;
@@ -310,7 +310,7 @@
             })
             .collect();
         spare.sort_unstable();
-        let mut kept_of: IndexMap<Rc<str>, usize> = IndexMap::new();
+        let mut kept_of: IndexMap<Rc<str>, usize> = IndexMap::default();
         let mut kept = Vec::new();
         for trial in trials {
             let id = trial.step;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`credentials`]: keys of tenants, held as digests;
 //! - [`freshness`]: whether a host's configuration is known to be recent enough to accept keys;
 //! - [`ids`]: identifiers of jobs, steps and tasks;
+//! - [`collections`]: maps and sets with a fast hash function;
 //! - [`config`]: queues and services as configured by the operators;
 //! - [`jobs`]: job specifications and the durable record of a job;
 //! - [`progress`]: progress of runs, and detection of slow workers;
@@ -32,6 +33,7 @@
 
 pub mod admission;
 pub mod answer_loss;
+pub mod collections;
 pub mod config;
 pub mod contact;
 pub mod coordinator;
--- a/crates/cell/src/outage.rs
+++ b/crates/cell/src/outage.rs
@@ -6,7 +6,7 @@
 //! allows no named delay, a request waits briefly, since the store may recover, and is then
 //! rejected; the caller may retry at its own pace until its deadline.
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 /// Multiple of the typical latency after which a call is overdue.
 const OVERDUE_FACTOR: u64 = 4;
--- a/crates/cell/src/quota.rs
+++ b/crates/cell/src/quota.rs
@@ -6,8 +6,8 @@
 
 use std::rc::Rc;
 
+use crate::collections::{IndexMap, IndexSet};
 use derive_more::Display;
-use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     config::Config,
--- a/crates/cell/src/shares.rs
+++ b/crates/cell/src/shares.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::{config::Tenant, ids::JobId};
 
--- a/crates/cell/src/worker_pace.rs
+++ b/crates/cell/src/worker_pace.rs
@@ -8,8 +8,8 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
+use crate::collections::IndexMap;
 use derive_more::Display;
-use indexmap::IndexMap;
 
 use crate::ids::TaskId;
 
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
+use crate::collections::IndexMap;
 use derive_more::Display;
-use indexmap::IndexMap;
 
 use crate::{
     contact::{LostContact, Trial},
@@ -425,7 +425,7 @@
             processed_end: 0,
             pending_end: 0,
             durable_end: 0,
-            runs: IndexMap::new(),
+            runs: IndexMap::default(),
             used: Resources::default(),
             trial_runs: 0,
             best_effort_millicores: 0,
--- a/crates/cell/tests/cell/credentials.rs
+++ b/crates/cell/tests/cell/credentials.rs
@@ -39,7 +39,8 @@
         version,
         queues: queues
             .map(|queue| (Rc::clone(&queue.name), Rc::new(queue)))
-            .into(),
+            .into_iter()
+            .collect(),
         tenants: tenants.map(|tenants| tenants.iter().map(tenant).collect()),
         ..Config::default()
     }
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -60,12 +60,12 @@
     };
     Rc::new(Config {
         version: 1,
-        queues: IndexMap::from([
+        queues: IndexMap::from_iter([
             queue("urgent", 0, 2, 1.5, 600),
             queue("gang", 1, 2, 2.2, 1_200),
             queue("batch", 2, 4, 4.0, 3_000),
         ]),
-        services: IndexMap::from([(Rc::from("pool"), service)]),
+        services: IndexMap::from_iter([(Rc::from("pool"), service)]),
         ..Config::default()
     })
 }
--- a/crates/entry/tests/entry/rosters.rs
+++ b/crates/entry/tests/entry/rosters.rs
@@ -180,8 +180,8 @@
     };
     let config = Config {
         version: 1,
-        queues: IndexMap::from([(Rc::from("batch"), Rc::new(queue))]),
-        services: IndexMap::from([(Rc::from("pool"), service)]),
+        queues: IndexMap::from_iter([(Rc::from("batch"), Rc::new(queue))]),
+        services: IndexMap::from_iter([(Rc::from("pool"), service)]),
         ..Config::default()
     };
     let takeover = TakeoverState::default();
