entry: limits on connections and on the memory of requests, for all four ports

Cause: bodies were collected by the HTTP library chunk by chunk (32 bytes and more for each), without a bound on all of them together, on connections, on unread responses or on the time between two parts.

client_limits decides without I/O: a bound on connections (descriptors and memory of the settings), a bound on the memory of requests, who is shed first, and time limits. ports drives it: reads are counted, a body is copied into one buffer that grows with what arrived, nothing is read from a client that leaves its responses unread, kernel buffers of clients are bounded. A legal header of 16,384 bytes is served.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,7 +17,7 @@
 use kernel::log_event;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     runtime,
     signal::unix::{SignalKind, signal},
     sync::watch,
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    clock, election, events,
+    client_limits, clock, election, events,
     frontend::{self, Frontend},
     leader::{self, LeaderSlot},
     leader_client::LeaderClient,
@@ -35,6 +35,7 @@
     payloads::PayloadCache,
     peer_calls::PeerCalls,
     peers::{self, Peers},
+    ports::{Port, Protocol},
     records::LeaderRecord,
     relay::Relay,
     store::GuardedStore,
@@ -85,6 +86,14 @@
 /// Part of the grace period reserved for process exit.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
 
+/// Receive buffer of a client's connection, in bytes. It bounds the throughput of one to this much in
+/// each round trip: a body of 256 KiB takes 8 of them.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+/// Send buffer of a client's connection, in bytes; responses to clients are some hundred bytes.
+const SEND_BUFFER_BYTES: u32 = 16 << 10;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Runs an entry host until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -107,6 +116,25 @@
         .context(ListenSnafu { address })
 }
 
+/// Listens for clients, with bounded kernel buffers: bytes that are not yet read, or that the client
+/// does not take, count towards the memory of the process as well.
+fn listen_bounded(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let bind = || {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.set_reuseaddr(true)?;
+        // Accepted connections inherit both sizes.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().context(ListenSnafu { address })
+}
+
 async fn serve(settings: Settings, arguments: Arguments) -> Result<(), DaemonError> {
     let listeners = Listeners::open(&settings, arguments.metrics_port).await?;
     let live = Rc::new(LiveSettings::new(settings));
@@ -127,7 +155,12 @@
         metrics: Rc::clone(&context.metrics),
         own_address: settings.peers_address.to_string(),
         draining: false.into(),
-        open_connections: 0.into(),
+        port: Port::new(
+            "clients",
+            Protocol::Http,
+            client_limits::clients(&settings, None),
+            Rc::clone(&context.metrics),
+        ),
     });
     let (stop, stopped) = watch::channel(false);
     spawn_background_tasks(&context);
@@ -150,7 +183,7 @@
     log_event!(
         events::DRAINING,
         "connections={}",
-        frontend.open_connections.get()
+        frontend.port.connections()
     );
     frontend.draining.set(true);
     members.leave();
@@ -165,7 +198,7 @@
     stop.send_replace(true);
     let grace =
         Duration::from_millis(live.current().shutdown_grace_ms).saturating_sub(SHUTDOWN_RESERVE);
-    while frontend.open_connections.get() > 0
+    while frontend.port.connections() > 0
         && clock::now_ms() - drain_started_ms < grace.as_millis() as u64
     {
         time::sleep(Duration::from_millis(20)).await;
@@ -173,7 +206,7 @@
     log_event!(
         events::STOPPED,
         "connections={}",
-        frontend.open_connections.get()
+        frontend.port.connections()
     );
     // Gives the log writer time to flush the last line.
     time::sleep(Duration::from_millis(20)).await;
@@ -252,11 +285,14 @@
     async fn open(settings: &Settings, metrics_port: u16) -> Result<Self, DaemonError> {
         let metrics = match metrics_port {
             0 => None,
-            port => Some(listen(SocketAddr::new(settings.peers_address.ip(), port)).await?),
+            port => {
+                let address = SocketAddr::new(settings.peers_address.ip(), port);
+                Some(listen_bounded(address)?)
+            }
         };
         Ok(Self {
-            clients: listen(settings.clients_address).await?,
-            readiness: listen(settings.readiness_address).await?,
+            clients: listen_bounded(settings.clients_address)?,
+            readiness: listen_bounded(settings.readiness_address)?,
             peers: listen(settings.peers_address).await?,
             metrics,
         })
@@ -273,18 +309,38 @@
             context: context.clone(),
             leader: Rc::clone(leader),
         });
-        task::spawn_local(peers::serve(self.peers, move |body| {
+        let settings = Rc::clone(&context.settings);
+        let metrics = &context.metrics;
+        let port = |name, protocol, limits| Port::new(name, protocol, limits, Rc::clone(metrics));
+        let limits = client_limits::peers(&settings.current());
+        let peers = port("peers", Protocol::Frames, limits);
+        let live = Rc::clone(&settings);
+        let limits = move || client_limits::peers(&live.current());
+        task::spawn_local(Rc::clone(&peers).watch(limits));
+        task::spawn_local(peers::serve(self.peers, peers, move |body| {
             let peer_calls = Rc::clone(&peer_calls);
             async move { peer_calls.answer(body).await }
         }));
+        let readiness = port("readiness", Protocol::Http, client_limits::readiness());
+        task::spawn_local(Rc::clone(&readiness).watch(client_limits::readiness));
         task::spawn_local(frontend::serve_readiness(
             self.readiness,
+            readiness,
             Rc::clone(frontend),
         ));
+        let operator_config = Rc::clone(&context.operator_config);
+        let limits = move || {
+            let config = operator_config.current();
+            client_limits::clients(&settings.current(), config.as_deref())
+        };
+        task::spawn_local(Rc::clone(&frontend.port).watch(limits));
         task::spawn_local(frontend::serve(self.clients, Rc::clone(frontend), stopped));
         if let Some(listener) = self.metrics {
+            let port = port("metrics", Protocol::Http, client_limits::metrics());
+            task::spawn_local(Rc::clone(&port).watch(client_limits::metrics));
             task::spawn_local(frontend::serve_metrics(
                 listener,
+                port,
                 Rc::clone(&context.metrics),
             ));
         }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -95,4 +95,6 @@
     LISTING_COMPLETE = (8142, "listing-complete", Info, "A listing of the store is complete after failed reads. Nothing to do.");
     /// Log lines were dropped.
     LINES_DROPPED = (8150, "lines-dropped", Warn, "The log output could not keep up and lines were dropped; the dropped lines are counted in the metrics.");
+    /// Connections or requests were refused or closed at a limit of their port.
+    CLIENTS_SHED = (8160, "clients-shed", Warn, "Connections or requests were refused or closed because they exceed a limit of their port; at most one line a second for each port and reason, with their number. Nothing that was refused has run. Check who sends them.");
 }
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    convert::Infallible,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -10,21 +9,18 @@
 use adapter::clients::{self, DEADLINE_HEADER, READY_PATH, Request};
 use bytes::Bytes;
 use cell::{config::Queue, ids::JobId, jobs::JobRecord};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Response, body::Incoming, header, server::conn::http1, service};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http_body_util::Full;
+use hyper::{Response, body::Incoming, header};
 use kernel::log_event;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-    time,
-};
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
+    client_limits::Reason,
     clock, events,
     leader_client::{LeaderClient, Lookup, SubmitOutcome},
     metrics::Metrics,
     operator_config::OperatorConfig,
+    ports::{self, BodyError, Guard, Port},
 };
 
 /// Maximum body size if the operators set none, in bytes.
@@ -33,12 +29,10 @@
 const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Part of the client's time reserved for the response to travel back.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-/// Maximum read buffer of a connection, in bytes; the smallest value that hyper accepts.
-const MAX_BUFFER_BYTES: usize = 8 << 10;
-/// Time limit for receiving a request's headers.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// Retry-After while neither the leader nor the store can be reached, in milliseconds.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 700;
+/// Retry-After while the requests of other clients use the memory of the host, in milliseconds.
+const OVERLOADED_RETRY_AFTER_MS: u64 = 1_000;
 /// Retry-After before the first configuration is known, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
 
@@ -57,8 +51,8 @@
     pub own_address: String,
     /// Set once the host is shutting down.
     pub draining: Cell<bool>,
-    /// Number of open client connections.
-    pub open_connections: Cell<usize>,
+    /// The port for clients.
+    pub port: Rc<Port>,
 }
 
 impl Frontend {
@@ -67,7 +61,7 @@
         !self.draining.get() && self.operator_config.current().is_some()
     }
 
-    async fn answer(&self, request: hyper::Request<Incoming>) -> Reply {
+    async fn answer(&self, request: hyper::Request<Incoming>, guard: &Guard) -> Reply {
         let started = Instant::now();
         let Some(config) = self.operator_config.current() else {
             return refuse(503, UNCONFIGURED_RETRY_AFTER_MS);
@@ -96,12 +90,12 @@
                     0 => DEFAULT_MAX_BODY_BYTES,
                     bytes => bytes,
                 };
-                match Limited::new(request.into_body(), limit).collect().await {
-                    Ok(body) => {
-                        self.submit(id, queue, &body.to_bytes(), client_timeout)
-                            .await
-                    }
-                    Err(_) => plain(413, ""),
+                match ports::read_body(guard, request.into_body(), limit).await {
+                    Ok(body) => self.submit(id, queue, &body, client_timeout).await,
+                    Err(BodyError::TooLarge) => plain(413, ""),
+                    Err(BodyError::Broken) => plain(400, ""),
+                    Err(BodyError::Refused(Reason::SlowBody)) => plain(408, ""),
+                    Err(BodyError::Refused(_)) => refuse(503, OVERLOADED_RETRY_AFTER_MS),
                 }
             }
             Request::State(id) => self.state(id, client_timeout).await,
@@ -247,102 +241,34 @@
 }
 
 /// Serves clients until `stop` becomes true; each connection then closes after its current request.
-pub async fn serve(listener: TcpListener, frontend: Rc<Frontend>, mut stop: watch::Receiver<bool>) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let (frontend, stop) = (Rc::clone(&frontend), stop.clone());
-                tokio::task::spawn_local(serve_connection(stream, frontend, stop));
-            }
-            // Out of file descriptors, or the client has disconnected: retry.
-            Err(_) => time::sleep(Duration::from_millis(20)).await,
-        }
-    }
-}
-
-async fn serve_connection(
-    stream: TcpStream,
-    frontend: Rc<Frontend>,
-    mut stop: watch::Receiver<bool>,
-) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    frontend
-        .open_connections
-        .set(frontend.open_connections.get() + 1);
-    let served = Rc::clone(&frontend);
-    let handler = service::service_fn(move |request| {
-        let frontend = Rc::clone(&served);
-        async move { Ok::<_, Infallible>(frontend.answer(request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT);
-    let connection = builder.serve_connection(TokioIo::new(stream), handler);
-    tokio::pin!(connection);
-    tokio::select! {
-        // Connection errors are the client's concern.
-        _ = connection.as_mut() => {}
-        _ = stop.wait_for(|stop| *stop) => {
-            connection.as_mut().graceful_shutdown();
-            let _ended = connection.await;
-        }
-    }
-    frontend
-        .open_connections
-        .set(frontend.open_connections.get() - 1);
+pub async fn serve(listener: TcpListener, frontend: Rc<Frontend>, stop: watch::Receiver<bool>) {
+    let port = Rc::clone(&frontend.port);
+    let handler = move |request, guard: Rc<Guard>| {
+        let frontend = Rc::clone(&frontend);
+        async move { frontend.answer(request, &guard).await }
+    };
+    ports::serve(listener, port, handler, stop).await;
 }
 
 /// Serves the readiness probe.
-pub async fn serve_readiness(listener: TcpListener, frontend: Rc<Frontend>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(50)).await;
-            continue;
+pub async fn serve_readiness(listener: TcpListener, port: Rc<Port>, frontend: Rc<Frontend>) {
+    let (_never, stop) = watch::channel(false);
+    let handler = move |request: hyper::Request<Incoming>, _: Rc<Guard>| {
+        let reply = match request.uri().path() {
+            READY_PATH if frontend.is_ready() => plain(200, ""),
+            READY_PATH => plain(503, ""),
+            _ => plain(404, ""),
         };
-        let frontend = Rc::clone(&frontend);
-        tokio::task::spawn_local(async move {
-            let handler = service::service_fn(move |request: hyper::Request<Incoming>| {
-                let reply = match request.uri().path() {
-                    READY_PATH if frontend.is_ready() => plain(200, ""),
-                    READY_PATH => plain(503, ""),
-                    _ => plain(404, ""),
-                };
-                async move { Ok::<_, Infallible>(reply) }
-            });
-            let mut builder = http1::Builder::new();
-            let _ended = builder
-                .max_buf_size(MAX_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), handler)
-                .await;
-        });
-    }
+        std::future::ready(reply)
+    };
+    ports::serve(listener, port, handler, stop).await;
 }
 
 /// Serves counters and histograms in the Prometheus text format, at any path.
-pub async fn serve_metrics(listener: TcpListener, metrics: Rc<Metrics>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let metrics = Rc::clone(&metrics);
-        tokio::task::spawn_local(async move {
-            let handler = service::service_fn(move |_: hyper::Request<Incoming>| {
-                let reply = plain(200, &metrics.render());
-                async move { Ok::<_, Infallible>(reply) }
-            });
-            let _ended = http1::Builder::new()
-                .max_buf_size(MAX_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), handler)
-                .await;
-        });
-    }
+pub async fn serve_metrics(listener: TcpListener, port: Rc<Port>, metrics: Rc<Metrics>) {
+    let (_never, stop) = watch::channel(false);
+    let handler = move |_: hyper::Request<Incoming>, _: Rc<Guard>| {
+        std::future::ready(plain(200, &metrics.render()))
+    };
+    ports::serve(listener, port, handler, stop).await;
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `listing`: reads all keys under a prefix of the store, page by page;
 //! - `prefix_watch`: watches all keys under a prefix of the store;
 //! - [`frontend`]: client requests and the platform's readiness probe;
+//! - [`client_limits`]: connections and memory of the listening ports; [`ports`]: their I/O;
 //! - [`leader_client`]: requests to the leader, with direct store access as the fallback;
 //! - [`live`]: the current settings, reloaded when their file changes;
 //! - [`peers`]: calls between hosts; [`peer_calls`]: their answers;
@@ -26,6 +27,7 @@
 //! - [`logs`], [`metrics`], [`events`]: logging and metrics.
 
 pub mod advice_client;
+pub mod client_limits;
 pub mod clock;
 pub mod daemon;
 pub mod election;
@@ -42,6 +44,7 @@
 pub mod payloads;
 pub mod peer_calls;
 pub mod peers;
+pub mod ports;
 mod prefix_watch;
 pub mod records;
 pub mod relay;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -19,6 +19,7 @@
 pub struct Metrics {
     counters: RefCell<IndexMap<&'static str, u64>>,
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
+    refusals: RefCell<IndexMap<(&'static str, &'static str), u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
 }
 
@@ -28,6 +29,15 @@
         *self.counters.borrow_mut().entry(name).or_default() += 1;
     }
 
+    /// Counts a connection or request that was refused or closed at a limit of its port.
+    pub fn count_refusal(&self, port: &'static str, reason: &'static str) {
+        *self
+            .refusals
+            .borrow_mut()
+            .entry((port, reason))
+            .or_default() += 1;
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -59,6 +69,10 @@
             let labels = format!("kind=\"{kind}\",status=\"{status}\"");
             let _written = writeln!(text, "hickory_requests_total{{{labels}}} {value}");
         }
+        for ((port, reason), value) in &*self.refusals.borrow() {
+            let labels = format!("port=\"{port}\",reason=\"{reason}\"");
+            let _written = writeln!(text, "hickory_refusals_total{{{labels}}} {value}");
+        }
         for (kind, histogram) in &*self.latency.borrow() {
             let mut below = 0;
             for (position, count) in histogram.buckets.iter().enumerate() {
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -7,10 +7,11 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{
     FutureExt, SinkExt, StreamExt,
     future::{LocalBoxFuture, Shared},
@@ -19,12 +20,18 @@
 pub use messages::*;
 use prost::Message;
 use tokio::{
+    io::AsyncRead,
     net::{TcpListener, TcpStream, tcp},
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, mpsc, oneshot},
     time,
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::{
+    client_limits::Phase,
+    ports::{Guard, Metered, Port},
+};
+
 /// Maximum frame size, in bytes: a job with the largest payload and many steps fits well.
 const MAX_FRAME_BYTES: usize = 1 << 20;
 /// Connect timeout: several round trips between regions.
@@ -35,6 +42,14 @@
 /// Initial buffer per connection and direction, in bytes.
 const INITIAL_BUFFER_BYTES: usize = 2 << 10;
 
+/// Calls of a connection that are answered at once; more are read later. A coordinator has some for
+/// each worker that this host relays to.
+const MAX_OPEN_CALLS: usize = 4_096;
+/// Largest buffer that a connection keeps between frames, in bytes.
+const MAX_KEPT_BUFFER_BYTES: usize = 64 << 10;
+/// Time for which a caller may leave its answers unread.
+const ANSWER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a call to a host has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerError {
@@ -172,7 +187,7 @@
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     let pending_calls = PendingCalls::default();
-    tokio::task::spawn_local(write_frames(write, queue));
+    tokio::task::spawn_local(write_frames(write, queue, Duration::MAX));
     let closed = Rc::<Cell<bool>>::default();
     let answers = read_answers(read, Rc::clone(&pending_calls), Rc::clone(&closed));
     tokio::task::spawn_local(answers);
@@ -189,18 +204,26 @@
         .new_codec()
 }
 
-async fn write_frames(write: tcp::OwnedWriteHalf, mut queue: mpsc::Receiver<Bytes>) {
+/// Writes queued frames until the queue ends, or until the other side takes nothing for `max_pause`.
+async fn write_frames(
+    write: tcp::OwnedWriteHalf,
+    mut queue: mpsc::Receiver<Bytes>,
+    max_pause: Duration,
+) {
     let mut framed = FramedWrite::new(write, codec());
     while let Some(frame) = queue.recv().await {
-        if framed.feed(frame).await.is_err() {
-            return;
-        }
-        while let Ok(frame) = queue.try_recv() {
-            if framed.feed(frame).await.is_err() {
+        let mut next = Some(frame);
+        while let Some(frame) = next {
+            if !matches!(
+                time::timeout(max_pause, framed.feed(frame)).await,
+                Ok(Ok(()))
+            ) {
                 return;
             }
+            next = queue.try_recv().ok();
         }
-        if SinkExt::<Bytes>::flush(&mut framed).await.is_err() {
+        let flush = SinkExt::<Bytes>::flush(&mut framed);
+        if !matches!(time::timeout(max_pause, flush).await, Ok(Ok(()))) {
             return;
         }
     }
@@ -225,8 +248,8 @@
 
 /// Identifier and body of the next message; `None` at the end of the connection or on a malformed
 /// frame.
-async fn next_message(
-    framed: &mut FramedRead<tcp::OwnedReadHalf, LengthDelimitedCodec>,
+async fn next_message<R: AsyncRead + Unpin>(
+    framed: &mut FramedRead<R, LengthDelimitedCodec>,
 ) -> Option<(u64, Body)> {
     let frame = framed.next().await?.ok()?;
     let envelope = Envelope::decode(frame).ok()?;
@@ -234,7 +257,7 @@
 }
 
 /// Serves calls from other hosts; `answer` runs for each call, many concurrently.
-pub async fn serve<F, A>(listener: TcpListener, answer: F)
+pub async fn serve<F, A>(listener: TcpListener, port: Rc<Port>, answer: F)
 where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
@@ -244,28 +267,66 @@
             time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        let Some(guard) = port.accept() else {
+            // Lets the connections that were told to close end.
+            tokio::task::yield_now().await;
+            continue;
+        };
         if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(serve_connection(stream, answer.clone()));
+            tokio::task::spawn_local(serve_connection(stream, Rc::new(guard), answer.clone()));
         }
     }
 }
 
-async fn serve_connection<F, A>(stream: TcpStream, answer: F)
+async fn serve_connection<F, A>(stream: TcpStream, guard: Rc<Guard>, answer: F)
 where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
-    tokio::task::spawn_local(write_frames(write, queue));
-    let mut framed = FramedRead::with_capacity(read, codec(), INITIAL_BUFFER_BYTES);
+    let written = Rc::clone(&guard);
+    let writer = tokio::task::spawn_local(async move {
+        write_frames(write, queue, ANSWER_WRITE_TIMEOUT).await;
+        // The connection keeps its place until its answers are written.
+        drop(written);
+    });
+    let metered = Metered::new(read, Rc::clone(&guard));
+    let framed = FramedRead::with_capacity(metered, codec(), INITIAL_BUFFER_BYTES);
+    tokio::select! {
+        () = read_calls(framed, &guard, answer, &frames) => {}
+        // The caller does not read its answers.
+        () = frames.closed() => {}
+        () = guard.cut() => writer.abort(),
+    }
+}
+
+async fn read_calls<F, A>(
+    mut framed: FramedRead<Metered<tcp::OwnedReadHalf>, LengthDelimitedCodec>,
+    guard: &Guard,
+    answer: F,
+    frames: &mpsc::Sender<Bytes>,
+) where
+    F: Fn(Body) -> A + Clone + 'static,
+    A: Future<Output = Body> + 'static,
+{
+    let calls = Arc::new(Semaphore::new(MAX_OPEN_CALLS));
     while let Some((call, body)) = next_message(&mut framed).await {
+        guard.enter(Phase::Idle);
+        if framed.read_buffer().capacity() > MAX_KEPT_BUFFER_BYTES {
+            let rest = BytesMut::from(&framed.read_buffer()[..]);
+            *framed.read_buffer_mut() = rest;
+        }
+        let Ok(permit) = Arc::clone(&calls).acquire_owned().await else {
+            return;
+        };
         let (answer, frames) = (answer.clone(), frames.clone());
         tokio::task::spawn_local(async move {
             let body = Some(answer(body).await);
             let frame = Bytes::from(Envelope { call, body }.encode_to_vec());
             // If the caller has disconnected, it repeats the call elsewhere.
             drop(frames.send(frame).await);
+            drop(permit);
         });
     }
 }
