--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Entry host processes against the stand-in platform.
 
 mod cancellations;
+mod client_limits;
 mod cold_start;
 mod elections;
 mod failures;
