--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -173,7 +173,7 @@
         }
         // Those told to close end within the next rounds of the event loop; a crowd that arrives
         // faster has to wait.
-        if self.count() > self.limits.max_connections + self.limits.max_connections / 8 {
+        if self.count() > self.limits.max_connections + self.limits.max_connections / 16 {
             return (None, shed);
         }
         self.next_id += 1;
--- a/crates/entry/src/client_limits/shares.rs
+++ b/crates/entry/src/client_limits/shares.rs
@@ -9,13 +9,14 @@
 const DEFAULT_DESCRIPTORS: u64 = 4_096;
 /// Descriptors that the platform reserves for files.
 const FILE_DESCRIPTORS: u64 = 200;
-/// Part of the memory for client requests: one in this many bytes. The coordinator's state needs up to
+/// Part of the memory for client requests: one byte in this many. The coordinator's state needs up to
 /// 60 MB of the 120 MB of the smallest hosts.
 const CLIENT_MEMORY_PART: u64 = 5;
 /// The same for calls from other hosts.
 const PEER_MEMORY_PART: u64 = 10;
-/// Part of the descriptors for clients; the rest is for workers, hosts and the store.
-const CLIENT_DESCRIPTORS_PART: u64 = 2;
+/// Part of the descriptors for clients. Half of all remain for the connections that this host opens: to
+/// the store, to up to 300 hosts, and to over 700 workers in the largest deployments.
+const CLIENT_DESCRIPTORS_PART: u64 = 4;
 /// The same for connections from other hosts.
 const PEER_DESCRIPTORS_PART: u64 = 4;
 /// Memory of a client's connection without request: the read and write buffers of the HTTP library (8
--- a/crates/entry/tests/entry/client_limits.rs
+++ b/crates/entry/tests/entry/client_limits.rs
@@ -333,7 +333,7 @@
         Case {
             name: "nothing set",
             lines: "",
-            connections: (1_948, 974),
+            connections: (974, 974),
             memory_mib: (102, 51),
         },
         Case {
@@ -345,7 +345,7 @@
         Case {
             name: "few descriptors",
             lines: "limits.memory_mb=512\nlimits.max_fds=1024\n",
-            connections: (412, 206),
+            connections: (206, 206),
             memory_mib: (102, 51),
         },
         Case {
