entry: bound on the calls of other hosts that are answered at once; bounded kernel buffers there

A connection has 8 calls answered at once, all together one more for each 4 KiB of the port's memory; no call is read while answers stay unread, and the port's time limit for unread responses replaces a time-out of its own.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -86,11 +86,24 @@
 /// Part of the grace period reserved for process exit.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
 
-/// Receive buffer of a client's connection, in bytes. It bounds the throughput of one to this much in
-/// each round trip: a body of 256 KiB takes 8 of them.
-const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
-/// Send buffer of a client's connection, in bytes; responses to clients are some hundred bytes.
-const SEND_BUFFER_BYTES: u32 = 16 << 10;
+/// Buffers of the kernel for each connection of a port, in bytes. The kernel takes twice as much for
+/// its overhead. They bound the throughput of a connection to this much in each round trip.
+#[derive(Clone, Copy, Debug)]
+struct SocketBuffers {
+    receive_bytes: u32,
+    send_bytes: u32,
+}
+
+/// For clients: a body of 256 KiB takes 8 round trips; responses have some hundred bytes.
+const CLIENT_BUFFERS: SocketBuffers = SocketBuffers {
+    receive_bytes: 32 << 10,
+    send_bytes: 16 << 10,
+};
+/// For hosts: over a round trip of 30 ms a frame of 256 KiB, the largest payload of a job, takes two.
+const PEER_BUFFERS: SocketBuffers = SocketBuffers {
+    receive_bytes: 128 << 10,
+    send_bytes: 128 << 10,
+};
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -110,15 +123,9 @@
     local.block_on(&runtime, serve(settings, arguments))
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })
-}
-
-/// Listens for clients, with bounded kernel buffers: bytes that are not yet read, or that the client
-/// does not take, count towards the memory of the process as well.
-fn listen_bounded(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+/// Listens with bounded kernel buffers: bytes that are not yet read, or that the other side does not
+/// take, count towards the memory of the process as well.
+fn listen(address: SocketAddr, buffers: SocketBuffers) -> Result<TcpListener, DaemonError> {
     let bind = || {
         let socket = if address.is_ipv4() {
             TcpSocket::new_v4()?
@@ -127,8 +134,8 @@
         };
         socket.set_reuseaddr(true)?;
         // Accepted connections inherit both sizes.
-        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(buffers.receive_bytes)?;
+        socket.set_send_buffer_size(buffers.send_bytes)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
@@ -136,7 +143,7 @@
 }
 
 async fn serve(settings: Settings, arguments: Arguments) -> Result<(), DaemonError> {
-    let listeners = Listeners::open(&settings, arguments.metrics_port).await?;
+    let listeners = Listeners::open(&settings, arguments.metrics_port)?;
     let live = Rc::new(LiveSettings::new(settings));
     let settings = live.current();
     let context = build_context(&live);
@@ -282,18 +289,18 @@
 }
 
 impl Listeners {
-    async fn open(settings: &Settings, metrics_port: u16) -> Result<Self, DaemonError> {
+    fn open(settings: &Settings, metrics_port: u16) -> Result<Self, DaemonError> {
         let metrics = match metrics_port {
             0 => None,
             port => {
                 let address = SocketAddr::new(settings.peers_address.ip(), port);
-                Some(listen_bounded(address)?)
+                Some(listen(address, CLIENT_BUFFERS)?)
             }
         };
         Ok(Self {
-            clients: listen_bounded(settings.clients_address)?,
-            readiness: listen_bounded(settings.readiness_address)?,
-            peers: listen(settings.peers_address).await?,
+            clients: listen(settings.clients_address, CLIENT_BUFFERS)?,
+            readiness: listen(settings.readiness_address, CLIENT_BUFFERS)?,
+            peers: listen(settings.peers_address, PEER_BUFFERS)?,
             metrics,
         })
     }
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -20,7 +20,7 @@
 pub use messages::*;
 use prost::Message;
 use tokio::{
-    io::AsyncRead,
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream, tcp},
     sync::{Semaphore, mpsc, oneshot},
     time,
@@ -42,13 +42,12 @@
 /// Initial buffer per connection and direction, in bytes.
 const INITIAL_BUFFER_BYTES: usize = 2 << 10;
 
-/// Calls of a connection that are answered at once; more are read later. A coordinator has some for
-/// each worker that this host relays to.
-const MAX_OPEN_CALLS: usize = 4_096;
+/// Memory of a call that is answered, in bytes: its task and its answer.
+const CALL_BYTES: usize = 4 << 10;
+/// Calls that each connection may have answered at once, whatever the others have.
+const OWN_CALLS: usize = 8;
 /// Largest buffer that a connection keeps between frames, in bytes.
 const MAX_KEPT_BUFFER_BYTES: usize = 64 << 10;
-/// Time for which a caller may leave its answers unread.
-const ANSWER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why a call to a host has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -187,7 +186,7 @@
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     let pending_calls = PendingCalls::default();
-    tokio::task::spawn_local(write_frames(write, queue, Duration::MAX));
+    tokio::task::spawn_local(write_frames(write, queue));
     let closed = Rc::<Cell<bool>>::default();
     let answers = read_answers(read, Rc::clone(&pending_calls), Rc::clone(&closed));
     tokio::task::spawn_local(answers);
@@ -204,26 +203,18 @@
         .new_codec()
 }
 
-/// Writes queued frames until the queue ends, or until the other side takes nothing for `max_pause`.
-async fn write_frames(
-    write: tcp::OwnedWriteHalf,
-    mut queue: mpsc::Receiver<Bytes>,
-    max_pause: Duration,
-) {
+async fn write_frames<W: AsyncWrite + Unpin>(write: W, mut queue: mpsc::Receiver<Bytes>) {
     let mut framed = FramedWrite::new(write, codec());
     while let Some(frame) = queue.recv().await {
-        let mut next = Some(frame);
-        while let Some(frame) = next {
-            if !matches!(
-                time::timeout(max_pause, framed.feed(frame)).await,
-                Ok(Ok(()))
-            ) {
+        if framed.feed(frame).await.is_err() {
+            return;
+        }
+        while let Ok(frame) = queue.try_recv() {
+            if framed.feed(frame).await.is_err() {
                 return;
             }
-            next = queue.try_recv().ok();
         }
-        let flush = SinkExt::<Bytes>::flush(&mut framed);
-        if !matches!(time::timeout(max_pause, flush).await, Ok(Ok(()))) {
+        if SinkExt::<Bytes>::flush(&mut framed).await.is_err() {
             return;
         }
     }
@@ -262,6 +253,8 @@
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
+    // A coordinator has some calls open for each worker that this host relays to.
+    let calls = Arc::new(Semaphore::new(port.limits().memory_bytes / CALL_BYTES));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(Duration::from_millis(50)).await;
@@ -273,29 +266,31 @@
             continue;
         };
         if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(serve_connection(stream, Rc::new(guard), answer.clone()));
+            let (guard, calls) = (Rc::new(guard), Arc::clone(&calls));
+            tokio::task::spawn_local(serve_connection(stream, guard, calls, answer.clone()));
         }
     }
 }
 
-async fn serve_connection<F, A>(stream: TcpStream, guard: Rc<Guard>, answer: F)
-where
+async fn serve_connection<F, A>(
+    stream: TcpStream,
+    guard: Rc<Guard>,
+    calls: Arc<Semaphore>,
+    answer: F,
+) where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
-    let written = Rc::clone(&guard);
-    let writer = tokio::task::spawn_local(async move {
-        write_frames(write, queue, ANSWER_WRITE_TIMEOUT).await;
-        // The connection keeps its place until its answers are written.
-        drop(written);
-    });
+    // The writer keeps the connection's place until its answers are written.
+    let metered = Metered::new(write, Rc::clone(&guard));
+    let writer = tokio::task::spawn_local(write_frames(metered, queue));
     let metered = Metered::new(read, Rc::clone(&guard));
     let framed = FramedRead::with_capacity(metered, codec(), INITIAL_BUFFER_BYTES);
     tokio::select! {
-        () = read_calls(framed, &guard, answer, &frames) => {}
-        // The caller does not read its answers.
+        () = read_calls(framed, &guard, calls, answer, &frames) => {}
+        // Writing has failed.
         () = frames.closed() => {}
         () = guard.cut() => writer.abort(),
     }
@@ -304,21 +299,26 @@
 async fn read_calls<F, A>(
     mut framed: FramedRead<Metered<tcp::OwnedReadHalf>, LengthDelimitedCodec>,
     guard: &Guard,
+    calls: Arc<Semaphore>,
     answer: F,
     frames: &mpsc::Sender<Bytes>,
 ) where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
-    let calls = Arc::new(Semaphore::new(MAX_OPEN_CALLS));
+    let own_calls = Arc::new(Semaphore::new(OWN_CALLS));
     while let Some((call, body)) = next_message(&mut framed).await {
         guard.enter(Phase::Idle);
         if framed.read_buffer().capacity() > MAX_KEPT_BUFFER_BYTES {
             let rest = BytesMut::from(&framed.read_buffer()[..]);
             *framed.read_buffer_mut() = rest;
         }
-        let Ok(permit) = Arc::clone(&calls).acquire_owned().await else {
-            return;
+        let permit = match Arc::clone(&own_calls).try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => match Arc::clone(&calls).acquire_owned().await {
+                Ok(permit) => permit,
+                Err(_) => return,
+            },
         };
         let (answer, frames) = (answer.clone(), frames.clone());
         tokio::task::spawn_local(async move {
--- a/crates/entry/src/ports/mod.rs
+++ b/crates/entry/src/ports/mod.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    task::{Context, Waker},
     time::Duration,
 };
 
@@ -98,6 +99,8 @@
             id,
             handle,
             unfinished_bytes: Cell::default(),
+            is_blocked: Cell::default(),
+            reader: RefCell::default(),
         })
     }
 
@@ -166,6 +169,10 @@
     handle: Rc<Handle>,
     /// Bytes of the unfinished head or frame.
     unfinished_bytes: Cell<usize>,
+    /// Whether a write waits for the client.
+    is_blocked: Cell<bool>,
+    /// Reader that waits for the end of that.
+    reader: RefCell<Option<Waker>>,
 }
 
 impl Drop for Guard {
@@ -234,8 +241,22 @@
         true
     }
 
-    fn set_blocked(&self, blocked: bool) {
-        let mut connections = self.port.connections.borrow_mut();
-        connections.set_blocked(self.id, blocked, clock::now_ms());
+    /// Records a write that the client took, or that waits because it takes nothing.
+    fn note_write(&self, blocked: bool) {
+        if self.is_blocked.replace(blocked) != blocked {
+            let mut connections = self.port.connections.borrow_mut();
+            connections.set_blocked(self.id, blocked, clock::now_ms());
+        }
+        if !blocked && let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Whether nothing is to be read while a write waits; the reader is then woken after it.
+    fn suspend_reader(&self, context: &Context<'_>) -> bool {
+        if self.is_blocked.get() {
+            self.reader.replace(Some(context.waker().clone()));
+        }
+        self.is_blocked.get()
     }
 }
--- a/crates/entry/src/ports/stream.rs
+++ b/crates/entry/src/ports/stream.rs
@@ -4,7 +4,7 @@
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll, Waker},
+    task::{Context, Poll},
 };
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
@@ -15,7 +15,7 @@
 /// buffer.
 const MAX_READ_BYTES: u64 = 4 << 10;
 
-/// A connection, or the read half of one.
+/// A connection, or one of its halves.
 ///
 /// While the client does not take what is written, nothing more is read from it: each further request
 /// would add a response.
@@ -23,31 +23,12 @@
 pub struct Metered<S> {
     stream: S,
     guard: Rc<Guard>,
-    is_blocked: bool,
-    reader: Option<Waker>,
 }
 
 impl<S> Metered<S> {
     /// Reports what happens on the stream for the connection of `guard`.
     pub fn new(stream: S, guard: Rc<Guard>) -> Self {
-        Self {
-            stream,
-            guard,
-            is_blocked: false,
-            reader: None,
-        }
-    }
-
-    fn note_write(&mut self, written: &Poll<io::Result<usize>>) {
-        if written.is_pending() != self.is_blocked {
-            self.is_blocked = written.is_pending();
-            self.guard.set_blocked(self.is_blocked);
-        }
-        if !self.is_blocked
-            && let Some(reader) = self.reader.take()
-        {
-            reader.wake();
-        }
+        Self { stream, guard }
     }
 }
 
@@ -58,8 +39,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let metered = self.get_mut();
-        if metered.is_blocked {
-            metered.reader = Some(context.waker().clone());
+        if metered.guard.suspend_reader(context) {
             return Poll::Pending;
         }
         let filled = buffer.filled().len();
@@ -81,7 +61,7 @@
     ) -> Poll<io::Result<usize>> {
         let metered = self.get_mut();
         let written = Pin::new(&mut metered.stream).poll_write(context, bytes);
-        metered.note_write(&written);
+        metered.guard.note_write(written.is_pending());
         written
     }
 
@@ -92,7 +72,7 @@
     ) -> Poll<io::Result<usize>> {
         let metered = self.get_mut();
         let written = Pin::new(&mut metered.stream).poll_write_vectored(context, parts);
-        metered.note_write(&written);
+        metered.guard.note_write(written.is_pending());
         written
     }
 
--- a/crates/entry/tests/floods/crowd.rs
+++ b/crates/entry/tests/floods/crowd.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use futures::future;
+use hickorychute_entry::peers::{Body, Envelope};
+use prost::Message;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpSocket, TcpStream},
@@ -44,6 +46,13 @@
     },
     /// The begin of a request's headers, without their end.
     EndlessHeaders,
+    /// A complete job of legal size, without reading the response.
+    CompleteBody,
+    /// Calls between hosts, without reading the answers.
+    UnreadAnswers {
+        /// Bytes sent.
+        sent_bytes: usize,
+    },
     /// A frame of 1 MiB between hosts, all but its end.
     UnfinishedFrame,
 }
@@ -86,6 +95,24 @@
                 let name = "x".repeat(7_000);
                 vec![format!("{post}{name}").into_bytes()]
             }
+            Self::CompleteBody => {
+                let step = r#"{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":10}"#;
+                let other_bytes = format!(r#"{{"spec":"","steps":[{step}]}}"#).len();
+                let spec = "x".repeat(BODY_BYTES - other_bytes);
+                let body = format!(r#"{{"spec":"{spec}","steps":[{step}]}}"#);
+                let head = format!("{post}content-length: {BODY_BYTES}\r\n\r\n");
+                vec![format!("{head}{body}").into_bytes()]
+            }
+            Self::UnreadAnswers { sent_bytes } => {
+                let call = Envelope {
+                    call: 1,
+                    body: Some(Body::GetLeader(true)),
+                };
+                let call = call.encode_to_vec();
+                let frame = [&(call.len() as u32).to_be_bytes(), &call[..]].concat();
+                let sent = frame.repeat(sent_bytes / frame.len());
+                sent.chunks(16 << 10).map(<[u8]>::to_vec).collect()
+            }
             Self::UnfinishedFrame => {
                 let mut sent = (1_u32 << 20).to_be_bytes().to_vec();
                 sent.resize(sent.len() + (1 << 20) - MISSING_BYTES, 0);
@@ -100,7 +127,10 @@
 pub async fn send(address: SocketAddr, pattern: Pattern, connections: usize) -> Vec<TcpStream> {
     let senders = (0..connections).map(|number| async move {
         let socket = TcpSocket::new_v4().ok()?;
-        if matches!(pattern, Pattern::UnreadResponses { .. }) {
+        if matches!(
+            pattern,
+            Pattern::UnreadResponses { .. } | Pattern::UnreadAnswers { .. }
+        ) {
             // Leaves what is not read with the host, not with this process.
             socket.set_recv_buffer_size(UNREAD_BUFFER_BYTES).ok()?;
         }
--- a/crates/entry/tests/floods/main.rs
+++ b/crates/entry/tests/floods/main.rs
@@ -16,6 +16,9 @@
 /// Held by each test, so that only one crowd loads the machine at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
+/// Identifiers of ordinary jobs; those of the crowds are lower.
+const ORDINARY_JOBS: u64 = 1 << 32;
+
 /// An ordinary job.
 const JOB: &str =
     r#"{"spec":"run=10","steps":[{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":10}]}"#;
@@ -62,7 +65,7 @@
     max_fds: 500,
 };
 
-const CASES: [Case; 11] = [
+const CASES: [Case; 13] = [
     Case {
         name: "large bodies",
         port: Port::Clients,
@@ -141,6 +144,20 @@
         },
         connections: 300,
     },
+    Case {
+        name: "complete large bodies",
+        port: Port::Clients,
+        pattern: Pattern::CompleteBody,
+        connections: 60,
+    },
+    Case {
+        name: "unread answers to hosts",
+        port: Port::Peers,
+        pattern: Pattern::UnreadAnswers {
+            sent_bytes: 64 << 10,
+        },
+        connections: 60,
+    },
 ];
 
 /// Sends the crowd and returns what was wrong.
@@ -152,7 +169,7 @@
         memory_kib,
         descriptors,
     } = rig.settle(address.port()).await;
-    let served = rig::served_status(rig.clients, &submission(number, "")).await;
+    let served = rig::served_status(rig.clients, &submission(ORDINARY_JOBS + number, "")).await;
     let ready = rig::served_status(
         rig.readiness,
         b"GET /hickorychute/ready HTTP/1.1\r\nhost: a\r\n\r\n",
