--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -116,6 +116,13 @@
         matches!(self.phase, Phase::Head | Phase::Body)
             && now_ms.saturating_sub(self.progress_ms) >= STALLED_MS
     }
+
+    /// Whether the client has not taken its response for long enough to be replaced.
+    fn is_unread(&self, now_ms: u64) -> bool {
+        self.blocked_since_ms
+            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= STALLED_MS)
+            && self.phase != Phase::Closing
+    }
 }
 
 /// The connections of a port.
@@ -352,12 +359,3 @@
         Shed { id, reason, phase }
     }
 }
-
-impl Connection {
-    /// Whether the client has not taken its response for long enough to be replaced.
-    fn is_unread(&self, now_ms: u64) -> bool {
-        self.blocked_since_ms
-            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= STALLED_MS)
-            && self.phase != Phase::Closing
-    }
-}
--- a/crates/entry/tests/entry/client_limits.rs
+++ b/crates/entry/tests/entry/client_limits.rs
@@ -1,11 +1,31 @@
 //! Decisions about the connections of a port, without a network.
 
-use adapter::settings;
+use std::rc::Rc;
+
+use adapter::settings::{self, Settings};
 use cell::config::Config;
-use hickorychute_entry::client_limits::{
-    self, Connections, Phase, PortLimits, Reason, Reports, SMALL_BYTES, Shed, Timeouts,
+use hickorychute_entry::{
+    client_limits::{
+        self, Connections, Phase, PortLimits, Reason, Reports, SMALL_BYTES, Shed, Timeouts,
+    },
+    ports::{Port, Protocol},
 };
 
+/// Settings with these additional lines.
+fn settings_with(lines: &str) -> Settings {
+    let text = format!(
+        "node=a\nzone=a\nip=127.0.0.1\nport_range=1,2\nlisten.front=127.0.0.1:1\n\
+         listen.ready=127.0.0.1:2\nplatform.address=127.0.0.1:3\n{lines}"
+    );
+    settings::parse(&text).expect("the settings are complete")
+}
+
+/// A port for calls from other hosts, with the default limits.
+pub fn peer_port() -> Rc<Port> {
+    let limits = client_limits::peers(&settings_with(""));
+    Port::new("peers", Protocol::Frames, limits, Rc::default())
+}
+
 const KIB: usize = 1 << 10;
 
 /// Limits of a port: 4 connections of 1 KiB, and 100 KiB for all.
@@ -356,12 +376,7 @@
         },
     ];
     for case in cases {
-        let text = format!(
-            "node=a\nzone=a\nip=127.0.0.1\nport_range=1,2\nlisten.front=127.0.0.1:1\n\
-             listen.ready=127.0.0.1:2\nplatform.address=127.0.0.1:3\n{}",
-            case.lines
-        );
-        let settings = settings::parse(&text).expect("the settings are complete");
+        let settings = settings_with(case.lines);
         let clients = client_limits::clients(&settings, None);
         let peers = client_limits::peers(&settings);
         assert_eq!(
--- a/crates/entry/tests/entry/elections.rs
+++ b/crates/entry/tests/entry/elections.rs
@@ -30,7 +30,7 @@
     time,
 };
 
-use crate::support::{self, DelayedLink};
+use crate::{client_limits, support::DelayedLink};
 
 /// Process identifiers of the leader and of a later process of its host.
 const LEADER_PROCESS: u64 = 11;
@@ -149,10 +149,14 @@
 /// Answers calls at the leader's peer address with the content of `info`.
 fn serve_peer(listener: TcpListener, info: &Rc<RefCell<LeaderInfo>>) {
     let info = Rc::clone(info);
-    task::spawn_local(peers::serve(listener, support::peer_port(), move |_| {
-        let info = Rc::clone(&info);
-        async move { Body::LeaderInfo(info.borrow().clone()) }
-    }));
+    task::spawn_local(peers::serve(
+        listener,
+        client_limits::peer_port(),
+        move |_| {
+            let info = Rc::clone(&info);
+            async move { Body::LeaderInfo(info.borrow().clone()) }
+        },
+    ));
 }
 
 fn info(process: u64, leaving: bool) -> LeaderInfo {
@@ -302,18 +306,22 @@
             let (asked, answered) = (Rc::<Cell<bool>>::default(), Rc::<Cell<bool>>::default());
             let (asking, answering) = (Rc::clone(&asked), Rc::clone(&answered));
             let known = Rc::clone(&members);
-            task::spawn_local(peers::serve(listener, support::peer_port(), move |_| {
-                let (asking, answering) = (Rc::clone(&asking), Rc::clone(&answering));
-                let (known, first) = (Rc::clone(&known), known.current_leader());
-                async move {
-                    asking.set(true);
-                    while known.current_leader() == first && !answering.get() {
-                        time::sleep(POLL_INTERVAL).await;
+            task::spawn_local(peers::serve(
+                listener,
+                client_limits::peer_port(),
+                move |_| {
+                    let (asking, answering) = (Rc::clone(&asking), Rc::clone(&answering));
+                    let (known, first) = (Rc::clone(&known), known.current_leader());
+                    async move {
+                        asking.set(true);
+                        while known.current_leader() == first && !answering.get() {
+                            time::sleep(POLL_INTERVAL).await;
+                        }
+                        answering.set(true);
+                        Body::LeaderInfo(info(LATER_PROCESS, false))
                     }
-                    answering.set(true);
-                    Body::LeaderInfo(info(LATER_PROCESS, false))
-                }
-            }));
+                },
+            ));
             successor.watch_leader();
             wait_until("the check", || asked.get()).await;
             let fence = write_leader(&direct, address, LATER_PROCESS).await;
--- a/crates/entry/tests/entry/peers.rs
+++ b/crates/entry/tests/entry/peers.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 use tokio::{net::TcpListener, task::LocalSet};
 
-use crate::support;
+use crate::client_limits;
 
 async fn host() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0")
@@ -47,7 +47,7 @@
             let first = calls.call(address, Body::GetLeader(true), timeout).await;
             assert!(first.is_err(), "{first:?}");
             let listener = closing.await.expect("the task does not panic");
-            tokio::task::spawn_local(peers::serve(listener, support::peer_port(), answer));
+            tokio::task::spawn_local(peers::serve(listener, client_limits::peer_port(), answer));
             let began = Instant::now();
             let second = calls.call(address, Body::GetLeader(true), timeout).await;
             assert_eq!(second, Ok(Body::LeaderInfo(LeaderInfo::default())));
@@ -61,7 +61,7 @@
     LocalSet::new()
         .run_until(async {
             let (listener, address) = host().await;
-            tokio::task::spawn_local(peers::serve(listener, support::peer_port(), answer));
+            tokio::task::spawn_local(peers::serve(listener, client_limits::peer_port(), answer));
             let calls = Peers::default();
             let call = |n| calls.call(address, Body::State(n), Duration::from_secs(2));
             let answers = futures::future::join_all((0..50).map(call)).await;
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -5,7 +5,6 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
-    rc::Rc,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU16, AtomicU64, Ordering},
@@ -13,12 +12,7 @@
     time::{Duration, Instant},
 };
 
-use adapter::settings;
 use bytes::Bytes;
-use hickorychute_entry::{
-    client_limits,
-    ports::{Port, Protocol},
-};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper_util::{
@@ -459,15 +453,6 @@
     }
 }
 
-/// A port for calls from other hosts, with the default limits.
-pub fn peer_port() -> Rc<Port> {
-    let text = "node=a\nzone=a\nip=127.0.0.1\nport_range=1,2\nlisten.front=127.0.0.1:1\n\
-                listen.ready=127.0.0.1:2\nplatform.address=127.0.0.1:3\n";
-    let settings = settings::parse(text).expect("the settings are complete");
-    let limits = client_limits::peers(&settings);
-    Port::new("peers", Protocol::Frames, limits, Rc::default())
-}
-
 /// Request path of a job in a queue.
 pub fn path(queue: &str, number: u64) -> String {
     format!("/{queue}/{number:016x}")
