Merge limits on untrusted clients

Cause: 1,400 connections with unfinished bodies took 313 to 472 MB, and hosts have 120 or 160 MB. Change: all bodies and connections of a port share a budget taken from the settings; bodies must make progress, stalled ones are shed first, and small requests get in at any time.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`frontend`]: client requests and the platform's readiness probe;
 //! - `job_queries`: queries and cancellations of jobs;
 //! - [`key_checks`]: checks of the keys that clients' calls carry;
+//! - [`client_limits`]: connections and memory of the listening ports; [`ports`]: their I/O;
 //! - [`leader_client`]: requests to the leader, with direct store access as the fallback;
 //! - [`live`]: the current settings, reloaded when their file changes;
 //! - [`peers`]: calls between hosts; [`peer_calls`]: their answers;
@@ -28,6 +29,7 @@
 //! - [`logs`], [`metrics`], [`events`]: logging and metrics.
 
 pub mod advice_client;
+pub mod client_limits;
 pub mod clock;
 pub mod daemon;
 pub mod election;
@@ -46,6 +48,7 @@
 pub mod payloads;
 pub mod peer_calls;
 pub mod peers;
+pub mod ports;
 mod prefix_watch;
 pub mod records;
 pub mod relay;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,7 @@
     gauges: RefCell<IndexMap<&'static str, u64>>,
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
     key_refusals: RefCell<IndexMap<&'static str, u64>>,
+    refusals: RefCell<IndexMap<(&'static str, &'static str), u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
     /// Current values with labels, by name and labels as rendered.
     labelled_gauges: RefCell<BTreeMap<String, u64>>,
@@ -54,6 +55,15 @@
         *self.labelled_gauges.borrow_mut() = gauges;
     }
 
+    /// Counts a connection or request that was refused or closed at a limit of its port.
+    pub fn count_refusal(&self, port: &'static str, reason: &'static str) {
+        *self
+            .refusals
+            .borrow_mut()
+            .entry((port, reason))
+            .or_default() += 1;
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -92,6 +102,10 @@
             let labels = format!("reason=\"{reason}\"");
             let _written = writeln!(text, "hickory_key_refusals_total{{{labels}}} {value}");
         }
+        for ((port, reason), value) in &*self.refusals.borrow() {
+            let labels = format!("port=\"{port}\",reason=\"{reason}\"");
+            let _written = writeln!(text, "hickory_refusals_total{{{labels}}} {value}");
+        }
         for (kind, histogram) in &*self.latency.borrow() {
             let mut below = 0;
             for (position, count) in histogram.buckets.iter().enumerate() {
