--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -29,6 +29,7 @@
 mod expiry;
 mod inherited;
 mod job;
+mod job_access;
 mod late_orders;
 mod movement;
 mod pace;
@@ -39,14 +40,16 @@
 mod reports;
 mod reserves;
 mod schedule;
+mod tenants;
 mod trial_workers;
 mod trials;
+mod vacating;
 mod waiting;
 mod worker_pace;
 
 use std::rc::Rc;
 
-use indexmap::{IndexMap, IndexSet};
+use crate::collections::{IndexMap, IndexSet};
 
 pub use advice::{AdviceOutcome, AdviceQuery};
 pub use changes::{ChangeLimits, RecordChange};
@@ -97,6 +100,9 @@
     /// Duration of tasks away from the rack of their data or of their group, relative to the duration
     /// there, in percent.
     pub cross_rack_percent: u32,
+    /// Duration of the sliding window over which the jobs of a tenant count towards its share, in
+    /// milliseconds.
+    pub quota_window_ms: u64,
 }
 
 impl Default for Tuning {
@@ -112,6 +118,7 @@
             restore_ms: 600,
             preemption: false,
             cross_rack_percent: 100,
+            quota_window_ms: 5_000,
         }
     }
 }
@@ -222,6 +229,10 @@
     next_due_unix_ms: Option<u64>,
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
     ready_steps: Vec<StepId>,
+    /// Number of those that were examined for queries to the advice service at `advice_cursor_ms`.
+    advice_cursor: usize,
+    /// Time of the last query, in milliseconds of the local clock.
+    advice_cursor_ms: u64,
     /// Workers that were kept free for a step at the last scheduling pass.
     reservations: reserves::Reservations,
     /// Steps for which runs are stopped.
@@ -238,6 +249,8 @@
     trial_workers: trial_workers::TrialWorkers,
     /// Services in which steps that are not on trial waited for room in the last scheduling pass.
     contended_services: IndexSet<Rc<str>>,
+    /// What tenants have running, and their shares.
+    tenants: tenants::Tenants,
     /// Events that have not been taken for the log.
     crash_events: Vec<CrashEvent>,
     /// Released runs that have not been taken for the log.
@@ -254,21 +267,23 @@
         let mut coordinator = Self {
             tuning,
             config,
-            workers: IndexMap::new(),
-            jobs: IndexMap::new(),
-            open: IndexSet::new(),
-            dirty: IndexSet::new(),
-            writing: IndexSet::new(),
+            workers: IndexMap::default(),
+            jobs: IndexMap::default(),
+            open: IndexSet::default(),
+            dirty: IndexSet::default(),
+            writing: IndexSet::default(),
             pending_ends: Vec::new(),
-            unreported_workers: IndexSet::new(),
-            unheard_workers: IndexSet::new(),
-            inherited_runs: IndexMap::new(),
-            inherited_orders: IndexMap::new(),
+            unreported_workers: IndexSet::default(),
+            unheard_workers: IndexSet::default(),
+            inherited_runs: IndexMap::default(),
+            inherited_orders: IndexMap::default(),
             inherited_expiry_ms: takeover.expiry_ms,
             awaited_hosts: 0,
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
+            advice_cursor: 0,
+            advice_cursor_ms: 0,
             reservations: reserves::Reservations::default(),
             preemptions: preemption::Preemptions::default(),
             average_pace: AveragePace::default(),
@@ -276,7 +291,8 @@
             recent_crashes: crashes::RecentCrashes::default(),
             dangerous_queues: Vec::new(),
             trial_workers: trial_workers::TrialWorkers::default(),
-            contended_services: IndexSet::new(),
+            contended_services: IndexSet::default(),
+            tenants: tenants::Tenants::default(),
             crash_events: Vec::new(),
             released_runs: Vec::new(),
             wait_events: Vec::new(),
@@ -373,8 +389,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let queue = self.config.queues.get(record.queue.as_str());
-        let mut job = Job::new(record, queue.map(Rc::as_ref), inherited);
+        let mut job = self.restore_job(record, inherited, unix_ms);
         if let Some(due) = job.begin_due(unix_ms) {
             self.schedule_due(due);
         }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -9,7 +9,6 @@
     pass::{Pass, Urgency},
     patience::Patience,
     placement_wait::WaitBudget,
-    preemption::SearchBudget,
     reserves::{MAX_RESERVATION_ATTEMPTS, MAX_RESERVING_STEPS, Reservations},
     trial_workers::TrialBudget,
 };
@@ -19,9 +18,14 @@
     jobs::Outcome,
     objective::MAX_LATENESS,
     placement::Request,
+    quota::{self, Claim},
     workers::{Phase, StopReason},
 };
 
+/// Maximum number of steps in a pass whose jobs have no value any more. After an overload there can be
+/// thousands of them, and a pass over all would delay the steps that still have value.
+const MAX_VALUELESS_STEPS: usize = 64;
+
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
@@ -162,28 +166,32 @@
                 now_ms,
             ),
             reservations,
+            quota: self.quota_ledger(now_ms),
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
             waits: WaitBudget::default(),
         };
         let may_preempt = self.may_preempt();
-        let mut searches = SearchBudget::default();
         if may_preempt {
-            self.renew_holds(now_ms, &mut pass);
+            self.begin_preemption(&mut pass);
         }
         self.start_trials(&ready_steps, &mut pass, orders);
         let mut reserving = 0;
         let mut attempts = 0;
         self.contended_services.clear();
         for urgency in &ready_steps {
-            let started = self.start_step(urgency.step, &pass, orders);
+            let started = self.start_step(urgency.step, &mut pass, orders);
+            // Free workers would not help a step that its tenant's limit holds back.
+            if pass.quota.is_held(urgency.step) {
+                continue;
+            }
             if !started && urgency.lateness < MAX_LATENESS {
                 self.record_contention(urgency.step);
             }
             if may_preempt && started {
-                self.preemptions.step_started(urgency.step);
+                self.release_hold(urgency.step);
             } else if may_preempt {
-                self.preempt_for(urgency, &mut pass, &mut searches);
+                self.preempt_for(urgency, &mut pass);
             }
             if !started
                 && urgency.lateness == 0
@@ -197,10 +205,15 @@
                 reserving += usize::from(reserved);
             }
         }
-        self.ready_steps = ready_steps
+        // Steps that their tenants' limits hold back are the last to ask for advice.
+        let (held, others): (Vec<StepId>, Vec<StepId>) = ready_steps
             .into_iter()
             .map(|urgency| urgency.step)
-            .collect();
+            .partition(|&step| pass.quota.is_held(step));
+        self.advice_cursor = 0;
+        self.ready_steps = others;
+        self.ready_steps.extend(held);
+        self.tenants.quota = pass.quota;
         self.reservations = pass.reservations;
     }
 
@@ -208,6 +221,7 @@
     fn ready_steps(&self, now_ms: u64, unix_ms: u64) -> Vec<Urgency> {
         let settled = self.takeover_complete(now_ms);
         let mut ready = Vec::new();
+        let mut valueless = Vec::new();
         for job in self.open_jobs() {
             if (job.inherited && !settled)
                 || now_ms < job.start_not_before_ms
@@ -237,7 +251,13 @@
                     } else {
                         0
                     };
-                    ready.push(Urgency {
+                    let steps = if lateness == MAX_LATENESS {
+                        &mut valueless
+                    } else {
+                        &mut ready
+                    };
+                    steps.push(Urgency {
+                        behind_shares: lateness == MAX_LATENESS || self.is_behind_shares(job),
                         finite,
                         lateness,
                         priority,
@@ -252,14 +272,20 @@
                 }
             }
         }
+        keep_first(&mut valueless, MAX_VALUELESS_STEPS);
+        ready.append(&mut valueless);
         ready.sort_unstable();
         ready
     }
 
     /// Starts as many of a step's waiting tasks as fit. Returns whether any was started, or could have
     /// been and waits for a better placement.
-    fn start_step(&mut self, id: StepId, pass: &Pass, orders: &mut Vec<Order>) -> bool {
-        let mut chosen = self.choose_workers(id, pass);
+    fn start_step(&mut self, id: StepId, pass: &mut Pass, orders: &mut Vec<Order>) -> bool {
+        let mut chosen = if self.may_fit(id, pass) {
+            self.choose_workers(id, pass)
+        } else {
+            Vec::new()
+        };
         let waits = self.hold_back(id, &mut chosen, pass);
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
@@ -274,10 +300,22 @@
         true
     }
 
+    /// Whether the workers together have room for a step, before any of them is looked at. In a full
+    /// cell most waiting steps need no more than this.
+    fn may_fit(&self, id: StepId, pass: &Pass) -> bool {
+        let job = self.jobs.get(&id.job);
+        let spec = job.and_then(|job| job.step_spec(id.step));
+        spec.is_some_and(|spec| {
+            let required = if spec.gang { spec.count } else { 1 };
+            pass.free_cpu.may_fit(spec.reserved_millicores(), required)
+        })
+    }
+
     /// Chooses workers for as many of a step's waiting tasks as fit. Returns the position of each
     /// task in the step and that of its worker.
-    fn choose_workers(&mut self, id: StepId, pass: &Pass) -> Vec<(u32, usize)> {
+    fn choose_workers(&mut self, id: StepId, pass: &mut Pass) -> Vec<(u32, usize)> {
         let pace = self.pace_choice(id, pass.unix_ms);
+        let has_waited_long = pass.quota.is_active() && self.has_waited_long(id, pass.unix_ms);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return Vec::new();
         };
@@ -288,6 +326,7 @@
             return Vec::new();
         };
         let service = service_of(&self.config, job);
+        let tenant = Rc::clone(&job.tenant);
         let queue = self.config.queues.get(&job.queue);
         let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
         let objective_unix_ms = job.due_unix_ms(id.occurrence) + job.allowed_ms();
@@ -307,6 +346,25 @@
         if spec.gang && waiting.len() < step.tasks.len() - step.done_count as usize {
             return Vec::new();
         }
+        let demand = demand_of(spec);
+        let (bound, mut free): (Vec<u32>, Vec<u32>) = waiting
+            .iter()
+            .partition(|&&n| step.tasks[n as usize].bound_to.is_some());
+        // The orders that bind tasks are counted as running already.
+        let allowed = pass.quota.claim(&Claim {
+            tenant: &tenant,
+            step: id,
+            demand: demand.resources,
+            count: free.len() as u32,
+            is_gang: spec.gang,
+            has_waited_long,
+        }) as usize;
+        if allowed < free.len() {
+            free.truncate(allowed);
+            if spec.gang || (free.is_empty() && bound.is_empty()) {
+                return Vec::new();
+            }
+        }
         let waiting_step = WaitingStep {
             id,
             spec,
@@ -315,11 +373,7 @@
             needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
             waiting: &waiting,
         };
-        let demand = demand_of(spec);
         let mut candidates = waiting_step.candidates(&self.workers, step, pass);
-        let (bound, free): (Vec<u32>, Vec<u32>) = waiting
-            .iter()
-            .partition(|&&n| step.tasks[n as usize].bound_to.is_some());
         let mut chosen = Vec::with_capacity(waiting.len());
         for &n in &bound {
             let worker = step.tasks[n as usize].bound_to.as_ref();
@@ -358,6 +412,8 @@
         if spec.gang && placed.is_empty() {
             return Vec::new();
         }
+        let started = quota::times(&demand.resources, placed.len() as u32);
+        pass.quota.charge(&tenant, &started);
         chosen.extend(free.into_iter().zip(placed));
         chosen
     }
@@ -437,3 +493,11 @@
         }
     }
 }
+
+/// Keeps the most urgent steps, in no particular order.
+fn keep_first(steps: &mut Vec<Urgency>, count: usize) {
+    if steps.len() > count {
+        steps.select_nth_unstable(count);
+        steps.truncate(count);
+    }
+}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,7 +7,9 @@
 //! the crate returns.
 //!
 //! - [`credentials`]: keys of tenants, held as digests;
+//! - [`freshness`]: whether a host's configuration is known to be recent enough to accept keys;
 //! - [`ids`]: identifiers of jobs, steps and tasks;
+//! - [`collections`]: maps and sets with a fast hash function;
 //! - [`config`]: queues and services as configured by the operators;
 //! - [`jobs`]: job specifications and the durable record of a job;
 //! - [`progress`]: progress of runs, and detection of slow workers;
@@ -25,17 +27,21 @@
 //! - [`pace_choice`]: choice between fast and slow workers;
 //! - [`placement`]: assignment of a step's tasks to workers;
 //! - [`placement_wait`]: whether a step waits for a better placement;
+//! - [`quota`]: limits of tenants, and what each has running;
 //! - [`routing`]: which host relays calls to a worker;
+//! - [`shares`]: which jobs exceed their tenant's share;
 //! - [`admission`]: which jobs are refused on submission, and when the caller may retry.
 
 pub mod admission;
 pub mod answer_loss;
+pub mod collections;
 pub mod config;
 pub mod contact;
 pub mod contention;
 pub mod coordinator;
 pub mod credentials;
 pub mod departure;
+pub mod freshness;
 pub mod ids;
 pub mod jobs;
 pub mod late_orders;
@@ -47,6 +53,8 @@
 pub mod placement;
 pub mod placement_wait;
 pub mod progress;
+pub mod quota;
 pub mod routing;
+pub mod shares;
 pub mod worker_pace;
 pub mod workers;
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -15,6 +15,10 @@
     CONFIG_APPLIED = (8010, "config-applied", Info, "A newer operators' configuration is in effect on this host. Nothing to do.");
     /// A configuration could not be decoded.
     CONFIG_UNREADABLE = (8011, "config-unreadable", Warn, "The configuration in the store is malformed; the previous one stays in effect. Write it again.");
+    /// Keys cannot be accepted.
+    CONFIG_UNPROVEN = (8012, "config-unproven", Warn, "The host has no proof that its configuration is recent, and refuses calls that need a key, because keys may have been revoked. Check whether it can reach the store, and E8011.");
+    /// Keys can be accepted again.
+    CONFIG_PROVEN = (8013, "config-proven", Info, "The host has proof again that its configuration is recent, and accepts calls that need a key. Nothing to do.");
     /// A dependency stopped answering.
     DEPENDENCY_LOST = (8020, "dependency-lost", Warn, "A dependency of the host does not answer. Check which one, and whether other hosts lost it too.");
     /// A dependency answers again.
@@ -45,6 +49,14 @@
     STATE_ANSWERED = (8102, "state-answered", Info, "A job state query was answered that the job does not exist or that its state is unavailable.");
     /// The leader refused a job.
     JOB_REFUSED = (8103, "job-refused", Info, "The coordinator refused a job before accepting it. The line gives the verdict and the state of the cell behind it.");
+    /// Calls were refused on account of their keys.
+    KEY_REFUSED = (8104, "key-refused", Info, "Calls were refused on account of their keys. The line names one of them, and counts those since the previous line: without a valid key (401), without proof of a recent configuration (503), and for a job of another tenant (403).");
+    /// The leader refused a job whose key is no longer valid.
+    KEY_REVOKED = (8105, "key-revoked", Info, "The coordinator refused a job on account of its key: it was revoked, or it moved to another tenant, in a configuration that the host which took the job did not have yet; or the coordinator has no proof that its own configuration is recent (E8012). Nothing to do unless this recurs.");
+    /// The leader refused a job because of its tenant.
+    TENANT_REFUSED = (8106, "tenant-refused", Info, "The coordinator refused a job because of its tenant. The line gives the tenant and why: a task or gang above its limit, `at_limit` if its work within the limit takes too long, or `over_share`; and what the tenant has running.");
+    /// The limit of a tenant holds tasks back.
+    TENANT_AT_LIMIT = (8107, "tenant-at-limit", Info, "Tasks of a tenant wait because it has as much running as its limit allows. The line gives their number, what the tenant has running and its limit, of at most four tenants a second. Nothing to do, unless the tenant should run more.");
     /// A start order is sent.
     RUN_ORDERED = (8110, "run-ordered", Info, "A worker was ordered to start a task.");
     /// A start was not confirmed.
@@ -101,4 +113,6 @@
     LISTING_COMPLETE = (8142, "listing-complete", Info, "A listing of the store is complete after failed reads. Nothing to do.");
     /// Log lines were dropped.
     LINES_DROPPED = (8150, "lines-dropped", Warn, "The log output could not keep up and lines were dropped; the dropped lines are counted in the metrics.");
+    /// Connections or requests were refused or closed at a limit of their port.
+    CLIENTS_SHED = (8160, "clients-shed", Warn, "Connections or requests were refused or closed because they exceed a limit of their port; at most one line a second for each port and reason, with their number. Nothing that was refused has run. Check who sends them.");
 }
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -2,29 +2,26 @@
 
 use std::{
     cell::Cell,
-    convert::Infallible,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use adapter::clients::{self, DEADLINE_HEADER, READY_PATH, Request};
+use adapter::clients::{self, DEADLINE_HEADER, KEY_SCHEME, READY_PATH, Request};
 use bytes::Bytes;
-use cell::{config::Queue, ids::JobId, jobs::JobRecord};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Response, body::Incoming, header, server::conn::http1, service};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use cell::{config::Queue, credentials::KeyDigest, ids::JobId, jobs::JobRecord};
+use http_body_util::Full;
+use hyper::{Response, body::Incoming, header, header::HeaderValue};
 use kernel::log_event;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-    time,
-};
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
+    client_limits::Reason,
     clock, events,
+    key_checks::{self, Denial, Grant, KeyChecks, OUTDATED_RETRY_AFTER_MS},
     leader_client::{LeaderClient, Lookup, SubmitOutcome},
     metrics::Metrics,
     operator_config::OperatorConfig,
+    ports::{self, BodyError, Guard, Port},
 };
 
 /// Maximum body size if the operators set none, in bytes.
@@ -33,12 +30,10 @@
 const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Part of the client's time reserved for the response to travel back.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-/// Maximum read buffer of a connection, in bytes; the smallest value that hyper accepts.
-const MAX_BUFFER_BYTES: usize = 8 << 10;
-/// Time limit for receiving a request's headers.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// Retry-After while neither the leader nor the store can be reached, in milliseconds.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 700;
+/// Retry-After while the requests of other clients use the memory of the host, in milliseconds.
+const OVERLOADED_RETRY_AFTER_MS: u64 = 1_000;
 /// Retry-After before the first configuration is known, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
 
@@ -49,6 +44,8 @@
 pub struct Frontend {
     /// The operators' configuration in effect.
     pub operator_config: Rc<OperatorConfig>,
+    /// Checks the keys of calls.
+    pub key_checks: Rc<KeyChecks>,
     /// Forwards requests to the leader or the store.
     pub leader_client: LeaderClient,
     /// Counters and histograms of the host.
@@ -57,17 +54,20 @@
     pub own_address: String,
     /// Set once the host is shutting down.
     pub draining: Cell<bool>,
-    /// Number of open client connections.
-    pub open_connections: Cell<usize>,
+    /// The port for clients.
+    pub port: Rc<Port>,
 }
 
 impl Frontend {
-    /// Whether the readiness probe succeeds: configured and not draining.
+    /// Whether the readiness probe succeeds: configured, able to accept the calls of all queues, and
+    /// not draining.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.operator_config.current().is_some()
+        let config = self.operator_config.current();
+        !self.draining.get()
+            && config.is_some_and(|config| self.key_checks.accepts_all_queues(&config))
     }
 
-    async fn answer(&self, request: hyper::Request<Incoming>) -> Reply {
+    async fn answer(&self, request: hyper::Request<Incoming>, guard: &Guard) -> Reply {
         let started = Instant::now();
         let Some(config) = self.operator_config.current() else {
             return refuse(503, UNCONFIGURED_RETRY_AFTER_MS);
@@ -90,29 +90,29 @@
             return plain(400, "");
         };
         let client_timeout = client_timeout(&request).saturating_sub(RESPONSE_MARGIN);
-        let reply = match operation {
-            Request::Submit(id) => {
-                let limit = match config.max_body_bytes {
-                    0 => DEFAULT_MAX_BODY_BYTES,
-                    bytes => bytes,
-                };
-                match Limited::new(request.into_body(), limit).collect().await {
-                    Ok(body) => {
-                        self.submit(id, queue, &body.to_bytes(), client_timeout)
-                            .await
+        let digest = key_checks::key_digest(request.headers());
+        let reply = match self.key_checks.check(queue, digest.as_ref()) {
+            Err(denial) => self.deny(operation, denial),
+            Ok(grant) => match operation {
+                Request::Submit(id) => {
+                    let limit = match config.max_body_bytes {
+                        0 => DEFAULT_MAX_BODY_BYTES,
+                        bytes => bytes,
+                    };
+                    match ports::read_body(guard, request.into_body(), limit).await {
+                        Ok(body) => {
+                            self.submit(id, queue, digest.as_ref(), &body, client_timeout)
+                                .await
+                        }
+                        Err(BodyError::TooLarge) => plain(413, ""),
+                        Err(BodyError::Broken) => plain(400, ""),
+                        Err(BodyError::Refused(Reason::SlowBody)) => plain(408, ""),
+                        Err(BodyError::Refused(_)) => refuse(503, OVERLOADED_RETRY_AFTER_MS),
                     }
-                    Err(_) => plain(413, ""),
                 }
-            }
-            Request::State(id) => self.state(id, client_timeout).await,
-            Request::Cancel(id) => self.cancel(id, client_timeout).await,
-            Request::Pending => match self
-                .leader_client
-                .pending(&queue.name, client_timeout)
-                .await
-            {
-                Lookup::Is(count) => plain(200, &clients::pending_body(count)),
-                Lookup::Missing | Lookup::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
+                Request::State(id) => self.state(id, queue, &grant, client_timeout).await,
+                Request::Cancel(id) => self.cancel(id, queue, &grant, client_timeout).await,
+                Request::Pending => self.pending(queue, &grant, client_timeout).await,
             },
         };
         self.metrics
@@ -120,13 +120,35 @@
         reply
     }
 
+    /// Refuses a call on account of its key, unless it may be a retry of a submission that was
+    /// accepted.
+    fn deny(&self, operation: Request, denial: Denial) -> Reply {
+        if let Request::Submit(id) = operation
+            && self.leader_client.is_in_doubt(id)
+        {
+            return plain(504, "");
+        }
+        self.key_checks.record(denial, operation);
+        match denial {
+            Denial::Unauthorised => challenge(),
+            Denial::Outdated => refuse(503, OUTDATED_RETRY_AFTER_MS),
+            Denial::OtherTenant => plain(403, ""),
+        }
+    }
+
     async fn submit(
         &self,
         id: JobId,
         queue: &Queue,
+        digest: Option<&KeyDigest>,
         body: &[u8],
         client_timeout: Duration,
     ) -> Reply {
+        // The key may have been revoked while the body was read.
+        let grant = match self.key_checks.check(queue, digest) {
+            Ok(grant) => grant,
+            Err(denial) => return self.deny(Request::Submit(id), denial),
+        };
         let Some(spec) = clients::job(body) else {
             log_event!(
                 events::JOB_ANSWERED,
@@ -142,11 +164,13 @@
             accepted_unix_ms: clock::unix_ms(),
             spec: Some(spec),
             payload_host: self.own_address.clone(),
+            tenant: grant.caller.tenant().to_owned(),
             ..JobRecord::default()
         };
         let started = Instant::now();
         let caller_left = CallerLeftLog { id, started };
-        let outcome = self.leader_client.submit(&record, client_timeout).await;
+        let submitted = self.leader_client.submit(&record, &grant, client_timeout);
+        let outcome = submitted.await;
         std::mem::forget(caller_left);
         let took_ms = started.elapsed().as_millis();
         let queue_name = &queue.name;
@@ -166,15 +190,27 @@
             SubmitOutcome::StoreAway {
                 retry_after_ms: None,
             } => plain(503, ""),
-            SubmitOutcome::NeverFits | SubmitOutcome::Cancelled => plain(429, ""),
+            SubmitOutcome::NeverFits { reason } if !reason.is_empty() => {
+                plain(429, &clients::refusal_body(&reason))
+            }
+            SubmitOutcome::NeverFits { .. } | SubmitOutcome::Cancelled => plain(429, ""),
             SubmitOutcome::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
             SubmitOutcome::InDoubt => plain(504, ""),
+            SubmitOutcome::Denied(denial) => self.deny(Request::Submit(id), denial),
         }
     }
 
-    async fn state(&self, id: JobId, client_timeout: Duration) -> Reply {
-        match self.leader_client.state(id, client_timeout).await {
+    async fn state(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        grant: &Grant,
+        client_timeout: Duration,
+    ) -> Reply {
+        let looked_up = self.leader_client.state(id, grant, client_timeout);
+        match self.unless_late(looked_up.await, queue, grant) {
             Lookup::Is(state) => plain(200, clients::state_body(state)),
+            Lookup::Denied(denial) => self.deny(Request::State(id), denial),
             Lookup::Missing => {
                 log_event!(events::STATE_ANSWERED, "job={id} outcome=missing");
                 plain(410, "")
@@ -186,15 +222,46 @@
         }
     }
 
-    async fn cancel(&self, id: JobId, client_timeout: Duration) -> Reply {
-        let outcome = self.leader_client.cancel(id, client_timeout).await;
+    async fn cancel(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        grant: &Grant,
+        client_timeout: Duration,
+    ) -> Reply {
+        let cancelled = self
+            .leader_client
+            .cancel(id, &queue.name, grant, client_timeout);
+        let outcome = cancelled.await;
         log_event!(events::CANCEL_ANSWERED, "job={id} outcome={outcome:?}");
         match outcome {
+            // The job is cancelled, so that the call cannot be refused any more.
+            Lookup::Is(()) if self.key_checks.check_answer(&queue.name, grant).is_err() => {
+                plain(504, "")
+            }
             Lookup::Is(()) => plain(200, ""),
+            Lookup::Denied(denial) => self.deny(Request::Cancel(id), denial),
             Lookup::Missing => plain(410, ""),
             Lookup::Unavailable => plain(504, ""),
         }
     }
+
+    async fn pending(&self, queue: &Queue, grant: &Grant, client_timeout: Duration) -> Reply {
+        let counted = self.leader_client.pending(&queue.name, client_timeout);
+        match self.unless_late(counted.await, queue, grant) {
+            Lookup::Is(count) => plain(200, &clients::pending_body(count)),
+            Lookup::Denied(denial) => self.deny(Request::Pending, denial),
+            Lookup::Missing | Lookup::Unavailable => refuse(503, UNAVAILABLE_RETRY_AFTER_MS),
+        }
+    }
+
+    /// Replaces a value that was found too late to be returned to a caller with this key.
+    fn unless_late<T>(&self, found: Lookup<T>, queue: &Queue, grant: &Grant) -> Lookup<T> {
+        match self.key_checks.check_answer(&queue.name, grant) {
+            Err(denial) if matches!(found, Lookup::Is(_)) => Lookup::Denied(denial),
+            _ => found,
+        }
+    }
 }
 
 /// Logs a submission whose caller disconnected before the response; forgotten on completion.
@@ -233,6 +300,16 @@
     reply(status, "", Some(retry_after_ms.div_ceil(1000).max(1)))
 }
 
+/// A refusal that asks for a valid key.
+fn challenge() -> Reply {
+    let mut reply = plain(401, "");
+    let challenge = HeaderValue::from_static(KEY_SCHEME);
+    reply
+        .headers_mut()
+        .insert(header::WWW_AUTHENTICATE, challenge);
+    reply
+}
+
 fn reply(status: u16, body: &str, retry_after_s: Option<u64>) -> Reply {
     let mut builder = Response::builder().status(status);
     if !body.is_empty() {
@@ -247,102 +324,34 @@
 }
 
 /// Serves clients until `stop` becomes true; each connection then closes after its current request.
-pub async fn serve(listener: TcpListener, frontend: Rc<Frontend>, mut stop: watch::Receiver<bool>) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let (frontend, stop) = (Rc::clone(&frontend), stop.clone());
-                tokio::task::spawn_local(serve_connection(stream, frontend, stop));
-            }
-            // Out of file descriptors, or the client has disconnected: retry.
-            Err(_) => time::sleep(Duration::from_millis(20)).await,
-        }
-    }
-}
-
-async fn serve_connection(
-    stream: TcpStream,
-    frontend: Rc<Frontend>,
-    mut stop: watch::Receiver<bool>,
-) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    frontend
-        .open_connections
-        .set(frontend.open_connections.get() + 1);
-    let served = Rc::clone(&frontend);
-    let handler = service::service_fn(move |request| {
-        let frontend = Rc::clone(&served);
-        async move { Ok::<_, Infallible>(frontend.answer(request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT);
-    let connection = builder.serve_connection(TokioIo::new(stream), handler);
-    tokio::pin!(connection);
-    tokio::select! {
-        // Connection errors are the client's concern.
-        _ = connection.as_mut() => {}
-        _ = stop.wait_for(|stop| *stop) => {
-            connection.as_mut().graceful_shutdown();
-            let _ended = connection.await;
-        }
-    }
-    frontend
-        .open_connections
-        .set(frontend.open_connections.get() - 1);
+pub async fn serve(listener: TcpListener, frontend: Rc<Frontend>, stop: watch::Receiver<bool>) {
+    let port = Rc::clone(&frontend.port);
+    let handler = move |request, guard: Rc<Guard>| {
+        let frontend = Rc::clone(&frontend);
+        async move { frontend.answer(request, &guard).await }
+    };
+    ports::serve(listener, port, handler, stop).await;
 }
 
 /// Serves the readiness probe.
-pub async fn serve_readiness(listener: TcpListener, frontend: Rc<Frontend>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(50)).await;
-            continue;
+pub async fn serve_readiness(listener: TcpListener, port: Rc<Port>, frontend: Rc<Frontend>) {
+    let (_never, stop) = watch::channel(false);
+    let handler = move |request: hyper::Request<Incoming>, _: Rc<Guard>| {
+        let reply = match request.uri().path() {
+            READY_PATH if frontend.is_ready() => plain(200, ""),
+            READY_PATH => plain(503, ""),
+            _ => plain(404, ""),
         };
-        let frontend = Rc::clone(&frontend);
-        tokio::task::spawn_local(async move {
-            let handler = service::service_fn(move |request: hyper::Request<Incoming>| {
-                let reply = match request.uri().path() {
-                    READY_PATH if frontend.is_ready() => plain(200, ""),
-                    READY_PATH => plain(503, ""),
-                    _ => plain(404, ""),
-                };
-                async move { Ok::<_, Infallible>(reply) }
-            });
-            let mut builder = http1::Builder::new();
-            let _ended = builder
-                .max_buf_size(MAX_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), handler)
-                .await;
-        });
-    }
+        std::future::ready(reply)
+    };
+    ports::serve(listener, port, handler, stop).await;
 }
 
 /// Serves counters and histograms in the Prometheus text format, at any path.
-pub async fn serve_metrics(listener: TcpListener, metrics: Rc<Metrics>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let metrics = Rc::clone(&metrics);
-        tokio::task::spawn_local(async move {
-            let handler = service::service_fn(move |_: hyper::Request<Incoming>| {
-                let reply = plain(200, &metrics.render());
-                async move { Ok::<_, Infallible>(reply) }
-            });
-            let _ended = http1::Builder::new()
-                .max_buf_size(MAX_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), handler)
-                .await;
-        });
-    }
+pub async fn serve_metrics(listener: TcpListener, port: Rc<Port>, metrics: Rc<Metrics>) {
+    let (_never, stop) = watch::channel(false);
+    let handler = move |_: hyper::Request<Incoming>, _: Rc<Guard>| {
+        std::future::ready(plain(200, &metrics.render()))
+    };
+    ports::serve(listener, port, handler, stop).await;
 }
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -5,16 +5,20 @@
 //! - [`arrivals`]: changes that reach the leader through the store;
 //! - [`relays`]: calls to workers, relayed by a host near the worker;
 //! - [`holds`]: one long poll per worker, which extends its runs and returns its lists;
+//! - [`keys`]: the second check of the keys of submissions;
 //! - [`orders`]: start and stop orders, and advice queries;
+//! - [`tenants`]: admission of tenants' jobs, and what is logged and counted of their limits;
 //! - [`retention`]: removal of ended jobs after the retention period.
 
 mod arrivals;
 mod commits;
 mod holds;
+mod keys;
 mod orders;
 mod relays;
 mod retention;
 mod takeover;
+mod tenants;
 
 use std::{
     cell::{Cell, RefCell},
@@ -23,9 +27,9 @@
 
 use adapter::{http::ConnectionPool, settings::Settings};
 use cell::{
-    admission::Verdict,
     answer_loss::AnswerLoss,
     coordinator::{Coordinator, Tuning},
+    credentials::KeyClaim,
     ids::JobId,
     jobs::JobRecord,
     link_budget::LinkBudget,
@@ -44,6 +48,7 @@
     clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, StallDetector, Term},
     events,
+    key_checks::KeyChecks,
     live::LiveSettings,
     members::Members,
     metrics::Metrics,
@@ -92,6 +97,8 @@
     pub members: Rc<Members>,
     /// The operators' configuration in effect.
     pub operator_config: Rc<OperatorConfig>,
+    /// Checks of keys against that configuration.
+    pub key_checks: Rc<KeyChecks>,
     /// Counters and histograms of the host.
     pub metrics: Rc<Metrics>,
 }
@@ -110,6 +117,8 @@
     response_deadline_ms: u64,
     /// Time at which the caller stops waiting, in milliseconds of [`clock::now_ms`].
     client_deadline_ms: u64,
+    /// Key with which it was submitted; `None` if none was needed.
+    claim: Option<KeyClaim>,
     /// Receives true once the job is durable, false if nothing was written.
     accepted: oneshot::Sender<bool>,
 }
@@ -202,6 +211,7 @@
     leader.spawn(retention::run(Rc::clone(&leader)));
     leader.spawn_known_holds();
     leader.ended.cancelled().await;
+    leader.withdraw_usage();
     slot.borrow_mut().take();
 }
 
@@ -248,6 +258,7 @@
             retention_ms: settings.retention_ms + RETENTION_MARGIN_MS,
             max_hold_ms: settings.longest_hold_ms,
             cross_rack_percent: u32::try_from(settings.cross_rack_percent).unwrap_or(u32::MAX),
+            quota_window_ms: settings.quota_window_ms,
             // The platform's clock may run fast.
             entry_lapse_ms: settings.worker_lapse_ms * 9 / 10,
             stop_timeout_ms: settings.stop_timeout_ms,
@@ -322,16 +333,22 @@
             return Body::NotHandled(true);
         }
         match body {
-            Body::Submit(mut call) => match call.record.take() {
-                Some(record) => self.submit(record, &call).await,
-                None => Body::NotHandled(true),
-            },
+            Body::Submit(mut call) => {
+                let claim = call.claim();
+                match call.record.take() {
+                    Some(record) => self.submit(record, &call, claim).await,
+                    None => Body::NotHandled(true),
+                }
+            }
             Body::WrittenJob(written) => self.accept_written(&written),
             Body::State(id) => {
-                let state = self.coordinator.borrow().job_state(JobId(id));
+                let coordinator = self.coordinator.borrow();
+                let state = coordinator.job_state(JobId(id));
+                let tenant = coordinator.job_tenant(JobId(id));
                 Body::StateReply(StateReply {
                     found: state.is_some(),
                     state: state.map_or(0, peers::encode_state),
+                    tenant: tenant.map(ToString::to_string).unwrap_or_default(),
                 })
             }
             Body::Pending(queue) => {
@@ -342,12 +359,17 @@
         }
     }
 
-    async fn submit(&self, mut record: JobRecord, call: &SubmitCall) -> Body {
+    async fn submit(
+        &self,
+        mut record: JobRecord,
+        call: &SubmitCall,
+        claim: Option<KeyClaim>,
+    ) -> Body {
         let client_timeout_ms = call.client_timeout_ms;
         let id = JobId(record.id);
         let accepted = Body::SubmitReply(SubmitReply {
             accepted: true,
-            retry_after_ms: 0,
+            ..SubmitReply::default()
         });
         if self.coordinator.borrow().job_state(id).is_some() {
             return accepted;
@@ -356,26 +378,11 @@
         if self.in_doubt.borrow().contains(&id) || self.coordinator.borrow().contains_job(id) {
             return Body::NotHandled(false);
         }
-        let verdict = self.admit(&record);
-        let retry_after_ms = match verdict {
-            Verdict::Accept => None,
-            Verdict::Refuse { retry_after_ms } => Some(retry_after_ms),
-            Verdict::NeverFits => Some(0),
-        };
-        if let Some(retry_after_ms) = retry_after_ms {
-            let coordinator = self.coordinator.borrow();
-            log_event!(
-                events::JOB_REFUSED,
-                "job={id} queue={} verdict={verdict:?} config={} open_jobs={} workers={}",
-                record.queue,
-                coordinator.config().version,
-                coordinator.open_jobs().count(),
-                coordinator.workers().len()
-            );
-            return Body::SubmitReply(SubmitReply {
-                accepted: false,
-                retry_after_ms,
-            });
+        if let Some(refusal) = self.refuse_key(id, &record.queue, claim.as_ref()) {
+            return Body::SubmitReply(refusal);
+        }
+        if let Some(refusal) = self.refusal(&record) {
+            return Body::SubmitReply(refusal);
         }
         let health = self.context.store.health();
         if outage::decide_request(health, call.waited_ms, client_timeout_ms)
@@ -392,8 +399,12 @@
             let queue = coordinator.config().queues.get(record.queue.as_str());
             queue.map_or(u32::MAX, |queue| queue.priority)
         };
+        self.coordinator
+            .borrow_mut()
+            .claim_share(&mut record, clock::unix_ms());
         let (sender, durable) = oneshot::channel();
         let payload = records::take_payload(&mut record);
+        let queue = record.queue.clone();
         self.submissions.borrow_mut().push(Submission {
             record,
             payload,
@@ -402,12 +413,16 @@
             response_deadline_ms: now_ms
                 + MAX_STORE_WAIT_MS.min(client_timeout_ms.saturating_sub(RESPONSE_MARGIN_MS)),
             client_deadline_ms: now_ms + client_timeout_ms,
+            claim: claim.clone(),
             accepted: sender,
         });
         self.submitted.notify_one();
         match durable.await {
             Ok(true) => accepted,
-            Ok(false) => Body::StoreAway(true),
+            Ok(false) => match self.refuse_key(id, &queue, claim.as_ref()) {
+                Some(refusal) => Body::SubmitReply(refusal),
+                None => Body::StoreAway(true),
+            },
             Err(_) => Body::NotHandled(false),
         }
     }
@@ -440,16 +455,6 @@
         congested
     }
 
-    fn admit(&self, record: &JobRecord) -> Verdict {
-        let coordinator = self.coordinator.borrow();
-        let queue = coordinator.config().queues.get(record.queue.as_str());
-        match (queue, &record.spec) {
-            (Some(queue), Some(spec)) => coordinator.admit(queue, spec),
-            // The forwarding host has a newer configuration.
-            _ => Verdict::Accept,
-        }
-    }
-
     async fn cancel(&self, id: JobId) -> Body {
         if !self
             .coordinator
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and latency histograms in the Prometheus text format.
 
-use std::{cell::RefCell, fmt::Write, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, time::Duration};
 
 use adapter::clients::Request;
 use indexmap::IndexMap;
@@ -20,7 +20,11 @@
     counters: RefCell<IndexMap<&'static str, u64>>,
     gauges: RefCell<IndexMap<&'static str, u64>>,
     requests: RefCell<IndexMap<(&'static str, u16), u64>>,
+    key_refusals: RefCell<IndexMap<&'static str, u64>>,
+    refusals: RefCell<IndexMap<(&'static str, &'static str), u64>>,
     latency: RefCell<IndexMap<&'static str, Histogram>>,
+    /// Current values with labels, by name and labels as rendered.
+    labelled_gauges: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Metrics {
@@ -34,6 +38,32 @@
         self.gauges.borrow_mut().insert(name, value);
     }
 
+    /// Counts a call that was refused on account of its key.
+    pub fn count_key_refusal(&self, reason: &'static str) {
+        *self.key_refusals.borrow_mut().entry(reason).or_default() += 1;
+    }
+
+    /// Increases the counter `hickory_{name}_total`, unless by 0.
+    pub fn add(&self, name: &'static str, number: u64) {
+        if number > 0 {
+            *self.counters.borrow_mut().entry(name).or_default() += number;
+        }
+    }
+
+    /// Replaces all gauges with labels.
+    pub fn set_labelled_gauges(&self, gauges: BTreeMap<String, u64>) {
+        *self.labelled_gauges.borrow_mut() = gauges;
+    }
+
+    /// Counts a connection or request that was refused or closed at a limit of its port.
+    pub fn count_refusal(&self, port: &'static str, reason: &'static str) {
+        *self
+            .refusals
+            .borrow_mut()
+            .entry((port, reason))
+            .or_default() += 1;
+    }
+
     /// Records the status and latency of an answered request.
     pub fn observe(&self, request: Request, status: u16, took: Duration) {
         let kind = match request {
@@ -68,6 +98,14 @@
             let labels = format!("kind=\"{kind}\",status=\"{status}\"");
             let _written = writeln!(text, "hickory_requests_total{{{labels}}} {value}");
         }
+        for (reason, value) in &*self.key_refusals.borrow() {
+            let labels = format!("reason=\"{reason}\"");
+            let _written = writeln!(text, "hickory_key_refusals_total{{{labels}}} {value}");
+        }
+        for ((port, reason), value) in &*self.refusals.borrow() {
+            let labels = format!("port=\"{port}\",reason=\"{reason}\"");
+            let _written = writeln!(text, "hickory_refusals_total{{{labels}}} {value}");
+        }
         for (kind, histogram) in &*self.latency.borrow() {
             let mut below = 0;
             for (position, count) in histogram.buckets.iter().enumerate() {
@@ -82,6 +120,9 @@
             let _written = writeln!(text, "hickory_request_ms_sum{{kind=\"{kind}\"}} {sum_ms}");
             let _written = writeln!(text, "hickory_request_ms_count{{kind=\"{kind}\"}} {below}");
         }
+        for (name, value) in &*self.labelled_gauges.borrow() {
+            let _written = writeln!(text, "{name} {value}");
+        }
         let dropped = crate::logs::dropped_lines();
         let _written = writeln!(text, "hickory_log_lines_dropped_total {dropped}");
         text
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -7,10 +7,11 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{
     FutureExt, SinkExt, StreamExt,
     future::{LocalBoxFuture, Shared},
@@ -19,12 +20,18 @@
 pub use messages::*;
 use prost::Message;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream, tcp},
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, mpsc, oneshot},
     time,
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::{
+    client_limits::Phase,
+    ports::{Guard, Metered, Port},
+};
+
 /// Maximum frame size, in bytes: a job with the largest payload and many steps fits well.
 const MAX_FRAME_BYTES: usize = 1 << 20;
 /// Connect timeout: several round trips between regions.
@@ -35,6 +42,13 @@
 /// Initial buffer per connection and direction, in bytes.
 const INITIAL_BUFFER_BYTES: usize = 2 << 10;
 
+/// Memory of a call that is answered, in bytes: its task and its answer.
+const CALL_BYTES: usize = 4 << 10;
+/// Calls that each connection may have answered at once, whatever the others have.
+const OWN_CALLS: usize = 8;
+/// Largest buffer that a connection keeps between frames, in bytes.
+const MAX_KEPT_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why a call to a host has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerError {
@@ -189,7 +203,7 @@
         .new_codec()
 }
 
-async fn write_frames(write: tcp::OwnedWriteHalf, mut queue: mpsc::Receiver<Bytes>) {
+async fn write_frames<W: AsyncWrite + Unpin>(write: W, mut queue: mpsc::Receiver<Bytes>) {
     let mut framed = FramedWrite::new(write, codec());
     while let Some(frame) = queue.recv().await {
         if framed.feed(frame).await.is_err() {
@@ -225,8 +239,8 @@
 
 /// Identifier and body of the next message; `None` at the end of the connection or on a malformed
 /// frame.
-async fn next_message(
-    framed: &mut FramedRead<tcp::OwnedReadHalf, LengthDelimitedCodec>,
+async fn next_message<R: AsyncRead + Unpin>(
+    framed: &mut FramedRead<R, LengthDelimitedCodec>,
 ) -> Option<(u64, Body)> {
     let frame = framed.next().await?.ok()?;
     let envelope = Envelope::decode(frame).ok()?;
@@ -234,38 +248,85 @@
 }
 
 /// Serves calls from other hosts; `answer` runs for each call, many concurrently.
-pub async fn serve<F, A>(listener: TcpListener, answer: F)
+pub async fn serve<F, A>(listener: TcpListener, port: Rc<Port>, answer: F)
 where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
+    // A coordinator has some calls open for each worker that this host relays to.
+    let calls = Arc::new(Semaphore::new(port.limits().memory_bytes / CALL_BYTES));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        let Some(guard) = port.accept() else {
+            // Lets the connections that were told to close end.
+            tokio::task::yield_now().await;
+            continue;
+        };
         if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(serve_connection(stream, answer.clone()));
+            let (guard, calls) = (Rc::new(guard), Arc::clone(&calls));
+            tokio::task::spawn_local(serve_connection(stream, guard, calls, answer.clone()));
         }
     }
 }
 
-async fn serve_connection<F, A>(stream: TcpStream, answer: F)
-where
+async fn serve_connection<F, A>(
+    stream: TcpStream,
+    guard: Rc<Guard>,
+    calls: Arc<Semaphore>,
+    answer: F,
+) where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
-    tokio::task::spawn_local(write_frames(write, queue));
-    let mut framed = FramedRead::with_capacity(read, codec(), INITIAL_BUFFER_BYTES);
+    // The writer keeps the connection's place until its answers are written.
+    let metered = Metered::new(write, Rc::clone(&guard));
+    let writer = tokio::task::spawn_local(write_frames(metered, queue));
+    let metered = Metered::new(read, Rc::clone(&guard));
+    let framed = FramedRead::with_capacity(metered, codec(), INITIAL_BUFFER_BYTES);
+    tokio::select! {
+        () = read_calls(framed, &guard, calls, answer, &frames) => {}
+        // Writing has failed.
+        () = frames.closed() => {}
+        () = guard.cut() => writer.abort(),
+    }
+}
+
+async fn read_calls<F, A>(
+    mut framed: FramedRead<Metered<tcp::OwnedReadHalf>, LengthDelimitedCodec>,
+    guard: &Guard,
+    calls: Arc<Semaphore>,
+    answer: F,
+    frames: &mpsc::Sender<Bytes>,
+) where
+    F: Fn(Body) -> A + Clone + 'static,
+    A: Future<Output = Body> + 'static,
+{
+    let own_calls = Arc::new(Semaphore::new(OWN_CALLS));
     while let Some((call, body)) = next_message(&mut framed).await {
+        guard.enter(Phase::Idle);
+        if framed.read_buffer().capacity() > MAX_KEPT_BUFFER_BYTES {
+            let rest = BytesMut::from(&framed.read_buffer()[..]);
+            *framed.read_buffer_mut() = rest;
+        }
+        let permit = match Arc::clone(&own_calls).try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => match Arc::clone(&calls).acquire_owned().await {
+                Ok(permit) => permit,
+                Err(_) => return,
+            },
+        };
         let (answer, frames) = (answer.clone(), frames.clone());
         tokio::task::spawn_local(async move {
             let body = Some(answer(body).await);
             let frame = Bytes::from(Envelope { call, body }.encode_to_vec());
             // If the caller has disconnected, it repeats the call elsewhere.
             drop(frames.send(frame).await);
+            drop(permit);
         });
     }
 }
