Admission sums waiting work once a pass

Cause: each submission summed the waiting tasks of all open jobs up to three times and looked at all workers. With 600 submissions a second and over 1,400 open jobs that took most of the coordinator's processor: it sent 200 to 300 orders a second instead of 1,300, many of them too late. Change: the sums are kept by queue, tenant and share for a scheduling pass, and accepted jobs are added.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     config::{Queue, Tenant},
-    coordinator::{Coordinator, Job},
-    jobs::JobSpec,
+    coordinator::{AheadOf, Coordinator},
+    jobs::{JobSpec, StepSpec},
     objective::MAX_LATENESS_FACTOR,
     quota::{self, LimitExcess},
     workers::Resources,
@@ -93,37 +93,29 @@
         if let Some(excess) = limit.and_then(|limit| quota::limit_excess(spec, limit)) {
             return Verdict::ExceedsLimit(excess);
         }
-        let mut capacity = Resources::default();
-        let mut workers = 0;
-        let mut fits_any = vec![false; spec.steps.len()];
-        for worker in self.workers().values() {
-            if !worker.listed || worker.entry.service != queue.service {
-                continue;
-            }
-            capacity.add(&worker.entry.capacity);
-            workers += 1;
-            for (found, step) in fits_any.iter_mut().zip(&spec.steps) {
-                let demand = Resources {
-                    cpu_millicores: step.reserved_millicores(),
-                    memory_mb: step.memory_mb,
-                    gpus: step.gpus,
-                };
-                *found |= worker.entry.capacity.fits(&Resources::default(), &demand);
-            }
-        }
-        if capacity == Resources::default() {
+        let service = self.service_capacity(&queue.service);
+        if service.total == Resources::default() {
             return Verdict::Accept; // The worker list has not been read yet.
         }
-        if fits_any.contains(&false) {
+        let fits = |step: &StepSpec| {
+            service.fits(&Resources {
+                cpu_millicores: step.reserved_millicores(),
+                memory_mb: step.memory_mb,
+                gpus: step.gpus,
+            })
+        };
+        if !spec.steps.iter().all(fits) {
             return Verdict::NeverFits;
         }
         if spec.occurrences > 0 || spec.steps.iter().any(|step| step.long_running) {
             return Verdict::Accept;
         }
         let over_share = submitter.is_some_and(|submitter| submitter.over_share);
-        let usable_millicores = (capacity.cpu_millicores * USABLE_CPU_PERCENT / 100).max(1);
-        let cell_wait_ms =
-            |over_share| self.backlog_core_ms(queue, over_share) * 1000 / usable_millicores;
+        let usable_millicores = (service.total.cpu_millicores * USABLE_CPU_PERCENT / 100).max(1);
+        let cell_wait_ms = |over_share| {
+            let new = AheadOf { queue, over_share };
+            self.backlog_core_ms(new) * 1000 / usable_millicores
+        };
         let wait_ms = cell_wait_ms(over_share);
         let critical_path_ms = quota::critical_path_ms(spec, limit);
         let allowed_ms =
@@ -148,7 +140,7 @@
                 return refuse(TenantCause::OverShare, excess_ms.min(within_ms));
             }
         }
-        if excess_ms == 0 && !self.has_full_trial_queue(&queue.name, workers) {
+        if excess_ms == 0 && !self.has_full_trial_queue(&queue.name, service.workers) {
             return Verdict::Accept;
         }
         let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
@@ -157,27 +149,6 @@
         }
     }
 
-    /// Estimated CPU time of the waiting tasks scheduled ahead of a new job of `queue`, in
-    /// core-milliseconds.
-    fn backlog_core_ms(&self, queue: &Queue, over_share: bool) -> u64 {
-        self.open_jobs()
-            .filter(|job| self.is_ahead(job, queue, over_share))
-            .map(Job::waiting_core_ms)
-            .sum()
-    }
-
-    /// Whether the waiting tasks of a job are scheduled ahead of a new job of `queue`.
-    fn is_ahead(&self, job: &Job, queue: &Queue, over_share: bool) -> bool {
-        let Some(other) = self.config().queues.get(&job.queue) else {
-            return false;
-        };
-        match (over_share, self.is_behind_shares(job)) {
-            (false, true) => false,
-            (true, false) => other.service == queue.service,
-            _ => other.priority <= queue.priority,
-        }
-    }
-
     /// Estimated time that a tenant's waiting tasks ahead of a new job take within its limit, in
     /// milliseconds.
     fn tenant_wait_ms(&self, queue: &Queue, submitter: &Submitter<'_>) -> u64 {
@@ -185,11 +156,11 @@
         if *limit == Resources::default() {
             return 0;
         }
-        let mut waiting = Resources::default();
-        let jobs = self.open_jobs().filter(|job| job.tenant == *name);
-        for job in jobs.filter(|job| self.is_ahead(job, queue, submitter.over_share)) {
-            waiting.add(&job.waiting_resource_ms());
-        }
+        let new = AheadOf {
+            queue,
+            over_share: submitter.over_share,
+        };
+        let waiting = self.tenant_backlog_ms(name, new);
         let wait_ms = |waiting: u64, limit: u64| waiting.checked_div(limit).unwrap_or(0);
         wait_ms(waiting.cpu_millicores, limit.cpu_millicores)
             .max(wait_ms(waiting.memory_mb, limit.memory_mb))
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -20,6 +20,7 @@
 //! - ends are acknowledged to a worker only after their effect is durable.
 
 mod advice;
+mod backlog;
 mod candidates;
 mod changes;
 mod crash_log;
@@ -50,6 +51,7 @@
 use crate::collections::{IndexMap, IndexSet};
 
 pub use advice::{AdviceOutcome, AdviceQuery};
+pub(crate) use backlog::AheadOf;
 pub use changes::{ChangeLimits, RecordChange};
 pub use crash_log::{CrashEvent, CrashReport, WorkerLoss};
 pub use crashes::CrashHistory;
@@ -243,6 +245,8 @@
     released_runs: Vec<ReleasedRun>,
     /// Begins and ends of waits for a better placement that have not been taken for the log.
     wait_events: Vec<WaitEvent>,
+    /// Sums for admission control.
+    backlog: backlog::Backlog,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
 }
@@ -281,6 +285,7 @@
             crash_events: Vec::new(),
             released_runs: Vec::new(),
             wait_events: Vec::new(),
+            backlog: backlog::Backlog::default(),
             pass_unix_ms: 0,
         };
         for inherited in takeover.roster {
@@ -297,6 +302,7 @@
     /// Applies a configuration if it is newer than the current one.
     pub fn apply_config(&mut self, config: Rc<Config>) {
         if config.version > self.config.version {
+            self.backlog.invalidate();
             self.config = config;
         }
     }
@@ -319,6 +325,12 @@
     /// Adds or updates a worker from the list of workers. Returns whether it was unknown.
     pub fn update_worker(&mut self, entry: WorkerEntry) -> bool {
         if let Some(worker) = self.workers.get_mut(&entry.id) {
+            let is_counted = worker.listed
+                && worker.entry.capacity == entry.capacity
+                && worker.entry.service == entry.service;
+            if !is_counted {
+                self.backlog.invalidate();
+            }
             worker.listed = true;
             worker.entry_written_ms = None;
             worker.withdrawal = None;
@@ -330,6 +342,7 @@
             worker.entry = entry;
             return false;
         }
+        self.backlog.invalidate();
         self.workers
             .insert(Rc::clone(&entry.id), Worker::new(entry));
         true
@@ -346,6 +359,7 @@
     pub fn remove_from_list(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.listed = false;
+            self.backlog.invalidate();
         }
     }
 
@@ -357,6 +371,7 @@
             return;
         };
         worker.listed = false;
+        self.backlog.invalidate();
         let entry_age_ms = worker
             .entry_written_ms
             .map(|written_ms| now_ms.saturating_sub(written_ms))
@@ -382,6 +397,7 @@
             self.open.insert(id);
             job.close_completed(unix_ms);
         }
+        self.add_to_backlog(&job);
         self.jobs.insert(id, job);
         self.restore_inherited_runs(id);
         self.restore_bound_tasks(id);
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -30,6 +30,7 @@
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
         self.pass_unix_ms = unix_ms;
+        self.backlog.invalidate();
         self.begin_due_occurrences(unix_ms);
         self.refresh_paces(now_ms);
         self.judge_lost_workers(now_ms, unix_ms);
