cell: check of a configuration before it is sent

Cause: hosts apply any configuration that they can decode. An entry that hides another one, or a limit under which nothing can run, shows only once calls fail. Change: `config_check` reports entries that can never match, contradictions, repeated names and keys, and what differs from the configuration in force. Keys are reported as counts.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`freshness`]: whether a host's configuration is known to be recent enough to accept keys;
 //! - [`ids`]: identifiers of jobs, steps and tasks;
 //! - [`config`]: queues and services as configured by the operators;
+//! - [`config_check`]: check of a configuration before it is sent;
 //! - [`jobs`]: job specifications and the durable record of a job;
 //! - [`progress`]: progress of runs, and detection of slow workers;
 //! - [`worker_pace`]: relative paces of workers, learned from the durations of runs;
@@ -33,6 +34,7 @@
 pub mod admission;
 pub mod answer_loss;
 pub mod config;
+pub mod config_check;
 pub mod contact;
 pub mod coordinator;
 pub mod credentials;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod answer_loss;
 mod capacity;
+mod config_check;
 mod crashes;
 mod credentials;
 mod end_proofs;
