--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! workers report their runs.
 //!
 //! - [`daemon`]: startup, signals and shutdown;
+//! - [`check_config`]: the command that checks a configuration before it is sent;
 //! - `listing`: reads all keys under a prefix of the store, page by page;
 //! - `prefix_watch`: watches all keys under a prefix of the store;
 //! - [`frontend`]: client requests and the platform's readiness probe;
@@ -28,6 +29,7 @@
 //! - [`logs`], [`metrics`], [`events`]: logging and metrics.
 
 pub mod advice_client;
+pub mod check_config;
 pub mod clock;
 pub mod daemon;
 pub mod election;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod cancellations;
 mod cold_start;
+mod config_check;
 mod elections;
 mod failures;
 mod jobs;
