--- a/crates/cell/src/config_check/compare.rs
+++ b/crates/cell/src/config_check/compare.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, fmt::Display, rc::Rc};
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use super::{Entry, Field, Finding, Severity};
 use crate::{
@@ -162,7 +162,7 @@
         (Some(_), None) => report("list added: calls to queues that are not public need a key"),
         _ => {}
     }
-    let none = IndexMap::new();
+    let none = IndexMap::default();
     let new = config.tenants.as_ref().unwrap_or(&none);
     let old = in_force.tenants.as_ref().unwrap_or(&none);
     entries(new, old, Entry::Tenant, findings, tenant);
--- a/crates/cell/src/config_check/mod.rs
+++ b/crates/cell/src/config_check/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, rc::Rc};
 
-use indexmap::IndexMap;
+use crate::collections::IndexMap;
 
 use crate::{
     config::{Config, Queue, Tenant},
@@ -194,7 +194,7 @@
 }
 
 fn check_names(names: &[Rc<str>], entry: fn(Rc<str>) -> Entry, findings: &mut Vec<Finding>) {
-    let mut count_of = IndexMap::<_, usize>::new();
+    let mut count_of = IndexMap::<_, usize>::default();
     for name in names {
         *count_of.entry(name).or_default() += 1;
     }
@@ -333,7 +333,7 @@
     for tenant in config.tenants.iter().flat_map(|tenants| tenants.values()) {
         let entry = Entry::Tenant(Rc::clone(&tenant.name));
         let mut repeated = 0_usize;
-        let mut shared_with = IndexMap::<&Rc<str>, usize>::new();
+        let mut shared_with = IndexMap::<&Rc<str>, usize>::default();
         for digest in &tenant.key_digests {
             let holder = holder_of.entry(digest).or_insert(&tenant.name);
             if *holder == &tenant.name {
--- a/crates/cell/tests/cell/config_check/mod.rs
+++ b/crates/cell/tests/cell/config_check/mod.rs
@@ -61,7 +61,7 @@
 fn clean() -> Config {
     let mut config = Config {
         version: 7,
-        tenants: Some(IndexMap::new()),
+        tenants: Some(IndexMap::default()),
         max_body_bytes: 5_000,
         max_header_bytes: 16_384,
         header_timeout_ms: 3_000,
@@ -308,7 +308,7 @@
         case("no tenants", |config| config.tenants = None, vec![]),
         case(
             "empty list of tenants",
-            |config| config.tenants = Some([].into()),
+            |config| config.tenants = Some([].into_iter().collect()),
             vec![(Warning, Entry::Tenants, None)],
         ),
         case(
