--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`ids`]: identifiers of jobs, steps and tasks;
 //! - [`collections`]: maps and sets with a fast hash function;
 //! - [`config`]: queues and services as configured by the operators;
+//! - [`config_check`]: check of a configuration before it is sent;
 //! - [`jobs`]: job specifications and the durable record of a job;
 //! - [`progress`]: progress of runs, and detection of slow workers;
 //! - [`worker_pace`]: relative paces of workers, learned from the durations of runs;
@@ -36,6 +37,7 @@
 pub mod answer_loss;
 pub mod collections;
 pub mod config;
+pub mod config_check;
 pub mod contact;
 pub mod contention;
 pub mod coordinator;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod cancellations;
 mod client_limits;
 mod cold_start;
+mod config_check;
 mod elections;
 mod failures;
 mod jobs;
