Preemption: what stops could free is summed up once a pass

Cause: the sums were computed for each query about a gang, and slowed the passes. Change: claims of one priority share them until the next pass.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -179,13 +179,12 @@
                 && worker.entry.capacity.fits(&Resources::default(), &demand)
         };
         let claim = self.claim_of(id, now_ms);
-        let fitting_tasks = |worker: &Worker| {
+        let used_after_stops = claim.as_ref().map(|claim| self.used_after_stops(claim));
+        let fitting_tasks = |position: usize, worker: &Worker| {
             let limit = task_limit(worker, spec, id).min(waiting);
-            let used = match &claim {
-                Some(claim) => self.used_after_stops(worker, claim),
-                None => worker.used,
-            };
-            fitting_tasks(worker, used, &demand, limit)
+            let used = used_after_stops.as_ref();
+            let used = used.and_then(|used| used.get(position)).copied();
+            fitting_tasks(worker, used.unwrap_or(worker.used), &demand, limit)
         };
         // A gang that may claim capacity needs tickets that outlast the stops, and some to spare:
         // capacity that could be vacated changes quickly.
@@ -207,25 +206,26 @@
         let mut stale = Vec::new();
         let mut unqueried = Vec::new();
         let mut last_resort = Vec::new();
-        for worker in self.workers.values().filter(eligible) {
+        let workers = self.workers.values().enumerate();
+        for (position, worker) in workers.filter(|(_, worker)| eligible(worker)) {
             let name = &worker.entry.id;
             match step.advice.eligible.get(name) {
                 None if step.advice.queried.contains_key(name) => {}
                 _ if worker.is_suspect(now_ms) => {
-                    last_resort.push((fitting_tasks(worker), Rc::clone(name)));
+                    last_resort.push((fitting_tasks(position, worker), Rc::clone(name)));
                 }
                 Some(_) if is_distrusted(worker, &failures) => {
-                    last_resort.push((fitting_tasks(worker), Rc::clone(name)));
+                    last_resort.push((fitting_tasks(position, worker), Rc::clone(name)));
                 }
                 Some(_) if step.advice.has_ticket(name, ticket_needed_ms) => {
-                    ticketed_slots += fitting_tasks(worker);
-                    eligible_slots += fitting_tasks(worker);
+                    ticketed_slots += fitting_tasks(position, worker);
+                    eligible_slots += fitting_tasks(position, worker);
                 }
                 Some(_) => {
-                    eligible_slots += fitting_tasks(worker);
-                    stale.push((fitting_tasks(worker), Rc::clone(name)));
+                    eligible_slots += fitting_tasks(position, worker);
+                    stale.push((fitting_tasks(position, worker), Rc::clone(name)));
                 }
-                None => unqueried.push((fitting_tasks(worker), Rc::clone(name))),
+                None => unqueried.push((fitting_tasks(position, worker), Rc::clone(name))),
             }
         }
         let mut named_workers = if ticketed_slots >= required {
--- a/crates/cell/src/coordinator/preemption.rs
+++ b/crates/cell/src/coordinator/preemption.rs
@@ -6,7 +6,7 @@
 //! capacity becomes free when their workers list the ends; until then the workers are held for the
 //! gang, and only more urgent steps may use them.
 
-use std::rc::Rc;
+use std::{cell::RefCell, rc::Rc};
 
 use derive_more::Display;
 
@@ -28,12 +28,12 @@
 /// Maximum number of steps for which workers are held at a time.
 const MAX_HOLDS: usize = 24;
 /// Maximum number of wide gangs in a pass whose queries to the advice service go first.
-const MAX_ASKING_FIRST: usize = 8;
+const MAX_ASKING_FIRST: usize = 4;
 /// Maximum number of searches for runs to stop in a pass: each iterates over the runs of all workers
 /// that the step may use.
 const MAX_SEARCHES_PER_PASS: usize = 4;
 /// Part of the workers that may be held, as a divisor: held workers are partly idle.
-const MAX_HELD_DIVISOR: usize = 6;
+const MAX_HELD_DIVISOR: usize = 10;
 /// How long workers are held beyond the time that a stop may take, in milliseconds: the ends are
 /// listed, and the next pass orders the starts.
 const HOLD_MARGIN_MS: u64 = 1_500;
@@ -77,6 +77,9 @@
     resting: IndexMap<StepId, u64>,
     /// Steps whose queries to the advice service go first.
     asking: Vec<StepId>,
+    /// Resources in use on each worker once all runs of lower priority have been stopped that may be, by
+    /// priority.
+    used_after_stops: RefCell<IndexMap<u32, Rc<Vec<Resources>>>>,
     /// CPU of the largest worker, in millicores.
     largest_millicores: u64,
     /// Searches that the pass may still make.
@@ -182,8 +185,23 @@
         now_ms + self.tuning.stop_timeout_ms + START_DELAY_MS
     }
 
-    /// Resources in use on a worker once all runs have been stopped that a claim may stop.
-    pub(super) fn used_after_stops(&self, worker: &Worker, claim: &Claim) -> Resources {
+    /// Resources in use on each worker, by position, once all runs have been stopped that a claim may
+    /// stop. Claims of one priority share the result until the next pass: it takes a look at each run.
+    pub(super) fn used_after_stops(&self, claim: &Claim) -> Rc<Vec<Resources>> {
+        let priority = claim.claimant.priority;
+        let mut cached = self.preemptions.used_after_stops.borrow_mut();
+        let used = cached.entry(priority).or_insert_with(|| {
+            let workers = self.workers.values();
+            Rc::new(
+                workers
+                    .map(|worker| self.used_after_stops_on(worker, claim))
+                    .collect(),
+            )
+        });
+        Rc::clone(used)
+    }
+
+    fn used_after_stops_on(&self, worker: &Worker, claim: &Claim) -> Resources {
         let cost = self.stop_cost();
         let mut used = worker.used;
         for (&task, run) in &worker.runs {
@@ -215,6 +233,7 @@
             step.is_some_and(|step| step.waiting().next().is_some())
         };
         self.preemptions.prune(pass.now_ms, waits);
+        self.preemptions.used_after_stops.take();
         self.preemptions.asking.clear();
         self.preemptions
             .asking
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -44,7 +44,7 @@
 /// Fraction of hosts reserved for light queries, as a divisor.
 const LIGHT_QUERY_RESERVE_DIVISOR: usize = 3;
 /// Fraction of hosts that heavy queries may use where capacity is contended, as a divisor.
-const HEAVY_QUERY_DIVISOR: usize = 2;
+const HEAVY_QUERY_DIVISOR: usize = 3;
 
 /// Time between two lines about the paces of the workers, in milliseconds.
 const PACES_LOG_INTERVAL_MS: u64 = 10_000;
