Merge preemption for wide gangs

Cause: in a full cell wide gangs wait until the overload is over, since capacity becomes free in small parts, and the advice service is not asked about them while light queries keep the hosts busy. Change: in cells with tenants, runs of lower priority that resume from checkpoints are stopped for gangs that can still meet their objective; heavy queries may use a third of the hosts.

--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -10,7 +10,7 @@
 use super::{
     Coordinator,
     candidates::{WaitingStep, has_label, is_distrusted, service_of, task_limit},
-    job::{Ticket, resources_of},
+    job::{Step, Ticket, resources_of},
 };
 use crate::{
     config::AdviceCost,
@@ -42,6 +42,8 @@
     pub workers: Vec<Rc<str>>,
     /// Expected duration of the call, in milliseconds.
     pub expected_ms: u64,
+    /// Whether queries of the step's queue are heavy: those of other queues must not wait for them.
+    pub heavy: bool,
 }
 
 /// Result of a query.
@@ -67,6 +69,7 @@
             step,
             workers,
             expected_ms: expected_ms as u64,
+            heavy: is_heavy(terms),
         }
     }
 }
@@ -82,7 +85,9 @@
         let is_other = |id: &&StepId| !self.trial_workers.contains_all_of(**id);
         // Steps before the cursor were examined at this time.
         let unexamined = ready_steps.get(self.advice_cursor..).unwrap_or_default();
-        let asking = self.trial_workers.asking().filter(may_ask).copied();
+        let claims = self.preemptions.asking_first();
+        let asking = claims.iter().chain(self.trial_workers.asking());
+        let asking = asking.filter(may_ask).copied();
         let mut examined: Vec<StepId> = asking.take(MAX_EXAMINED_STEPS).collect();
         let mut passed = 0;
         for id in unexamined {
@@ -137,7 +142,7 @@
         let Some(step) = job.step(id) else {
             return false;
         };
-        let skipped = light_only && terms.call_ms as u64 > HEAVY_CALL_MS;
+        let skipped = light_only && is_heavy(terms);
         !skipped && !step.advice.in_flight && now_ms >= step.advice.not_before_ms
     }
 
@@ -161,6 +166,9 @@
             let workers: Vec<_> = workers.take(MAX_NAMED_WORKERS).cloned().collect();
             return (!workers.is_empty()).then(|| AdviceQuery::new(id, workers, terms));
         }
+        if let Some(held) = self.preemptions.held_for(id) {
+            return self.query_for_held(id, step, held, terms, now_ms);
+        }
         let service = service_of(&self.config, job);
         let unix_ms = self.pass_unix_ms;
         let demand = resources_of(spec);
@@ -170,11 +178,22 @@
                 && has_label(worker, spec)
                 && worker.entry.capacity.fits(&Resources::default(), &demand)
         };
-        let fitting_tasks = |worker: &Worker| {
+        let claim = self.claim_of(id, now_ms);
+        let used_after_stops = claim.as_ref().map(|claim| self.used_after_stops(claim));
+        let fitting_tasks = |position: usize, worker: &Worker| {
             let limit = task_limit(worker, spec, id).min(waiting);
-            fitting_tasks(worker, &demand, limit)
+            let used = used_after_stops.as_ref();
+            let used = used.and_then(|used| used.get(position)).copied();
+            fitting_tasks(worker, used.unwrap_or(worker.used), &demand, limit)
+        };
+        // A gang that may claim capacity needs tickets that outlast the stops, and some to spare:
+        // capacity that could be vacated changes quickly.
+        let ticket_needed_ms = claim.as_ref().map_or(now_ms, |claim| claim.ticket_until_ms);
+        let required = match (&claim, spec.gang) {
+            (Some(_), _) => waiting + waiting / 4,
+            (None, true) => waiting,
+            (None, false) => 1,
         };
-        let required = if spec.gang { waiting } else { 1 };
         // Workers on which a waiting task failed and suspect workers are the last ones to be used, so
         // their room does not make up for that of others.
         let failures = if spec.long_running {
@@ -187,25 +206,26 @@
         let mut stale = Vec::new();
         let mut unqueried = Vec::new();
         let mut last_resort = Vec::new();
-        for worker in self.workers.values().filter(eligible) {
+        let workers = self.workers.values().enumerate();
+        for (position, worker) in workers.filter(|(_, worker)| eligible(worker)) {
             let name = &worker.entry.id;
             match step.advice.eligible.get(name) {
                 None if step.advice.queried.contains_key(name) => {}
                 _ if worker.is_suspect(now_ms) => {
-                    last_resort.push((fitting_tasks(worker), Rc::clone(name)));
+                    last_resort.push((fitting_tasks(position, worker), Rc::clone(name)));
                 }
                 Some(_) if is_distrusted(worker, &failures) => {
-                    last_resort.push((fitting_tasks(worker), Rc::clone(name)));
+                    last_resort.push((fitting_tasks(position, worker), Rc::clone(name)));
                 }
-                Some(_) if step.advice.has_ticket(name, now_ms) => {
-                    ticketed_slots += fitting_tasks(worker);
-                    eligible_slots += fitting_tasks(worker);
+                Some(_) if step.advice.has_ticket(name, ticket_needed_ms) => {
+                    ticketed_slots += fitting_tasks(position, worker);
+                    eligible_slots += fitting_tasks(position, worker);
                 }
                 Some(_) => {
-                    eligible_slots += fitting_tasks(worker);
-                    stale.push((fitting_tasks(worker), Rc::clone(name)));
+                    eligible_slots += fitting_tasks(position, worker);
+                    stale.push((fitting_tasks(position, worker), Rc::clone(name)));
                 }
-                None => unqueried.push((fitting_tasks(worker), Rc::clone(name))),
+                None => unqueried.push((fitting_tasks(position, worker), Rc::clone(name))),
             }
         }
         let mut named_workers = if ticketed_slots >= required {
@@ -239,6 +259,22 @@
         Some(AdviceQuery::new(id, workers, terms))
     }
 
+    /// The query about the workers that are held for a step: their tickets must be valid when the
+    /// stopped runs have ended.
+    fn query_for_held(
+        &self,
+        id: StepId,
+        step: &Step,
+        held: &[Rc<str>],
+        terms: AdviceCost,
+        now_ms: u64,
+    ) -> Option<AdviceQuery> {
+        let needed_ms = now_ms + self.tuning.stop_timeout_ms;
+        let lacks_ticket = |worker: &&Rc<str>| !step.advice.has_ticket(worker, needed_ms);
+        let workers: Vec<_> = held.iter().filter(lacks_ticket).cloned().collect();
+        (!workers.is_empty()).then(|| AdviceQuery::new(id, workers, terms))
+    }
+
     /// Whether a step may use faulty and slow workers once its patience is over: its job stands
     /// still, and not because of the load.
     fn may_use_suspects(&self, id: StepId, now_ms: u64) -> bool {
@@ -252,6 +288,7 @@
             id,
             spec,
             service: &service_of(&self.config, job),
+            priority: u32::MAX,
             needs_ticket: true,
             waiting: &[],
         };
@@ -296,12 +333,16 @@
     }
 }
 
-/// Number of tasks of size `demand` that fit on a worker now, at most `limit`.
-fn fitting_tasks(worker: &Worker, demand: &Resources, limit: u32) -> u32 {
+fn is_heavy(terms: AdviceCost) -> bool {
+    terms.call_ms as u64 > HEAVY_CALL_MS
+}
+
+/// Number of tasks of size `demand` that fit on a worker beside `used`, at most `limit`.
+fn fitting_tasks(worker: &Worker, used: Resources, demand: &Resources, limit: u32) -> u32 {
     let candidate = crate::placement::Candidate {
         worker: 0,
         capacity: worker.entry.capacity,
-        used: worker.used,
+        used,
         best_effort_millicores: 0,
         rack: "",
         task_limit: limit,
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -37,12 +37,14 @@
 mod pass;
 mod patience;
 mod placement_wait;
+mod preemption;
 mod reports;
 mod reserves;
 mod schedule;
 mod tenants;
 mod trial_workers;
 mod trials;
+mod vacating;
 mod waiting;
 mod worker_pace;
 
@@ -59,6 +61,7 @@
 use job::ActiveRun;
 pub use job::{Job, Ticket};
 pub use placement_wait::{PlacementWait, WaitChange, WaitEvent};
+pub use preemption::PreemptionReport;
 pub use reports::{HoldFailure, HoldTerms, StartResponse};
 pub use waiting::WaitingReport;
 
@@ -90,6 +93,12 @@
     pub entry_lapse_ms: u64,
     /// Maximum hold that workers grant, in milliseconds; they shorten longer ones.
     pub max_hold_ms: u64,
+    /// Time that a worker takes at most to stop a run, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// Time that a run needs to resume from a checkpoint, in milliseconds.
+    pub restore_ms: u64,
+    /// Whether runs are stopped for more urgent work also in a cell without tenants.
+    pub preemption: bool,
     /// Duration of tasks away from the rack of their data or of their group, relative to the duration
     /// there, in percent.
     pub cross_rack_percent: u32,
@@ -107,6 +116,9 @@
             retention_ms: 120_000,
             entry_lapse_ms: 4_000,
             max_hold_ms: 6_000,
+            stop_timeout_ms: 1_000,
+            restore_ms: 600,
+            preemption: false,
             cross_rack_percent: 100,
             quota_window_ms: 5_000,
         }
@@ -225,6 +237,8 @@
     advice_cursor_ms: u64,
     /// Workers that were kept free for a step at the last scheduling pass.
     reservations: reserves::Reservations,
+    /// Steps for which runs are stopped.
+    preemptions: preemption::Preemptions,
     /// Moving average of the ratio of measured to declared task durations.
     average_pace: AveragePace,
     /// Paces of the workers relative to each other.
@@ -275,6 +289,7 @@
             advice_cursor: 0,
             advice_cursor_ms: 0,
             reservations: reserves::Reservations::default(),
+            preemptions: preemption::Preemptions::default(),
             average_pace: AveragePace::default(),
             paces: PaceTable::default(),
             recent_crashes: crashes::RecentCrashes::default(),
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -172,6 +172,10 @@
             repeated_trial_worker: None,
             waits: WaitBudget::default(),
         };
+        let may_preempt = self.may_preempt();
+        if may_preempt {
+            self.begin_preemption(&mut pass);
+        }
         self.start_trials(&ready_steps, &mut pass, orders);
         let mut reserving = 0;
         let mut attempts = 0;
@@ -185,6 +189,11 @@
             if !started && urgency.lateness < MAX_LATENESS {
                 self.record_contention(urgency.step);
             }
+            if may_preempt && started {
+                self.release_hold(urgency.step);
+            } else if may_preempt {
+                self.preempt_for(urgency, &mut pass);
+            }
             if !started
                 && urgency.lateness == 0
                 && reserving < MAX_RESERVING_STEPS
@@ -361,6 +370,7 @@
             id,
             spec,
             service: &service,
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
             needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
             waiting: &waiting,
         };
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`worker_pace`]: relative paces of workers, learned from the durations of runs;
 //! - [`workers`]: the state of a worker, its clock and its resources;
 //! - [`contact`]: runs that start on a worker, and workers to which contact was lost meanwhile;
+//! - [`contention`]: whether stopping a run for more urgent work pays;
 //! - [`late_orders`]: orders without a response, and how late and where they can take effect;
 //! - [`departure`]: workers that leave, and what a successor needs to know of them;
 //! - [`coordinator`]: the state machine that turns this state into orders;
@@ -38,6 +39,7 @@
 pub mod config;
 pub mod config_check;
 pub mod contact;
+pub mod contention;
 pub mod coordinator;
 pub mod credentials;
 pub mod departure;
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -43,6 +43,8 @@
 const ADVICE_TIMEOUT_MARGIN_MS: u64 = 500;
 /// Fraction of hosts reserved for light queries, as a divisor.
 const LIGHT_QUERY_RESERVE_DIVISOR: usize = 3;
+/// Fraction of hosts that heavy queries may use where capacity is contended, as a divisor.
+const HEAVY_QUERY_DIVISOR: usize = 3;
 
 /// Time between two lines about the paces of the workers, in milliseconds.
 const PACES_LOG_INTERVAL_MS: u64 = 10_000;
@@ -62,6 +64,7 @@
                 .schedule(now_ms, clock::unix_ms());
             leader.log_crashes();
             leader.log_released_runs();
+            leader.log_preemptions();
             leader.log_placement_waits();
             leader.count_held_steps();
             for order in orders {
@@ -152,6 +155,15 @@
         }
     }
 
+    /// Logs for which steps runs are stopped.
+    fn log_preemptions(&self) {
+        let preemptions = self.coordinator.borrow_mut().take_preemptions();
+        for preemption in preemptions {
+            self.context.metrics.count("preemptions");
+            log_event!(events::STEP_PREEMPTS, "{preemption}");
+        }
+    }
+
     /// Logs the most urgent steps that have waited for long, and what their workers lack.
     fn log_waiting_steps(&self, now_ms: u64) {
         let coordinator = self.coordinator.borrow();
@@ -406,12 +418,12 @@
         }
         let total = hosts.len();
         for (name, host) in hosts {
-            if self.busy_advice_hosts.borrow().contains(&name) || self.relays.is_unreachable(&name)
+            if self.busy_advice_hosts.borrow().contains_key(&name)
+                || self.relays.is_unreachable(&name)
             {
                 continue;
             }
-            let free = total - self.busy_advice_hosts.borrow().len();
-            let light_only = free <= total / LIGHT_QUERY_RESERVE_DIVISOR;
+            let light_only = self.is_reserved_for_light_queries(total);
             let Some(query) = self
                 .coordinator
                 .borrow_mut()
@@ -419,7 +431,8 @@
             else {
                 return;
             };
-            self.busy_advice_hosts.borrow_mut().insert(name.clone());
+            let busy_hosts = &self.busy_advice_hosts;
+            busy_hosts.borrow_mut().insert(name.clone(), query.heavy);
             let leader = Rc::clone(self);
             let own = name == *own_name;
             self.spawn(async move {
@@ -451,6 +464,18 @@
         }
     }
 
+    /// Whether the hosts without a query may send light ones only. Where capacity is contended, light
+    /// queries alone could keep all but a third of the hosts busy, so only heavy ones count: otherwise
+    /// wide gangs, whose queries are heavy, would never be asked about.
+    fn is_reserved_for_light_queries(&self, total: usize) -> bool {
+        let busy_hosts = self.busy_advice_hosts.borrow();
+        if self.coordinator.borrow().may_preempt() {
+            let heavy = busy_hosts.values().filter(|heavy| **heavy).count();
+            return heavy >= (total / HEAVY_QUERY_DIVISOR).max(1);
+        }
+        total - busy_hosts.len() <= total / LIGHT_QUERY_RESERVE_DIVISOR
+    }
+
     /// Handles a query that did not reach the advice service because its host is gone; the next
     /// pass uses another host.
     fn handle_advice_not_sent(&self, query: &AdviceQuery, host: &str, error: PeerError) {
