Soak test: tenants whose keys and limits change under faults

The soak test knew no tenants, so that revocation and limits were tested only with single faults. The rig can now start a cell with three tenants and strict revocation. Clients call with current and former keys; the configuration changes beside kills, stops, cuts and replacements. The checker finds success with a key that was revoked more than revoke_ms before, 401 and 403 for keys known for more than config_apply_ms, and starts above a limit plus burst and one task. Its table of cases sees each rule broken.

--- a/crates/entry/tests/soak/checker.rs
+++ b/crates/entry/tests/soak/checker.rs
@@ -11,7 +11,7 @@
 /// Time for a stop to take effect.
 const STOP_MS: u64 = 200;
 /// Time without a disturbance after which time bounds hold again.
-const CALM_MS: u64 = 4_000;
+pub const CALM_MS: u64 = 4_000;
 /// Delay with which a busy machine may report an event.
 const REPORT_DELAY_MS: u64 = 50;
 
@@ -39,23 +39,28 @@
     pub ended_ms: u64,
 }
 
+/// A run that a worker reported.
 #[derive(Debug)]
-struct Run<'a> {
+pub struct Run<'a> {
     life: &'a str,
-    task: &'a str,
+    /// Name of the task.
+    pub task: &'a str,
     number: u64,
     spec: &'a str,
-    span: Range<u64>,
+    /// From its start to its end, on the machine's clock.
+    pub span: Range<u64>,
     /// Whether it ended `done` and this was acknowledged before the hold lapsed.
     counted: bool,
 }
 
 impl Run<'_> {
-    fn job(&self) -> &str {
+    /// Id of the job.
+    pub fn job(&self) -> &str {
         self.task.split('.').next().unwrap_or_default()
     }
 
-    fn place(&self) -> String {
+    /// Where and when it ran.
+    pub fn place(&self) -> String {
         let Range { start, end } = self.span;
         format!(
             "run {} on {} from {start} to {end} ms",
@@ -117,14 +122,17 @@
 }
 
 impl History {
+    /// The runs, in the order of their starts.
+    pub fn runs(&self) -> Vec<Run<'_>> {
+        let lives = self.lives.iter();
+        let mut runs: Vec<Run> = lives.flat_map(|life| runs(life, self.ended_ms)).collect();
+        runs.sort_by_key(|run| run.span.start);
+        runs
+    }
+
     /// The rules that were broken; empty in a correct history.
     pub fn violations(&self) -> Vec<String> {
-        let mut runs: Vec<Run> = self
-            .lives
-            .iter()
-            .flat_map(|life| runs(life, self.ended_ms))
-            .collect();
-        runs.sort_by_key(|run| run.span.start);
+        let runs = self.runs();
         let mut violations = Vec::new();
         let mut of_task: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
         for run in &runs {
--- a/crates/entry/tests/soak/clients.rs
+++ b/crates/entry/tests/soak/clients.rs
@@ -18,6 +18,8 @@
 use serde_json::{Value, json};
 use tokio::time;
 
+use crate::tenants::{self, KeyedCall, Tenants};
+
 /// Deadline that clients send with a request.
 const DEADLINE_MS: u64 = 3_000;
 /// Time after which a client gives a request up.
@@ -25,6 +27,9 @@
 /// Delay before a request is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Delay between two calls of a probe.
+const PROBE_DELAY: Duration = Duration::from_millis(50);
+
 /// What clients know of a job.
 #[derive(Clone, Debug, Default)]
 pub struct ClientJob {
@@ -41,6 +46,8 @@
 /// Clients that send requests to any host.
 #[derive(Debug)]
 pub struct Clients {
+    /// Tenants with whose keys they call, if the cell has any.
+    pub tenants: Option<Tenants>,
     hosts: Vec<SocketAddr>,
     jobs: Mutex<BTreeMap<String, ClientJob>>,
     http: Client<HttpConnector, Full<Bytes>>,
@@ -48,8 +55,9 @@
 
 impl Clients {
     /// Clients of the hosts at these addresses.
-    pub fn new(hosts: Vec<SocketAddr>) -> Self {
+    pub fn new(hosts: Vec<SocketAddr>, tenants: Option<Tenants>) -> Self {
         Self {
+            tenants,
             hosts,
             jobs: Mutex::default(),
             http: Client::builder(TokioExecutor::new()).build_http(),
@@ -82,7 +90,7 @@
             let status = self.send(attempt, "POST", &id, Some(&body)).await.0;
             if let Some(job) = self.lock_jobs().get_mut(&id) {
                 job.accepted |= status == 200;
-                job.in_doubt |= ![404, 429, 503].contains(&status);
+                job.in_doubt |= ![401, 404, 429, 503].contains(&status);
             }
             if status == 200 {
                 return;
@@ -129,6 +137,32 @@
         open
     }
 
+    /// Sends calls about jobs to a host, with current and revoked keys, until the future is dropped.
+    pub async fn probe(&self, host: usize) {
+        let Some(tenants) = &self.tenants else {
+            return;
+        };
+        for choice in 0_usize.. {
+            let accepted = |(id, job): (String, ClientJob)| job.accepted.then_some(id);
+            let jobs: Vec<String> = self.jobs().into_iter().filter_map(accepted).collect();
+            // Every other call counts jobs.
+            let id = match jobs.len() {
+                0 => "",
+                _ if choice % 2 == 0 => "",
+                count => jobs[choice / 2 % count].as_str(),
+            };
+            let tenant = match number_of(id) {
+                Some(number) => tenants::tenant_of(number),
+                None => choice / 2 % tenants::TENANTS,
+            };
+            // Every third choice may be a revoked key.
+            let key = tenants.key_for(tenant, 3 * choice + 2 * (choice / 6 % 2));
+            self.exchange(host, "GET", id, None, Some((tenant, key)))
+                .await;
+            time::sleep(PROBE_DELAY).await;
+        }
+    }
+
     /// Sends a request to one of the hosts; the status is 0 if there is no answer.
     async fn send(
         &self,
@@ -138,13 +172,32 @@
         body: Option<&Value>,
     ) -> (u16, Value) {
         let number = usize::from_str_radix(&id[8..], 16).unwrap_or_default();
-        let host = self.hosts[(number + attempt) % self.hosts.len()];
+        let host = (number + attempt) % self.hosts.len();
+        let tenant = tenants::tenant_of(number as u64);
+        let key = self.tenants.as_ref();
+        let key = key.map(|tenants| (tenant, tenants.key_for(tenant, number + attempt)));
+        self.exchange(host, method, id, body, key).await
+    }
+
+    /// Sends a request to a host, with a tenant's key if there is one.
+    async fn exchange(
+        &self,
+        host: usize,
+        method: &str,
+        id: &str,
+        body: Option<&Value>,
+        key: Option<(usize, String)>,
+    ) -> (u16, Value) {
         let body = body.map(Value::to_string).unwrap_or_default();
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{host}/batch/{id}"))
+            .uri(format!("http://{}/batch/{id}", self.hosts[host]))
             .header("host", "jobs.example")
-            .header("x-deadline-ms", DEADLINE_MS.to_string())
+            .header("x-deadline-ms", DEADLINE_MS.to_string());
+        if let Some((_, key)) = &key {
+            request = request.header("authorization", format!("Token {key}"));
+        }
+        let request = request
             .body(Full::new(Bytes::from(body)))
             .expect("the request is valid");
         let exchange = async {
@@ -154,7 +207,25 @@
             let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
             Some((status, body))
         };
+        let sent_ms = run_log::machine_ms();
         let reply = time::timeout(PATIENCE, exchange).await;
-        reply.ok().flatten().unwrap_or((0, Value::Null))
+        let reply = reply.ok().flatten().unwrap_or((0, Value::Null));
+        if let (Some(tenants), Some((tenant, key))) = (&self.tenants, key) {
+            tenants.record(KeyedCall {
+                sent_ms,
+                answered_ms: run_log::machine_ms(),
+                host,
+                call: format!("{method} {id}"),
+                tenant,
+                key,
+                status: reply.0,
+            });
+        }
+        reply
     }
 }
+
+/// Number of a job.
+fn number_of(id: &str) -> Option<u64> {
+    u64::from_str_radix(id, 16).ok()
+}
--- a/crates/entry/tests/soak/main.rs
+++ b/crates/entry/tests/soak/main.rs
@@ -7,6 +7,11 @@
 mod random;
 mod rig;
 mod scenarios;
+mod tenant_checker;
+mod tenant_checker_cases;
+mod tenant_random;
+mod tenant_scenarios;
+mod tenants;
 
 use std::{hint, os::unix::process as unix};
 
--- a/crates/entry/tests/soak/random.rs
+++ b/crates/entry/tests/soak/random.rs
@@ -13,7 +13,7 @@
 };
 
 /// Duration of jobs and faults, in milliseconds.
-const PLAN_MS: u64 = 16_000;
+pub const PLAN_MS: u64 = 16_000;
 /// Number of faults in a plan.
 const FAULTS: usize = 10;
 /// Mean time between two jobs, in milliseconds.
@@ -23,11 +23,11 @@
 /// Number of processes that only use processor time, unless the environment says otherwise.
 const SPINNERS: usize = 4;
 /// Time after the last fault for runs of cancelled jobs to be seen, in milliseconds.
-const SETTLE_MS: u64 = 6_000;
+pub const SETTLE_MS: u64 = 6_000;
 
 /// Something that happens to the cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Action {
+pub enum Action {
     Submit {
         job: u64,
         tasks: u32,
@@ -82,10 +82,10 @@
 
 /// An action, when it happens, and for how long its effects last, in milliseconds.
 #[derive(Clone, Copy, Debug)]
-struct Step {
-    at_ms: u64,
-    lasts_ms: u64,
-    action: Action,
+pub struct Step {
+    pub at_ms: u64,
+    pub lasts_ms: u64,
+    pub action: Action,
 }
 
 /// A way in which a link is cut.
@@ -187,9 +187,9 @@
     steps
 }
 
-/// The plan of a seed, in the order of time.
-fn plan(rng: &mut ChaCha8Rng, size: Size) -> Vec<Step> {
-    let mut steps: Vec<Step> = (0..FAULTS).flat_map(|_| fault(rng, size)).collect();
+/// The plan of a seed with this number of faults, in the order of time.
+pub fn plan(rng: &mut ChaCha8Rng, size: Size, faults: usize) -> Vec<Step> {
+    let mut steps: Vec<Step> = (0..faults).flat_map(|_| fault(rng, size)).collect();
     let mut at_ms = 0;
     let mut job = 0;
     let step = |at_ms, action| Step {
@@ -212,7 +212,7 @@
     steps
 }
 
-fn apply(rig: &mut Rig, action: Action, calls: &mut JoinSet<()>) {
+pub fn apply(rig: &mut Rig, action: Action, calls: &mut JoinSet<()>) {
     let clients = Arc::clone(&rig.clients);
     match action {
         Action::Submit { job, tasks, run_ms } => {
@@ -247,7 +247,7 @@
         workers: 4,
         linger_ms: rng.random_range(2_000..9_000),
     };
-    let steps = plan(&mut rng, size);
+    let steps = plan(&mut rng, size, FAULTS);
     let mut rig = Rig::start(&format!("seed {seed}"), size).await;
     let spinners = env::var("HICKORY_SOAK_SPINNERS").ok();
     rig.start_spinners(spinners.and_then(|n| n.parse().ok()).unwrap_or(SPINNERS));
@@ -268,7 +268,7 @@
 }
 
 /// The seeds to play: one in CI, others by hand.
-fn seeds() -> Vec<u64> {
+pub fn seeds() -> Vec<u64> {
     let number = |name| {
         env::var(name)
             .ok()
--- a/crates/entry/tests/soak/rig.rs
+++ b/crates/entry/tests/soak/rig.rs
@@ -28,6 +28,8 @@
     checker::{History, Life},
     clients::Clients,
     proxy::{LinkState, Proxy},
+    tenant_checker::TenantHistory,
+    tenants::{self, Tenants},
 };
 
 /// Interval between a worker's heartbeats.
@@ -218,17 +220,28 @@
 impl Rig {
     /// Starts a cell and waits until its coordinator has heard all workers.
     pub async fn start(name: &str, size: Size) -> Self {
+        Self::start_on(Platform::start(0).await, name, size, false).await
+    }
+
+    /// The same with tenants and strict revocation of their keys.
+    pub async fn start_with_tenants(name: &str, size: Size) -> Self {
+        Self::start_on(Platform::start(0).await, name, size, true).await
+    }
+
+    async fn start_on(platform: Platform, name: &str, size: Size, has_tenants: bool) -> Self {
         let folder = tempfile::Builder::new()
             .prefix("soak-")
             .tempdir_in(env!("CARGO_TARGET_TMPDIR"));
         let folder = folder.expect("a temporary directory is created").keep();
-        let platform = Platform::start(0).await;
-        platform.configure(1, &["batch"], false);
+        let tenants = has_tenants.then(|| Tenants::start(Arc::clone(&platform.store)));
+        if !has_tenants {
+            platform.configure(1, &["batch"], false);
+        }
         let heartbeat = Duration::from_millis(HEARTBEAT_MS);
         let registry = Registry::start(Arc::clone(&platform.store), heartbeat).await;
         let addresses: Vec<SocketAddr> = (0..size.hosts).map(|_| unused_address()).collect();
         let mut rig = Self {
-            clients: Arc::new(Clients::new(addresses.clone())),
+            clients: Arc::new(Clients::new(addresses.clone(), tenants)),
             workers: Vec::new(),
             hosts: Vec::new(),
             name: name.to_owned(),
@@ -309,9 +322,11 @@
         let store = Proxy::start(unused_address(), store_address);
         let calls = open_links(peers, views);
         let settings = self.folder.join(format!("edge-{number}.conf"));
+        let has_tenants = self.clients.tenants.is_some();
+        let lines = has_tenants.then(tenants::settings).unwrap_or_default();
         let text = format!(
             "node=edge-{number}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.front={clients}\n\
-             listen.ready={readiness}\nport_range={},{}\nplatform.address={}\nbounds.grace_s=6\n",
+             listen.ready={readiness}\nport_range={},{}\nplatform.address={}\nbounds.grace_s=6\n{lines}",
             peers.port(),
             peers.port() + 1,
             store.address,
@@ -444,7 +459,20 @@
     /// Waits until the jobs are completed, and returns the rules that were broken.
     pub async fn judge(mut self) -> Vec<String> {
         let open = self.clients.wait_for_completion(COMPLETION_LIMIT).await;
-        let mut violations = self.history().violations();
+        let history = self.history();
+        let mut violations = history.violations();
+        if let Some(tenants) = &self.clients.tenants {
+            let tenant_history = TenantHistory {
+                versions: &tenants.versions(),
+                calls: &tenants.calls(),
+                runs: &history.runs(),
+                faults: &self.faults,
+            };
+            violations.extend(tenant_history.violations());
+            let path = self.folder.join("tenants.txt");
+            let (versions, calls) = (tenant_history.versions, tenant_history.calls);
+            fs::write(path, format!("{versions:#?}\n{calls:#?}")).expect("the folder is writable");
+        }
         violations.extend(
             open.into_iter()
                 .map(|id| format!("LOST not completed: {id}")),
