Quotas: a step above a reduced limit keeps no room from others

A step that has waited for a quarter of its objective and does not fit keeps room within its tenant's limit. If the limit was reduced below what the step needs, the room never suffices, and less urgent steps of the tenant did not start any more: in the test nothing ran for 6 s, and 7 of 80 small jobs, which had become late, not at all. Room is now kept only for what fits the limit by itself. The new test fails without the change (73 of 80 jobs complete) and passes with it; all 164 tests of cell pass.

--- a/crates/cell/src/quota.rs
+++ b/crates/cell/src/quota.rs
@@ -162,7 +162,11 @@
             usage.held_tasks += u64::from(claim.count - allowed);
             if allowed == 0 && claim.has_waited_long {
                 let needed = if claim.is_gang { claim.count } else { 1 };
-                usage.reserved.add(&times(&claim.demand, needed));
+                // What exceeds a reduced limit by itself would only keep others from it.
+                let at_most = concurrent_tasks(&usage.limit, &Resources::default(), &claim.demand);
+                if needed <= at_most {
+                    usage.reserved.add(&times(&claim.demand, needed));
+                }
             }
         }
         allowed
--- a/crates/cell/tests/cell/quotas.rs
+++ b/crates/cell/tests/cell/quotas.rs
@@ -195,6 +195,45 @@
     assert_eq!(model.used_by("a").cpu_millicores, 12_000, "the next pass");
 }
 
+/// Guards against a step that a reduced limit keeps from ever starting and that keeps room all the same,
+/// so that nothing of its tenant runs any more.
+#[test]
+fn a_step_above_a_reduced_limit_keeps_no_room_from_others() {
+    let config = |cpu_millicores, version: u64| {
+        let base = hickorychute_cell::config::Config {
+            version,
+            ..(*support::config()).clone()
+        };
+        support::with_tenants(&base, [support::tenant("a", 0.0, cpu_millicores)])
+    };
+    let cases = [
+        ("a gang", support::gang(8, 1_000, 8_000)),
+        ("a task", support::step(1, 8_000, 8_000)),
+    ];
+    for (name, step) in cases {
+        let mut model = Model::new(config(8_000, 1), 4);
+        model.run_ms(500);
+        let ahead = support::job(1, "urgent", vec![support::step(4, 2_000, 500)]);
+        model.submit(support::of_tenant("a", ahead));
+        model.run_ms(100);
+        let wide = support::job(2, "urgent", vec![step]);
+        model.submit(support::of_tenant("a", wide));
+        model.apply_config(config(4_000, 2));
+        for number in 0..80 {
+            let record = support::job(100 + number, "batch", vec![support::step(2, 1_000, 200)]);
+            model.submit(support::of_tenant("a", record));
+            model.run_ms(250);
+        }
+        model.run_ms(1_000);
+        let done = (100..180).filter(|&id| model.state(id) == Some(JobState::Completed));
+        assert_eq!(done.count(), 80, "{name}: small jobs wait");
+        assert_ne!(model.state(2), Some(JobState::Completed), "{name}");
+        model.apply_config(config(8_000, 3));
+        model.run_ms(12_000);
+        assert_eq!(model.state(2), Some(JobState::Completed), "{name}");
+    }
+}
+
 /// Guards against a task that is moved off a slow or draining worker, and may not start again anywhere
 /// because the limit was reduced meanwhile.
 #[test]
