Limits hold for jobs written in doubt and for tenants new to the leader

Two ways around a limit. A host whose leader had not answered skipped the check of the limit and wrote the job itself, so that work which its tenant can never run was accepted. Such a submission is now answered with 504 and not written, and one that the store has is accepted as before. A leader whose configuration did not list the tenant yet accepted its jobs and started them without any limit. It now refuses them with the retry time of an outdated configuration.

The tests of both fail without the change (200 instead of 504; accepted) and pass with it. The test of a retry after a reduced limit passes with and without it.

--- a/crates/entry/src/leader/keys.rs
+++ b/crates/entry/src/leader/keys.rs
@@ -16,7 +16,17 @@
         let Some(claim) = claim else {
             return Ok(());
         };
-        self.context.key_checks.review(queue, claim)
+        self.context.key_checks.review(queue, claim)?;
+        // A tenant that only the host knows yet would start its tasks without a limit.
+        let coordinator = self.coordinator.borrow();
+        let config = coordinator.config();
+        let is_new =
+            config.version < claim.config_version && config.tenant(&claim.tenant).is_none();
+        if is_new {
+            Err(Denial::Outdated)
+        } else {
+            Ok(())
+        }
     }
 
     /// Returns the refusal of a job that is not accepted yet; `None` if it needs no key or its key is
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -402,9 +402,13 @@
         mut in_doubt: bool,
     ) -> SubmitOutcome {
         // No leader refuses the job, which could never run.
-        if let Some(excess) = self.limit_excess(record).filter(|_| !in_doubt) {
-            return SubmitOutcome::NeverFits {
-                reason: excess.to_string(),
+        if let Some(excess) = self.limit_excess(record) {
+            let refused = self.refuse_excess(JobId(record.id), excess, in_doubt);
+            let outcome = time::timeout(client_timeout, refused).await;
+            return match outcome {
+                Ok(outcome) => outcome,
+                Err(_) if in_doubt => SubmitOutcome::InDoubt,
+                Err(_) => SubmitOutcome::Unavailable,
             };
         }
         let (_, txn) = accept_txn(record);
@@ -452,6 +456,21 @@
         }
     }
 
+    /// Answers the submission of a job that exceeds its tenant's limit. It may have been accepted before
+    /// the limit was reduced, and if it is in doubt, a leader with an older configuration may still
+    /// accept it.
+    async fn refuse_excess(&self, id: JobId, excess: LimitExcess, in_doubt: bool) -> SubmitOutcome {
+        match self.store.get(&records::job_key(id)).await {
+            Ok(Some(item)) if is_cancelled_unaccepted(&item) => SubmitOutcome::Cancelled,
+            Ok(Some(_)) => SubmitOutcome::Accepted,
+            _ if in_doubt => SubmitOutcome::InDoubt,
+            Ok(None) => SubmitOutcome::NeverFits {
+                reason: excess.to_string(),
+            },
+            Err(_) => SubmitOutcome::Unavailable,
+        }
+    }
+
     /// The first task or gang of a job that exceeds its tenant's limit, if any.
     fn limit_excess(&self, record: &JobRecord) -> Option<LimitExcess> {
         let config = self.operator_config.current()?;
--- a/crates/entry/tests/entry/quotas.rs
+++ b/crates/entry/tests/entry/quotas.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use cell::jobs::{JobRecord, JobSpec, JobState, StepSpec};
+use cell::{
+    credentials::KeyDigest,
+    jobs::{JobRecord, JobSpec, JobState, StepSpec},
+};
 use hickorychute_entry::peers::{self, Body, Peers, SubmitCall, SubmitReply};
 use platform_standin::Platform;
-use serde_json::json;
+use rustix::process::Signal;
+use serde_json::{Value, json};
 use tokio::{task::LocalSet, time::Instant};
 
-use crate::support::TestCell;
+use crate::support::{self, TestCell};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Tasks of a second in four cores, two at a time.
@@ -104,3 +108,129 @@
         .await;
     test_cell.assert_no_faults();
 }
+
+/// A configuration in which the tenant `a` with the key `k` has a limit.
+fn limited(version: u64, cpu_millicores: u64) -> Value {
+    let mut config = Platform::config(version, &["batch"], false);
+    config["tenants"] = json!([{
+        "name": "a", "api_keys": ["k"], "weight": 10,
+        "max_count": {"cpu": cpu_millicores, "mem_mb": 0, "gpu": 0},
+    }]);
+    config
+}
+
+/// Starts a cell in which that tenant may use four cores.
+async fn start_limited(hosts: usize) -> TestCell {
+    let platform = Platform::start(2).await;
+    platform.write_config(&limited(1, 4_000));
+    TestCell::start_on(platform, hosts, "").await
+}
+
+/// Guards against work that its tenant could never run, and that a host accepts all the same because
+/// the leader has not answered: it would wait for ever.
+#[tokio::test]
+async fn a_host_in_doubt_accepts_no_work_above_the_limit() {
+    let test_cell = start_limited(2).await;
+    let (leader, host) = (test_cell.leader(), test_cell.follower());
+    let submit = |host: usize, number, cpu| {
+        let body = json!({
+            "spec": "run=50",
+            "steps": [{"count": 1, "cpu": cpu, "mem_mb": 10, "estimate_ms": 50}],
+        });
+        let path = support::path("batch", number);
+        let test_cell = &test_cell;
+        async move {
+            let reply = test_cell.call_with_key(host, "Token k", "POST", &path, Some(body));
+            reply.await.status
+        }
+    };
+    test_cell.hosts[leader].signal(Signal::STOP);
+    // The leader does not answer either of them.
+    let (above, within) = tokio::join!(submit(host, 1, 5_000), submit(host, 2, 1_000));
+    test_cell.hosts[leader].signal(Signal::CONT);
+    assert_eq!((above, within), (504, 200));
+    let jobs = test_cell.platform.store.keys("hc/j/");
+    let of_first = jobs.iter().filter(|key| key.ends_with("0000000000000001"));
+    assert_eq!(of_first.count(), 0, "{jobs:?}");
+    let path = support::path("batch", 2);
+    let until = Instant::now() + MAX_RUN_TIME;
+    while test_cell
+        .platform
+        .cell
+        .done_of(path.rsplit('/').next().unwrap_or_default())
+        == 0
+    {
+        assert!(Instant::now() < until, "{}", test_cell.hosts[host].log());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // A host that is in no doubt refuses it for good.
+    while submit(leader, 3, 5_000).await != 429 {
+        assert!(Instant::now() < until, "{}", test_cell.hosts[leader].log());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    test_cell.assert_no_faults();
+}
+
+/// Guards against a refusal of a job that was accepted before its tenant's limit was reduced: the client
+/// would take it for lost while it runs.
+#[tokio::test]
+async fn a_retry_of_a_job_above_a_reduced_limit_is_no_refusal() {
+    let test_cell = start_limited(2).await;
+    let (leader, host) = (test_cell.leader(), test_cell.follower());
+    let path = support::path("batch", 1);
+    let submit = || {
+        let body = json!({
+            "spec": "run=50 cpu=4000",
+            "steps": [{"count": 1, "cpu": 4_000, "mem_mb": 10, "estimate_ms": 50}],
+        });
+        test_cell.call_with_key(host, "Token k", "POST", &path, Some(body))
+    };
+    assert_eq!(submit().await.status, 200);
+    test_cell.platform.write_config(&limited(2, 2_000));
+    let is_applied = |cell: &TestCell| cell.hosts[host].log().contains("config-applied: version=2");
+    test_cell.wait_until("the reduced limit", is_applied).await;
+    // While it is stopped it leaves the host in doubt; once it is killed, nothing reaches it.
+    for signal in [Signal::STOP, Signal::KILL] {
+        test_cell.hosts[leader].signal(signal);
+        assert_eq!(submit().await.status, 200, "{signal:?}");
+        assert_eq!(submit().await.status, 200, "{signal:?}");
+    }
+}
+
+/// Guards against tasks that a new tenant starts without a limit, because the leader does not know it
+/// yet while the host does.
+#[tokio::test]
+async fn the_leader_accepts_no_job_of_a_tenant_that_it_does_not_know() {
+    let test_cell = start_limited(1).await;
+    LocalSet::new()
+        .run_until(async {
+            let calls = Peers::default();
+            let address = test_cell.hosts[0].peer_address();
+            let submit = |number, tenant: &str, key: &str, config_version| {
+                let call = SubmitCall {
+                    record: Some(JobRecord {
+                        tenant: tenant.to_owned(),
+                        ..job(number, 1, 1_000)
+                    }),
+                    client_timeout_ms: CALL_TIMEOUT.as_millis() as u64,
+                    key_digest: KeyDigest::of(key).as_bytes().to_vec(),
+                    config_version,
+                    ..SubmitCall::default()
+                };
+                let calls = &calls;
+                async move {
+                    match calls.call(address, Body::Submit(call), CALL_TIMEOUT).await {
+                        Ok(Body::SubmitReply(reply)) => reply,
+                        other => panic!("{other:?}"),
+                    }
+                }
+            };
+            let later = submit(1, "b", "k-b", 2).await;
+            assert!(!later.accepted && !later.unauthorised, "{later:?}");
+            assert_eq!(later.retry_after_ms, 1_000);
+            // A new key of a tenant whose limit is known is accepted.
+            assert!(submit(2, "a", "k-new", 2).await.accepted);
+        })
+        .await;
+    test_cell.assert_no_faults();
+}
