Test of a payload that another tenant's submission replaces (known red)

A host caches the payload of a submission before anybody has accepted it, by the job's identifier alone. The mend needs the tenant in the messages that fetch payloads, so it is left to a change of its own.

--- a/crates/entry/tests/entry/keys.rs
+++ b/crates/entry/tests/entry/keys.rs
@@ -310,3 +310,35 @@
     assert_eq!(state.status, 403, "the configuration reverted");
     test_cell.assert_no_faults();
 }
+
+/// Guards against tasks that run with the payload of another tenant, which has chosen the same
+/// identifier for a job of its own.
+#[tokio::test]
+async fn another_tenants_submission_does_not_change_a_jobs_payload() {
+    let test_cell = start(1, "").await;
+    let path = support::path("batch", 1);
+    let two_steps = |text: &str| {
+        let step = json!({"count": 1, "cpu": 1000, "mem_mb": 10, "estimate_ms": 1_000});
+        let mut second = step.clone();
+        second["after"] = json!([0]);
+        json!({"spec": text, "steps": [step, second]})
+    };
+    let submit = |key, text| {
+        let body = Some(two_steps(text));
+        test_cell.call_with_key(0, key, "POST", &path, body)
+    };
+    let accepted = submit("Token key-1a", "run=1000").await;
+    assert_eq!(accepted.status, 200, "{accepted:?}");
+    let id = path.rsplit('/').next().expect("a path has parts");
+    let has_started = |cell: &TestCell| cell.platform.cell.starts_of(id) > 0;
+    test_cell.wait_until("the first step", has_started).await;
+    let _other = submit("Token key-2", "run=100 fail=1").await;
+    let ended = |cell: &TestCell| cell.platform.cell.done_of(id) == 2;
+    let second_started = |cell: &TestCell| cell.platform.cell.starts_of(id) > 1;
+    test_cell
+        .wait_until("the second step", second_started)
+        .await;
+    time::sleep(Duration::from_millis(1_500)).await;
+    assert!(ended(&test_cell), "the second step had another payload");
+    test_cell.assert_no_faults();
+}
