--- a/crates/entry/tests/soak/tenant_scenarios.rs
+++ b/crates/entry/tests/soak/tenant_scenarios.rs
@@ -105,26 +105,37 @@
 /// predecessors have started on workers that are silent, or which limit is in force.
 #[tokio::test]
 async fn limits_hold_while_coordinators_are_killed_and_a_worker_is_silent() {
+    const FAULT_MS: u64 = 4_000;
     let mut rig = Rig::start_with_tenants("limits, takeovers", SIZE).await;
     let mut calls = JoinSet::new();
-    for number in 0..24 {
-        let clients = Arc::clone(&rig.clients);
-        calls.spawn(async move { clients.submit(number, 4, 1_200).await });
-    }
-    sleep_ms(1_500).await;
-    for tasks in [4, 6] {
+    let clients = Arc::clone(&rig.clients);
+    let mut submit = |number: u64, run_ms| {
+        let clients = Arc::clone(&clients);
+        calls.spawn(async move { clients.submit(number, 3, run_ms).await });
+    };
+    let mut numbers = 0_u64..;
+    for tasks in [6, 8] {
+        // Runs that outlast the takeover.
+        numbers
+            .by_ref()
+            .take(12)
+            .for_each(|number| submit(number, 3_500));
+        sleep_ms(1_500).await;
         for tenant in 0..2 {
             tenants_of(&rig).change(Change::SetLimit { tenant, tasks });
         }
         let (leader, worker) = (rig.leader(), rig.busy_worker());
-        rig.note_fault(3_500);
+        rig.note_fault(FAULT_MS);
         rig.workers[worker].cut(LinkState::SILENT);
-        sleep_ms(300).await;
         rig.hosts[leader].signal(Signal::KILL);
-        sleep_ms(3_200).await;
+        // A successor may start new jobs before it knows of all runs.
+        for number in numbers.by_ref().take(20) {
+            submit(number, 400);
+            sleep_ms(FAULT_MS / 20).await;
+        }
         rig.heal();
         rig.start_host(leader);
-        sleep_ms(2_000).await;
+        sleep_ms(1_000).await;
     }
     calls.join_all().await;
     rig.finish().await;
