--- a/crates/entry/tests/soak/tenant_scenarios.rs
+++ b/crates/entry/tests/soak/tenant_scenarios.rs
@@ -75,16 +75,20 @@
     drop(probes);
 }
 
-/// Guards against a coordinator that accepts revoked keys while it reaches the other hosts but not the
-/// store, and against hosts that refuse valid keys on its behalf.
+/// Guards against a coordinator and another host that accept revoked keys while they reach the other
+/// hosts but not the store, and against refusals of valid keys on their behalf.
 #[tokio::test]
 async fn a_coordinator_without_the_store_accepts_no_revoked_key() {
-    const CUT_MS: u64 = 7_000;
+    const CUT_MS: u64 = 9_000;
     let mut rig = Rig::start_with_tenants("revoked, cut off", SIZE).await;
     let probes = start_probes(&rig);
     rig.clients.submit(1, 2, 500).await;
     rig.note_fault(CUT_MS);
-    rig.hosts[rig.leader()].store.set(LinkState::SILENT);
+    let leader = rig.leader();
+    // The third host succeeds the coordinator, and answers the calls that the other one forwards.
+    for host in [leader, (leader + 1) % SIZE.hosts] {
+        rig.hosts[host].store.set(LinkState::SILENT);
+    }
     tenants_of(&rig).change(Change::ReplaceAll { tenant: 1 });
     tenants_of(&rig).change(Change::RevokeAll { tenant: 2 });
     let mut calls = JoinSet::new();
