--- a/crates/cell/src/coordinator/advice.rs
+++ b/crates/cell/src/coordinator/advice.rs
@@ -170,7 +170,6 @@
             return self.query_for_held(id, step, held, terms, now_ms);
         }
         let service = service_of(&self.config, job);
-        let unix_ms = self.pass_unix_ms;
         let demand = resources_of(spec);
         let eligible = |worker: &&Worker| {
             worker.is_usable(now_ms)
@@ -246,12 +245,7 @@
             }
             last_resort
         };
-        // Those that would be chosen: with room, then by pace.
-        let choice = self.pace_choice(id, unix_ms);
-        named_workers.sort_by_cached_key(|(slots, name)| {
-            let pace = self.workers.get(name).map_or(0, Worker::pace_percent);
-            (*slots == 0, choice.rank(pace), Reverse(*slots))
-        });
+        self.sort_by_choice(id, &mut named_workers);
         named_workers.truncate(
             (waiting as usize * NAMED_WORKERS_PER_TASK).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS),
         );
@@ -259,6 +253,16 @@
         Some(AdviceQuery::new(id, workers, terms))
     }
 
+    /// Sorts workers, each with the number of tasks that fit, by the order in which the step would use
+    /// them: those with room, then by pace.
+    fn sort_by_choice(&self, id: StepId, workers: &mut [(u32, Rc<str>)]) {
+        let choice = self.pace_choice(id, self.pass_unix_ms);
+        workers.sort_by_cached_key(|(slots, name)| {
+            let pace = self.workers.get(name).map_or(0, Worker::pace_percent);
+            (*slots == 0, choice.rank(pace), Reverse(*slots))
+        });
+    }
+
     /// The query about the workers that are held for a step: their tickets must be valid when the
     /// stopped runs have ended.
     fn query_for_held(
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -11,7 +11,7 @@
     reserves::Reservations,
 };
 use crate::{
-    config::Config,
+    config::{Config, Queue},
     ids::{StepId, TaskId},
     jobs::StepSpec,
     placement::{self, Candidate, Request},
@@ -29,7 +29,24 @@
     pub(super) waiting: &'a [u32],
 }
 
-impl WaitingStep<'_> {
+impl<'a> WaitingStep<'a> {
+    /// The given waiting tasks of a step; `queue` is `None` if its queue no longer exists.
+    pub(super) fn new(
+        id: StepId,
+        spec: &'a StepSpec,
+        service: &'a str,
+        queue: Option<&Queue>,
+        waiting: &'a [u32],
+    ) -> Self {
+        Self {
+            id,
+            spec,
+            service,
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
+            waiting,
+        }
+    }
     /// Whether an earlier run of a waiting task still occupies resources on a worker.
     fn has_run_of_waiting(&self, worker: &Worker) -> bool {
         let waits = |task: &TaskId| task.step == self.id && self.waiting.contains(&task.index);
--- a/crates/cell/src/coordinator/placement_wait.rs
+++ b/crates/cell/src/coordinator/placement_wait.rs
@@ -347,14 +347,8 @@
             return FreeTime::default();
         };
         let queue = self.config.queues.get(&job.queue);
-        let waiting_step = WaitingStep {
-            id,
-            spec,
-            service: &service_of(&self.config, job),
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
-            waiting: &[],
-        };
+        let service = service_of(&self.config, job);
+        let waiting_step = WaitingStep::new(id, spec, &service, queue.map(Rc::as_ref), &[]);
         let demand = resources_of(spec);
         let mut idle_workers = 0;
         let mut ends: Vec<(u64, &Run)> = Vec::new();
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -366,14 +366,7 @@
                 return Vec::new();
             }
         }
-        let waiting_step = WaitingStep {
-            id,
-            spec,
-            service: &service,
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
-            waiting: &waiting,
-        };
+        let waiting_step = WaitingStep::new(id, spec, &service, queue.map(Rc::as_ref), &waiting);
         let mut candidates = waiting_step.candidates(&self.workers, step, pass);
         let mut chosen = Vec::with_capacity(waiting.len());
         for &n in &bound {
--- a/crates/cell/src/coordinator/trials.rs
+++ b/crates/cell/src/coordinator/trials.rs
@@ -252,14 +252,7 @@
             return None;
         }
         let queue = self.config.queues.get(&job.queue);
-        let waiting_step = WaitingStep {
-            id,
-            spec,
-            service: &service,
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            needs_ticket: queue.is_some_and(|queue| queue.advice.is_some()),
-            waiting: &trials,
-        };
+        let waiting_step = WaitingStep::new(id, spec, &service, queue.map(AsRef::as_ref), &trials);
         let all = || 0..self.workers.len();
         let room = match trial.kind {
             Trial::Repeated => TrialRoom::Repeated,
