--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
-use crate::collections::IndexMap;
-
-use crate::{credentials::KeyDigest, workers::Resources};
+use crate::{
+    collections::IndexMap,
+    {credentials::KeyDigest, workers::Resources},
+};
 
 /// Cost and validity of the advice service's answers for the steps of a queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/cell/src/config_check/compare.rs
+++ b/crates/cell/src/config_check/compare.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::HashSet, fmt::Display, rc::Rc};
 
-use crate::collections::IndexMap;
-
 use super::{Entry, Field, Finding, Severity};
 use crate::{
+    collections::IndexMap,
     config::{AdviceCost, Config, Queue, Service, Tenant},
     credentials::KeyDigest,
 };
--- a/crates/cell/src/config_check/mod.rs
+++ b/crates/cell/src/config_check/mod.rs
@@ -6,9 +6,8 @@
 
 use std::{collections::HashMap, rc::Rc};
 
-use crate::collections::IndexMap;
-
 use crate::{
+    collections::IndexMap,
     config::{Config, Queue, Tenant},
     credentials::{self, KeyDigest},
 };
--- a/crates/cell/src/coordinator/candidates.rs
+++ b/crates/cell/src/coordinator/candidates.rs
@@ -2,8 +2,6 @@
 
 use std::{cmp::Reverse, rc::Rc};
 
-use crate::collections::IndexMap;
-
 use super::{
     job::{Failure, Job, Step, resources_of},
     pass::Pass,
@@ -11,6 +9,7 @@
     reserves::Reservations,
 };
 use crate::{
+    collections::IndexMap,
     config::{Config, Queue},
     ids::{StepId, TaskId},
     jobs::StepSpec,
--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -2,10 +2,9 @@
 
 use std::rc::Rc;
 
-use crate::collections::IndexSet;
-
 use super::Coordinator;
 use crate::{
+    collections::IndexSet,
     ids::JobId,
     jobs::{JobRecord, Outcome},
     workers::Worker,
--- a/crates/cell/src/coordinator/crashes.rs
+++ b/crates/cell/src/coordinator/crashes.rs
@@ -17,14 +17,13 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use crate::collections::IndexMap;
-
 use super::{
     Coordinator,
     crash_log::{CrashEvent, CrashReport},
     job::Job,
 };
 use crate::{
+    collections::IndexMap,
     config::Queue,
     contact::{LastStart, LostContact, Trial},
     ids::{JobId, TaskId},
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -31,6 +31,7 @@
 mod inherited;
 mod job;
 mod job_access;
+mod job_record;
 mod late_orders;
 mod movement;
 mod pace;
@@ -50,8 +51,6 @@
 
 use std::rc::Rc;
 
-use crate::collections::{IndexMap, IndexSet};
-
 pub use advice::{AdviceOutcome, AdviceQuery};
 pub(crate) use backlog::AheadOf;
 pub use changes::{ChangeLimits, RecordChange};
@@ -66,6 +65,7 @@
 pub use waiting::WaitingReport;
 
 use crate::{
+    collections::{IndexMap, IndexSet},
     config::Config,
     departure::Withdrawal,
     ids::{JobId, StepId, TaskId},
--- a/crates/cell/src/coordinator/placement_wait.rs
+++ b/crates/cell/src/coordinator/placement_wait.rs
@@ -9,7 +9,6 @@
     rc::Rc,
 };
 
-use crate::collections::IndexMap;
 use derive_more::Display;
 
 use super::{
@@ -20,6 +19,7 @@
     worker_pace::at_pace,
 };
 use crate::{
+    collections::IndexMap,
     ids::{StepId, TaskId},
     jobs::StepSpec,
     objective::MAX_LATENESS_FACTOR,
--- a/crates/cell/src/coordinator/reserves.rs
+++ b/crates/cell/src/coordinator/reserves.rs
@@ -8,14 +8,15 @@
 
 use std::rc::Rc;
 
-use crate::collections::IndexMap;
-
 use super::{
     Coordinator,
     candidates::{has_label, service_of, task_limit},
     job::resources_of,
 };
-use crate::{ids::StepId, placement::Candidate, workers::Worker};
+use crate::{
+    collections::IndexMap,
+    {ids::StepId, placement::Candidate, workers::Worker},
+};
 
 /// Maximum number of steps for which workers are reserved at a time.
 pub(super) const MAX_RESERVING_STEPS: usize = 2;
--- a/crates/cell/src/coordinator/tenants.rs
+++ b/crates/cell/src/coordinator/tenants.rs
@@ -7,10 +7,9 @@
 
 use std::rc::Rc;
 
-use crate::collections::IndexMap;
-
 use super::{Coordinator, job::Job, job::resources_of, pass::Pass};
 use crate::{
+    collections::IndexMap,
     config::Tenant,
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, Outcome},
--- a/crates/cell/src/coordinator/trial_workers.rs
+++ b/crates/cell/src/coordinator/trial_workers.rs
@@ -6,8 +6,6 @@
 
 use std::{cmp::Reverse, rc::Rc};
 
-use crate::collections::{IndexMap, IndexSet};
-
 use super::{
     Coordinator,
     candidates::{has_label, service_of},
@@ -17,6 +15,7 @@
     trials::{TrialRank, WaitingTrial},
 };
 use crate::{
+    collections::{IndexMap, IndexSet},
     contact::Trial,
     ids::StepId,
     jobs::StepSpec,
--- a/crates/cell/src/quota.rs
+++ b/crates/cell/src/quota.rs
@@ -6,10 +6,10 @@
 
 use std::rc::Rc;
 
-use crate::collections::{IndexMap, IndexSet};
 use derive_more::Display;
 
 use crate::{
+    collections::{IndexMap, IndexSet},
     config::Config,
     ids::StepId,
     jobs::{JobSpec, StepSpec},
--- a/crates/cell/src/shares.rs
+++ b/crates/cell/src/shares.rs
@@ -5,9 +5,10 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use crate::collections::IndexMap;
-
-use crate::{config::Tenant, ids::JobId};
+use crate::{
+    collections::IndexMap,
+    {config::Tenant, ids::JobId},
+};
 
 /// Jobs within shares that were accepted lately, by tenant.
 #[derive(Debug, Default)]
--- a/crates/cell/src/worker_pace.rs
+++ b/crates/cell/src/worker_pace.rs
@@ -8,10 +8,9 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use crate::collections::IndexMap;
 use derive_more::Display;
 
-use crate::ids::TaskId;
+use crate::{collections::IndexMap, ids::TaskId};
 
 /// Pace of a typical worker, and of one that is not known.
 pub const TYPICAL_PERCENT: u32 = 100;
--- a/crates/cell/src/workers.rs
+++ b/crates/cell/src/workers.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
-use crate::collections::IndexMap;
 use derive_more::Display;
 
 use crate::{
+    collections::IndexMap,
     contact::{LostContact, Trial},
     departure::Withdrawal,
     ids::{JobId, TaskId},
