A submission under a running job's identifier does not change its payload

Cause: payloads were cached by the job's identifier alone, and clients choose identifiers. A submission of another tenant replaced the payload with which the remaining tasks of a job started. Change: what clients submitted is kept apart from what was fetched, and used only for jobs that this host accepted; payloads that differ make the store decide.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -234,6 +234,7 @@
     let payloads = Rc::new(PayloadCache::new(
         &settings.host_name,
         &settings.zone,
+        settings.peers_address,
         Rc::clone(&members),
         Rc::clone(&peers),
         store.clone(),
--- a/crates/entry/src/payloads.rs
+++ b/crates/entry/src/payloads.rs
@@ -4,6 +4,10 @@
 //! hold payloads: the host that accepted a job caches its payload, and each availability zone in
 //! which tasks of the job start fetches it once. The store also keeps it, in case that host is
 //! gone.
+//!
+//! Identifiers of jobs are chosen by clients, so another client may submit a job under the identifier
+//! of one that runs. What clients submitted is kept apart from what was fetched, and is used only for
+//! jobs that this host accepted; if it was submitted with different payloads, the store decides.
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -31,31 +35,50 @@
 
 type Fetch = Shared<LocalBoxFuture<'static, Option<Rc<str>>>>;
 
+/// Where a cached payload is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Origin {
+    /// A client submitted it to this host.
+    Submitted,
+    /// Another host or the store returned it.
+    Fetched,
+}
+
 #[derive(Debug)]
 struct CachedPayload {
-    payload: Rc<str>,
+    /// `None` if it was submitted with different payloads.
+    payload: Option<Rc<str>>,
     last_used_ms: u64,
 }
 
+impl CachedPayload {
+    fn len(&self) -> usize {
+        self.payload.as_ref().map_or(0, |payload| payload.len())
+    }
+}
+
 /// Cache of payloads, filled from other hosts or the store on a miss.
 #[derive(Debug)]
 pub struct PayloadCache {
     own_name: String,
     own_zone: String,
+    /// Peer address of this host, as `ip:port`.
+    own_address: String,
     members: Rc<Members>,
     peers: Rc<Peers>,
     store: GuardedStore,
     /// Cached payloads, most recently inserted last.
-    cached: RefCell<IndexMap<JobId, CachedPayload>>,
+    cached: RefCell<IndexMap<(JobId, Origin), CachedPayload>>,
     /// Fetches in progress; concurrent requests for a payload share one.
     fetching: RefCell<IndexMap<JobId, Fetch>>,
 }
 
 impl PayloadCache {
-    /// An empty cache for the host `own_name` in `own_zone`.
+    /// An empty cache for the host `own_name` in `own_zone`, which other hosts reach at `own_address`.
     pub fn new(
         own_name: &str,
         own_zone: &str,
+        own_address: SocketAddr,
         members: Rc<Members>,
         peers: Rc<Peers>,
         store: GuardedStore,
@@ -63,6 +86,7 @@
         Self {
             own_name: own_name.to_owned(),
             own_zone: own_zone.to_owned(),
+            own_address: own_address.to_string(),
             members,
             peers,
             store,
@@ -71,46 +95,58 @@
         }
     }
 
-    /// Caches a payload.
+    /// Caches a payload that a client submitted to this host.
     pub fn cache(&self, job: JobId, payload: &str) {
-        self.insert(job, payload.into());
+        let key = (job, Origin::Submitted);
+        let is_other = |cached: &CachedPayload| cached.payload.as_deref() != Some(payload);
+        let is_contested = self.cached.borrow().get(&key).is_some_and(is_other);
+        self.insert(key, (!is_contested).then(|| payload.into()));
     }
 
-    fn insert(&self, job: JobId, payload: Rc<str>) {
+    fn insert(&self, key: (JobId, Origin), payload: Option<Rc<str>>) {
         let mut cached = self.cached.borrow_mut();
         let last_used_ms = clock::now_ms();
-        cached.shift_remove(&job);
+        cached.shift_remove(&key);
         cached.insert(
-            job,
+            key,
             CachedPayload {
                 payload,
                 last_used_ms,
             },
         );
-        let mut bytes: usize = cached.values().map(|cached| cached.payload.len()).sum();
+        let mut bytes: usize = cached.values().map(CachedPayload::len).sum();
         let mut dropped = 0;
         for old in cached.values() {
             if bytes <= MAX_CACHED_BYTES && old.last_used_ms + CACHE_TTL_MS >= last_used_ms {
                 break;
             }
-            bytes -= old.payload.len();
+            bytes -= old.len();
             dropped += 1;
         }
         cached.drain(..dropped);
     }
 
-    fn get_cached(&self, job: JobId) -> Option<Rc<str>> {
+    /// The cached payload of a job that `payload_host` accepted; that is this host if it is empty.
+    fn get_cached(&self, job: JobId, payload_host: &str) -> Option<Rc<str>> {
+        let is_own = payload_host.is_empty() || payload_host == self.own_address;
+        let submitted = is_own.then_some((job, Origin::Submitted));
         let mut cached = self.cached.borrow_mut();
-        let found = cached.get_mut(&job)?;
-        found.last_used_ms = clock::now_ms();
-        Some(Rc::clone(&found.payload))
+        for key in submitted.into_iter().chain([(job, Origin::Fetched)]) {
+            if let Some(found) = cached.get_mut(&key)
+                && let Some(payload) = &found.payload
+            {
+                found.last_used_ms = clock::now_ms();
+                return Some(Rc::clone(payload));
+            }
+        }
+        None
     }
 
     /// Returns a job's payload: from the cache, from the host of this zone that fetches it for the
     /// zone, from `payload_host`, or from the store. `payload_host` is the accepting host as `ip:port`, empty if
     /// unknown.
     pub async fn get(self: &Rc<Self>, job: JobId, payload_host: &str) -> Option<Rc<str>> {
-        if let Some(payload) = self.get_cached(job) {
+        if let Some(payload) = self.get_cached(job, payload_host) {
             return Some(payload);
         }
         let fetch = self
@@ -130,10 +166,8 @@
             fetching.swap_remove(&job);
         }
         drop(fetching);
-        if let Some(payload) = &payload
-            && !self.cached.borrow().contains_key(&job)
-        {
-            self.insert(job, Rc::clone(payload));
+        if let Some(payload) = &payload {
+            self.insert((job, Origin::Fetched), Some(Rc::clone(payload)));
         }
         payload
     }
