Passes of large cells leave more time, and sums for preemption are kept for 200 ms

Change: pauses after long passes are up to 200 ms instead of 60 ms, and the sums over all runs are not computed in each pass.

--- a/crates/cell/src/coordinator/preemption.rs
+++ b/crates/cell/src/coordinator/preemption.rs
@@ -40,6 +40,9 @@
 /// Time from the end of a stopped run to the order that starts a task, in milliseconds. Tickets must
 /// be valid for that long.
 const START_DELAY_MS: u64 = 250;
+/// Time for which the sums of what stops could free are used, in milliseconds. They choose the workers to
+/// ask about; with 3,000 workers they take several milliseconds.
+const SUMS_VALID_MS: u64 = 200;
 /// Time after a hold has expired before runs are stopped for the same step again, in milliseconds.
 const RETRY_DELAY_MS: u64 = 1_000;
 /// Time after a search without a result before the next one for the same step, in milliseconds.
@@ -80,6 +83,8 @@
     /// Resources in use on each worker once all runs of lower priority have been stopped that may be, by
     /// priority.
     used_after_stops: RefCell<IndexMap<u32, Rc<Vec<Resources>>>>,
+    /// When those were last discarded, in milliseconds of the local clock.
+    sums_ms: u64,
     /// CPU of the largest worker, in millicores.
     largest_millicores: u64,
     /// Searches that the pass may still make.
@@ -186,7 +191,7 @@
     }
 
     /// Resources in use on each worker, by position, once all runs have been stopped that a claim may
-    /// stop. Claims of one priority share the result until the next pass: it takes a look at each run.
+    /// stop. Claims of one priority share the result for a while: it takes a look at each run.
     pub(super) fn used_after_stops(&self, claim: &Claim) -> Rc<Vec<Resources>> {
         let priority = claim.claimant.priority;
         let mut cached = self.preemptions.used_after_stops.borrow_mut();
@@ -233,7 +238,10 @@
             step.is_some_and(|step| step.waiting().next().is_some())
         };
         self.preemptions.prune(pass.now_ms, waits);
-        self.preemptions.used_after_stops.take();
+        if pass.now_ms >= self.preemptions.sums_ms + SUMS_VALID_MS {
+            self.preemptions.sums_ms = pass.now_ms;
+            self.preemptions.used_after_stops.take();
+        }
         self.preemptions.asking.clear();
         self.preemptions
             .asking
--- a/crates/entry/src/leader/orders.rs
+++ b/crates/entry/src/leader/orders.rs
@@ -39,6 +39,9 @@
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(60);
 /// Minimum pause after a pass, as a multiple of the pass's duration.
 const PASS_PAUSE_FACTOR: u32 = 3;
+/// Maximum pause after a pass. With 3,000 workers a pass can take 50 ms on an overloaded host, and with
+/// shorter pauses the host saw too late which workers were draining.
+const MAX_PASS_PAUSE: Duration = Duration::from_millis(200);
 /// How much longer than expected the advice service may take, in milliseconds.
 const ADVICE_TIMEOUT_MARGIN_MS: u64 = 500;
 /// Fraction of hosts reserved for light queries, as a divisor.
@@ -100,7 +103,7 @@
         // On a host with little CPU, passes must leave time for worker lists, orders and lease
         // renewal.
         let pause = MIN_PASS_PAUSE.max(pass_began.elapsed() * PASS_PAUSE_FACTOR);
-        time::sleep(pause.min(MAX_PASS_INTERVAL)).await;
+        time::sleep(pause.min(MAX_PASS_PAUSE)).await;
     }
 }
 
