--- a/crates/cell/src/coordinator/preemption.rs
+++ b/crates/cell/src/coordinator/preemption.rs
@@ -40,6 +40,15 @@
 /// Time from the end of a stopped run to the order that starts a task, in milliseconds. Tickets must
 /// be valid for that long.
 const START_DELAY_MS: u64 = 250;
+/// Average time between two passes from which the coordinator counts as saturated, in milliseconds.
+/// With 3,000 workers, stops for gangs made a saturated coordinator so late that it started tasks on
+/// workers that had been draining for seconds.
+const MAX_PASS_GAP_MS: f64 = 80.0;
+/// Time for which the coordinator then counts as saturated, in milliseconds: a backlog that has built up
+/// takes seconds to shrink.
+const SATURATION_MS: u64 = 3_000;
+/// Inverse weight of one gap in the moving average.
+const GAP_AVERAGE_DIVISOR: f64 = 16.0;
 /// Time for which the sums of what stops could free are used, in milliseconds. They choose the workers to
 /// ask about; with 3,000 workers they take several milliseconds.
 const SUMS_VALID_MS: u64 = 200;
@@ -85,6 +94,12 @@
     used_after_stops: RefCell<IndexMap<u32, Rc<Vec<Resources>>>>,
     /// When those were last discarded, in milliseconds of the local clock.
     sums_ms: u64,
+    /// Time of the last pass, in milliseconds of the local clock; 0 before the first one.
+    pass_ms: u64,
+    /// Moving average of the time between two passes, in milliseconds.
+    average_gap_ms: f64,
+    /// Until when the coordinator counts as saturated, in milliseconds of the local clock.
+    saturated_until_ms: u64,
     /// CPU of the largest worker, in millicores.
     largest_millicores: u64,
     /// Searches that the pass may still make.
@@ -162,9 +177,25 @@
         std::mem::take(&mut self.preemptions.reports)
     }
 
-    /// Whether runs are stopped for wide gangs.
+    /// Whether runs are stopped for wide gangs: in cells with tenants, unless the coordinator is
+    /// saturated. Searches and the additional orders would delay all others then.
     pub fn may_preempt(&self) -> bool {
-        self.tuning.preemption || self.config.tenants.is_some()
+        let is_enabled = self.tuning.preemption || self.config.tenants.is_some();
+        is_enabled && self.preemptions.pass_ms >= self.preemptions.saturated_until_ms
+    }
+
+    /// Records the time of a scheduling pass.
+    pub(super) fn record_pass(&mut self, now_ms: u64) {
+        let preemptions = &mut self.preemptions;
+        if preemptions.pass_ms > 0 {
+            let gap_ms = now_ms.saturating_sub(preemptions.pass_ms) as f64;
+            let change_ms = gap_ms - preemptions.average_gap_ms;
+            preemptions.average_gap_ms += change_ms / GAP_AVERAGE_DIVISOR;
+        }
+        preemptions.pass_ms = now_ms;
+        if preemptions.average_gap_ms >= MAX_PASS_GAP_MS {
+            preemptions.saturated_until_ms = now_ms + SATURATION_MS;
+        }
     }
 
     /// The claim of a wide gang that can meet its objective; `None` for other steps.
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -31,6 +31,7 @@
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
         self.pass_unix_ms = unix_ms;
         self.backlog.invalidate();
+        self.record_pass(now_ms);
         self.begin_due_occurrences(unix_ms);
         self.refresh_paces(now_ms);
         self.judge_lost_workers(now_ms, unix_ms);
