Jobs without value take turns in scheduling passes

Cause: a pass looked at the 64 most urgent of them only, so that jobs that wait for workers which do not exist kept others from starting for ever, also in an idle cell. Change: the 16 most urgent ones and 48 others, different ones in each pass. Result: a_late_job_starts_behind_many_that_cannot fails without the change and passes with it.

--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -231,6 +231,8 @@
     next_due_unix_ms: Option<u64>,
     /// Steps with waiting tasks at the last scheduling pass, most urgent first.
     ready_steps: Vec<StepId>,
+    /// From where on further steps of jobs without value are part of a pass.
+    valueless_offset: usize,
     /// Number of those that were examined for queries to the advice service at `advice_cursor_ms`.
     advice_cursor: usize,
     /// Time of the last query, in milliseconds of the local clock.
@@ -286,6 +288,7 @@
             run_floor: takeover.run_floor,
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
+            valueless_offset: 0,
             advice_cursor: 0,
             advice_cursor_ms: 0,
             reservations: reserves::Reservations::default(),
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -22,9 +22,12 @@
     workers::{Phase, StopReason},
 };
 
-/// Maximum number of steps in a pass whose jobs have no value any more. After an overload there can be
-/// thousands of them, and a pass over all would delay the steps that still have value.
-const MAX_VALUELESS_STEPS: usize = 64;
+/// Number of steps in a pass whose jobs have no value any more, the most urgent ones. After an overload
+/// there can be thousands of them, and a pass over all would delay the steps that still have value.
+const FIRST_VALUELESS_STEPS: usize = 16;
+/// Number of further ones, others in each pass: the first ones may wait for workers that others do not
+/// need.
+const FURTHER_VALUELESS_STEPS: usize = 48;
 
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
@@ -155,6 +158,7 @@
     }
 
     fn start_ready_steps(&mut self, now_ms: u64, unix_ms: u64, orders: &mut Vec<Order>) {
+        self.valueless_offset = self.valueless_offset.wrapping_add(FURTHER_VALUELESS_STEPS);
         let ready_steps = self.ready_steps(now_ms, unix_ms);
         let reservations = Reservations::of(&self.workers, now_ms);
         let mut pass = Pass {
@@ -274,8 +278,8 @@
                 }
             }
         }
-        keep_first(&mut valueless, MAX_VALUELESS_STEPS);
-        ready.append(&mut valueless);
+        valueless.sort_unstable();
+        ready.extend(first_and_further(&valueless, self.valueless_offset));
         ready.sort_unstable();
         ready
     }
@@ -489,10 +493,10 @@
     }
 }
 
-/// Keeps the most urgent steps, in no particular order.
-fn keep_first(steps: &mut Vec<Urgency>, count: usize) {
-    if steps.len() > count {
-        steps.select_nth_unstable(count);
-        steps.truncate(count);
-    }
+/// The first steps, and those that follow them from `offset` on, which may exceed their number.
+fn first_and_further(steps: &[Urgency], offset: usize) -> impl Iterator<Item = Urgency> {
+    let (first, rest) = steps.split_at(steps.len().min(FIRST_VALUELESS_STEPS));
+    let further = rest.iter().cycle().skip(offset % rest.len().max(1));
+    let count = rest.len().min(FURTHER_VALUELESS_STEPS);
+    first.iter().chain(further.take(count)).copied()
 }
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -133,3 +133,23 @@
         .collect();
     assert!(open.is_empty(), "still open: {open:?}");
 }
+
+/// Guards against jobs without value that never start in an idle cell, because as many others before
+/// them as a pass looks at wait for workers that do not exist.
+#[test]
+fn a_late_job_starts_behind_many_that_cannot() {
+    const BLOCKED_JOBS: u64 = 200;
+    const LATE_JOB: u64 = 1_000;
+    let mut model = Model::new(support::config(), 8);
+    for number in 0..BLOCKED_JOBS {
+        let mut step = support::step(1, 1_000, 500);
+        step.required_label = "missing".to_owned();
+        model.submit(support::job(number, "urgent", vec![step]));
+    }
+    model.run_ms(30_000);
+    let mut record = support::job(LATE_JOB, "batch", vec![support::step(1, 1_000, 500)]);
+    record.accepted_unix_ms = model.unix_ms() - 60_000;
+    model.add_accepted(&record);
+    model.run_ms(4_000);
+    assert_eq!(model.state(LATE_JOB), Some(JobState::Completed));
+}
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -161,8 +161,13 @@
     /// Submits a job that its host writes to the store, of which the coordinator learns afterwards.
     pub fn submit_to_store(&mut self, mut record: JobRecord) {
         record.accepted_unix_ms = self.unix_ms();
+        self.add_accepted(&record);
+    }
+
+    /// Adds a job that was accepted at the time in its record.
+    pub fn add_accepted(&mut self, record: &JobRecord) {
         self.records.insert(JobId(record.id), record.clone());
-        self.coordinator.add_job(&record, false, self.unix_ms());
+        self.coordinator.add_job(record, false, self.unix_ms());
     }
 
     /// Replaces the configuration.
