Crowds that keep moving, come again or cost after decoding, as tests

Cause: the crowds of the flood tests send all at once and then stop, and cost nothing once they are decoded. What callers saw beside other crowds: ordinary jobs were not answered, and processes exceeded their machines. The rig starts several hosts; the existing tests and their bounds are as they were.

--- a/crates/entry/tests/floods/main.rs
+++ b/crates/entry/tests/floods/main.rs
@@ -4,7 +4,11 @@
 //! longer answers ordinary requests. Nothing here depends on the speed of the machine.
 
 mod crowd;
+mod endurance;
+mod jobs;
+mod moving;
 mod rig;
+mod seeded;
 
 use std::{net::SocketAddr, time::Duration};
 
