Unfinished requests give way by their age

Callers saw: beside 150 clients that send 80 bytes of a body four times a second, no ordinary job was answered within 20 s, on a host with 75 places; clients that were cut came again 250,000 times in that time. Cause: a new connection replaced only those without a byte for 0.5 s, so that whoever moves a little keeps its place for the 30 s that a body may take; others were closed at once and returned. Change: while others wait, a request that has been unfinished for 0.5 s gives way, those without a completed request first, then by age. Connections without a place wait in the listener's queue, in the order of arrival, unless every place has a request that is handled. Large requests take memory from those unfinished for 2 s. Why it works: an ordinary request arrives whole within a few round trips, so each place is free again after 0.5 s at the latest; in calm nothing gives way.

--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -17,6 +17,11 @@
 /// Unfinished data without a byte for this long is given up in favour of other requests, in
 /// milliseconds.
 pub const STALLED_MS: u64 = 500;
+/// Age from which an unfinished request gives way to others although it moves, in milliseconds: an
+/// ordinary request arrives whole within a few round trips.
+pub const SLOW_MS: u64 = 500;
+/// Age from which it gives up memory to a large request as well, in milliseconds.
+pub const SLOW_LARGE_MS: u64 = 2_000;
 /// Time after which a connection that was told to close is cut off, in milliseconds.
 const CLOSING_MS: u64 = 1_000;
 /// Longest time between two looks at the time limits that counts as waiting, in milliseconds. If the
@@ -80,6 +85,17 @@
     pub phase: Phase,
 }
 
+/// Whether a port takes another connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It has a place, or a connection that gives way.
+    Open,
+    /// A place becomes free soon: new connections wait for it, so that clients come in turn.
+    Full,
+    /// All places belong to requests that are handled: clients are better off at another host.
+    Busy,
+}
+
 /// Whether a connection may have what it asks for.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Verdict {
@@ -95,6 +111,8 @@
     /// Whether it has completed a request.
     served: bool,
     since_ms: u64,
+    /// Begin of the unfinished or handled request, or of the wait for one.
+    request_ms: u64,
     progress_ms: u64,
     window_ms: u64,
     window_bytes: usize,
@@ -105,6 +123,9 @@
 
 impl Connection {
     fn enter(&mut self, phase: Phase, now_ms: u64) {
+        if phase == Phase::Idle || self.phase == Phase::Idle {
+            self.request_ms = now_ms;
+        }
         self.phase = phase;
         self.since_ms = now_ms;
         self.progress_ms = now_ms;
@@ -112,9 +133,17 @@
         self.window_bytes = 0;
     }
 
-    fn is_stalled(&self, now_ms: u64) -> bool {
+    fn is_unfinished(&self) -> bool {
         matches!(self.phase, Phase::Head | Phase::Body)
-            && now_ms.saturating_sub(self.progress_ms) >= STALLED_MS
+    }
+
+    /// Whether its request has been unfinished for this long.
+    fn is_unfinished_for(&self, age_ms: u64, now_ms: u64) -> bool {
+        self.is_unfinished() && now_ms.saturating_sub(self.request_ms) >= age_ms
+    }
+
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        self.is_unfinished() && now_ms.saturating_sub(self.progress_ms) >= STALLED_MS
     }
 
     /// Whether the client has not taken its response for long enough to be replaced.
@@ -168,19 +197,43 @@
         self.request_bytes + self.count() * self.limits.connection_bytes
     }
 
+    /// Number of connections that were not told to close.
+    fn open_count(&self) -> usize {
+        let open = |known: &&Connection| known.phase != Phase::Closing;
+        self.entries.values().filter(open).count()
+    }
+
+    /// Whether the connections that were told to close have to end before the port takes another one.
+    /// They do within the next rounds of the event loop; a crowd may arrive faster.
+    fn awaits_closing(&self) -> bool {
+        self.count() > self.limits.max_connections + self.limits.max_connections / 16
+    }
+
+    /// Whether the port takes another connection.
+    pub fn admission(&self, now_ms: u64) -> Admission {
+        if self.awaits_closing() {
+            return Admission::Full;
+        }
+        if self.open_count() < self.limits.max_connections || self.least_needed(now_ms).is_some() {
+            return Admission::Open;
+        }
+        if self.entries.values().any(Connection::is_unfinished) {
+            Admission::Full
+        } else {
+            Admission::Busy
+        }
+    }
+
     /// Adds a connection and returns its identifier, or `None` if the port has no place for it.
     pub fn open(&mut self, now_ms: u64) -> (Option<u64>, Vec<Shed>) {
         let mut shed = Vec::new();
-        let open = |known: &&Connection| known.phase != Phase::Closing;
-        if self.entries.values().filter(open).count() >= self.limits.max_connections {
-            let Some(victim) = self.idlest(now_ms) else {
+        if self.open_count() >= self.limits.max_connections {
+            let Some(victim) = self.least_needed(now_ms) else {
                 return (None, shed);
             };
             shed.push(self.shed(victim, Reason::Connections, now_ms));
         }
-        // Those told to close end within the next rounds of the event loop; a crowd that arrives
-        // faster has to wait.
-        if self.count() > self.limits.max_connections + self.limits.max_connections / 16 {
+        if self.awaits_closing() {
             return (None, shed);
         }
         self.next_id += 1;
@@ -188,6 +241,7 @@
             phase: Phase::Idle,
             served: false,
             since_ms: now_ms,
+            request_ms: now_ms,
             progress_ms: now_ms,
             window_ms: now_ms,
             window_bytes: 0,
@@ -248,9 +302,10 @@
 
     /// Asks for memory for the request of a connection: `bytes` in total.
     ///
-    /// A small request takes memory from the one without progress for longest, or from the
-    /// largest. A large one takes it only from those without progress, since several large ones
-    /// would otherwise take it from each other and none would be completed.
+    /// A small request takes memory from the one without progress for longest, from the one that is
+    /// unfinished for longest, or from the largest. A large one takes it only from those without progress
+    /// and from slow ones, since several large ones would otherwise take it from each other and none
+    /// would be completed.
     pub fn reserve(&mut self, id: u64, bytes: usize, now_ms: u64) -> Verdict {
         let mut verdict = Verdict::default();
         let known = self.entries.get(&id);
@@ -280,6 +335,7 @@
         if passed_ms > MAX_LOOK_INTERVAL_MS {
             for known in self.entries.values_mut() {
                 known.since_ms += passed_ms;
+                known.request_ms += passed_ms;
                 known.progress_ms += passed_ms;
                 known.window_ms += passed_ms;
                 known.blocked_since_ms = known.blocked_since_ms.map(|since| since + passed_ms);
@@ -323,28 +379,45 @@
     }
 
     /// The connection that a new one replaces: one that has completed no request before others, then
-    /// the one that waits for longest.
-    fn idlest(&self, now_ms: u64) -> Option<u64> {
-        let idle = self.entries.iter().filter(|(_, known)| {
-            known.phase == Phase::Idle || known.is_stalled(now_ms) || known.is_unread(now_ms)
+    /// the one whose request began, or whose wait for one began, first. A client that keeps sending a
+    /// little is replaced like one that sends nothing.
+    fn least_needed(&self, now_ms: u64) -> Option<u64> {
+        let gives_way = self.entries.iter().filter(|(_, known)| {
+            known.phase == Phase::Idle
+                || known.is_stalled(now_ms)
+                || known.is_unread(now_ms)
+                || known.is_unfinished_for(SLOW_MS, now_ms)
         });
-        idle.min_by_key(|(_, known)| (known.served, known.progress_ms))
+        gives_way
+            .min_by_key(|(_, known)| (known.served, known.request_ms))
             .map(|(&id, _)| id)
     }
 
-    /// The connection other than `id` that gives up its memory to a request of `bytes`.
-    fn most_expendable(&self, id: u64, bytes: usize, now_ms: u64) -> Option<u64> {
+    /// The connection other than `id` that gives up its memory to a request of `bytes`. Those that move
+    /// and have at most `spared_bytes` give up nothing.
+    fn most_expendable(
+        &self,
+        id: u64,
+        bytes: usize,
+        spared_bytes: usize,
+        now_ms: u64,
+    ) -> Option<u64> {
         let unfinished = || {
             self.entries.iter().filter(move |(other, known)| {
-                **other != id && known.bytes > 0 && matches!(known.phase, Phase::Head | Phase::Body)
+                **other != id && known.bytes > 0 && known.is_unfinished()
             })
         };
         let stalled = unfinished()
             .filter(|(_, known)| known.is_stalled(now_ms))
             .min_by_key(|(_, known)| known.progress_ms);
-        let found = stalled.or_else(|| {
+        let slow = || {
+            unfinished()
+                .filter(|(_, known)| known.is_unfinished_for(SLOW_LARGE_MS, now_ms))
+                .min_by_key(|(_, known)| known.request_ms)
+        };
+        let found = stalled.or_else(slow).or_else(|| {
             let largest = unfinished()
-                .filter(|(_, known)| known.bytes > SMALL_BYTES)
+                .filter(|(_, known)| known.bytes > spared_bytes)
                 .max_by_key(|(_, known)| (!known.served, known.bytes));
             largest.filter(|_| bytes <= SMALL_BYTES)
         });
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -260,6 +260,7 @@
             time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        port.place_ready().await;
         let Some(guard) = port.accept() else {
             // Lets the connections that were told to close end.
             tokio::task::yield_now().await;
--- a/crates/entry/src/ports/http.rs
+++ b/crates/entry/src/ports/http.rs
@@ -47,6 +47,7 @@
             time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        port.place_ready().await;
         let Some(guard) = port.accept() else {
             // Lets the connections that were told to close end.
             tokio::task::yield_now().await;
--- a/crates/entry/src/ports/mod.rs
+++ b/crates/entry/src/ports/mod.rs
@@ -18,11 +18,15 @@
 pub use stream::Metered;
 
 use crate::{
-    client_limits::{Connections, Phase, PortLimits, Reason, Reports, SMALL_BYTES, Shed},
+    client_limits::{
+        Admission, Connections, Phase, PortLimits, Reason, Reports, SMALL_BYTES, Shed,
+    },
     clock, events,
     metrics::Metrics,
 };
 
+/// Interval between two looks for a place while new connections wait.
+const PLACE_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between two looks at the time limits.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// Header bytes that the memory of a connection without request includes.
@@ -84,6 +88,14 @@
         self.connections.borrow().count()
     }
 
+    /// Waits while an accepted connection would find no place but soon will. The next ones stay in the
+    /// queue of the listener meanwhile, from which they are taken in the order of their arrival.
+    pub async fn place_ready(&self) {
+        while self.connections.borrow().admission(clock::now_ms()) == Admission::Full {
+            time::sleep(PLACE_INTERVAL).await;
+        }
+    }
+
     /// A place for an accepted connection, or `None` if it is to be closed.
     pub fn accept(self: &Rc<Self>) -> Option<Guard> {
         let (id, shed) = self.connections.borrow_mut().open(clock::now_ms());
--- a/crates/entry/tests/entry/client_limits.rs
+++ b/crates/entry/tests/entry/client_limits.rs
@@ -6,7 +6,8 @@
 use cell::config::Config;
 use hickorychute_entry::{
     client_limits::{
-        self, Connections, Phase, PortLimits, Reason, Reports, SMALL_BYTES, Shed, Timeouts,
+        self, Admission, Connections, Phase, PortLimits, Reason, Reports, SLOW_LARGE_MS, SLOW_MS,
+        SMALL_BYTES, Shed, Timeouts,
     },
     ports::{Port, Protocol},
 };
@@ -145,6 +146,102 @@
     }
 }
 
+/// Guards against a crowd that keeps its places by sending a little at a time, and against ordinary
+/// clients that lose theirs to it.
+#[test]
+fn an_unfinished_request_gives_way_by_its_age() {
+    struct Case {
+        name: &'static str,
+        known: [Known; 4],
+        now_ms: u64,
+        admission: Admission,
+        shed: Option<u64>,
+    }
+    let handled = known(Phase::Handling, KIB, 0, true);
+    let moving = |phase, at_ms, served| known(phase, 0, at_ms, served);
+    let cases = [
+        Case {
+            name: "a body that moves, by age",
+            known: [
+                handled,
+                moving(Phase::Body, 20, false),
+                moving(Phase::Body, 10, false),
+                handled,
+            ],
+            now_ms: 10 + SLOW_MS,
+            admission: Admission::Open,
+            shed: Some(3),
+        },
+        Case {
+            name: "a head that moves",
+            known: [handled, moving(Phase::Head, 10, false), handled, handled],
+            now_ms: 10 + SLOW_MS,
+            admission: Admission::Open,
+            shed: Some(2),
+        },
+        Case {
+            name: "before a client that waits between two requests",
+            known: [
+                moving(Phase::Idle, 0, true),
+                moving(Phase::Body, 100, false),
+                handled,
+                handled,
+            ],
+            now_ms: 100 + SLOW_MS,
+            admission: Admission::Open,
+            shed: Some(2),
+        },
+        Case {
+            name: "new requests have time to arrive",
+            known: [
+                moving(Phase::Body, 20, false),
+                moving(Phase::Head, 30, false),
+                handled,
+                handled,
+            ],
+            now_ms: 19 + SLOW_MS,
+            admission: Admission::Full,
+            shed: None,
+        },
+        Case {
+            name: "none gives way soon",
+            known: [handled; 4],
+            now_ms: 10_000,
+            admission: Admission::Busy,
+            shed: None,
+        },
+    ];
+    for case in cases {
+        let mut connections = port(&case.known);
+        for (id, known) in (1..).zip(case.known) {
+            if known.phase != Phase::Idle {
+                connections.progress(id, 1, case.now_ms);
+            }
+        }
+        let admission = connections.admission(case.now_ms);
+        assert_eq!(admission, case.admission, "{}", case.name);
+        let (id, shed) = connections.open(case.now_ms);
+        assert_eq!(id.is_some(), case.shed.is_some(), "{}", case.name);
+        let ids: Vec<u64> = shed.iter().map(|shed| shed.id).collect();
+        assert_eq!(ids, Vec::from_iter(case.shed), "{}", case.name);
+    }
+}
+
+/// Guards against slow bodies that keep large requests out.
+#[test]
+fn a_large_request_takes_memory_from_a_slow_one() {
+    let mut connections = port(&[
+        known(Phase::Body, 60 * KIB, 0, false),
+        known(Phase::Body, 0, 0, false),
+    ]);
+    connections.progress(1, 1, SLOW_LARGE_MS);
+    let verdict = connections.reserve(2, 60 * KIB, SLOW_LARGE_MS - 1);
+    assert!(!verdict.granted, "the other one is not slow yet");
+    let verdict = connections.reserve(2, 60 * KIB, SLOW_LARGE_MS);
+    assert!(verdict.granted, "{verdict:?}");
+    assert_eq!(verdict.shed.first().map(|shed| shed.id), Some(1));
+}
+
 /// Guards against large unfinished bodies that keep small requests out, and against large bodies that
 /// take memory from each other so that none is completed.
 #[test]
