Submissions whose callers have left are dropped before they are written

Callers saw nothing yet: a host's memory grew by 2.5 MB a second while clients submitted jobs and left at once. Cause: such a submission stayed in the queue of the commits, 12,000 a second against some 600 that are written, and without the memory that its connection had been counted for. Change: the next commit drops those whose receiver is gone. Nothing was sent to the store for them, and a caller that still wants the job submits it again under its identifier.

--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -156,6 +156,8 @@
     /// deadline.
     fn next_submissions(&self) -> Vec<Write> {
         let mut waiting = self.submissions.borrow_mut();
+        // Nothing was written for callers that have left, and they submit again if they still want to.
+        waiting.retain(|submission| !submission.accepted.is_closed());
         self.drop_revoked(&mut waiting);
         waiting.sort_by_key(|submission| {
             let over_share = submission.record.over_share;
