The payload cache counts its entries, and evicts several at a time

Cause: found while tracing the growth beside clients that leave: only the texts counted, so that short ones could make 170,000 entries within 2 MB, and each insertion summed up all of them. Change: an entry counts 96 bytes beside its text, the sum is kept, and a full cache is reduced to three quarters. The effect alone was not measured.

--- a/crates/entry/src/payloads.rs
+++ b/crates/entry/src/payloads.rs
@@ -9,7 +9,12 @@
 //! of one that runs. What clients submitted is kept apart from what was fetched, and is used only for
 //! jobs that this host accepted; if it was submitted with different payloads, the store decides.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use cell::ids::JobId;
 use futures::{
@@ -26,8 +31,13 @@
     store::GuardedStore,
 };
 
-/// Maximum total size of cached payloads, in bytes.
+/// Maximum total size of cached payloads with their entries, in bytes.
 const MAX_CACHED_BYTES: usize = 2 << 20;
+/// Size to which the cache is reduced once it exceeds that, in bytes: evicting one by one would move all
+/// others each time.
+const KEPT_CACHED_BYTES: usize = MAX_CACHED_BYTES / 4 * 3;
+/// Size of an entry without its payload, in bytes.
+const ENTRY_BYTES: usize = 96;
 /// Payloads unused for this long are evicted, in milliseconds: most jobs have ended by then.
 const CACHE_TTL_MS: u64 = 20_000;
 /// Timeout for fetching a payload from another host.
@@ -52,8 +62,9 @@
 }
 
 impl CachedPayload {
-    fn len(&self) -> usize {
-        self.payload.as_ref().map_or(0, |payload| payload.len())
+    /// Size of the entry, in bytes.
+    fn bytes(&self) -> usize {
+        ENTRY_BYTES + self.payload.as_ref().map_or(0, |payload| payload.len())
     }
 }
 
@@ -69,6 +80,8 @@
     store: GuardedStore,
     /// Cached payloads, most recently inserted last.
     cached: RefCell<IndexMap<(JobId, Origin), CachedPayload>>,
+    /// Total size of their entries, in bytes.
+    cached_bytes: Cell<usize>,
     /// Fetches in progress; concurrent requests for a payload share one.
     fetching: RefCell<IndexMap<JobId, Fetch>>,
 }
@@ -91,6 +104,7 @@
             peers,
             store,
             cached: RefCell::default(),
+            cached_bytes: Cell::default(),
             fetching: RefCell::default(),
         }
     }
@@ -106,23 +120,26 @@
     fn insert(&self, key: (JobId, Origin), payload: Option<Rc<str>>) {
         let mut cached = self.cached.borrow_mut();
         let last_used_ms = clock::now_ms();
-        cached.shift_remove(&key);
-        cached.insert(
-            key,
-            CachedPayload {
-                payload,
-                last_used_ms,
-            },
-        );
-        let mut bytes: usize = cached.values().map(CachedPayload::len).sum();
+        let replaced = cached.shift_remove(&key);
+        let inserted = CachedPayload {
+            payload,
+            last_used_ms,
+        };
+        let mut bytes = self.cached_bytes.get() + inserted.bytes();
+        bytes -= replaced.map_or(0, |replaced| replaced.bytes());
+        cached.insert(key, inserted);
+        let is_full = bytes > MAX_CACHED_BYTES;
         let mut dropped = 0;
         for old in cached.values() {
-            if bytes <= MAX_CACHED_BYTES && old.last_used_ms + CACHE_TTL_MS >= last_used_ms {
+            let has_expired = old.last_used_ms + CACHE_TTL_MS < last_used_ms;
+            let gives_way = is_full && bytes > KEPT_CACHED_BYTES;
+            if !has_expired && !gives_way {
                 break;
             }
-            bytes -= old.len();
+            bytes -= old.bytes();
             dropped += 1;
         }
+        self.cached_bytes.set(bytes);
         cached.drain(..dropped);
     }
 
