Orders to a worker wait for that worker's earlier ones

Callers saw processes above their descriptors: one client with jobs of 5,000 steps had a host open 3,454 connections, with 1,000 descriptors. Cause: each order took a connection of its own, however many were on their way, and up to 8 idle ones were kept for each worker. Idle connections are bounded together. Why it works: orders to one worker wait for each other only, so that none can starve those to another.

--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 pub use reports::Reports;
-pub use shares::{PortLimits, Timeouts, clients, metrics, peers, readiness};
+pub use shares::{PortLimits, Timeouts, clients, metrics, peers, readiness, worker_connections};
 
 /// A request or frame that needs at most this much may take memory from larger ones, in bytes:
 /// ordinary jobs have some kilobytes.
--- a/crates/entry/src/client_limits/shares.rs
+++ b/crates/entry/src/client_limits/shares.rs
@@ -19,6 +19,8 @@
 const CLIENT_DESCRIPTORS_PART: u64 = 4;
 /// The same for connections from other hosts.
 const PEER_DESCRIPTORS_PART: u64 = 4;
+/// Part of the descriptors for calls to workers.
+const WORKER_DESCRIPTORS_PART: u64 = 8;
 /// Memory of a client's connection without request: the read and write buffers of the HTTP library (8
 /// KiB each) and its state.
 const CLIENT_CONNECTION_BYTES: usize = 24 << 10;
@@ -144,6 +146,11 @@
     limits
 }
 
+/// Maximum number of connections for orders to workers.
+pub fn worker_connections(settings: &Settings) -> usize {
+    (descriptors(settings) / WORKER_DESCRIPTORS_PART) as usize
+}
+
 fn probes() -> PortLimits {
     let memory_bytes = 2 * PROBE_CONNECTIONS * CLIENT_CONNECTION_BYTES;
     let mut limits = PortLimits::new(
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -41,6 +41,7 @@
     records::LeaderRecord,
     relay::Relay,
     store::GuardedStore,
+    worker_slots::WorkerSlots,
 };
 
 /// Command line of an entry host.
@@ -226,7 +227,9 @@
 }
 
 fn build_context(live: &Rc<LiveSettings>) -> leader::HostContext {
-    let pool = ConnectionPool::default();
+    let worker_connections = client_limits::worker_connections(&live.current());
+    let pool = ConnectionPool::new(worker_connections);
+    let slots = WorkerSlots::new(worker_connections);
     let settings = live.current();
     let store = GuardedStore::new(Store::new(pool.clone(), settings.store_address));
     let members = Rc::new(Members::new(settings.region_of_zone.clone()));
@@ -247,7 +250,7 @@
     ));
     leader::HostContext {
         settings: Rc::clone(live),
-        relay: Rc::new(Relay::new(pool.clone(), Rc::clone(&payloads))),
+        relay: Rc::new(Relay::new(pool.clone(), slots, Rc::clone(&payloads))),
         payloads,
         store,
         pool,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`peers`]: calls between hosts; [`peer_calls`]: their answers;
 //! - [`advice_client`]: queries to the advice service;
 //! - [`relay`]: calls to workers that a host relays for the leader;
+//! - [`worker_slots`]: limits on concurrent orders to workers;
 //! - [`payloads`]: job payloads, passed to each task on start;
 //! - [`election`]: leader election;
 //! - [`leader`]: the leader's work during its term;
@@ -55,3 +56,4 @@
 pub mod records;
 pub mod relay;
 pub mod store;
+pub mod worker_slots;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -26,10 +26,13 @@
         self, Body, HoldCall, HoldOutcome, HoldReply, LateOrder, LateOrdersReply, PayloadReply,
         RunCall, StartCall,
     },
+    worker_slots::WorkerSlots,
 };
 
 /// How long after its wait a hold may still be answered.
 const HOLD_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
+/// Longest wait of an order for the worker's earlier ones; the leader sends it again.
+const MAX_SLOT_WAIT: Duration = Duration::from_millis(400);
 /// Timeout of a start order; the leader sends it again.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a stop order; the leader sends it again.
@@ -59,6 +62,8 @@
 #[derive(Debug)]
 pub struct Relay {
     pool: ConnectionPool,
+    /// Slots of orders; long polls have one connection per worker besides.
+    slots: Rc<WorkerSlots>,
     payloads: Rc<PayloadCache>,
     connections: RefCell<IndexMap<SocketAddr, PollConnection>>,
     unanswered: RefCell<Vec<UnansweredOrder>>,
@@ -77,9 +82,10 @@
 
 impl Relay {
     /// A relay without open connections.
-    pub fn new(pool: ConnectionPool, payloads: Rc<PayloadCache>) -> Self {
+    pub fn new(pool: ConnectionPool, slots: Rc<WorkerSlots>, payloads: Rc<PayloadCache>) -> Self {
         Self {
             pool,
+            slots,
             payloads,
             connections: RefCell::default(),
             unanswered: RefCell::default(),
@@ -185,6 +191,9 @@
         });
         let headers = workers::instance_header(&call.worker.id);
         let order = workers::start_call(&headers, body, START_TIMEOUT);
+        let Some(_slot) = self.slots.acquire(address, MAX_SLOT_WAIT).await else {
+            return StartResponse::Unhealthy;
+        };
         let number = self.record_order(call);
         let answer = match self.pool.call(address, &order).await {
             Ok(answer) => workers::decode_start_response(&answer),
@@ -243,6 +252,9 @@
         let Ok(address) = call.worker.address.parse() else {
             return false;
         };
+        let Some(_slot) = self.slots.acquire(address, MAX_SLOT_WAIT).await else {
+            return false;
+        };
         let answer = self.pool.call(address, &order).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
@@ -255,6 +267,9 @@
         let Ok(address) = call.worker.address.parse() else {
             return false;
         };
+        let Some(_slot) = self.slots.acquire(address, MAX_SLOT_WAIT).await else {
+            return false;
+        };
         let answer = self.pool.call(address, &order).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -21,3 +21,4 @@
 mod routes;
 mod support;
 mod takeovers;
+mod worker_slots;
