Bounded starts and stops in flight, and ready steps of a job in turn

Callers saw: eight clients with jobs of 5,000 steps left the cell without answers. Cause: a pass examined every ready step of every job and ordered whatever fits, each order a task of its own. Change: at most 512 starts and as many stops wait for their responses, but for a larger gang, which starts alone; a pass examines 64 ready steps of a job, the first 32 and others in turn. Why it works: the time of a pass and the orders on the way no longer follow the number of steps; the turn keeps steps that cannot start from holding back others.

--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -437,6 +437,21 @@
         spec.after.iter().all(done)
     }
 
+    /// Occurrence and position of each step with waiting tasks whose dependencies are complete.
+    pub fn ready_steps(&self) -> Vec<(u32, u32)> {
+        let mut ready = Vec::new();
+        for (&occurrence, state) in &self.occurrences {
+            for (step, step_state) in state.steps.iter().enumerate() {
+                let step = step as u32;
+                let waits = !step_state.is_done() && step_state.waiting().next().is_some();
+                if waits && self.is_ready(state, step) {
+                    ready.push((occurrence, step));
+                }
+            }
+        }
+        ready
+    }
+
     /// Whether any task has an active run.
     pub fn has_active_task(&self) -> bool {
         let steps = self.occurrences.values().flat_map(|o| &o.steps);
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -233,6 +233,8 @@
     ready_steps: Vec<StepId>,
     /// From where on further steps of jobs without value are part of a pass.
     valueless_offset: usize,
+    /// From where on further ready steps of jobs with many are part of a pass.
+    further_offset: usize,
     /// Number of those that were examined for queries to the advice service at `advice_cursor_ms`.
     advice_cursor: usize,
     /// Time of the last query, in milliseconds of the local clock.
@@ -289,6 +291,7 @@
             next_due_unix_ms: None,
             ready_steps: Vec::new(),
             valueless_offset: 0,
+            further_offset: 0,
             advice_cursor: 0,
             advice_cursor_ms: 0,
             reservations: reserves::Reservations::default(),
--- a/crates/cell/src/coordinator/pass.rs
+++ b/crates/cell/src/coordinator/pass.rs
@@ -42,6 +42,8 @@
     pub(super) free_trial_workers: Vec<usize>,
     /// Position of the one on which repeated trials start.
     pub(super) repeated_trial_worker: Option<usize>,
+    /// Orders to start that may still be sent.
+    pub(super) start_budget: usize,
     /// Searches for better placements that may still be made.
     pub(super) waits: WaitBudget,
 }
--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -532,11 +532,25 @@
         /// Time after which a confirmed stop is sent again if the run is still active, in
         /// milliseconds.
         const CONFIRMED_STOP_RETRY_MS: u64 = 2_500;
+        /// Maximum number of stops sent recently, that are not confirmed; the others are sent later.
+        const MAX_UNCONFIRMED_STOPS: usize = 512;
+        let is_unconfirmed = |run: &&Run| {
+            let sent_ms = run.stop_sent_ms.filter(|_| !run.stop_confirmed);
+            sent_ms.is_some_and(|sent_ms| now_ms < sent_ms + STOP_RETRY_MS)
+        };
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
+        let mut unconfirmed = runs.filter(is_unconfirmed).count();
         for (id, worker) in &mut self.workers {
             if !worker.fenced {
                 continue;
             }
             for (&task, run) in &mut worker.runs {
+                if unconfirmed >= MAX_UNCONFIRMED_STOPS {
+                    return;
+                }
                 let repeated_ms = if run.stop_confirmed {
                     CONFIRMED_STOP_RETRY_MS
                 } else {
@@ -550,6 +564,7 @@
                     && due
                 {
                     run.stop_sent_ms = Some(now_ms);
+                    unconfirmed += 1;
                     orders.push(Order::Stop {
                         worker: Rc::clone(id),
                         task,
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -19,7 +19,7 @@
     objective::MAX_LATENESS,
     placement::Request,
     quota::{self, Claim},
-    workers::{Phase, StopReason},
+    workers::{Phase, Run, StopReason},
 };
 
 /// Number of steps in a pass whose jobs have no value any more, the most urgent ones. After an overload
@@ -28,6 +28,15 @@
 /// Number of further ones, others in each pass: the first ones may wait for workers that others do not
 /// need.
 const FURTHER_VALUELESS_STEPS: usize = 48;
+/// Number of ready steps of one job in a pass, the first ones. A job may have thousands, and a pass over
+/// all would delay other jobs.
+const FIRST_READY_STEPS: usize = 32;
+/// Number of further ones, others in each pass: the first ones may wait for workers that others do not
+/// need.
+const FURTHER_READY_STEPS: usize = 32;
+/// Maximum number of orders to start that wait for their responses, but for a gang that has more
+/// members. Each takes memory here and a connection at the host that relays it.
+const MAX_STARTS_IN_FLIGHT: usize = 512;
 
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
@@ -159,6 +168,7 @@
 
     fn start_ready_steps(&mut self, now_ms: u64, unix_ms: u64, orders: &mut Vec<Order>) {
         self.valueless_offset = self.valueless_offset.wrapping_add(FURTHER_VALUELESS_STEPS);
+        self.further_offset = self.further_offset.wrapping_add(FURTHER_READY_STEPS);
         let ready_steps = self.ready_steps(now_ms, unix_ms);
         let reservations = Reservations::of(&self.workers, now_ms);
         let mut pass = Pass {
@@ -175,6 +185,7 @@
             quota: self.quota_ledger(now_ms),
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
+            start_budget: MAX_STARTS_IN_FLIGHT.saturating_sub(self.starts_in_flight()),
             waits: WaitBudget::default(),
         };
         let may_preempt = self.may_preempt();
@@ -186,6 +197,9 @@
         let mut attempts = 0;
         self.contended_services.clear();
         for urgency in &ready_steps {
+            if pass.start_budget == 0 {
+                break;
+            }
             let started = self.start_step(urgency.step, &mut pass, orders);
             // Free workers would not help a step that its tenant's limit holds back.
             if pass.quota.is_held(urgency.step) {
@@ -223,6 +237,24 @@
         self.reservations = pass.reservations;
     }
 
+    /// Number of orders to start that wait for their responses.
+    fn starts_in_flight(&self) -> usize {
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
+        let in_flight = |run: &&Run| {
+            matches!(
+                run.phase,
+                Phase::Ordered {
+                    in_flight: true,
+                    ..
+                }
+            )
+        };
+        runs.filter(in_flight).count()
+    }
+
     /// Steps with waiting tasks whose dependencies are complete, most urgent first.
     fn ready_steps(&self, now_ms: u64, unix_ms: u64) -> Vec<Urgency> {
         let settled = self.takeover_complete(now_ms);
@@ -240,46 +272,48 @@
                 .queues
                 .get(&job.queue)
                 .map_or(u32::MAX, |q| q.priority);
-            for (&occurrence, state) in &job.occurrences {
-                for (step, step_state) in state.steps.iter().enumerate() {
-                    let step = step as u32;
-                    if step_state.is_done()
-                        || step_state.waiting().next().is_none()
-                        || !job.is_ready(state, step)
-                    {
-                        continue;
-                    }
-                    let spec = job.step_spec(step);
-                    let finite = !spec.is_some_and(|spec| spec.long_running);
-                    let remaining_ms = spec.map_or(0, |spec| spec.estimate_ms) / 2;
-                    let lateness = if finite {
-                        job.lateness(occurrence, unix_ms + remaining_ms)
-                    } else {
-                        0
-                    };
-                    let steps = if lateness == MAX_LATENESS {
-                        &mut valueless
-                    } else {
-                        &mut ready
-                    };
-                    steps.push(Urgency {
-                        behind_shares: lateness == MAX_LATENESS || self.is_behind_shares(job),
-                        finite,
-                        lateness,
-                        priority,
-                        not_started: !job.started,
-                        accepted_unix_ms: job.due_unix_ms(occurrence),
-                        step: StepId {
-                            job: job.id,
-                            occurrence,
-                            step,
-                        },
-                    });
-                }
+            let steps_of_job = job.ready_steps();
+            for (occurrence, step) in first_and_further(
+                &steps_of_job,
+                FIRST_READY_STEPS,
+                FURTHER_READY_STEPS,
+                self.further_offset,
+            ) {
+                let spec = job.step_spec(step);
+                let finite = !spec.is_some_and(|spec| spec.long_running);
+                let remaining_ms = spec.map_or(0, |spec| spec.estimate_ms) / 2;
+                let lateness = if finite {
+                    job.lateness(occurrence, unix_ms + remaining_ms)
+                } else {
+                    0
+                };
+                let steps = if lateness == MAX_LATENESS {
+                    &mut valueless
+                } else {
+                    &mut ready
+                };
+                steps.push(Urgency {
+                    behind_shares: lateness == MAX_LATENESS || self.is_behind_shares(job),
+                    finite,
+                    lateness,
+                    priority,
+                    not_started: !job.started,
+                    accepted_unix_ms: job.due_unix_ms(occurrence),
+                    step: StepId {
+                        job: job.id,
+                        occurrence,
+                        step,
+                    },
+                });
             }
         }
         valueless.sort_unstable();
-        ready.extend(first_and_further(&valueless, self.valueless_offset));
+        ready.extend(first_and_further(
+            &valueless,
+            FIRST_VALUELESS_STEPS,
+            FURTHER_VALUELESS_STEPS,
+            self.valueless_offset,
+        ));
         ready.sort_unstable();
         ready
     }
@@ -293,6 +327,20 @@
             Vec::new()
         };
         let waits = self.hold_back(id, &mut chosen, pass);
+        let is_gang = self
+            .jobs
+            .get(&id.job)
+            .and_then(|job| job.step_spec(id.step))
+            .is_some_and(|spec| spec.gang);
+        if chosen.len() > pass.start_budget {
+            // The members of a gang have to start together.
+            if !is_gang {
+                chosen.truncate(pass.start_budget);
+            } else if pass.start_budget < MAX_STARTS_IN_FLIGHT {
+                return true;
+            }
+        }
+        pass.start_budget = pass.start_budget.saturating_sub(chosen.len());
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
         };
@@ -493,10 +541,15 @@
     }
 }
 
-/// The first steps, and those that follow them from `offset` on, which may exceed their number.
-fn first_and_further(steps: &[Urgency], offset: usize) -> impl Iterator<Item = Urgency> {
-    let (first, rest) = steps.split_at(steps.len().min(FIRST_VALUELESS_STEPS));
+/// The first steps, and others that follow them from `offset` on, which may exceed their number.
+fn first_and_further<T: Copy>(
+    steps: &[T],
+    first: usize,
+    further: usize,
+    offset: usize,
+) -> impl Iterator<Item = T> {
+    let (first, rest) = steps.split_at(steps.len().min(first));
+    let count = rest.len().min(further);
     let further = rest.iter().cycle().skip(offset % rest.len().max(1));
-    let count = rest.len().min(FURTHER_VALUELESS_STEPS);
     first.iter().chain(further.take(count)).copied()
 }
