Jobs are refused while open ones take the coordinator's memory

Callers saw processes end: a job of 200 bytes with 4 billion tasks or occurrences, or some jobs of 5,000 steps, exhausted the memory of three hosts, and nobody was refused. Cause: a body is bounded until it is decoded, and what a job costs afterwards was not. Change: the cost of a job follows from its steps, tasks and begun occurrences. The coordinator admits jobs within a quarter of its memory, at most 96 MB, several large ones within half of that, one alone within all; 503 with Retry-After 2 beyond, before anything is written. A job that fits no coordinator, or whose record the store would refuse, gets 429 with the reason. Due occurrences begin as memory allows. Hosts reserve memory before they decode a body or a large frame, and bound what they write without a coordinator. Sums of what clients state saturate. Why it works: every path on which a job comes into memory asks for its memory first, and refusals name nothing as run that was written.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -7,6 +7,9 @@
 //! capacity of its service, compared with the time allowed for the job. A job that would start on trial is
 //! also refused if many others wait for one: trials use few workers, and each may take one down.
 //!
+//! Whatever a job's work is worth, it is refused while the jobs that are open take the memory that the
+//! coordinator has for them, and for good if it could not even be the only one.
+//!
 //! A tenant's job waits besides for the tenant's own work within its limit, and is refused for good if
 //! a task or gang exceeds that limit by itself. A job over its tenant's share counts all work within
 //! shares as ahead of it, so that it is refused first; others count none over shares.
@@ -16,6 +19,7 @@
 use crate::{
     config::{Queue, Tenant},
     coordinator::{AheadOf, Coordinator},
+    footprint,
     jobs::{JobSpec, StepSpec},
     objective::MAX_LATENESS_FACTOR,
     quota::{self, LimitExcess},
@@ -32,6 +36,14 @@
         /// Time after which the caller may retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The job needs more memory than the coordinator has for all jobs, or its record would be larger
+    /// than the store allows.
+    TooLarge,
+    /// Open jobs take the memory that the coordinator has for them.
+    NoMemory {
+        /// Time after which the caller may retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// A task of the job exceeds the capacity of every worker of the service.
     NeverFits,
     /// A task or gang of the job exceeds the limit of its tenant by itself.
@@ -69,6 +81,9 @@
 
 /// Share of the CPU capacity that is expected to do useful work.
 const USABLE_CPU_PERCENT: u64 = 85;
+/// Retry delay of a job for which there is no memory, in milliseconds: about the time in which some of
+/// the open jobs end.
+const MEMORY_RETRY_AFTER_MS: u64 = 2_000;
 /// Bounds of the retry delay, in milliseconds.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (300, 3_000);
 /// The same for a job that is refused because of its tenant, in milliseconds: the work of one tenant
@@ -89,6 +104,9 @@
         spec: &JobSpec,
         submitter: Option<&Submitter<'_>>,
     ) -> Verdict {
+        if let Some(refusal) = self.memory_refusal(spec) {
+            return refusal;
+        }
         let limit = submitter.map(|submitter| &submitter.tenant.limit);
         if let Some(excess) = limit.and_then(|limit| quota::limit_excess(spec, limit)) {
             return Verdict::ExceedsLimit(excess);
@@ -114,14 +132,17 @@
         let usable_millicores = (service.total.cpu_millicores * USABLE_CPU_PERCENT / 100).max(1);
         let cell_wait_ms = |over_share| {
             let new = AheadOf { queue, over_share };
-            self.backlog_core_ms(new) * 1000 / usable_millicores
+            self.backlog_core_ms(new).saturating_mul(1000) / usable_millicores
         };
         let wait_ms = cell_wait_ms(over_share);
         let critical_path_ms = quota::critical_path_ms(spec, limit);
-        let allowed_ms =
-            (critical_path_ms as f64 * queue.critical_path_factor) as u64 + queue.base_objective_ms;
-        let max_duration_ms = allowed_ms * MAX_LATENESS_FACTOR;
-        let excess_of = |wait_ms: u64| (wait_ms + critical_path_ms).saturating_sub(max_duration_ms);
+        let allowed_ms = (critical_path_ms as f64 * queue.critical_path_factor
+            + queue.base_objective_ms as f64) as u64;
+        let max_duration_ms = allowed_ms.saturating_mul(MAX_LATENESS_FACTOR);
+        let excess_of = |wait_ms: u64| {
+            let duration_ms = wait_ms.saturating_add(critical_path_ms);
+            duration_ms.saturating_sub(max_duration_ms)
+        };
         let excess_ms = excess_of(wait_ms);
         if let Some(submitter) = submitter {
             let (min_ms, max_ms) = TENANT_RETRY_RANGE_MS;
@@ -149,6 +170,19 @@
         }
     }
 
+    /// Refusal of a job for which there is no memory.
+    fn memory_refusal(&self, spec: &JobSpec) -> Option<Verdict> {
+        let budget = self.memory_budget();
+        if !budget.fits_alone(spec) {
+            return Some(Verdict::TooLarge);
+        }
+        let bytes = footprint::job_bytes(spec);
+        let has_room = budget.has_room(self.held_memory(), bytes);
+        (!has_room).then_some(Verdict::NoMemory {
+            retry_after_ms: MEMORY_RETRY_AFTER_MS,
+        })
+    }
+
     /// Estimated time that a tenant's waiting tasks ahead of a new job take within its limit, in
     /// milliseconds.
     fn tenant_wait_ms(&self, queue: &Queue, submitter: &Submitter<'_>) -> u64 {
--- a/crates/cell/src/coordinator/backlog.rs
+++ b/crates/cell/src/coordinator/backlog.rs
@@ -10,6 +10,7 @@
 use crate::{
     collections::IndexMap,
     config::Queue,
+    footprint::{HeldMemory, JOB_STATE_BYTES},
     workers::{Resources, Worker},
 };
 
@@ -62,6 +63,7 @@
 struct Sums {
     waiting: IndexMap<Group, Waiting>,
     services: IndexMap<Rc<str>, ServiceCapacity>,
+    memory: HeldMemory,
 }
 
 /// The sums, if they are up to date.
@@ -96,7 +98,8 @@
         let sums = self.sums();
         let ahead = sums.waiting.iter();
         let ahead = ahead.filter(|(group, _)| self.is_ahead(group, new));
-        ahead.map(|(_, waiting)| waiting.core_ms).sum()
+        let core_ms = ahead.map(|(_, waiting)| waiting.core_ms);
+        core_ms.fold(0, u64::saturating_add)
     }
 
     /// Resources of a tenant's waiting tasks ahead of a new job, each times the estimated duration in
@@ -111,6 +114,31 @@
         sum
     }
 
+    /// Memory of all jobs, and of those that are about to be accepted.
+    pub fn held_memory(&self) -> HeldMemory {
+        let mut held = self.sums().memory.plus(self.pending_memory);
+        let ended = (self.jobs.len() - self.open.len()) as u64;
+        let ended_bytes = ended * JOB_STATE_BYTES;
+        held.bytes = held.bytes.saturating_add(ended_bytes);
+        held
+    }
+
+    /// Memory that further occurrences of open jobs may take, in bytes.
+    pub(super) fn memory_room_bytes(&self) -> u64 {
+        let budget_bytes = self.tuning.memory.job_bytes;
+        budget_bytes.saturating_sub(self.held_memory().bytes)
+    }
+
+    /// Counts a job that is about to be accepted, until [`Self::release_memory`].
+    pub fn reserve_memory(&mut self, bytes: u64) {
+        self.pending_memory.add(bytes);
+    }
+
+    /// Ends the reservation of a job that has been accepted or refused.
+    pub fn release_memory(&mut self, bytes: u64) {
+        self.pending_memory.remove(bytes);
+    }
+
     /// Adds an accepted job to the sums.
     pub(super) fn add_to_backlog(&self, job: &Job) {
         let mut sums = self.backlog.0.borrow_mut();
@@ -143,9 +171,10 @@
             tenant: Rc::clone(&job.tenant),
             behind_shares: self.is_behind_shares(job),
         };
+        sums.memory.add(job.held_bytes());
         let has_tenant = !group.tenant.is_empty();
         let waiting = sums.waiting.entry(group).or_default();
-        waiting.core_ms += job.waiting_core_ms();
+        waiting.core_ms = waiting.core_ms.saturating_add(job.waiting_core_ms());
         if has_tenant {
             waiting.resource_ms.add(&job.waiting_resource_ms());
         }
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -4,8 +4,9 @@
 
 use super::{crashes::CrashHistory, placement_wait::PlacementWait};
 use crate::{
-    collections::IndexMap,
+    collections::{IndexMap, IndexSet},
     config::Queue,
+    footprint,
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobSpec, JobState, Outcome, StepSpec},
     objective,
@@ -230,7 +231,7 @@
     /// Number of the next occurrence to begin.
     pub next_occurrence: u32,
     /// Numbers of the occurrences whose tasks have all completed.
-    pub finished_occurrences: Vec<u32>,
+    pub finished_occurrences: IndexSet<u32>,
     /// Time by which a job that runs once must complete to meet its objective, in Unix
     /// milliseconds.
     pub objective_unix_ms: u64,
@@ -242,6 +243,12 @@
     /// Estimated duration of the longest path from each step to the end of the job, including the step,
     /// in milliseconds.
     path_ms: Vec<u64>,
+    /// Memory that it takes while no occurrence has begun, in bytes.
+    base_bytes: u64,
+    /// Memory that each begun occurrence takes, in bytes.
+    occurrence_bytes: u64,
+    /// Size that its record may reach while all goes well, in bytes.
+    record_bytes: u64,
 }
 
 impl Job {
@@ -260,7 +267,7 @@
         let (critical_path_factor, base_objective_ms) =
             queue.map_or((1.0, 0), |q| (q.critical_path_factor, q.base_objective_ms));
         let allowed_ms =
-            (critical_path_ms as f64 * critical_path_factor) as u64 + base_objective_ms;
+            (critical_path_ms as f64 * critical_path_factor + base_objective_ms as f64) as u64;
         let spec_paths_ms = spec
             .as_ref()
             .map_or_else(Vec::new, |s| s.remaining_paths_ms());
@@ -281,11 +288,14 @@
             ended_unix_ms: record.ended_unix_ms,
             occurrences: IndexMap::default(),
             next_occurrence: 0,
-            finished_occurrences: record.finished_occurrences.clone(),
-            objective_unix_ms: record.accepted_unix_ms + allowed_ms,
+            finished_occurrences: record.finished_occurrences.iter().copied().collect(),
+            objective_unix_ms: record.accepted_unix_ms.saturating_add(allowed_ms),
             payload_host: record.payload_host.as_str().into(),
             start_not_before_ms: 0,
             path_ms: spec_paths_ms,
+            base_bytes: record.spec.as_ref().map_or(0, footprint::base_bytes),
+            occurrence_bytes: record.spec.as_ref().map_or(0, footprint::occurrence_bytes),
+            record_bytes: record.spec.as_ref().map_or(0, footprint::record_bytes),
         };
         job.restore_done(&record.done_tasks);
         job.restore_tasks(&record.tasks);
@@ -335,9 +345,26 @@
         }
     }
 
-    /// Begins the occurrences that are due. Returns the due time of the next one, in Unix
-    /// milliseconds.
-    pub fn begin_due(&mut self, unix_ms: u64) -> Option<u64> {
+    /// Memory that the job takes while it is open, in bytes.
+    pub fn held_bytes(&self) -> u64 {
+        let begun = self.occurrences.len() as u64;
+        let occurrences_bytes = self.occurrence_bytes.saturating_mul(begun);
+        self.base_bytes.saturating_add(occurrences_bytes)
+    }
+
+    /// Size that its record may reach while all goes well, in bytes.
+    pub fn record_bytes(&self) -> u64 {
+        self.record_bytes
+    }
+
+    /// Memory that a copy of its record takes, in bytes.
+    pub fn record_memory_bytes(&self) -> u64 {
+        self.base_bytes
+    }
+
+    /// Begins the occurrences that are due, further ones beside the first only within `room_bytes` of
+    /// memory. Returns the due time of the next one, in Unix milliseconds.
+    pub fn begin_due(&mut self, unix_ms: u64, room_bytes: u64) -> Option<u64> {
         if self.outcome != Outcome::Open {
             return None;
         }
@@ -346,12 +373,14 @@
             self.begin_through(0);
             return None;
         }
+        let mut room_left_bytes = room_bytes;
         while self.next_occurrence < spec.occurrences {
-            let due_ms =
-                spec.first_due_unix_ms + u64::from(self.next_occurrence) * spec.interval_ms;
-            if due_ms > unix_ms {
+            let due_ms = self.due_unix_ms(self.next_occurrence);
+            let has_room = self.occurrences.is_empty() || self.occurrence_bytes <= room_left_bytes;
+            if due_ms > unix_ms || !has_room {
                 return Some(due_ms);
             }
+            room_left_bytes = room_left_bytes.saturating_sub(self.occurrence_bytes);
             self.begin_through(self.next_occurrence);
         }
         None
@@ -361,7 +390,8 @@
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
         match &self.spec {
             Some(spec) if spec.occurrences > 0 => {
-                spec.first_due_unix_ms + u64::from(occurrence) * spec.interval_ms
+                let after_ms = u64::from(occurrence).saturating_mul(spec.interval_ms);
+                spec.first_due_unix_ms.saturating_add(after_ms)
             }
             _ => self.accepted_unix_ms,
         }
@@ -466,13 +496,14 @@
             return 0;
         };
         let waiting = |(spec, step): (&StepSpec, &Step)| {
-            step.waiting().count() as u64 * spec.reserved_millicores() * spec.estimate_ms / 1000
+            let task_ms = (step.waiting().count() as u64).saturating_mul(spec.estimate_ms);
+            spec.reserved_millicores().saturating_mul(task_ms) / 1000
         };
         self.occurrences
             .values()
             .flat_map(|occurrence| spec.steps.iter().zip(&occurrence.steps))
             .map(waiting)
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     /// Resources of the waiting tasks, each times its estimated duration in milliseconds.
@@ -483,7 +514,7 @@
             let steps = self.occurrences.values();
             let steps = steps.filter_map(|occurrence| occurrence.steps.get(number));
             let waiting: usize = steps.map(|step| step.waiting().count()).sum();
-            let task_ms = waiting as u64 * spec.estimate_ms;
+            let task_ms = (waiting as u64).saturating_mul(spec.estimate_ms);
             sum.add(&Resources {
                 cpu_millicores: spec.reserved_millicores().saturating_mul(task_ms),
                 memory_mb: spec.memory_mb.saturating_mul(task_ms),
@@ -521,7 +552,7 @@
             .collect();
         for number in finished_now {
             self.occurrences.shift_remove(&number);
-            self.finished_occurrences.push(number);
+            self.finished_occurrences.insert(number);
         }
         let total = self.spec.as_ref().map_or(1, |spec| spec.occurrences.max(1));
         if self.outcome == Outcome::Open && self.finished_occurrences.len() as u32 >= total {
--- a/crates/cell/src/coordinator/job_record.rs
+++ b/crates/cell/src/coordinator/job_record.rs
@@ -94,7 +94,7 @@
             outcome: self.outcome.into(),
             tasks,
             done_tasks,
-            finished_occurrences: self.finished_occurrences.clone(),
+            finished_occurrences: self.finished_occurrences.iter().copied().collect(),
             ended_unix_ms: self.ended_unix_ms,
             payload_host: self.payload_host.to_string(),
             tenant: self.tenant.to_string(),
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -68,6 +68,7 @@
     collections::{IndexMap, IndexSet},
     config::Config,
     departure::Withdrawal,
+    footprint::{HeldMemory, MemoryBudget},
     ids::{JobId, StepId, TaskId},
     jobs::{JobRecord, JobState, Outcome},
     progress::AveragePace,
@@ -105,6 +106,8 @@
     /// Duration of the sliding window over which the jobs of a tenant count towards its share, in
     /// milliseconds.
     pub quota_window_ms: u64,
+    /// Limits on what open jobs cost.
+    pub memory: MemoryBudget,
 }
 
 impl Default for Tuning {
@@ -121,6 +124,7 @@
             preemption: false,
             cross_rack_percent: 100,
             quota_window_ms: 5_000,
+            memory: MemoryBudget::UNLIMITED,
         }
     }
 }
@@ -265,6 +269,8 @@
     wait_events: Vec<WaitEvent>,
     /// Sums for admission control.
     backlog: backlog::Backlog,
+    /// Memory of jobs that are about to be accepted.
+    pending_memory: HeldMemory,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
 }
@@ -307,6 +313,7 @@
             released_runs: Vec::new(),
             wait_events: Vec::new(),
             backlog: backlog::Backlog::default(),
+            pending_memory: HeldMemory::default(),
             pass_unix_ms: 0,
         };
         for inherited in takeover.roster {
@@ -328,6 +335,11 @@
         }
     }
 
+    /// Limits on what open jobs cost.
+    pub fn memory_budget(&self) -> MemoryBudget {
+        self.tuning.memory
+    }
+
     /// The current configuration.
     pub fn config(&self) -> &Rc<Config> {
         &self.config
@@ -407,11 +419,12 @@
     /// Adds an accepted job. A second record of the same job is ignored.
     pub fn add_job(&mut self, record: &JobRecord, inherited: bool, unix_ms: u64) {
         let id = JobId(record.id);
-        if self.jobs.contains_key(&id) {
+        if self.contains_job(id) {
             return;
         }
         let mut job = self.restore_job(record, inherited, unix_ms);
-        if let Some(due) = job.begin_due(unix_ms) {
+        let room_bytes = self.memory_room_bytes();
+        if let Some(due) = job.begin_due(unix_ms, room_bytes) {
             self.schedule_due(due);
         }
         if job.outcome == Outcome::Open {
@@ -445,7 +458,7 @@
     /// durable. Returns whether the job is known and was accepted.
     pub fn request_cancel(&mut self, id: JobId, unix_ms: u64) -> bool {
         self.end_job(id, Outcome::Cancelled, unix_ms);
-        self.jobs.get(&id).is_some_and(Job::was_accepted)
+        self.job_state(id).is_some()
     }
 
     /// Workers about which a successor must know: all but those that are draining and have nothing to
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -66,11 +66,14 @@
         }
         self.next_due_unix_ms = None;
         let open: Vec<JobId> = self.open.iter().copied().collect();
+        let mut room_bytes = self.memory_room_bytes();
         for id in open {
-            let due = self
-                .jobs
-                .get_mut(&id)
-                .and_then(|job| job.begin_due(unix_ms));
+            let due = self.jobs.get_mut(&id).and_then(|job| {
+                let held_bytes = job.held_bytes();
+                let due = job.begin_due(unix_ms, room_bytes);
+                room_bytes = room_bytes.saturating_sub(job.held_bytes() - held_bytes);
+                due
+            });
             if let Some(due) = due {
                 self.schedule_due(due);
             }
--- a/crates/cell/src/jobs.rs
+++ b/crates/cell/src/jobs.rs
@@ -92,7 +92,10 @@
 
     /// Estimated CPU time of the whole step, in core-milliseconds.
     pub fn estimated_core_ms(&self) -> u64 {
-        u64::from(self.count) * self.reserved_millicores() * self.estimate_ms / 1000
+        u64::from(self.count)
+            .saturating_mul(self.reserved_millicores())
+            .saturating_mul(self.estimate_ms)
+            / 1000
     }
 }
 
@@ -131,7 +134,12 @@
                 .iter()
                 .filter_map(|&n| ends_ms.get(n as usize))
                 .max();
-            ends_ms.push(before.copied().unwrap_or(0) + duration_ms(step));
+            ends_ms.push(
+                before
+                    .copied()
+                    .unwrap_or(0)
+                    .saturating_add(duration_ms(step)),
+            );
         }
         ends_ms.into_iter().max().unwrap_or(0)
     }
@@ -145,7 +153,7 @@
             for &before in step.after.iter().filter(|&&n| (n as usize) < position) {
                 let before_ms = self.steps[before as usize].estimate_ms;
                 let known_ms = &mut paths_ms[before as usize];
-                *known_ms = (*known_ms).max(before_ms + path_ms);
+                *known_ms = (*known_ms).max(before_ms.saturating_add(path_ms));
             }
         }
         paths_ms
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`late_orders`]: orders without a response, and how late and where they can take effect;
 //! - [`departure`]: workers that leave, and what a successor needs to know of them;
 //! - [`coordinator`]: the state machine that turns this state into orders;
+//! - [`footprint`]: what a job costs in memory and in the store, and the limits on it;
 //! - [`link_budget`]: whether the network link of the coordinator's host is congested;
 //! - [`objective`]: what the end of a job is worth, by how late it is;
 //! - [`outage`]: store health, and whether requests wait or are turned away during an outage;
@@ -43,6 +44,7 @@
 pub mod coordinator;
 pub mod credentials;
 pub mod departure;
+pub mod footprint;
 pub mod freshness;
 pub mod ids;
 pub mod jobs;
--- a/crates/cell/src/objective.rs
+++ b/crates/cell/src/objective.rs
@@ -9,9 +9,10 @@
 /// `ends_unix_ms`: 0 if it meets its objective, 1 if it is late but its result still has value,
 /// [`MAX_LATENESS`] otherwise.
 pub fn lateness(since_unix_ms: u64, allowed_ms: u64, ends_unix_ms: u64) -> u8 {
-    if ends_unix_ms <= since_unix_ms + allowed_ms {
+    let within_ms = |duration_ms| since_unix_ms.saturating_add(duration_ms);
+    if ends_unix_ms <= within_ms(allowed_ms) {
         0
-    } else if ends_unix_ms <= since_unix_ms + allowed_ms * MAX_LATENESS_FACTOR {
+    } else if ends_unix_ms <= within_ms(allowed_ms.saturating_mul(MAX_LATENESS_FACTOR)) {
         1
     } else {
         MAX_LATENESS
--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -9,7 +9,9 @@
 use indexmap::IndexMap;
 
 pub use reports::Reports;
-pub use shares::{PortLimits, Timeouts, clients, metrics, peers, readiness, worker_connections};
+pub use shares::{
+    PortLimits, Timeouts, clients, jobs, metrics, peers, readiness, worker_connections,
+};
 
 /// A request or frame that needs at most this much may take memory from larger ones, in bytes:
 /// ordinary jobs have some kilobytes.
@@ -27,6 +29,9 @@
 /// Longest time between two looks at the time limits that counts as waiting, in milliseconds. If the
 /// process was suspended for longer, unread data may have arrived meanwhile.
 const MAX_LOOK_INTERVAL_MS: u64 = 2_000;
+/// Part of the memory that larger requests leave to small ones while they are handled: one byte in
+/// this many.
+const SMALL_MEMORY_PART: usize = 16;
 
 /// Why a connection or request was refused or closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -307,6 +312,28 @@
     /// and from slow ones, since several large ones would otherwise take it from each other and none
     /// would be completed.
     pub fn reserve(&mut self, id: u64, bytes: usize, now_ms: u64) -> Verdict {
+        self.reserve_within(self.limits.memory_bytes, SMALL_BYTES, id, bytes, now_ms)
+    }
+
+    /// Asks for memory for a complete request that is about to be handled, in total. It keeps that until
+    /// the response, so large ones leave some memory to small ones. A small one may also take it from
+    /// unfinished ones that are not large, but larger than itself.
+    pub fn reserve_handling(&mut self, id: u64, bytes: usize, now_ms: u64) -> Verdict {
+        let mut limit_bytes = self.limits.memory_bytes;
+        if bytes > SMALL_BYTES {
+            limit_bytes -= limit_bytes / SMALL_MEMORY_PART;
+        }
+        self.reserve_within(limit_bytes, bytes, id, bytes, now_ms)
+    }
+
+    fn reserve_within(
+        &mut self,
+        limit_bytes: usize,
+        spared_bytes: usize,
+        id: u64,
+        bytes: usize,
+        now_ms: u64,
+    ) -> Verdict {
         let mut verdict = Verdict::default();
         let known = self.entries.get(&id);
         let Some(own) = known.filter(|own| own.phase != Phase::Closing) else {
@@ -315,8 +342,8 @@
         let held = own.bytes;
         if bytes > held {
             let needed = bytes - held;
-            while self.used_bytes() + needed > self.limits.memory_bytes {
-                let Some(victim) = self.most_expendable(id, bytes, now_ms) else {
+            while self.used_bytes() + needed > limit_bytes {
+                let Some(victim) = self.most_expendable(id, bytes, spared_bytes, now_ms) else {
                     return verdict;
                 };
                 verdict.shed.push(self.shed(victim, Reason::Memory, now_ms));
--- a/crates/entry/src/client_limits/shares.rs
+++ b/crates/entry/src/client_limits/shares.rs
@@ -1,7 +1,7 @@
 //! Limits of each port, from the operators' configuration and the process's settings.
 
 use adapter::settings::Settings;
-use cell::config::Config;
+use cell::{config::Config, footprint::MemoryBudget};
 
 /// Memory of a process whose settings name none, in bytes.
 const DEFAULT_MEMORY_BYTES: u64 = 512 << 20;
@@ -14,6 +14,13 @@
 const CLIENT_MEMORY_PART: u64 = 5;
 /// The same for calls from other hosts.
 const PEER_MEMORY_PART: u64 = 10;
+/// Part of the memory for the state of open jobs at the coordinator.
+const JOB_MEMORY_PART: u64 = 4;
+/// Maximum memory for that, in bytes: a successor with less memory has to hold what it inherits.
+const MAX_JOB_MEMORY_BYTES: u64 = 96 << 20;
+/// Part of the largest value in the store that the record of a job may take while all goes well, in
+/// percent: failed runs and checkpoints add to it.
+const RECORD_PERCENT: u64 = 75;
 /// Part of the descriptors for clients. Half of all remain for the connections that this host opens: to
 /// the store, to up to 300 hosts, and to over 700 workers in the largest deployments.
 const CLIENT_DESCRIPTORS_PART: u64 = 4;
@@ -109,6 +116,14 @@
     all.saturating_sub(FILE_DESCRIPTORS)
 }
 
+/// Limits on what open jobs cost their coordinator.
+pub fn jobs(settings: &Settings) -> MemoryBudget {
+    MemoryBudget {
+        job_bytes: (memory_bytes(settings) / JOB_MEMORY_PART).min(MAX_JOB_MEMORY_BYTES),
+        record_bytes: settings.max_value_bytes * RECORD_PERCENT / 100,
+    }
+}
+
 /// Limits of the port for clients.
 pub fn clients(settings: &Settings, config: Option<&Config>) -> PortLimits {
     let mut limits = PortLimits::new(
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -163,6 +163,8 @@
             in_doubt: RefCell::default(),
             payloads: Rc::clone(&context.payloads),
             operator_config: Rc::clone(&context.operator_config),
+            settings: Rc::clone(&context.settings),
+            direct_writes: Cell::new((Instant::now(), 0)),
             direct_write_until: Cell::new(Instant::now()),
         },
         metrics: Rc::clone(&context.metrics),
--- a/crates/entry/src/frontend.rs
+++ b/crates/entry/src/frontend.rs
@@ -100,6 +100,10 @@
                         bytes => bytes,
                     };
                     match ports::read_body(guard, request.into_body(), limit).await {
+                        // Refused before it is decoded: what a job takes depends on its steps.
+                        Ok(body) if !guard.reserve_handling(clients::decoded_bytes(&body)) => {
+                            refuse(503, OVERLOADED_RETRY_AFTER_MS)
+                        }
                         Ok(body) => {
                             self.submit(id, queue, digest.as_ref(), &body, client_timeout)
                                 .await
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -23,6 +23,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    time::Duration,
 };
 
 use adapter::{http::ConnectionPool, settings::Settings};
@@ -30,8 +31,9 @@
     answer_loss::AnswerLoss,
     coordinator::{Coordinator, Tuning},
     credentials::KeyClaim,
+    footprint,
     ids::JobId,
-    jobs::JobRecord,
+    jobs::{JobRecord, JobSpec},
     link_budget::LinkBudget,
     outage::{self, RequestDecision},
 };
@@ -43,9 +45,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
+pub(crate) use self::tenants::TOO_LARGE;
 use self::{arrivals::AppliedArrival, takeover::Takeover};
 use crate::{
-    clock,
+    client_limits, clock,
     election::{AUTHORITY_TIMEOUT_MS, LEADER_RENEWAL_INTERVAL, StallDetector, Term},
     events,
     key_checks::KeyChecks,
@@ -75,6 +78,9 @@
 /// Maximum concurrent reads of records of jobs that arrived through the store.
 const MAX_RECORD_READS: usize = 8;
 
+/// Time within which a host that was allowed to write a job itself has written it, or has given up.
+const DIRECT_WRITE_TIME: Duration = Duration::from_millis(1_200);
+
 /// The leader key is read if no commit has confirmed it for this long, in milliseconds.
 const CONFIRM_INTERVAL_MS: u64 = 900;
 
@@ -123,6 +129,40 @@
     accepted: oneshot::Sender<bool>,
 }
 
+/// Memory for a job that is about to be accepted, so that jobs that arrive together do not exceed what
+/// each could have. Released on drop.
+#[derive(Debug)]
+struct JobReservation {
+    leader: Rc<Leader>,
+    bytes: u64,
+}
+
+impl JobReservation {
+    fn new(leader: &Rc<Leader>, spec: Option<&JobSpec>) -> Self {
+        let bytes = spec.map_or(0, footprint::job_bytes);
+        leader.coordinator.borrow_mut().reserve_memory(bytes);
+        Self {
+            leader: Rc::clone(leader),
+            bytes,
+        }
+    }
+
+    /// Keeps the memory reserved for a job that its host writes itself.
+    fn keep_for(self, period: Duration) {
+        task::spawn_local(async move {
+            time::sleep(period).await;
+            drop(self);
+        });
+    }
+}
+
+impl Drop for JobReservation {
+    fn drop(&mut self) {
+        let mut coordinator = self.leader.coordinator.borrow_mut();
+        coordinator.release_memory(self.bytes);
+    }
+}
+
 /// A leader during its term.
 #[derive(Debug)]
 pub struct Leader {
@@ -263,6 +303,7 @@
             entry_lapse_ms: settings.worker_lapse_ms * 9 / 10,
             stop_timeout_ms: settings.stop_timeout_ms,
             restore_ms: settings.restore_ms,
+            memory: client_limits::jobs(settings),
             ..base
         }
     }
@@ -328,7 +369,7 @@
     }
 
     /// Handles a client request forwarded by a host.
-    pub async fn answer(&self, body: Body) -> Body {
+    pub async fn answer(self: &Rc<Self>, body: Body) -> Body {
         if !self.has_authority() {
             return Body::NotHandled(true);
         }
@@ -360,7 +401,7 @@
     }
 
     async fn submit(
-        &self,
+        self: &Rc<Self>,
         mut record: JobRecord,
         call: &SubmitCall,
         claim: Option<KeyClaim>,
@@ -391,7 +432,9 @@
             return Body::StoreAway(true);
         }
         let now_ms = clock::now_ms();
+        let reservation = JobReservation::new(self, record.spec.as_ref());
         if call.without_payload || self.is_link_saturated() {
+            reservation.keep_for(DIRECT_WRITE_TIME);
             return Body::WriteDirectly(self.term.fence);
         }
         let priority = {
@@ -417,7 +460,9 @@
             accepted: sender,
         });
         self.submitted.notify_one();
-        match durable.await {
+        let durable = durable.await;
+        drop(reservation);
+        match durable {
             Ok(true) => accepted,
             Ok(false) => match self.refuse_key(id, &queue, claim.as_ref()) {
                 Some(refusal) => Body::SubmitReply(refusal),
--- a/crates/entry/src/leader/tenants.rs
+++ b/crates/entry/src/leader/tenants.rs
@@ -15,6 +15,8 @@
 use super::Leader;
 use crate::{clock, events, metrics::Metrics, peers::SubmitReply};
 
+/// Why a job is refused for good that costs too much, for the client.
+pub(crate) const TOO_LARGE: &str = "the steps, tasks and occurrences of the job need more memory, or a larger record, than any coordinator has";
 /// Maximum number of tenants logged at a time whose work waits for their limits.
 const MAX_TENANTS_LOGGED: usize = 4;
 
@@ -27,6 +29,8 @@
             Verdict::Refuse { retry_after_ms } | Verdict::RefuseTenant { retry_after_ms, .. } => {
                 (retry_after_ms, String::new())
             }
+            Verdict::NoMemory { retry_after_ms } => (retry_after_ms, String::new()),
+            Verdict::TooLarge => (0, TOO_LARGE.to_owned()),
             Verdict::NeverFits => (0, String::new()),
             Verdict::ExceedsLimit(excess) => (0, excess.to_string()),
         };
@@ -76,6 +80,15 @@
                 (counter, cause.to_string(), retry_after_ms)
             }
             _ => {
+                match verdict {
+                    Verdict::NoMemory { .. } => {
+                        self.context.metrics.count("jobs_refused_no_memory");
+                    }
+                    Verdict::TooLarge => {
+                        self.context.metrics.count("jobs_refused_too_large");
+                    }
+                    _ => {}
+                }
                 let of_tenant = match tenant.as_str() {
                     "" => String::new(),
                     tenant => format!(" tenant={tenant}"),
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -14,6 +14,7 @@
 use adapter::store::{Committed, Item, StoreError, Txn};
 use cell::{
     credentials::Caller,
+    footprint::{self, MemoryBudget},
     ids::JobId,
     jobs::JobRecord,
     outage::{self, Health, RequestDecision},
@@ -24,8 +25,10 @@
 use tokio::time;
 
 use crate::{
+    client_limits,
     key_checks::{Denial, Grant, KeyChecks},
-    leader::LeaderSlot,
+    leader::{LeaderSlot, TOO_LARGE},
+    live::LiveSettings,
     members::Members,
     operator_config::OperatorConfig,
     payloads::PayloadCache,
@@ -42,6 +45,11 @@
 const STORE_WRITE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a host writes all its jobs directly after the leader's link was saturated.
 const DIRECT_WRITE_PERIOD: Duration = Duration::from_secs(2);
+/// Part of a coordinator's memory for jobs that each host may write directly in a period: one byte in
+/// this many.
+const DIRECT_WRITES_PART: u64 = 8;
+/// Period of that limit.
+const DIRECT_BUDGET_PERIOD: Duration = Duration::from_secs(3);
 /// Timeout for notifying the leader of a job that it let this host write.
 const WRITTEN_NOTICE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay before the leader is called again during a store outage.
@@ -167,6 +175,11 @@
     pub payloads: Rc<PayloadCache>,
     /// The operators' configuration in effect.
     pub operator_config: Rc<OperatorConfig>,
+    /// Current settings of the host.
+    pub settings: Rc<LiveSettings>,
+    /// Memory of the jobs that this host has written directly, in bytes, in the period that ends at this
+    /// time.
+    pub direct_writes: Cell<(Instant, u64)>,
     /// Until this time payloads are not sent to the leader, whose link is saturated.
     pub direct_write_until: Cell<Instant>,
 }
@@ -286,6 +299,12 @@
         let started = Instant::now();
         let waited_ms = || started.elapsed().as_millis() as u64;
         if let Some(spec) = &record.spec {
+            // The limit is the same on all hosts, unlike that on memory.
+            if footprint::record_bytes(spec) > self.memory_budget().record_bytes {
+                return SubmitOutcome::NeverFits {
+                    reason: TOO_LARGE.to_owned(),
+                };
+            }
             self.payloads.cache(JobId(record.id), &spec.payload);
         }
         loop {
@@ -393,6 +412,40 @@
         }
     }
 
+    /// Whether this host may write a job directly in the store, as far as its cost is concerned. No
+    /// leader bounds the sum of those that hosts write, so each host writes few large ones.
+    fn claim_direct_write(&self, record: &JobRecord) -> bool {
+        let Some(spec) = &record.spec else {
+            return true;
+        };
+        let budget = self.memory_budget();
+        if !budget.fits_alone(spec) {
+            return false;
+        }
+        let bytes = footprint::job_bytes(spec);
+        let now = Instant::now();
+        let (until, claimed_bytes) = self.direct_writes.get();
+        let claimed_bytes = if now < until { claimed_bytes } else { 0 };
+        let limit_bytes = budget.job_bytes / DIRECT_WRITES_PART;
+        // The first one of a period may be as large as any.
+        if claimed_bytes > 0 && claimed_bytes.saturating_add(bytes) > limit_bytes {
+            return false;
+        }
+        let until = if now < until {
+            until
+        } else {
+            now + DIRECT_BUDGET_PERIOD
+        };
+        self.direct_writes
+            .set((until, claimed_bytes.saturating_add(bytes)));
+        true
+    }
+
+    /// Limits on what open jobs cost a coordinator on a host like this one.
+    fn memory_budget(&self) -> MemoryBudget {
+        client_limits::jobs(&self.settings.current())
+    }
+
     /// Accepts a job directly in the store.
     async fn submit_to_store(
         &self,
@@ -401,6 +454,11 @@
         client_timeout: Duration,
         mut in_doubt: bool,
     ) -> SubmitOutcome {
+        if !in_doubt && !self.claim_direct_write(record) {
+            return SubmitOutcome::Refused {
+                retry_after_ms: DIRECT_BUDGET_PERIOD.as_millis() as u64,
+            };
+        }
         // No leader refuses the job, which could never run.
         if let Some(excess) = self.limit_excess(record) {
             let refused = self.refuse_excess(JobId(record.id), excess, in_doubt);
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -22,7 +22,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream, tcp},
-    sync::{Semaphore, mpsc, oneshot},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
     time,
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
@@ -44,6 +44,11 @@
 
 /// Memory of a call that is answered, in bytes: its task and its answer.
 const CALL_BYTES: usize = 4 << 10;
+/// Frames of more than this may decode to many times their size, in bytes.
+const LARGE_FRAME_BYTES: usize = 8 << 10;
+/// Memory of the call in a large frame relative to the frame: the shortest step of a job has 4 bytes
+/// there, and 160 once it is decoded.
+const DECODED_FACTOR: usize = 40;
 /// Calls that each connection may have answered at once, whatever the others have.
 const OWN_CALLS: usize = 8;
 /// Largest buffer that a connection keeps between frames, in bytes.
@@ -242,7 +247,11 @@
 async fn next_message<R: AsyncRead + Unpin>(
     framed: &mut FramedRead<R, LengthDelimitedCodec>,
 ) -> Option<(u64, Body)> {
-    let frame = framed.next().await?.ok()?;
+    decode(framed.next().await?.ok()?)
+}
+
+/// Identifier and body of a message; `None` if it is malformed.
+fn decode(frame: BytesMut) -> Option<(u64, Body)> {
     let envelope = Envelope::decode(frame).ok()?;
     Some((envelope.call, envelope.body?))
 }
@@ -254,7 +263,12 @@
     A: Future<Output = Body> + 'static,
 {
     // A coordinator has some calls open for each worker that this host relays to.
-    let calls = Arc::new(Semaphore::new(port.limits().memory_bytes / CALL_BYTES));
+    let max_calls = port.limits().memory_bytes / CALL_BYTES;
+    let memory = CallMemory {
+        calls: Arc::new(Semaphore::new(max_calls)),
+        large_calls: Arc::new(Semaphore::new(max_calls)),
+        max_calls,
+    };
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(Duration::from_millis(50)).await;
@@ -267,18 +281,36 @@
             continue;
         };
         if stream.set_nodelay(true).is_ok() {
-            let (guard, calls) = (Rc::new(guard), Arc::clone(&calls));
-            tokio::task::spawn_local(serve_connection(stream, guard, calls, answer.clone()));
+            let (guard, memory) = (Rc::new(guard), memory.clone());
+            tokio::task::spawn_local(serve_connection(stream, guard, memory, answer.clone()));
         }
     }
 }
 
-async fn serve_connection<F, A>(
-    stream: TcpStream,
-    guard: Rc<Guard>,
+/// Memory of the calls that are answered, in units of [`CALL_BYTES`].
+#[derive(Clone, Debug)]
+struct CallMemory {
+    /// Of ordinary calls.
     calls: Arc<Semaphore>,
-    answer: F,
-) where
+    /// Of calls in large frames, apart from the others, so that they wait for each other only.
+    large_calls: Arc<Semaphore>,
+    max_calls: usize,
+}
+
+impl CallMemory {
+    /// Waits for the memory of the call in a large frame; `None` for a small one.
+    async fn reserve_large(&self, frame_bytes: usize) -> Option<OwnedSemaphorePermit> {
+        if frame_bytes <= LARGE_FRAME_BYTES {
+            return None;
+        }
+        let units = (frame_bytes * DECODED_FACTOR / CALL_BYTES).min(self.max_calls);
+        let permits = Arc::clone(&self.large_calls).acquire_many_owned(units as u32);
+        permits.await.ok()
+    }
+}
+
+async fn serve_connection<F, A>(stream: TcpStream, guard: Rc<Guard>, memory: CallMemory, answer: F)
+where
     F: Fn(Body) -> A + Clone + 'static,
     A: Future<Output = Body> + 'static,
 {
@@ -290,7 +322,7 @@
     let metered = Metered::new(read, Rc::clone(&guard));
     let framed = FramedRead::with_capacity(metered, codec(), INITIAL_BUFFER_BYTES);
     tokio::select! {
-        () = read_calls(framed, &guard, calls, answer, &frames) => {}
+        () = read_calls(framed, &guard, memory, answer, &frames) => {}
         // Writing has failed.
         () = frames.closed() => {}
         () = guard.cut() => writer.abort(),
@@ -300,7 +332,7 @@
 async fn read_calls<F, A>(
     mut framed: FramedRead<Metered<tcp::OwnedReadHalf>, LengthDelimitedCodec>,
     guard: &Guard,
-    calls: Arc<Semaphore>,
+    memory: CallMemory,
     answer: F,
     frames: &mpsc::Sender<Bytes>,
 ) where
@@ -308,15 +340,19 @@
     A: Future<Output = Body> + 'static,
 {
     let own_calls = Arc::new(Semaphore::new(OWN_CALLS));
-    while let Some((call, body)) = next_message(&mut framed).await {
+    while let Some(Ok(frame)) = framed.next().await {
         guard.enter(Phase::Idle);
+        let large = memory.reserve_large(frame.len()).await;
+        let Some((call, body)) = decode(frame) else {
+            return;
+        };
         if framed.read_buffer().capacity() > MAX_KEPT_BUFFER_BYTES {
             let rest = BytesMut::from(&framed.read_buffer()[..]);
             *framed.read_buffer_mut() = rest;
         }
         let permit = match Arc::clone(&own_calls).try_acquire_owned() {
             Ok(permit) => permit,
-            Err(_) => match Arc::clone(&calls).acquire_owned().await {
+            Err(_) => match Arc::clone(&memory.calls).acquire_owned().await {
                 Ok(permit) => permit,
                 Err(_) => return,
             },
@@ -327,7 +363,7 @@
             let frame = Bytes::from(Envelope { call, body }.encode_to_vec());
             // If the caller has disconnected, it repeats the call elsewhere.
             drop(frames.send(frame).await);
-            drop(permit);
+            drop((permit, large));
         });
     }
 }
--- a/crates/entry/src/ports/http.rs
+++ b/crates/entry/src/ports/http.rs
@@ -23,8 +23,6 @@
 const REQUEST_LINE_BYTES: usize = 4 << 10;
 /// Maximum number of headers; they are limited in bytes as well.
 const MAX_HEADERS: usize = 256;
-/// Memory for a complete body relative to its size: decoding and encoding it make a copy each.
-const HANDLING_FACTOR: usize = 3;
 /// First size of a body's buffer, in bytes.
 const FIRST_BODY_BYTES: usize = 1 << 10;
 
@@ -126,7 +124,8 @@
 /// Reads a body of at most `max_bytes`.
 ///
 /// It is copied into one buffer, since the HTTP library keeps memory for each chunk. The buffer
-/// grows with what arrived, not with what the client announced.
+/// grows with what arrived, not with what the client announced. Memory for handling the body is to be
+/// reserved by the caller.
 ///
 /// # Errors
 ///
@@ -165,7 +164,6 @@
         }
         received.extend_from_slice(&data);
     }
-    reserve(guard, HANDLING_FACTOR * received.len())?;
     guard.enter(Phase::Handling);
     Ok(received)
 }
--- a/crates/entry/src/ports/mod.rs
+++ b/crates/entry/src/ports/mod.rs
@@ -231,6 +231,20 @@
         verdict.granted
     }
 
+    /// Asks for memory for the complete request that is about to be handled, in total. Nothing has been
+    /// done with it yet.
+    pub fn reserve_handling(&self, bytes: usize) -> bool {
+        let now_ms = clock::now_ms();
+        let mut connections = self.port.connections.borrow_mut();
+        let verdict = connections.reserve_handling(self.id, bytes, now_ms);
+        drop(connections);
+        self.port.apply(verdict.shed);
+        if !verdict.granted {
+            self.port.report(Reason::Memory);
+        }
+        verdict.granted
+    }
+
     /// Records bytes read from the connection. Returns whether it may be kept.
     fn received(&self, bytes: usize) -> bool {
         let phase = self.port.connections.borrow().phase(self.id);
--- a/crates/entry/tests/entry/client_limits.rs
+++ b/crates/entry/tests/entry/client_limits.rs
@@ -514,3 +514,26 @@
     assert_eq!(reports.due(1_000), [(Reason::Memory, 2)]);
     assert_eq!(reports.due(3_000), []);
 }
+
+/// Guards against complete requests that leave no memory to small ones.
+#[test]
+fn complete_large_requests_leave_memory_to_small_ones() {
+    let mut connections = port(&[
+        known(Phase::Handling, 80 * KIB, 0, false),
+        known(Phase::Handling, 0, 0, false),
+        known(Phase::Handling, 0, 0, false),
+    ]);
+    assert!(!connections.reserve_handling(2, SMALL_BYTES + 1, 0).granted);
+    assert!(connections.reserve_handling(3, SMALL_BYTES, 0).granted);
+    let mut connections = port(&[
+        known(Phase::Handling, 85 * KIB, 0, false),
+        known(Phase::Body, 10 * KIB, 0, false),
+        known(Phase::Handling, 0, 0, false),
+    ]);
+    let verdict = connections.reserve_handling(3, 4 * KIB, 1);
+    assert!(
+        verdict.granted,
+        "a complete request comes before an unfinished one"
+    );
+    assert_eq!(verdict.shed.first().map(|shed| shed.id), Some(2));
+}
