Large records of open jobs are written in turn

Cause: the record of a job with 5,000 steps, 150 KB, was copied twice and sent whole at each commit, up to 25 times a second and 12 at a time. Change: records of open jobs from 32 KiB on are written one at a time, 512 KB a second together; a commit holds no second copy, and transactions and open records are bounded in bytes. The end of a job is written as before.

--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::Coordinator;
+use super::{Coordinator, Job};
 use crate::{
     collections::IndexSet,
     ids::JobId,
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub struct RecordChange {
     /// The record to write.
-    pub record: JobRecord,
+    pub record: Rc<JobRecord>,
     outcome: Outcome,
 }
 
@@ -33,8 +33,16 @@
     /// Maximum number of records of open jobs: their writes only save work after a takeover, while
     /// the callers of ended jobs wait for theirs.
     pub open_records: usize,
+    /// Maximum memory of the records of open jobs, in bytes; a larger one is taken alone.
+    pub open_bytes: u64,
 }
 
+/// Records of open jobs from this size on are written in turn, in bytes: the record of a job with
+/// thousands of steps would otherwise be copied and sent whole at each end of a task.
+const LARGE_RECORD_BYTES: u64 = 32 << 10;
+/// Rate at which those are written together, in bytes per millisecond.
+const LARGE_RECORD_BYTES_PER_MS: u64 = 512;
+
 /// Highest processed end of a worker.
 #[derive(Debug)]
 struct ProcessedEnds {
@@ -80,7 +88,17 @@
                 .get(id)
                 .is_none_or(|job| job.outcome != Outcome::Open)
         });
+        self.keep_one_large(&mut open);
         open.truncate(limits.open_records);
+        let mut left_bytes = limits.open_bytes;
+        let within_memory = |id: &&JobId| {
+            let bytes = self.jobs.get(*id).map_or(0, Job::record_memory_bytes);
+            let fits = bytes <= left_bytes || left_bytes == limits.open_bytes;
+            left_bytes = left_bytes.saturating_sub(bytes);
+            fits
+        };
+        let count = open.iter().take_while(within_memory).count();
+        open.truncate(count);
         taken.append(&mut open);
         taken.truncate(limits.records);
         self.collect_pending_ends();
@@ -97,7 +115,7 @@
             };
             self.writing.insert(id);
             changes.push(RecordChange {
-                record: job.record(),
+                record: Rc::new(job.record()),
                 outcome: job.outcome,
             });
         }
@@ -105,6 +123,22 @@
         changes
     }
 
+    /// Drops the large records but the first, and that one as well while the last one counts.
+    fn keep_one_large(&mut self, open: &mut Vec<JobId>) {
+        let mut may_take = self.pass_ms >= self.large_record_after_ms;
+        open.retain(|id| {
+            let bytes = self.jobs.get(id).map_or(0, Job::record_bytes);
+            if bytes < LARGE_RECORD_BYTES {
+                return true;
+            }
+            let taken = std::mem::replace(&mut may_take, false);
+            if taken {
+                self.large_record_after_ms = self.pass_ms + bytes / LARGE_RECORD_BYTES_PER_MS;
+            }
+            taken
+        });
+    }
+
     /// Collects the ends processed since the last call, with the jobs that they may have changed.
     fn collect_pending_ends(&mut self) {
         let new_ends = self.workers.iter_mut().filter(|(_, w)| w.has_new_ends());
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -267,12 +267,16 @@
     released_runs: Vec<ReleasedRun>,
     /// Begins and ends of waits for a better placement that have not been taken for the log.
     wait_events: Vec<WaitEvent>,
+    /// Time before which no other large record of an open job is taken, in milliseconds of the local clock.
+    large_record_after_ms: u64,
     /// Sums for admission control.
     backlog: backlog::Backlog,
     /// Memory of jobs that are about to be accepted.
     pending_memory: HeldMemory,
     /// Time of the last scheduling pass, in Unix milliseconds.
     pass_unix_ms: u64,
+    /// The same, in milliseconds of the local clock.
+    pass_ms: u64,
 }
 
 impl Coordinator {
@@ -312,9 +316,11 @@
             crash_events: Vec::new(),
             released_runs: Vec::new(),
             wait_events: Vec::new(),
+            large_record_after_ms: 0,
             backlog: backlog::Backlog::default(),
             pending_memory: HeldMemory::default(),
             pass_unix_ms: 0,
+            pass_ms: 0,
         };
         for inherited in takeover.roster {
             coordinator.inherit_worker(inherited, takeover.orders_expiry_ms);
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -42,6 +42,7 @@
     /// Runs a scheduling pass and returns the orders to send.
     pub fn schedule(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Order> {
         self.pass_unix_ms = unix_ms;
+        self.pass_ms = now_ms;
         self.backlog.invalidate();
         self.record_pass(now_ms);
         self.begin_due_occurrences(unix_ms);
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -358,6 +358,7 @@
     let limits = ChangeLimits {
         records: 10,
         open_records: 10,
+        open_bytes: u64::MAX,
     };
     let changes = coordinator.take_changes(limits);
     let suspected = |job: u64| {
--- a/crates/cell/tests/cell/records.rs
+++ b/crates/cell/tests/cell/records.rs
@@ -104,6 +104,7 @@
     const LIMITS: ChangeLimits = ChangeLimits {
         records: 10,
         open_records: 1,
+        open_bytes: u64::MAX,
     };
     let mut model = Model::new(support::config(), 1);
     model.store_up = false;
--- a/crates/cell/tests/cell/support/model.rs
+++ b/crates/cell/tests/cell/support/model.rs
@@ -261,10 +261,11 @@
         let all = ChangeLimits {
             records: usize::MAX,
             open_records: usize::MAX,
+            open_bytes: u64::MAX,
         };
         for change in self.coordinator.take_changes(all) {
             let record = &change.record;
-            self.records.insert(JobId(record.id), record.clone());
+            self.records.insert(JobId(record.id), (**record).clone());
             self.coordinator.record_durable(&change);
         }
         self.write_roster();
--- a/crates/entry/src/leader/commits.rs
+++ b/crates/entry/src/leader/commits.rs
@@ -3,7 +3,7 @@
 //! Each transaction is conditional on our leader key and on the last known revision of each record,
 //! so that a transaction applied late, after its retry, changes nothing.
 
-use std::{ops::ControlFlow, rc::Rc, sync::Arc, time::Duration};
+use std::{iter, ops::ControlFlow, rc::Rc, sync::Arc, time::Duration};
 
 use adapter::store::{Committed, Item, MAX_TXN_ENTRIES, StoreError, Txn};
 use cell::{
@@ -40,6 +40,10 @@
 const MAX_PARALLEL_COMMITS: usize = 12;
 /// Concurrent transactions with task results of which only ended jobs are part.
 const RESERVED_COMMITS: usize = 4;
+/// Maximum size of the records that one transaction writes, in bytes; a larger record is written alone.
+const MAX_TXN_BYTES: usize = 256 << 10;
+/// Maximum memory of the records of open jobs that are being written, in bytes.
+const MAX_OPEN_BYTES: u64 = 4 << 20;
 /// Failed commits are logged at most once in this time, in milliseconds.
 const FAILURE_LOG_INTERVAL_MS: u64 = 500;
 /// Interval at which jobs that wait for a failing store are checked.
@@ -51,7 +55,7 @@
 #[derive(Debug)]
 struct Write {
     id: JobId,
-    record: JobRecord,
+    record: Rc<JobRecord>,
     expected: u64,
     /// Payload of a new job; empty otherwise.
     payload: String,
@@ -106,14 +110,21 @@
         let limits = ChangeLimits {
             records: free * MAX_WRITES_PER_TXN,
             open_records: free.saturating_sub(RESERVED_COMMITS) * MAX_WRITES_PER_TXN,
+            open_bytes: MAX_OPEN_BYTES,
         };
         let mut changes = leader
             .coordinator
             .borrow_mut()
             .take_changes(limits)
-            .into_iter();
+            .into_iter()
+            .peekable();
         loop {
-            let batch: Vec<RecordChange> = changes.by_ref().take(MAX_WRITES_PER_TXN).collect();
+            let mut left_bytes = MAX_TXN_BYTES;
+            let next = iter::from_fn(|| {
+                let fits = |change: &RecordChange| take_size(&mut left_bytes, &change.record);
+                changes.next_if(fits)
+            });
+            let batch: Vec<RecordChange> = next.take(MAX_WRITES_PER_TXN).collect();
             if batch.is_empty() {
                 break;
             }
@@ -141,6 +152,14 @@
     }
 }
 
+/// Takes the size of a record from what is left of a transaction; false if there is too little of it.
+fn take_size(left_bytes: &mut usize, record: &JobRecord) -> bool {
+    let bytes = record.encoded_len();
+    let fits = bytes <= *left_bytes || *left_bytes == MAX_TXN_BYTES;
+    *left_bytes = left_bytes.saturating_sub(bytes);
+    fits
+}
+
 /// Keeps the durable roster equal to the known workers until the term ends.
 pub(super) async fn maintain_roster(leader: Rc<Leader>) {
     /// Maximum time between two comparisons.
@@ -167,10 +186,14 @@
                 submission.client_deadline_ms,
             )
         });
-        let count = waiting.len().min(MAX_WRITES_PER_TXN);
+        let mut left_bytes = MAX_TXN_BYTES;
+        let next = waiting.iter().take(MAX_WRITES_PER_TXN);
+        let count = next
+            .take_while(|submission| take_size(&mut left_bytes, &submission.record))
+            .count();
         let write = |submission: Submission| Write {
             id: JobId(submission.record.id),
-            record: submission.record,
+            record: Rc::new(submission.record),
             expected: 0,
             payload: submission.payload,
             is_new_job: true,
@@ -202,7 +225,7 @@
             let id = JobId(change.record.id);
             Write {
                 id,
-                record: change.record.clone(),
+                record: Rc::clone(&change.record),
                 expected: self.revisions.borrow().get(&id).copied().unwrap_or(0),
                 payload: String::new(),
                 is_new_job: false,
@@ -404,7 +427,7 @@
                     // The job was accepted before: by a retry, or by this transaction without an
                     // answer.
                     if let Ok(record) = JobRecord::decode(item.value.as_slice()) {
-                        write.record = record;
+                        write.record = Rc::new(record);
                     }
                     self.handle_written(write, item.revision);
                 }
