Only the outcome of ended jobs is kept

Cause: a job kept its full state, some 700 bytes and 8 more for each step, for the 125 s in which it can be queried. Change: 3 s after its end, once that is durable and no predecessor's worker is awaited, only state, tenant and time are kept, about 128 bytes with its revision; they count for the memory of jobs.

--- a/crates/cell/src/coordinator/backlog.rs
+++ b/crates/cell/src/coordinator/backlog.rs
@@ -118,7 +118,7 @@
     pub fn held_memory(&self) -> HeldMemory {
         let mut held = self.sums().memory.plus(self.pending_memory);
         let ended = (self.jobs.len() - self.open.len()) as u64;
-        let ended_bytes = ended * JOB_STATE_BYTES;
+        let ended_bytes = ended * JOB_STATE_BYTES + self.ended_jobs.held_bytes();
         held.bytes = held.bytes.saturating_add(ended_bytes);
         held
     }
--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -190,16 +190,20 @@
     /// Ended jobs whose retention period has passed.
     pub fn expired_jobs(&self, unix_ms: u64) -> Vec<JobId> {
         let retention_ms = self.tuning.retention_ms;
-        self.jobs
+        let full = self
+            .jobs
             .values()
             .filter(|job| job.durable_outcome != Outcome::Open)
             .filter(|job| unix_ms > job.ended_unix_ms + retention_ms)
-            .map(|job| job.id)
+            .map(|job| job.id);
+        let ended = &self.ended_jobs;
+        full.chain(ended.ended_before(unix_ms.saturating_sub(retention_ms)))
             .collect()
     }
 
     /// Removes a job after its record was deleted.
     pub fn remove_job(&mut self, id: JobId) {
         self.jobs.swap_remove(&id);
+        self.ended_jobs.remove(id);
     }
 }
--- a/crates/cell/src/coordinator/job.rs
+++ b/crates/cell/src/coordinator/job.rs
@@ -564,7 +564,8 @@
     pub fn end(&mut self, outcome: Outcome, unix_ms: u64) {
         self.outcome = outcome;
         self.ended_unix_ms = unix_ms;
-        self.occurrences.clear();
+        self.occurrences = IndexMap::default();
+        self.path_ms = Vec::new();
         self.spec = None;
     }
 }
--- a/crates/cell/src/coordinator/late_orders.rs
+++ b/crates/cell/src/coordinator/late_orders.rs
@@ -73,7 +73,7 @@
             worker: Rc::clone(&worker.entry.id),
             run,
         };
-        if self.jobs.contains_key(&task.step.job) {
+        if self.contains_job(task.step.job) {
             self.bind_task(task, order);
         } else {
             let of_job = self.inherited_orders.entry(task.step.job).or_default();
--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -26,6 +26,7 @@
 mod crash_log;
 mod crashes;
 mod end_proof;
+mod ended;
 mod ends;
 mod expiry;
 mod inherited;
@@ -212,6 +213,8 @@
     config: Rc<Config>,
     workers: IndexMap<Rc<str>, Worker>,
     jobs: IndexMap<JobId, Job>,
+    /// Ended jobs of which only the outcome is kept.
+    ended_jobs: ended::EndedJobs,
     open: IndexSet<JobId>,
     /// Jobs changed since their record was last taken.
     dirty: IndexSet<JobId>,
@@ -287,6 +290,7 @@
             config,
             workers: IndexMap::default(),
             jobs: IndexMap::default(),
+            ended_jobs: ended::EndedJobs::default(),
             open: IndexSet::default(),
             dirty: IndexSet::default(),
             writing: IndexSet::default(),
@@ -522,12 +526,15 @@
     /// Returns the job state to report to clients, or `None` if the job is unknown or was never
     /// accepted.
     pub fn job_state(&self, id: JobId) -> Option<JobState> {
-        self.jobs.get(&id).and_then(Job::state)
+        match self.jobs.get(&id) {
+            Some(job) => job.state(),
+            None => self.ended_jobs.state(id),
+        }
     }
 
     /// Whether the job has a record and has not been forgotten.
     pub fn contains_job(&self, id: JobId) -> bool {
-        self.jobs.contains_key(&id)
+        self.jobs.contains_key(&id) || self.ended_jobs.contains(id)
     }
 
     /// Number of open jobs of a queue of which no task has started; jobs with scheduled occurrences
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod late_orders;
 mod link_budget;
 mod load;
+mod memory;
 mod movement;
 mod order;
 mod outage;
--- a/crates/entry/src/leader/retention.rs
+++ b/crates/entry/src/leader/retention.rs
@@ -27,7 +27,12 @@
 pub(super) async fn run(leader: Rc<Leader>) {
     loop {
         time::sleep(SWEEP_INTERVAL).await;
-        let expired = leader.coordinator.borrow().expired_jobs(clock::unix_ms());
+        let (now_ms, unix_ms) = (clock::now_ms(), clock::unix_ms());
+        let expired = {
+            let mut coordinator = leader.coordinator.borrow_mut();
+            coordinator.compact_ended_jobs(now_ms, unix_ms);
+            coordinator.expired_jobs(unix_ms)
+        };
         for ids in expired.chunks(MAX_REMOVALS_PER_TXN) {
             if !leader.remove_records(ids).await {
                 // The next sweep finds the remaining records again.
