A large record waits for its turn only after one was taken

Cause: the turn of large records counted from a record that the other limits of a commit could still leave out. Change: it counts from the record that is taken. Result: large_records_are_written_in_turn passes; not seen in a crowd.

--- a/crates/cell/src/coordinator/changes.rs
+++ b/crates/cell/src/coordinator/changes.rs
@@ -113,6 +113,10 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
+            if job.outcome == Outcome::Open && job.record_bytes() >= LARGE_RECORD_BYTES {
+                let interval_ms = job.record_bytes() / LARGE_RECORD_BYTES_PER_MS;
+                self.large_record_after_ms = self.pass_ms + interval_ms;
+            }
             self.writing.insert(id);
             changes.push(RecordChange {
                 record: Rc::new(job.record()),
@@ -123,19 +127,12 @@
         changes
     }
 
-    /// Drops the large records but the first, and that one as well while the last one counts.
-    fn keep_one_large(&mut self, open: &mut Vec<JobId>) {
+    /// Drops the large records but the first, and that one as well until it is its turn.
+    fn keep_one_large(&self, open: &mut Vec<JobId>) {
         let mut may_take = self.pass_ms >= self.large_record_after_ms;
         open.retain(|id| {
             let bytes = self.jobs.get(id).map_or(0, Job::record_bytes);
-            if bytes < LARGE_RECORD_BYTES {
-                return true;
-            }
-            let taken = std::mem::replace(&mut may_take, false);
-            if taken {
-                self.large_record_after_ms = self.pass_ms + bytes / LARGE_RECORD_BYTES_PER_MS;
-            }
-            taken
+            bytes < LARGE_RECORD_BYTES || std::mem::replace(&mut may_take, false)
         });
     }
 
