Unconfirmed stops are bounded for each worker apart

Cause: 512 stops to workers that do not answer, which are sent again every 0.4 s, would have held back those to all others. Change: 32 for each worker.

--- a/crates/cell/src/coordinator/reports.rs
+++ b/crates/cell/src/coordinator/reports.rs
@@ -532,24 +532,21 @@
         /// Time after which a confirmed stop is sent again if the run is still active, in
         /// milliseconds.
         const CONFIRMED_STOP_RETRY_MS: u64 = 2_500;
-        /// Maximum number of stops sent recently, that are not confirmed; the others are sent later.
-        const MAX_UNCONFIRMED_STOPS: usize = 512;
+        /// Maximum number of stops of a worker that were sent lately and are not confirmed; the others
+        /// are sent later.
+        const MAX_UNCONFIRMED_STOPS: usize = 32;
         let is_unconfirmed = |run: &&Run| {
             let sent_ms = run.stop_sent_ms.filter(|_| !run.stop_confirmed);
             sent_ms.is_some_and(|sent_ms| now_ms < sent_ms + STOP_RETRY_MS)
         };
-        let runs = self
-            .workers
-            .values()
-            .flat_map(|worker| worker.runs.values());
-        let mut unconfirmed = runs.filter(is_unconfirmed).count();
         for (id, worker) in &mut self.workers {
             if !worker.fenced {
                 continue;
             }
+            let mut unconfirmed = worker.runs.values().filter(is_unconfirmed).count();
             for (&task, run) in &mut worker.runs {
                 if unconfirmed >= MAX_UNCONFIRMED_STOPS {
-                    return;
+                    break;
                 }
                 let repeated_ms = if run.stop_confirmed {
                     CONFIRMED_STOP_RETRY_MS
