Starts in flight are bounded by the memory of the host

Cause: when many workers fall silent at once, orders to them are in flight for up to 1.8 s, and 512 of them would hold back those to others; at 2,900 starts a second that takes 0.2 s. Change: one for each 64 KiB of memory, 512 to 4,096.

--- a/crates/cell/src/coordinator/mod.rs
+++ b/crates/cell/src/coordinator/mod.rs
@@ -109,6 +109,9 @@
     pub quota_window_ms: u64,
     /// Limits on what open jobs cost.
     pub memory: MemoryBudget,
+    /// Maximum number of orders to start that wait for their responses, but for a gang that has more
+    /// members. Each takes memory here and at the host that relays it.
+    pub max_starts_in_flight: usize,
 }
 
 impl Default for Tuning {
@@ -126,6 +129,7 @@
             cross_rack_percent: 100,
             quota_window_ms: 5_000,
             memory: MemoryBudget::UNLIMITED,
+            max_starts_in_flight: 4_096,
         }
     }
 }
--- a/crates/cell/src/coordinator/schedule.rs
+++ b/crates/cell/src/coordinator/schedule.rs
@@ -34,9 +34,6 @@
 /// Number of further ones, others in each pass: the first ones may wait for workers that others do not
 /// need.
 const FURTHER_READY_STEPS: usize = 32;
-/// Maximum number of orders to start that wait for their responses, but for a gang that has more
-/// members. Each takes memory here and a connection at the host that relays it.
-const MAX_STARTS_IN_FLIGHT: usize = 512;
 
 impl Coordinator {
     /// Runs a scheduling pass and returns the orders to send.
@@ -189,7 +186,10 @@
             quota: self.quota_ledger(now_ms),
             free_trial_workers: Vec::new(),
             repeated_trial_worker: None,
-            start_budget: MAX_STARTS_IN_FLIGHT.saturating_sub(self.starts_in_flight()),
+            start_budget: self
+                .tuning
+                .max_starts_in_flight
+                .saturating_sub(self.starts_in_flight()),
             waits: WaitBudget::default(),
         };
         let may_preempt = self.may_preempt();
@@ -331,20 +331,9 @@
             Vec::new()
         };
         let waits = self.hold_back(id, &mut chosen, pass);
-        let is_gang = self
-            .jobs
-            .get(&id.job)
-            .and_then(|job| job.step_spec(id.step))
-            .is_some_and(|spec| spec.gang);
-        if chosen.len() > pass.start_budget {
-            // The members of a gang have to start together.
-            if !is_gang {
-                chosen.truncate(pass.start_budget);
-            } else if pass.start_budget < MAX_STARTS_IN_FLIGHT {
-                return true;
-            }
+        if self.exceeds_starts_in_flight(id, &mut chosen, pass) {
+            return true;
         }
-        pass.start_budget = pass.start_budget.saturating_sub(chosen.len());
         let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
             return false;
         };
@@ -358,6 +347,29 @@
         true
     }
 
+    /// Reduces the starts of a step to those that may be in flight. Returns whether all of them have to
+    /// wait, because they are a gang's, whose members start together.
+    fn exceeds_starts_in_flight(
+        &self,
+        id: StepId,
+        chosen: &mut Vec<(u32, usize)>,
+        pass: &mut Pass,
+    ) -> bool {
+        if chosen.len() > pass.start_budget {
+            let job = self.jobs.get(&id.job);
+            let is_gang = job
+                .and_then(|job| job.step_spec(id.step))
+                .is_some_and(|spec| spec.gang);
+            if !is_gang {
+                chosen.truncate(pass.start_budget);
+            } else if pass.start_budget < self.tuning.max_starts_in_flight {
+                return true;
+            }
+        }
+        pass.start_budget = pass.start_budget.saturating_sub(chosen.len());
+        false
+    }
+
     /// Whether the workers together have room for a step, before any of them is looked at. In a full
     /// cell most waiting steps need no more than this.
     fn may_fit(&self, id: StepId, pass: &Pass) -> bool {
--- a/crates/cell/tests/cell/memory.rs
+++ b/crates/cell/tests/cell/memory.rs
@@ -290,7 +290,12 @@
 /// Guards against more orders at once than hosts have connections for.
 #[test]
 fn orders_in_flight_are_bounded_and_the_others_follow() {
+    let few = Tuning {
+        max_starts_in_flight: 512,
+        ..Tuning::default()
+    };
     let mut model = Model::new(support::config(), 8);
+    model.coordinator.tune(few);
     let steps = vec![support::step(3_000, 1, 1_000)];
     model.submit(support::job(1, "batch", steps));
     model.run_ms(100);
@@ -306,12 +311,50 @@
     assert!(starts(&first) <= 512, "{}", starts(&first));
     assert_eq!(starts(&second), 0, "none of the first ones is answered");
     let mut model = Model::new(support::config(), 8);
+    model.coordinator.tune(few);
     let steps = vec![support::step(3_000, 1, 1_000)];
     model.submit(support::job(1, "batch", steps));
     model.run_ms(10_000);
     assert_eq!(model.state(1), Some(JobState::Completed));
 }
 
+/// Guards against stops to a worker that does not answer which hold back those to others.
+#[test]
+fn stops_are_bounded_for_each_worker_apart() {
+    let mut model = Model::new(support::config(), 2);
+    model.run_ms(100);
+    let steps = vec![support::step(200, 160, 60_000)];
+    model.submit(support::job(1, "batch", steps));
+    model.run_ms(1_000);
+    let (now_ms, unix_ms) = (model.now_ms, model.unix_ms());
+    model.coordinator.request_cancel(support::id(1), unix_ms);
+    let stops = |orders: &[Order]| {
+        let of = |worker: &str| {
+            let stops = orders.iter();
+            let stops = stops
+                .filter(|order| matches!(order, Order::Stop { worker: of, .. } if **of == *worker));
+            stops.count()
+        };
+        (of("w0"), of("w1"))
+    };
+    let first = model.coordinator.schedule(now_ms + 10, unix_ms + 10);
+    let (silent, other) = stops(&first);
+    assert_eq!((silent, other), (32, 32));
+    for order in first {
+        if let Order::Stop {
+            worker, task, run, ..
+        } = order
+            && *worker == *"w1"
+        {
+            model
+                .coordinator
+                .stop_confirmed(&worker, task, run, now_ms + 20);
+        }
+    }
+    let second = model.coordinator.schedule(now_ms + 30, unix_ms + 30);
+    assert_eq!(stops(&second), (0, 32));
+}
+
 fn taken(coordinator: &mut Coordinator, open_bytes: u64) -> usize {
     let limits = ChangeLimits {
         records: 10,
--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -10,7 +10,8 @@
 
 pub use reports::Reports;
 pub use shares::{
-    PortLimits, Timeouts, clients, jobs, metrics, peers, readiness, worker_connections,
+    PortLimits, Timeouts, clients, jobs, metrics, peers, readiness, starts_in_flight,
+    worker_connections,
 };
 
 /// A request or frame that needs at most this much may take memory from larger ones, in bytes:
--- a/crates/entry/src/client_limits/shares.rs
+++ b/crates/entry/src/client_limits/shares.rs
@@ -21,6 +21,11 @@
 /// Part of the largest value in the store that the record of a job may take while all goes well, in
 /// percent: failed runs and checkpoints add to it.
 const RECORD_PERCENT: u64 = 75;
+/// A coordinator may have an order to start in flight for each this many bytes of memory: a sixteenth of
+/// that is what it takes.
+const MEMORY_PER_START_BYTES: u64 = 64 << 10;
+/// Bounds of the number of those orders.
+const STARTS_RANGE: (usize, usize) = (512, 4_096);
 /// Part of the descriptors for clients. Half of all remain for the connections that this host opens: to
 /// the store, to up to 300 hosts, and to over 700 workers in the largest deployments.
 const CLIENT_DESCRIPTORS_PART: u64 = 4;
@@ -161,6 +166,13 @@
     limits
 }
 
+/// Maximum number of orders to start that a coordinator has in flight. When many workers fall silent at
+/// once, orders to them must not hold back those to others.
+pub fn starts_in_flight(settings: &Settings) -> usize {
+    let (min, max) = STARTS_RANGE;
+    ((memory_bytes(settings) / MEMORY_PER_START_BYTES) as usize).clamp(min, max)
+}
+
 /// Maximum number of connections for orders to workers.
 pub fn worker_connections(settings: &Settings) -> usize {
     (descriptors(settings) / WORKER_DESCRIPTORS_PART) as usize
--- a/crates/entry/src/leader/mod.rs
+++ b/crates/entry/src/leader/mod.rs
@@ -304,6 +304,7 @@
             stop_timeout_ms: settings.stop_timeout_ms,
             restore_ms: settings.restore_ms,
             memory: client_limits::jobs(settings),
+            max_starts_in_flight: client_limits::starts_in_flight(settings),
             ..base
         }
     }
