Hosts write no large job without a coordinator

Cause: each host wrote one job of any size in each 3 s, and every one in doubt, directly to the store, and the successor had to hold them all; while they exceeded its memory it refused small jobs as well. Change: without a coordinator a large job is refused, or left in doubt for a retry to settle if it may have been accepted; small jobs have a quarter of the memory also beside inherited large ones that exceed it.

--- a/crates/cell/src/footprint.rs
+++ b/crates/cell/src/footprint.rs
@@ -28,6 +28,9 @@
 pub const LARGE_JOB_BYTES: u64 = 256 << 10;
 /// Part of the budget that several large jobs may use: one byte in this many.
 const LARGE_JOBS_PART: u64 = 2;
+/// Part of the budget that small jobs have even if large ones exceed it, because a predecessor had more
+/// memory: one byte in this many.
+const SMALL_JOBS_PART: u64 = 4;
 
 /// Memory that a job takes while none of its occurrences has begun, in bytes.
 pub fn base_bytes(spec: &JobSpec) -> u64 {
@@ -48,6 +51,11 @@
     base_bytes(spec).saturating_add(occurrence_bytes(spec))
 }
 
+/// Whether a job counts as large.
+pub fn is_large(spec: &JobSpec) -> bool {
+    job_bytes(spec) >= LARGE_JOB_BYTES
+}
+
 /// Size that the record of a job may reach while all goes well, in bytes.
 pub fn record_bytes(spec: &JobSpec) -> u64 {
     let steps = spec.steps.iter();
@@ -116,12 +124,14 @@
 
     /// Whether there is room for a job that takes `bytes` beside what others hold.
     pub fn has_room(&self, held: HeldMemory, bytes: u64) -> bool {
-        if held.bytes.saturating_add(bytes) > self.job_bytes {
-            return false;
+        let is_within_budget = held.bytes.saturating_add(bytes) <= self.job_bytes;
+        if bytes < LARGE_JOB_BYTES {
+            let small_bytes = held.bytes.saturating_sub(held.large_bytes);
+            let small_share_bytes = self.job_bytes / SMALL_JOBS_PART;
+            return is_within_budget || small_bytes.saturating_add(bytes) <= small_share_bytes;
         }
+        let large_bytes = held.large_bytes.saturating_add(bytes);
         let is_only_large_one = held.large_bytes == 0;
-        bytes < LARGE_JOB_BYTES
-            || is_only_large_one
-            || held.large_bytes.saturating_add(bytes) <= self.job_bytes / LARGE_JOBS_PART
+        is_within_budget && (is_only_large_one || large_bytes <= self.job_bytes / LARGE_JOBS_PART)
     }
 }
--- a/crates/cell/tests/cell/memory.rs
+++ b/crates/cell/tests/cell/memory.rs
@@ -88,6 +88,24 @@
             bytes: 1,
             has_room: false,
         },
+        Case {
+            name: "a small one beside large ones that were inherited",
+            held: held(30 * MIB, 28 * MIB),
+            bytes: 1 << 10,
+            has_room: true,
+        },
+        Case {
+            name: "a small one beyond the share of small ones",
+            held: held(30 * MIB, 27 * MIB),
+            bytes: 1 << 10,
+            has_room: false,
+        },
+        Case {
+            name: "a large one beside large ones that were inherited",
+            held: held(30 * MIB, 30 * MIB),
+            bytes: MIB,
+            has_room: false,
+        },
     ];
     let budget = MemoryBudget {
         job_bytes: 10 * MIB,
@@ -152,7 +170,7 @@
         },
         Case {
             name: "an ordinary one without room",
-            open: &[5_000, 200, 200, 200, 200, 200, 200, 200, 200, 200],
+            open: &[5_000, 200, 200, 200, 200, 200, 200, 200, 200, 200, 200, 200],
             pending: 1_800,
             steps: 100,
             expected: refused,
--- a/crates/entry/src/leader_client.rs
+++ b/crates/entry/src/leader_client.rs
@@ -412,23 +412,18 @@
         }
     }
 
-    /// Whether this host may write a job directly in the store, as far as its cost is concerned. No
-    /// leader bounds the sum of those that hosts write, so each host writes few large ones.
+    /// Whether this host may write a job directly in the store, as far as its cost is concerned. The next
+    /// leader has to hold all that hosts write, so they write no large ones.
     fn claim_direct_write(&self, record: &JobRecord) -> bool {
         let Some(spec) = &record.spec else {
             return true;
         };
-        let budget = self.memory_budget();
-        if !budget.fits_alone(spec) {
-            return false;
-        }
         let bytes = footprint::job_bytes(spec);
         let now = Instant::now();
         let (until, claimed_bytes) = self.direct_writes.get();
         let claimed_bytes = if now < until { claimed_bytes } else { 0 };
-        let limit_bytes = budget.job_bytes / DIRECT_WRITES_PART;
-        // The first one of a period may be as large as any.
-        if claimed_bytes > 0 && claimed_bytes.saturating_add(bytes) > limit_bytes {
+        let limit_bytes = self.memory_budget().job_bytes / DIRECT_WRITES_PART;
+        if claimed_bytes.saturating_add(bytes) > limit_bytes {
             return false;
         }
         let until = if now < until {
@@ -454,7 +449,12 @@
         client_timeout: Duration,
         mut in_doubt: bool,
     ) -> SubmitOutcome {
-        if !in_doubt && !self.claim_direct_write(record) {
+        let is_large = record.spec.as_ref().is_some_and(footprint::is_large);
+        if is_large && in_doubt {
+            // A retry tells whether the leader has accepted it.
+            return SubmitOutcome::InDoubt;
+        }
+        if is_large || (!in_doubt && !self.claim_direct_write(record)) {
             return SubmitOutcome::Refused {
                 retry_after_ms: DIRECT_BUDGET_PERIOD.as_millis() as u64,
             };
