A new connection keeps its place until its first bytes can arrive

Change: it gives way after 0.5 s, like a request that has not arrived whole; the next ones wait. Result: the case in an_unfinished_request_gives_way_by_its_age fails without the change, as the connection is open to replacement.

--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -143,6 +143,24 @@
         matches!(self.phase, Phase::Head | Phase::Body)
     }
 
+    /// Whether nothing has arrived on it yet.
+    fn is_new(&self) -> bool {
+        self.phase == Phase::Idle && !self.served
+    }
+
+    /// Whether a new connection may replace it. A new one has as much time as a request has to arrive:
+    /// its first bytes may wait to be read.
+    fn gives_way(&self, now_ms: u64) -> bool {
+        let is_old = now_ms.saturating_sub(self.request_ms) >= SLOW_MS;
+        match self.phase {
+            Phase::Idle => self.served || is_old || self.is_unread(now_ms),
+            Phase::Head | Phase::Body => {
+                is_old || self.is_stalled(now_ms) || self.is_unread(now_ms)
+            }
+            Phase::Handling | Phase::Closing => self.is_unread(now_ms),
+        }
+    }
+
     /// Whether its request has been unfinished for this long.
     fn is_unfinished_for(&self, age_ms: u64, now_ms: u64) -> bool {
         self.is_unfinished() && now_ms.saturating_sub(self.request_ms) >= age_ms
@@ -223,7 +241,8 @@
         if self.open_count() < self.limits.max_connections || self.least_needed(now_ms).is_some() {
             return Admission::Open;
         }
-        if self.entries.values().any(Connection::is_unfinished) {
+        let gives_way_soon = |known: &Connection| known.is_unfinished() || known.is_new();
+        if self.entries.values().any(gives_way_soon) {
             Admission::Full
         } else {
             Admission::Busy
@@ -410,12 +429,8 @@
     /// the one whose request began, or whose wait for one began, first. A client that keeps sending a
     /// little is replaced like one that sends nothing.
     fn least_needed(&self, now_ms: u64) -> Option<u64> {
-        let gives_way = self.entries.iter().filter(|(_, known)| {
-            known.phase == Phase::Idle
-                || known.is_stalled(now_ms)
-                || known.is_unread(now_ms)
-                || known.is_unfinished_for(SLOW_MS, now_ms)
-        });
+        let gives_way = self.entries.iter();
+        let gives_way = gives_way.filter(|(_, known)| known.gives_way(now_ms));
         gives_way
             .min_by_key(|(_, known)| (known.served, known.request_ms))
             .map(|(&id, _)| id)
--- a/crates/entry/tests/entry/client_limits.rs
+++ b/crates/entry/tests/entry/client_limits.rs
@@ -203,6 +203,18 @@
             admission: Admission::Full,
             shed: None,
         },
+        Case {
+            name: "new connections have time to send their first bytes",
+            known: [
+                moving(Phase::Idle, 0, false),
+                moving(Phase::Body, 0, false),
+                handled,
+                handled,
+            ],
+            now_ms: SLOW_MS - 1,
+            admission: Admission::Full,
+            shed: None,
+        },
         Case {
             name: "none gives way soon",
             known: [handled; 4],
