Occurrences leave half of the memory of jobs to new ones

Cause: occurrences that are due took whatever was left of the memory of jobs, again and again, so that a new job found room by chance only. Change: they take what is left of half of it.

--- a/crates/cell/src/coordinator/backlog.rs
+++ b/crates/cell/src/coordinator/backlog.rs
@@ -123,9 +123,9 @@
         held
     }
 
-    /// Memory that further occurrences of open jobs may take, in bytes.
+    /// Memory that further occurrences of open jobs may take, in bytes. They leave half to new jobs.
     pub(super) fn memory_room_bytes(&self) -> u64 {
-        let budget_bytes = self.tuning.memory.job_bytes;
+        let budget_bytes = self.tuning.memory.job_bytes / 2;
         budget_bytes.saturating_sub(self.held_memory().bytes)
     }
 
