Connections: one rule for unfinished requests that give way

Cause: a request without progress for 0.5 s has been unfinished for at least as long, so that the check for it changed nothing, and the check for unread responses stood three times. Change: both stand once; the decisions are the same.

--- a/crates/entry/src/client_limits/mod.rs
+++ b/crates/entry/src/client_limits/mod.rs
@@ -151,14 +151,14 @@
     /// Whether a new connection may replace it. A new one has as much time as a request has to arrive:
     /// its first bytes may wait to be read.
     fn gives_way(&self, now_ms: u64) -> bool {
-        let is_old = now_ms.saturating_sub(self.request_ms) >= SLOW_MS;
-        match self.phase {
-            Phase::Idle => self.served || is_old || self.is_unread(now_ms),
-            Phase::Head | Phase::Body => {
-                is_old || self.is_stalled(now_ms) || self.is_unread(now_ms)
-            }
-            Phase::Handling | Phase::Closing => self.is_unread(now_ms),
-        }
+        // A request without progress for `STALLED_MS` is at least as old.
+        let is_old = || now_ms.saturating_sub(self.request_ms) >= SLOW_MS;
+        let is_slow = match self.phase {
+            Phase::Idle => self.served || is_old(),
+            Phase::Head | Phase::Body => is_old(),
+            Phase::Handling | Phase::Closing => false,
+        };
+        is_slow || self.is_unread(now_ms)
     }
 
     /// Whether its request has been unfinished for this long.
