--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -15,6 +15,8 @@
 const PAGE_ITEMS: usize = 500;
 /// Entries of one transaction.
 const MAX_ENTRIES: usize = 32;
+/// Length of the longest value, in base64: 1 MiB.
+const MAX_VALUE: usize = (1_048_576 / 3 + 1) * 4;
 /// Shortest time of a lease, in milliseconds.
 const MIN_TTL_MS: u64 = 1_000;
 
@@ -219,7 +221,10 @@
         data.expire();
         let (expected, puts) = (txn.get("expected_rev").list(), txn.get("put").list());
         let deletes = txn.get("delete").list();
-        if expected.len() + puts.len() + deletes.len() > MAX_ENTRIES {
+        let is_too_large = |put: &Json| put.get("value").text().len() > MAX_VALUE;
+        if expected.len() + puts.len() + deletes.len() > MAX_ENTRIES
+            || puts.iter().any(is_too_large)
+        {
             return (400, "{}".to_owned());
         }
         let revision_of = |data: &Data, key: &str| data.items.get(key).map_or(0, |i| i.revision);
--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -1,5 +1,6 @@
 //! A worker of the platform: runs under a lease, ends until they are acknowledged, a fencing token.
-//! What a task does stands in its spec: `run=MS`, and `fail=1` for a task that fails at its end.
+//! What a task does stands in its spec: `run=MS`; `fail=1` for a task that fails at its end, and
+//! `save=LENGTH` for one that saves checkpoints of this length.
 
 use std::{
     collections::BTreeMap,
@@ -41,6 +42,8 @@
     until: Instant,
     since: Instant,
     fails: bool,
+    /// Length of its checkpoints; 0 if it saves none.
+    saves: usize,
 }
 
 struct End {
@@ -276,6 +279,7 @@
                     until: now + Duration::from_millis(number_in(spec, "run", 500)),
                     since: now,
                     fails: number_in(spec, "fail", 0) > 0,
+                    saves: number_in(spec, "save", 0) as usize,
                 };
                 life.runs.insert(task.to_owned(), new);
                 let task = task.to_owned();
@@ -321,12 +325,22 @@
     shown == ticket(step, worker)
 }
 
+/// The latest checkpoint; a new one comes with each second of work.
+fn checkpoint(run: &Run) -> String {
+    let seconds = run.since.elapsed().as_secs() as usize;
+    match (run.saves, seconds) {
+        (0, _) | (_, 0) => String::new(),
+        (saves, seconds) => format!("{seconds:0saves$x}"),
+    }
+}
+
 fn report(life: &Life) -> String {
     let running: Vec<String> = (life.runs.iter())
         .map(|(task, run)| {
             let whole = run.until.duration_since(run.since).as_millis().max(1);
             let percent = (run.since.elapsed().as_millis() * 100 / whole).min(100);
-            format!(r#"[{},{},"",{percent},500]"#, quote(task), run.number)
+            let saved = checkpoint(run);
+            format!(r#"[{},{},"{saved}",{percent},1]"#, quote(task), run.number)
         })
         .collect();
     let finished: Vec<String> = (life.ends.iter().take(MAX_LISTED_ENDS))
