--- a/review/rig-3/cell.rs
+++ b/review/rig-3/cell.rs
@@ -30,7 +30,10 @@
 pub const DEADLINE_MS: u64 = 3_000;
 /// Times that a client sends a request again.
 const RETRIES: usize = 4;
-const ZONES: [&str; 3] = ["muc-ost", "ros-nord", "lan-sued"];
+pub const ZONE: &str = "muc-ost";
+/// The zone whose host has less processor than the others.
+pub const SMALL_ZONE: &str = "lan-sued";
+const ZONES: [&str; 3] = [ZONE, "ros-nord", SMALL_ZONE];
 
 pub struct Host {
     front: SocketAddr,
@@ -105,7 +108,12 @@
 
 impl Cell {
     /// Starts a deployment with this configuration, and waits until it is ready for traffic.
-    pub fn start(hosts: usize, workers: usize, has_advice: bool, config: &str) -> Cell {
+    pub fn start(
+        hosts: usize,
+        (workers, zone): (usize, &'static str),
+        has_advice: bool,
+        config: &str,
+    ) -> Cell {
         let record = Arc::new(Record::new());
         let store = Arc::new(Store::new());
         let ended = Arc::new(AtomicBool::new(false));
@@ -120,7 +128,7 @@
             Server::start(advice_address, Arc::new(|call| advise(&call))),
         ];
         let workers: Vec<Arc<Worker>> = (0..workers)
-            .map(|number| Worker::start(number, free_address(), has_advice, &record))
+            .map(|number| Worker::start(number, zone, free_address(), has_advice, &record))
             .collect();
         let mut cell = Cell {
             record,
@@ -162,11 +170,13 @@
         let (front, ready, control) = (free_address(), free_address(), free_address());
         let first = free_ports(16);
         let zone = ZONES[number % ZONES.len()];
+        // A host with less processor does not lead if it can be avoided.
+        let cpu_share = if zone == SMALL_ZONE { "0.12" } else { "0.25" };
         let text = format!(
             "node=edge-{zone}-{number}\nrole=entry\nclass=edge\nserves=edge\nip=127.0.0.1\nzone={zone}\n\
              region=obb\nzones.muc-ost=obb\nzones.lan-sued=obb\nzones.ros-nord=obb\nlisten.front={front}\n\
              listen.ready={ready}\nlisten.control={control}\nport_range={first},{}\nseeds=\nbootstrap=true\n\
-             in_tolerance=false\nlimits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\n\
+             in_tolerance=false\nlimits.cpu_share={cpu_share}\nlimits.cores=1\nlimits.memory_mb=260\n\
              limits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n\
              heartbeat_ms=1500\ncontracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing\n\
              bounds.stable_window_ms=4000\nbounds.ack_timeout_ms=5000\nbounds.drain_ms=3000\nbounds.grace_s=6\n\
--- a/review/rig-3/crash.rs
+++ b/review/rig-3/crash.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Outcome,
-    cell::{Cell, DOMAIN},
+    cell::{Cell, DOMAIN, ZONE},
     record::{Event, Record},
 };
 
@@ -42,7 +42,7 @@
 
 /// LOST: a job is shown as `failed` although none of its runs has ended `failed`.
 pub fn run(trouble: bool) -> (Arc<Record>, Outcome) {
-    let mut cell = Cell::start(3, WORKERS, false, &config());
+    let mut cell = Cell::start(3, (WORKERS, ZONE), false, &config());
     let record = Arc::clone(&cell.record);
     let ended = Arc::new(AtomicBool::new(false));
     let began = Instant::now();
--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 over loopback: a server with a thread for each connection, and a client.
 
 use std::{
+    collections::BTreeMap,
     io::{BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -54,7 +55,7 @@
 /// process does.
 pub struct Server {
     stopped: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
     accepting: Option<thread::JoinHandle<()>>,
 }
 
@@ -63,9 +64,10 @@
         let listener = TcpListener::bind(address).expect("the address is free");
         listener.set_nonblocking(true).expect("a listener can poll");
         let stopped = Arc::new(AtomicBool::new(false));
-        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let open: Arc<Mutex<BTreeMap<u64, TcpStream>>> = Arc::default();
         let (stop, connections) = (Arc::clone(&stopped), Arc::clone(&open));
         let accepting = thread::spawn(move || {
+            let mut number = 0;
             while !stop.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
                     thread::sleep(Duration::from_millis(1));
@@ -75,9 +77,13 @@
                     continue;
                 };
                 let _nodelay = stream.set_nodelay(true);
-                connections.lock().unwrap().push(kept);
-                let handler = Arc::clone(&handler);
-                thread::spawn(move || serve(stream, &handler));
+                number += 1;
+                connections.lock().unwrap().insert(number, kept);
+                let (handler, connections) = (Arc::clone(&handler), Arc::clone(&connections));
+                thread::spawn(move || {
+                    serve(stream, &handler);
+                    connections.lock().unwrap().remove(&number);
+                });
             }
         });
         Server {
@@ -92,7 +98,7 @@
         if let Some(accepting) = self.accepting.take() {
             let _ended = accepting.join();
         }
-        for stream in self.open.lock().unwrap().drain(..) {
+        for stream in self.open.lock().unwrap().values() {
             let _closed = stream.shutdown(Shutdown::Both);
         }
     }
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -2,9 +2,11 @@
 //! without the disruption. Ends with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod cell;
+mod checkpoints;
 mod crash;
 mod http;
 mod json;
+mod occurrences;
 mod queue;
 mod record;
 mod store;
@@ -27,7 +29,9 @@
     };
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let (record, outcome) = match case.as_str() {
+        "checkpoints" => checkpoints::run(trouble),
         "crash" => crash::run(trouble),
+        "occurrences" => occurrences::run(trouble),
         "attempts" => queue::attempts(trouble),
         "ticket" => queue::ticket(trouble),
         _ => {
--- a/review/rig-3/queue.rs
+++ b/review/rig-3/queue.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Outcome,
-    cell::{Cell, DOMAIN},
+    cell::{Cell, DOMAIN, ZONE},
     record::{Event, Record},
 };
 
@@ -33,7 +33,7 @@
 
 /// BUDGET: starts of a task after as many of its runs have failed as its queue allows.
 pub fn attempts(trouble: bool) -> (Arc<Record>, Outcome) {
-    let mut cell = Cell::start(3, 6, false, &config(7, true, ""));
+    let mut cell = Cell::start(3, (6, ZONE), false, &config(7, true, ""));
     let record = Arc::clone(&cell.record);
     let steps = r#"{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":1500}"#;
     let accepted = cell.submit(PREFIX, ID, "run=1500 fail=1", steps);
@@ -90,7 +90,7 @@
 /// LOST: a job has nothing running while the turn of a task has come.
 pub fn ticket(trouble: bool) -> (Arc<Record>, Outcome) {
     const ADVICE: &str = r#","advice":{"decide_ms":10.0,"each_ms":0.15,"valid_ms":2500}"#;
-    let mut cell = Cell::start(3, 6, true, &config(7, true, ADVICE));
+    let mut cell = Cell::start(3, (6, ZONE), true, &config(7, true, ADVICE));
     let record = Arc::clone(&cell.record);
     let steps = r#"{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":2000},{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":2000,"after":[0]}"#;
     let accepted = cell.submit(PREFIX, ID, "run=2000", steps);
--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -1,5 +1,5 @@
 //! A worker of the platform: runs under a lease, ends until they are acknowledged, a fencing token.
-//! What a task does stands in its spec: `run=MS`; `fail=1` for a task that fails at its end, and
+//! What a task does stands in its spec: `run=MS`; `last=1` for one that lasts; `fail=1` for a task that fails at its end, and
 //! `save=LENGTH` for one that saves checkpoints of this length.
 
 use std::{
@@ -42,8 +42,11 @@
     until: Instant,
     since: Instant,
     fails: bool,
+    lasts: bool,
     /// Length of its checkpoints; 0 if it saves none.
     saves: usize,
+    /// Work that the checkpoint of its start stands for.
+    resumed: Duration,
 }
 
 struct End {
@@ -51,6 +54,7 @@
     task: String,
     run: u64,
     how: &'static str,
+    saved: String,
 }
 
 /// One life of a worker.
@@ -97,6 +101,7 @@
 pub struct Worker {
     pub id: String,
     number: usize,
+    zone: &'static str,
     address: SocketAddr,
     /// Whether starts need a ticket of the advice service.
     needs_ticket: bool,
@@ -109,6 +114,7 @@
 impl Worker {
     pub fn start(
         number: usize,
+        zone: &'static str,
         address: SocketAddr,
         needs_ticket: bool,
         record: &Arc<Record>,
@@ -116,6 +122,7 @@
         let worker = Arc::new(Worker {
             id: format!("i-{:08x}", 0x7f3a_0000 + number),
             number,
+            zone,
             address,
             needs_ticket,
             life: Mutex::new(Life::new()),
@@ -173,8 +180,9 @@
         life.seq += 1;
         life.up.then(|| {
             format!(
-                r#"{{"service":"huvo11a","address":"{}","zone":"muc-ost","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{{"cpu":{CPU},"mem_mb":{MEMORY_MB},"gpu":0}},"labels":["a","r1-{}"],"clock_ms":{},"born":{},"seq":{}}}"#,
+                r#"{{"service":"huvo11a","address":"{}","zone":"{}","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{{"cpu":{CPU},"mem_mb":{MEMORY_MB},"gpu":0}},"labels":["a","r1-{}"],"clock_ms":{},"born":{},"seq":{}}}"#,
                 self.address,
+                self.zone,
                 self.number / RACK,
                 life.clock_ms(),
                 life.born,
@@ -218,6 +226,11 @@
             task: task.to_owned(),
             run: run.number,
             how,
+            saved: if how == "done" {
+                String::new()
+            } else {
+                checkpoint(&run)
+            },
         });
         let closed = life.closed.entry(task.to_owned()).or_default();
         *closed = run.number.max(*closed);
@@ -274,12 +287,17 @@
                 life.extend(until_ms);
                 let spec = body.get("spec").text();
                 let now = Instant::now();
+                let saved = u64::from_str_radix(body.get("checkpoint").text(), 16);
+                let resumed = Duration::from_secs(saved.unwrap_or(0));
+                let work = Duration::from_millis(number_in(spec, "run", 500));
                 let new = Run {
                     number: run,
-                    until: now + Duration::from_millis(number_in(spec, "run", 500)),
+                    until: now + work.saturating_sub(resumed),
                     since: now,
                     fails: number_in(spec, "fail", 0) > 0,
+                    lasts: number_in(spec, "last", 0) > 0,
                     saves: number_in(spec, "save", 0) as usize,
+                    resumed,
                 };
                 life.runs.insert(task.to_owned(), new);
                 let task = task.to_owned();
@@ -327,7 +345,7 @@
 
 /// The latest checkpoint; a new one comes with each second of work.
 fn checkpoint(run: &Run) -> String {
-    let seconds = run.since.elapsed().as_secs() as usize;
+    let seconds = (run.resumed + run.since.elapsed()).as_secs();
     match (run.saves, seconds) {
         (0, _) | (_, 0) => String::new(),
         (saves, seconds) => format!("{seconds:0saves$x}"),
@@ -337,8 +355,12 @@
 fn report(life: &Life) -> String {
     let running: Vec<String> = (life.runs.iter())
         .map(|(task, run)| {
-            let whole = run.until.duration_since(run.since).as_millis().max(1);
-            let percent = (run.since.elapsed().as_millis() * 100 / whole).min(100);
+            let whole = run.resumed + run.until.duration_since(run.since);
+            let worked = run.resumed + run.since.elapsed();
+            let percent = match run.lasts {
+                true => 100,
+                false => (worked.as_millis() * 100 / whole.as_millis().max(1)).min(100),
+            };
             let saved = checkpoint(run);
             format!(r#"[{},{},"{saved}",{percent},1]"#, quote(task), run.number)
         })
@@ -346,7 +368,8 @@
     let finished: Vec<String> = (life.ends.iter().take(MAX_LISTED_ENDS))
         .map(|end| {
             let task = quote(&end.task);
-            format!(r#"[{},{task},{},"{}",""]"#, end.number, end.run, end.how)
+            let (number, run, how) = (end.number, end.run, end.how);
+            format!(r#"[{number},{task},{run},"{how}","{}"]"#, end.saved)
         })
         .collect();
     format!(
