--- a/review/rig-3/occurrences.rs
+++ b/review/rig-3/occurrences.rs
@@ -10,6 +10,8 @@
 };
 
 const ID: &str = "5c0e7a21d94b36f8";
+/// An ordinary job that comes once the last occurrence has ended.
+const OTHER_ID: &str = "5c0e7a21d94b36f9";
 const PREFIX: &str = "/pufi791/";
 /// Occurrences, and the time between them with the disruption and without, in milliseconds.
 const TIMES: u64 = 20;
@@ -36,16 +38,20 @@
     let reply = cell.request("POST", &format!("{PREFIX}{ID}"), &body);
     let accepted = reply.is_some_and(|reply| reply.status == 200);
     thread::sleep(Duration::from_millis(1_000 + times * interval_ms + 16_000));
+    let steps = r#"{"count":2,"cpu":200,"mem_mb":40,"estimate_ms":500}"#;
+    let other_accepted = cell.submit(PREFIX, OTHER_ID, "run=500", steps);
     thread::sleep(Duration::from_secs(20));
     let state = cell.state(PREFIX, ID);
+    let other_state = cell.state(PREFIX, OTHER_ID);
     let ended_ms = record.now_ms();
     drop(cell);
     let mut seen: BTreeMap<String, u64> = BTreeMap::new();
     let mut listed = Vec::new();
     for line in record.lines().iter().filter(|line| line.at_ms < ended_ms) {
         match &line.event {
-            Event::Ended { end, how, .. } => {
-                listed.push((line.who.clone(), *end, line.at_ms, *how));
+            Event::Ended { task, end, how, .. } => {
+                let is_other = task.starts_with(OTHER_ID);
+                listed.push((line.who.clone(), *end, line.at_ms, *how, is_other));
             }
             Event::Seen { last_seen } => {
                 seen.insert(line.who.clone(), *last_seen);
@@ -53,26 +59,29 @@
             _ => {}
         }
     }
-    let done = listed.iter().filter(|(.., how)| *how == "done").count();
-    let (due, missed) = listed
-        .iter()
-        .filter(|(_, _, at_ms, _)| at_ms + ACK_TIMEOUT_MS < ended_ms)
-        .fold((0, 0), |(due, missed), (who, end, ..)| {
-            let is_seen = seen.get(who).is_some_and(|last| end <= last);
-            (due + 1, missed + usize::from(!is_seen))
-        });
+    let done = listed.iter().filter(|(.., how, _)| *how == "done").count();
+    let (mut due, mut missed, mut others_missed) = (0, 0, 0);
+    for (who, end, at_ms, _, is_other) in &listed {
+        if at_ms + ACK_TIMEOUT_MS < ended_ms {
+            let is_missed = seen.get(who).is_none_or(|last| end > last);
+            due += 1;
+            missed += usize::from(is_missed);
+            others_missed += usize::from(is_missed && *is_other);
+        }
+    }
     record.say(
         "rig",
         format!(
-            "{done} runs done of {} tasks; {missed} of {due} ends not taken note of; state {state}",
-            48 * times
+            "{done} runs done of {} tasks; {missed} of {due} ends not taken note of, {others_missed} of them of \
+             the other job (accepted: {other_accepted}); states {state}, {other_state}",
+            48 * times + 2
         ),
     );
     let mut broken = Vec::new();
     if missed * 5 > due {
         broken.push(format!(
-            "Acks: {missed} of {due} listed ends were not taken note of {ACK_TIMEOUT_MS} ms later; all {done} \
-             runs are done, and the job is shown as {state}"
+            "Acks: {missed} of {due} listed ends were not taken note of {ACK_TIMEOUT_MS} ms later, also \
+             {others_missed} of 2 of another job; all {done} runs are done, and the job is shown as {state}"
         ));
     }
     let void = match (accepted, done) {
